--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+export PYTHONPATH := src
+
+.PHONY: env test lint demo fleet bench fuzz
+
+env: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r requirements.lock
+	touch $@
+
+lint: env
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+
+test: env
+	$(PYTHON) -m pytest
+
+demo: env
+	$(PYTHON) -m foxtailbank_bench.demo
+
+fleet: env
+	$(PYTHON) -m foxtailbank_bench.fleet
+
+bench: env
+	$(PYTHON) -m foxtailbank_bench.experiment
+
+fuzz: env
+	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py
--- /dev/null
+++ b/src/foxtailbank_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, and the load and experiment tool."""
