--- /dev/null
+++ b/src/foxtailbank/breaker.py
@@ -0,0 +1,104 @@
+"""Circuit breaker of one endpoint."""
+
+import enum
+
+FAILURES_TO_OPEN = 3
+OPEN_MS = 1000
+OPEN_MAX_MS = 16_000
+
+
+class BreakerState(enum.Enum):
+    """Whether an endpoint may be tried."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class CircuitBreaker:
+    """Keeps requests off an endpoint that fails, and probes it with one request.
+
+    Parameters
+    ----------
+    failures_to_open : int
+        Failures in a row that open the circuit.
+    open_ms : int
+        Time until the first probe, in milliseconds; doubles with each failed probe.
+    open_max_ms : int
+        Bound on the time until a probe, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        failures_to_open: int = FAILURES_TO_OPEN,
+        open_ms: int = OPEN_MS,
+        open_max_ms: int = OPEN_MAX_MS,
+    ) -> None:
+        self._failures_to_open = failures_to_open
+        self._first_open_ms = open_ms
+        self._open_max_ms = open_max_ms
+        self._open_ms = open_ms
+        self._failures = 0
+        self._opened_at_ms: int | None = None
+        self._probe_started_ms: int | None = None
+
+    def state(self, now_ms: int) -> BreakerState:
+        """Return the state at a time.
+
+        Parameters
+        ----------
+        now_ms : int
+            Present time in milliseconds.
+
+        Returns
+        -------
+        BreakerState
+            ``HALF_OPEN`` only while the single probe may still be sent.
+        """
+        if self._opened_at_ms is None:
+            return BreakerState.CLOSED
+        if now_ms - self._opened_at_ms < self._open_ms:
+            return BreakerState.OPEN
+        if self._probe_pending(now_ms):
+            return BreakerState.OPEN
+        return BreakerState.HALF_OPEN
+
+    def on_dispatch(self, now_ms: int) -> None:
+        """Note a dispatch; in the half-open state it is the probe."""
+        if self.state(now_ms) is BreakerState.HALF_OPEN:
+            self._probe_started_ms = now_ms
+
+    def on_success(self) -> None:
+        """Close the circuit after an answer or a health check that passed."""
+        self._failures = 0
+        self._opened_at_ms = None
+        self._probe_started_ms = None
+        self._open_ms = self._first_open_ms
+
+    def on_failure(self, now_ms: int) -> None:
+        """Count a failure of a request or health check."""
+        self._failures += 1
+        if self._opened_at_ms is not None:
+            self._on_failed_probe(now_ms)
+        elif self._failures >= self._failures_to_open:
+            self._opened_at_ms = now_ms
+
+    def on_death(self, now_ms: int) -> None:
+        """Open the circuit at once: connections are refused or all were reset."""
+        if self._opened_at_ms is None:
+            self._opened_at_ms = now_ms
+        else:
+            self._on_failed_probe(now_ms)
+
+    def _on_failed_probe(self, now_ms: int) -> None:
+        if self._probe_started_ms is None:
+            return
+        self._probe_started_ms = None
+        self._opened_at_ms = now_ms
+        self._open_ms = min(self._open_max_ms, self._open_ms * 2)
+
+    def _probe_pending(self, now_ms: int) -> bool:
+        if self._probe_started_ms is None:
+            return False
+        return now_ms - self._probe_started_ms < self._open_max_ms
--- /dev/null
+++ b/src/foxtailbank/endpoint_view.py
@@ -0,0 +1,55 @@
+"""What a VM knows of an endpoint when it chooses one."""
+
+import dataclasses
+
+from foxtailbank.breaker import BreakerState
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointView:
+    """State of one endpoint, as far as this VM knows it.
+
+    Attributes
+    ----------
+    endpoint_id : str
+        Name, unique in the fleet.
+    zone : str
+        Availability zone.
+    pool : str
+        Model or service that it serves.
+    online_in_flight : int
+        Online requests of this VM on the endpoint.
+    batch_in_flight : int
+        Batch streams on the endpoint, of whichever VM.
+    reported_load : int
+        Online streams of other VMs, worked out of the latest load report.
+    health : BreakerState
+        State of its circuit breaker.
+    draining : bool
+        Whether it is leaving, whoever said so.
+    suspect : bool
+        Whether a suspect request runs on it.
+    reserved : bool
+        Whether it is kept free for a request that must run exclusively.
+    """
+
+    endpoint_id: str
+    zone: str = ""
+    pool: str = ""
+    online_in_flight: int = 0
+    batch_in_flight: int = 0
+    reported_load: int = 0
+    health: BreakerState = BreakerState.CLOSED
+    draining: bool = False
+    suspect: bool = False
+    reserved: bool = False
+
+    @property
+    def load(self) -> int:
+        """Online streams on the endpoint; batch streams yield and don't count."""
+        return self.online_in_flight + self.reported_load
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is known to run on the endpoint."""
+        return self.load == 0 and self.batch_in_flight == 0 and not self.suspect
