--- /dev/null
+++ b/src/foxtailbank/address.py
@@ -0,0 +1,71 @@
+"""Addresses by IP number and port."""
+
+import dataclasses
+import ipaddress
+
+MAX_PORT = 65_535
+
+
+class AddressInvalid(ValueError):
+    """The text is not ``IP:PORT``."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Address:
+    """IP number and port.
+
+    Attributes
+    ----------
+    ip : str
+        IPv4 or IPv6 number, without brackets.
+    port : int
+        From 1 to 65535.
+    """
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{host}:{self.port}"
+
+    def clashes_with(self, other: "Address") -> bool:
+        """Tell whether both cannot be listened on by one machine."""
+        if self.port != other.port:
+            return False
+        if self.ip == other.ip:
+            return True
+        return any(ipaddress.ip_address(a.ip).is_unspecified for a in (self, other))
+
+
+def parse_address(text: str) -> Address:
+    """Read ``"127.0.0.1:8401"`` or ``"[::1]:8401"``.
+
+    Parameters
+    ----------
+    text : str
+        IP number and port; names are not resolved.
+
+    Returns
+    -------
+    Address
+        The parts.
+
+    Raises
+    ------
+    AddressInvalid
+        The text has another form.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isascii() or not port.isdigit():
+        raise AddressInvalid("expected IP:PORT, such as 127.0.0.1:8401")
+    if not 1 <= int(port) <= MAX_PORT:
+        raise AddressInvalid(f"port must be from 1 to {MAX_PORT}")
+    ip = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    try:
+        number = ipaddress.ip_address(ip)
+    except ValueError:
+        raise AddressInvalid("expected an IP number before the port") from None
+    if number.version == 6 and ip == host:
+        raise AddressInvalid("write an IPv6 number in brackets, [::1]:8401")
+    return Address(ip=ip, port=int(port))
--- /dev/null
+++ b/src/foxtailbank/catalogue_records.py
@@ -0,0 +1,176 @@
+"""Records of the log's stream ``catalogue``."""
+
+import dataclasses
+import typing as t
+
+import msgspec
+
+from foxtailbank.entry import Entry
+
+STREAM = "catalogue"
+SCHEMA = 1
+MAX_EDITS_PER_RECORD = 4096
+
+
+class EntryPut(msgspec.Struct, frozen=True, kw_only=True, tag_field="type", tag=True):
+    """Edit that creates or replaces an entry.
+
+    Attributes
+    ----------
+    name : str
+        Name of the entry.
+    entry : Entry
+        The new content.
+    based_on : int
+        Version that the edit replaces; 0 if the entry must not exist.
+    edit_id : str
+        Identifies the edit to its operator.
+    by : str
+        Who made the edit.
+    at_ms : int
+        Wall time of the edit in milliseconds.
+    """
+
+    name: str
+    entry: Entry
+    based_on: int
+    edit_id: str
+    by: str = ""
+    at_ms: int = 0
+
+
+class EntryDeleted(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="type", tag=True
+):
+    """Edit that removes an entry.
+
+    Attributes
+    ----------
+    name : str
+        Name of the entry.
+    based_on : int
+        Version that is removed.
+    edit_id : str
+        Identifies the edit to its operator.
+    by : str
+        Who made the edit.
+    at_ms : int
+        Wall time of the edit in milliseconds.
+    """
+
+    name: str
+    based_on: int
+    edit_id: str
+    by: str = ""
+    at_ms: int = 0
+
+
+class CatalogueSnapshot(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="type", tag=True
+):
+    """The whole state, appended anew before retention takes its records.
+
+    Attributes
+    ----------
+    covers_offset : int
+        Last offset that the state includes.
+    digest : str
+        xxh3 digest of `content`.
+    content : msgspec.Raw
+        Encoded state.
+    """
+
+    covers_offset: int
+    digest: str
+    content: msgspec.Raw
+
+
+CatalogueEdit: t.TypeAlias = EntryPut | EntryDeleted
+
+
+class CatalogueEnvelope(msgspec.Struct, frozen=True, kw_only=True):
+    """One record of the stream.
+
+    Attributes
+    ----------
+    schema : int
+        Version of the record's form; raised by any change of fields or tags.
+    incarnation : str
+        One run of one VM's process.
+    sequence : int
+        Number of the record within its incarnation, rising.
+    entries : tuple
+        Edits in the order in which they are judged, or a snapshot.
+    """
+
+    schema: int
+    incarnation: str
+    sequence: int
+    entries: tuple[EntryPut | EntryDeleted | CatalogueSnapshot, ...]
+
+
+class _Header(msgspec.Struct, frozen=True):
+    schema: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnsupportedRecord:
+    """Record of a later schema, which this version cannot judge.
+
+    Attributes
+    ----------
+    schema : int
+        Schema of the record.
+    """
+
+    schema: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MalformedRecord:
+    """Record that no version accepts; every VM skips it.
+
+    Attributes
+    ----------
+    reason : str
+        Why it could not be decoded.
+    """
+
+    reason: str
+
+
+CatalogueRecord: t.TypeAlias = CatalogueEnvelope | UnsupportedRecord | MalformedRecord
+
+_encoder = msgspec.json.Encoder()
+_header_decoder = msgspec.json.Decoder(_Header)
+_decoder = msgspec.json.Decoder(CatalogueEnvelope)
+
+
+def encode_envelope(envelope: CatalogueEnvelope) -> bytes:
+    """Return the bytes that are appended to the log."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> CatalogueRecord:
+    """Decode a record of the stream.
+
+    Parameters
+    ----------
+    data : bytes
+        Content of the record.
+
+    Returns
+    -------
+    CatalogueEnvelope, UnsupportedRecord or MalformedRecord
+        The verdict depends on nothing but `data` and this version's schema.
+    """
+    try:
+        header = _header_decoder.decode(data)
+        if header.schema > SCHEMA:
+            return UnsupportedRecord(schema=header.schema)
+        envelope = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return MalformedRecord(reason=str(error))
+    if len(envelope.entries) > MAX_EDITS_PER_RECORD:
+        return MalformedRecord(reason="too many edits in one record")
+    return envelope
--- /dev/null
+++ b/src/foxtailbank/entry.py
@@ -0,0 +1,177 @@
+"""Catalogue entries: who may have what done, and within which limits."""
+
+import dataclasses
+import enum
+import hashlib
+import typing as t
+
+import msgspec
+
+Name = t.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
+]
+KeyHash = t.Annotated[str, msgspec.Meta(pattern=r"^sha256:[0-9a-f]{64}$")]
+Version = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Rate = t.Annotated[float, msgspec.Meta(gt=0, le=10_000_000)]
+Count = t.Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
+Milliseconds = t.Annotated[int, msgspec.Meta(ge=1, le=604_800_000)]
+Bytes = t.Annotated[int, msgspec.Meta(ge=1, le=4 << 30)]
+Share = t.Annotated[float, msgspec.Meta(gt=0, lt=1)]
+
+
+class WorkClass(enum.Enum):
+    """Class of work that an entry permits."""
+
+    ONLINE = "online"
+    BATCH = "batch"
+
+
+class Kind(enum.Enum):
+    """What stands behind an entry."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryLimits:
+    """Limits that hold for the whole fleet.
+
+    Attributes
+    ----------
+    requests_per_s : float
+        Calls, or items of batch jobs, a second.
+    concurrency : int
+        Calls or items in flight at once.
+    tokens_per_s : float
+        Tokens generated a second.
+    max_tokens : int
+        Most tokens of one answer.
+    deadline_ms : int
+        Longest deadline of a call or a job, in milliseconds.
+    body_bytes : int
+        Largest body of a call or of a batch item.
+    """
+
+    requests_per_s: Rate = 50.0
+    concurrency: Count = 32
+    tokens_per_s: Rate = 20_000.0
+    max_tokens: Count = 4_096
+    deadline_ms: Milliseconds = 60_000
+    body_bytes: Bytes = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Objective:
+    """Service-level objective of an entry.
+
+    Attributes
+    ----------
+    good_share : float
+        Share of events that must be good, between 0 and 1.
+    ttft_ms : int
+        Longest time to the first token, or to a service's answer.
+    gap_ms : int
+        Longest mean time between tokens; not used for services.
+    """
+
+    good_share: Share = 0.95
+    ttft_ms: Milliseconds = 790
+    gap_ms: Milliseconds = 57
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Adapter:
+    """Adapter that engines of the entry are to hold.
+
+    Attributes
+    ----------
+    name : str
+        Name of the adapter.
+    version : str
+        Version of the adapter.
+    """
+
+    name: Name
+    version: Version
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DesiredState:
+    """State that the entry's engines are brought to by orders.
+
+    Attributes
+    ----------
+    model_version : str
+        Version of the model; empty leaves it as it is.
+    replicas : int
+        Engines that are to hold the model; 0 means all of the pool.
+    adapters : tuple of Adapter
+        Adapters to hold.
+    role : str
+        Role to take; empty leaves it as it is.
+    """
+
+    model_version: t.Annotated[str, msgspec.Meta(max_length=64)] = ""
+    replicas: t.Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0
+    adapters: tuple[Adapter, ...] = ()
+    role: t.Annotated[str, msgspec.Meta(max_length=64)] = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """What one owner may have done by one pool of endpoints.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the entry.
+    owner : str
+        Customer that the entry belongs to.
+    work_class : WorkClass
+        Online or batch.
+    kind : Kind
+        Model engine or plain service.
+    pool : str
+        Model or service of the endpoint VMs that serve the entry.
+    model : str
+        Model name that callers give; empty for services.
+    key_hashes : tuple of str
+        ``"sha256:"`` and the hexadecimal digest of each accepted key.
+    limits : EntryLimits
+        Limits for the whole fleet.
+    idempotent : bool
+        Whether a call may be repeated.
+    objective : Objective
+        Service-level objective.
+    desired : DesiredState or None
+        State of the engines; None gives no orders.
+    """
+
+    name: Name
+    owner: Name
+    work_class: WorkClass
+    kind: Kind
+    pool: Name
+    key_hashes: tuple[KeyHash, ...]
+    model: t.Annotated[str, msgspec.Meta(max_length=128)] = ""
+    limits: EntryLimits = EntryLimits()
+    idempotent: bool = True
+    objective: Objective = Objective()
+    desired: DesiredState | None = None
+
+
+def key_hash(key: str) -> str:
+    """Return the form in which a key stands in the catalogue.
+
+    Parameters
+    ----------
+    key : str
+        The key that a caller presents.
+
+    Returns
+    -------
+    str
+        ``"sha256:"`` and 64 hexadecimal digits.
+    """
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/src/foxtailbank/entry_check.py
@@ -0,0 +1,133 @@
+"""Checks of catalogue entries before an edit is accepted."""
+
+import typing as t
+
+from foxtailbank.entry import Entry, Kind, WorkClass
+from foxtailbank.problem import CheckFailed, Problem, problem
+from foxtailbank.record_check import build
+
+
+def read_entry(
+    raw: t.Any, *, others: t.Iterable[Entry] = (), name: str = "", path: str = ""
+) -> Entry:
+    """Build an entry from decoded JSON or TOML, or say everything wrong with it.
+
+    Parameters
+    ----------
+    raw : object
+        Decoded mapping.
+    others : iterable of Entry
+        The catalogue's entries, against which clashes are looked for.
+    name : str
+        Name under which the entry is stored, if that is given apart; the mapping
+        may then leave it out, and must not give another one.
+    path : str
+        Dotted path that problems start with.
+
+    Returns
+    -------
+    Entry
+        The checked entry.
+
+    Raises
+    ------
+    SettingsInvalid
+        As `CheckFailed`, with every problem found.
+    """
+    problems: list[Problem] = []
+    if name and isinstance(raw, dict):
+        raw = {"name": name} | raw
+        if raw["name"] != name:
+            reason = f"differs from the name it is stored under, {name}"
+            problems.append(problem(_key(path, "name"), raw["name"], reason))
+    entry = build(Entry, raw, problems=problems, path=path)
+    if entry is not None:
+        problems.extend(check_entry(entry, others=others, path=path))
+    if entry is None or problems:
+        raise CheckFailed(problems=tuple(problems), source=name)
+    return entry
+
+
+def check_entry(
+    entry: Entry, *, others: t.Iterable[Entry] = (), path: str = ""
+) -> tuple[Problem, ...]:
+    """Check how the values of an entry fit together and with other entries.
+
+    Parameters
+    ----------
+    entry : Entry
+        Its values have their types and ranges already.
+    others : iterable of Entry
+        The catalogue's entries; one of the same name is not looked at.
+    path : str
+        Dotted path that problems start with.
+
+    Returns
+    -------
+    tuple of Problem
+        Everything found.
+    """
+    problems = [
+        *_check_kind(entry, path),
+        *_check_keys(entry, path),
+        *_check_desired(entry, path),
+    ]
+    for other in others:
+        if other.name != entry.name:
+            problems.extend(_check_pair(entry, other, path))
+    return tuple(problems)
+
+
+def _key(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
+
+
+def _check_kind(entry: Entry, path: str) -> t.Iterator[Problem]:
+    if entry.kind is Kind.ENGINE and not entry.model:
+        reason = "missing; an engine entry names the model that callers ask for"
+        yield problem(_key(path, "model"), "", reason)
+    if entry.kind is Kind.SERVICE and entry.model:
+        reason = "a service entry names no model"
+        yield problem(_key(path, "model"), entry.model, reason)
+    if entry.kind is Kind.ENGINE and entry.work_class is WorkClass.ONLINE:
+        objective = entry.objective
+        if objective.ttft_ms > entry.limits.deadline_ms:
+            reason = f"exceeds limits.deadline_ms ({entry.limits.deadline_ms})"
+            yield problem(_key(path, "objective.ttft_ms"), objective.ttft_ms, reason)
+
+
+def _check_keys(entry: Entry, path: str) -> t.Iterator[Problem]:
+    key = _key(path, "key_hashes")
+    if not entry.key_hashes:
+        yield problem(key, "", "at least one key hash is required")
+    if len(set(entry.key_hashes)) != len(entry.key_hashes):
+        yield problem(key, "", "a key hash is listed twice")
+
+
+def _check_desired(entry: Entry, path: str) -> t.Iterator[Problem]:
+    desired = entry.desired
+    if desired is None:
+        return
+    if entry.kind is Kind.SERVICE:
+        reason = "a service takes no orders; only engine entries have it"
+        yield problem(_key(path, "desired"), "", reason)
+    names = [adapter.name for adapter in desired.adapters]
+    if len(set(names)) != len(names):
+        yield problem(_key(path, "desired.adapters"), names, "an adapter stands twice")
+
+
+def _check_pair(entry: Entry, other: Entry, path: str) -> t.Iterator[Problem]:
+    if not set(entry.key_hashes) & set(other.key_hashes):
+        return
+    if entry.owner != other.owner:
+        reason = f"a key belongs to another owner's entry, {other.name}"
+        yield problem(_key(path, "key_hashes"), "", reason)
+    elif _answers_same_calls(entry, other):
+        reason = f"entry {other.name} serves this model, class and key already"
+        yield problem(_key(path, "model"), entry.model, reason)
+
+
+def _answers_same_calls(entry: Entry, other: Entry) -> bool:
+    if entry.kind is not Kind.ENGINE or other.kind is not Kind.ENGINE:
+        return False
+    return entry.model == other.model and entry.work_class is other.work_class
--- /dev/null
+++ b/src/foxtailbank/problem.py
@@ -0,0 +1,87 @@
+"""Problems found by a check, gathered and reported together."""
+
+import dataclasses
+import typing as t
+
+from foxtailbank.exceptions import SettingsInvalid
+
+VALUE_CHARS = 80
+HIDDEN = "(hidden)"
+_SECRET_WORDS = ("secret", "password", "token_value", "key")
+_PUBLIC_NAMES = frozenset({"key_file", "secret_file"})
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Problem:
+    """One thing wrong with settings or a catalogue entry.
+
+    Attributes
+    ----------
+    key : str
+        Dotted path of the value, ``"limits.body_bytes"``.
+    value : str
+        The value as written, shortened; secrets are hidden.
+    reason : str
+        What is wrong and what is expected.
+    """
+
+    key: str
+    value: str
+    reason: str
+
+
+class CheckFailed(SettingsInvalid):
+    """A check found problems; all of them are listed.
+
+    Parameters
+    ----------
+    problems : tuple of Problem
+        Everything that was found.
+    source : str
+        File or entry that was checked.
+    """
+
+    def __init__(self, *, problems: tuple[Problem, ...], source: str = "") -> None:
+        lines = [f"{p.key} = {p.value}: {p.reason}" for p in problems]
+        prefix = f"{source}: " if source else ""
+        super().__init__(detail=prefix + "; ".join(lines))
+        self.problems = problems
+        self.source = source
+
+
+def problem(key: str, value: t.Any, reason: str) -> Problem:
+    """Describe a problem without giving away secrets.
+
+    Parameters
+    ----------
+    key : str
+        Dotted path of the value.
+    value : object
+        The value as decoded.
+    reason : str
+        What is wrong.
+
+    Returns
+    -------
+    Problem
+        With the value shortened, or hidden if its key names a secret.
+    """
+    return Problem(key=key, value=_shown(key, value), reason=reason)
+
+
+def _shown(key: str, value: t.Any) -> str:
+    name = key.rpartition(".")[2]
+    if _is_secret(name):
+        return HIDDEN
+    if isinstance(value, dict):
+        return "{" + ", ".join(str(k) for k in value)[:VALUE_CHARS] + "}"
+    text = value if isinstance(value, str) else repr(value)
+    if len(text) > VALUE_CHARS:
+        return text[: VALUE_CHARS - 1] + "…"
+    return text
+
+
+def _is_secret(name: str) -> bool:
+    if name in _PUBLIC_NAMES:
+        return False
+    return any(word in name.lower() for word in _SECRET_WORDS)
--- /dev/null
+++ b/src/foxtailbank/settings.py
@@ -0,0 +1,98 @@
+"""Settings of a daemon, read from TOML and checked as a whole."""
+
+import dataclasses
+import pathlib
+
+import msgspec
+
+from foxtailbank.problem import CheckFailed, Problem, problem
+from foxtailbank.record_check import build
+from foxtailbank.settings_check import check_settings
+from foxtailbank.settings_sections import (
+    AdminSection,
+    LimitsSection,
+    LogsSection,
+    PeersSection,
+    PlatformSection,
+    TimingSection,
+    VmSection,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Everything that a daemon is told before it starts.
+
+    Attributes
+    ----------
+    vm : VmSection
+        The entry VM itself.
+    platform : PlatformSection
+        Addresses of the platform's services.
+    peers : PeersSection
+        The other entry VMs.
+    admin : AdminSection
+        The administration API.
+    limits : LimitsSection
+        Bounds on what is taken at once.
+    logs : LogsSection
+        The daemon's log lines.
+    timing : TimingSection
+        Periods and time limits.
+    """
+
+    vm: VmSection
+    platform: PlatformSection
+    peers: PeersSection
+    admin: AdminSection
+    limits: LimitsSection = dataclasses.field(default_factory=LimitsSection)
+    logs: LogsSection = dataclasses.field(default_factory=LogsSection)
+    timing: TimingSection = dataclasses.field(default_factory=TimingSection)
+
+
+def load_settings(path: str | pathlib.Path) -> Settings:
+    """Read and check a settings file and the secret files that it names.
+
+    Parameters
+    ----------
+    path : str or Path
+        TOML file; paths of files in it are relative to its directory.
+
+    Returns
+    -------
+    Settings
+        With absolute paths of the secret files.
+
+    Raises
+    ------
+    SettingsInvalid
+        As `CheckFailed`, with every problem found.
+    """
+    file = pathlib.Path(path)
+    try:
+        raw = msgspec.toml.decode(file.read_bytes())
+    except OSError as error:
+        reason = f"cannot be read: {error.strerror}"
+        raise _failed([problem("(file)", str(file), reason)], file) from None
+    except msgspec.DecodeError as error:
+        raise _failed([problem("(file)", str(file), f"{error}")], file) from None
+    problems: list[Problem] = []
+    settings = build(Settings, raw, problems=problems)
+    problems.extend(check_settings(raw, directory=file.parent))
+    if settings is None or problems:
+        raise _failed(problems, file)
+    return _with_absolute_paths(settings, file.parent.absolute())
+
+
+def _failed(problems: list[Problem], file: pathlib.Path) -> CheckFailed:
+    return CheckFailed(problems=tuple(problems), source=str(file))
+
+
+def _with_absolute_paths(settings: Settings, directory: pathlib.Path) -> Settings:
+    secret_file = str(directory / settings.peers.secret_file)
+    key_file = str(directory / settings.admin.key_file)
+    return dataclasses.replace(
+        settings,
+        peers=dataclasses.replace(settings.peers, secret_file=secret_file),
+        admin=dataclasses.replace(settings.admin, key_file=key_file),
+    )
