--- /dev/null
+++ b/caller.py
@@ -0,0 +1,103 @@
+"""Who calls, and what the catalogue permits them."""
+
+import dataclasses
+
+from foxtailbank.asgi import Scope, header
+from foxtailbank.catalogue import Catalogue
+from foxtailbank.entry import Entry, WorkClass, key_hash
+from foxtailbank.exceptions import Forbidden, MissingKey, ModelNotFound, NotFound
+from foxtailbank.sentinels import Missing
+
+BEARER = "bearer "
+MAX_KEY_CHARS = 512
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Caller:
+    """The holder of a valid key.
+
+    Attributes
+    ----------
+    owner : str
+        Customer that the key belongs to.
+    hashed_key : str
+        Hash of the key, as the catalogue holds it.
+    """
+
+    owner: str
+    hashed_key: str
+
+
+def bearer_key(scope: Scope) -> str:
+    """Return the key that a request carries.
+
+    Raises
+    ------
+    MissingKey
+        There is none.
+    """
+    value = header(scope, b"authorization")
+    if not value.lower().startswith(BEARER):
+        raise MissingKey(detail="give a key as `Authorization: Bearer KEY`")
+    key = value[len(BEARER) :].strip()
+    if not key or len(key) > MAX_KEY_CHARS:
+        raise MissingKey(detail="the key is empty or too long")
+    return key
+
+
+def authenticate(scope: Scope, catalogue: Catalogue) -> Caller:
+    """Return who calls.
+
+    Parameters
+    ----------
+    scope : Scope
+        Scope of the request.
+    catalogue : Catalogue
+        Holds the hashes of all keys.
+
+    Raises
+    ------
+    MissingKey
+        The key is absent or unknown.
+    """
+    hashed = key_hash(bearer_key(scope))
+    owner = catalogue.owner_of_key(hashed)
+    if not owner:
+        raise MissingKey(detail="the key is unknown")
+    return Caller(owner=owner, hashed_key=hashed)
+
+
+def entry_for_model(caller: Caller, catalogue: Catalogue, model: str) -> Entry:
+    """Return the online entry that serves a model to a caller.
+
+    Raises
+    ------
+    ModelNotFound
+        No entry of the caller's key serves it.
+    """
+    entry = catalogue.entry_for_model(key_hash=caller.hashed_key, model=model)
+    if isinstance(entry, Missing):
+        raise ModelNotFound(detail=f"the model `{model}` does not exist for this key")
+    return entry
+
+
+def entry_by_name(
+    caller: Caller, catalogue: Catalogue, name: str, work_class: WorkClass
+) -> Entry:
+    """Return an entry that a caller names.
+
+    Raises
+    ------
+    NotFound
+        There is none of this name and class.
+    Forbidden
+        The caller's key does not open it.
+    """
+    entry = catalogue.entry(name)
+    if isinstance(entry, Missing):
+        raise NotFound(detail=f"no entry `{name}`")
+    if caller.hashed_key not in entry.key_hashes:
+        raise Forbidden(detail=f"the key does not open `{name}`")
+    if entry.work_class is not work_class:
+        raise NotFound(detail=f"no {work_class.value} entry `{name}`")
+    return entry
--- /dev/null
+++ b/online.py
@@ -0,0 +1,269 @@
+"""Online calls: completions, chat completions and plain services."""
+
+import contextlib
+import secrets
+import typing as t
+
+import anyio
+import xxhash
+from foxtailbank.caller import authenticate, entry_by_name, entry_for_model
+from foxtailbank.completion import CHAT_PATH, COMPLETIONS_PATH, parse_completion
+from foxtailbank.headers import Headers, strip_hop_by_hop
+from foxtailbank.http_sink import HttpSink
+
+from foxtailbank.admission import Admission, Admit, Refusal
+from foxtailbank.asgi import Receive, Scope, Send, header, read_body
+from foxtailbank.catalogue import Catalogue
+from foxtailbank.clock import Clock
+from foxtailbank.dispatcher import Dispatcher
+from foxtailbank.entry import Entry, Kind, WorkClass
+from foxtailbank.events import Event
+from foxtailbank.exceptions import (
+    BodyTooLarge,
+    CallerGone,
+    FoxtailbankError,
+    InvalidRequest,
+    NotFound,
+)
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.quarantine import Fingerprint
+from foxtailbank.settings import Settings
+from foxtailbank.settings_sections import LogLevel
+from foxtailbank.work import Work
+
+SERVICES_PREFIX = "/v1/services/"
+ENGINE_HEADERS = frozenset(("content-type", "accept", "traceparent"))
+OWN_HEADERS = frozenset(("host", "authorization", "content-length", "x-request-id"))
+MAX_ID_CHARS = 128
+
+
+class OnlineHandler:
+    """ASGI application of the calls that wait for their answer.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    settings : Settings
+        Bounds on bodies.
+    catalogue : Catalogue
+        Who may do what.
+    admission : Admission
+        Limits of owners and entries.
+    dispatcher : Dispatcher
+        Runs what is admitted.
+    logs : Logs
+        Takes a line for each outcome.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        settings: Settings,
+        catalogue: Catalogue,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        logs: Logs,
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._catalogue = catalogue
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._logs = logs
+        self.in_flight = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        started_ms = self._clock.now_ms()
+        request_id = request_id_of(scope)
+        sink = HttpSink(send=send, request_id=request_id)
+        work: Work | None = None
+        self.in_flight += 1
+        try:
+            body = await read_body(receive, max_bytes=self._settings.limits.body_bytes)
+            work = self._work(scope, body, request_id, started_ms)
+            with self._admitted(work):
+                await self._run(work, sink, receive)
+            self._note(Event.CALL_FINISHED, work, request_id, started_ms, sink.status)
+        except FoxtailbankError as failure:
+            event = Event.CALL_FAILED if sink.started else Event.CALL_REFUSED
+            if not isinstance(failure, CallerGone):
+                await sink.fail(failure)
+            self._note(
+                event, work, request_id, started_ms, failure.status, failure.code
+            )
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, work: Work, sink: HttpSink, receive: Receive) -> None:
+        gone = False
+
+        async def watch() -> None:
+            nonlocal gone
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            gone = True
+            tasks.cancel_scope.cancel()
+
+        failures: list[FoxtailbankError] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            try:
+                await self._dispatcher.run(work, sink)
+                await sink.finish()
+            except FoxtailbankError as failure:
+                failures.append(failure)
+            tasks.cancel_scope.cancel()
+        if gone:
+            raise CallerGone()
+        if failures:
+            raise failures[0]
+
+    def _work(self, scope: Scope, body: bytes, request_id: str, now_ms: int) -> Work:
+        caller = authenticate(scope, self._catalogue)
+        path = scope["path"]
+        if path.startswith(SERVICES_PREFIX):
+            name, _, rest = path[len(SERVICES_PREFIX) :].partition("/")
+            entry = entry_by_name(caller, self._catalogue, name, WorkClass.ONLINE)
+            return self._service_work(scope, body, request_id, now_ms, entry, rest)
+        call = parse_completion(path, body)
+        entry = entry_for_model(caller, self._catalogue, call.model)
+        if call.max_tokens > entry.limits.max_tokens:
+            raise InvalidRequest(
+                detail=f"`max_tokens` exceeds {entry.limits.max_tokens}"
+            )
+        return Work(
+            request_id=request_id,
+            entry=_checked(entry, body),
+            method="POST",
+            path=path,
+            headers=_headers(scope, only=ENGINE_HEADERS),
+            body=body,
+            streamed=call.streamed,
+            batch=False,
+            idempotent=entry.idempotent,
+            fingerprint=fingerprint_of(entry.owner, body),
+            prefix_digest=call.prefix_digest,
+            tokens=call.max_tokens,
+            deadline_at_ms=now_ms + deadline_ms(scope, entry),
+        )
+
+    def _service_work(
+        self,
+        scope: Scope,
+        body: bytes,
+        request_id: str,
+        now_ms: int,
+        entry: Entry,
+        rest: str,
+    ) -> Work:
+        if entry.kind is not Kind.SERVICE:
+            raise NotFound(detail=f"`{entry.name}` is not a service")
+        raw = scope["raw_path"].decode("latin-1")
+        rest = raw[len(SERVICES_PREFIX) :].partition("/")[2] or rest
+        query = scope["query_string"].decode("latin-1")
+        path = f"/{rest}?{query}" if query else f"/{rest}"
+        content = f"{scope['method']} {path}\n".encode() + body
+        return Work(
+            request_id=request_id,
+            entry=_checked(entry, body),
+            method=scope["method"],
+            path=path,
+            headers=_headers(scope),
+            body=body,
+            streamed=False,
+            batch=False,
+            idempotent=entry.idempotent,
+            fingerprint=fingerprint_of(entry.owner, content),
+            prefix_digest=0,
+            tokens=0,
+            deadline_at_ms=now_ms + deadline_ms(scope, entry),
+        )
+
+    @contextlib.contextmanager
+    def _admitted(self, work: Work) -> t.Iterator[Admit]:
+        verdict = self._admission.admit(
+            keys=(f"entry:{work.entry.name}",),
+            tokens=work.tokens,
+            now_ms=self._clock.now_ms(),
+        )
+        if isinstance(verdict, Refusal):
+            raise verdict.error()
+        try:
+            yield verdict
+        finally:
+            self._admission.release(
+                verdict, used_tokens=work.tokens, now_ms=self._clock.now_ms()
+            )
+
+    def _note(
+        self,
+        event: Event,
+        work: Work | None,
+        request_id: str,
+        started_ms: int,
+        status: int,
+        reason: str = "",
+    ) -> None:
+        fields = LogFields(
+            request_id=request_id,
+            owner=work.entry.owner if work else "",
+            entry=work.entry.name if work else "",
+            reason=reason,
+            status=status,
+            duration_ms=self._clock.now_ms() - started_ms,
+        )
+        self._logs.write(event, level=LogLevel.INFO, fields=fields)
+
+
+def request_id_of(scope: Scope) -> str:
+    """Return the caller's request id, or a new one."""
+    given = header(scope, b"x-request-id")
+    if given and len(given) <= MAX_ID_CHARS and given.isascii() and given.isprintable():
+        return given
+    return secrets.token_hex(8)
+
+
+def fingerprint_of(owner: str, content: bytes) -> Fingerprint:
+    """Return the identity of a request over all its repetitions."""
+    return Fingerprint(owner=owner, digest=xxhash.xxh64_hexdigest(content))
+
+
+def deadline_ms(scope: Scope, entry: Entry) -> int:
+    """Return how long a call may take, in milliseconds.
+
+    Raises
+    ------
+    InvalidRequest
+        The caller's ``x-deadline-ms`` is no positive number.
+    """
+    given = header(scope, b"x-deadline-ms")
+    if not given:
+        return entry.limits.deadline_ms
+    if not given.isdecimal() or not int(given):
+        raise InvalidRequest(detail="`x-deadline-ms` must be a positive number")
+    return min(int(given), entry.limits.deadline_ms)
+
+
+def _checked(entry: Entry, body: bytes) -> Entry:
+    if len(body) > entry.limits.body_bytes:
+        raise BodyTooLarge(
+            detail=f"body of {len(body)} bytes exceeds {entry.limits.body_bytes}"
+        )
+    return entry
+
+
+def _headers(scope: Scope, *, only: frozenset[str] | None = None) -> Headers:
+    decoded = (
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+    kept = strip_hop_by_hop(decoded, also=OWN_HEADERS)
+    if only is None:
+        return kept
+    return tuple((name, value) for name, value in kept if name in only)
+
+
+PATHS = (COMPLETIONS_PATH, CHAT_PATH)
--- /dev/null
+++ b/src/foxtailbank/directory.py
@@ -0,0 +1,84 @@
+"""Endpoints that this VM may route to, by pool."""
+
+import typing as t
+
+from foxtailbank.backend import Backend
+from foxtailbank.endpoint import PlainService
+from foxtailbank.vm_list import Vm, VmRole, VmState
+
+ServiceFactory = t.Callable[[Vm], PlainService]
+
+
+class Directory:
+    """Keeps one backend for each listed endpoint VM.
+
+    Parameters
+    ----------
+    factory : callable
+        Makes the adapter for a VM of the list.
+
+    Attributes
+    ----------
+    backends_by_id : dict of str to Backend
+        All known endpoints.
+    entry_vms_by_id : dict of str to Vm
+        Entry VMs of the list.
+    """
+
+    def __init__(self, *, factory: ServiceFactory) -> None:
+        self._factory = factory
+        self.backends_by_id: dict[str, Backend] = {}
+        self.entry_vms_by_id: dict[str, Vm] = {}
+        self._by_pool: dict[str, tuple[Backend, ...]] = {}
+
+    def apply(self, vms: t.Sequence[Vm]) -> tuple[Backend, ...]:
+        """Take a new reading of the VM list.
+
+        Parameters
+        ----------
+        vms : sequence of Vm
+            All listed VMs.
+
+        Returns
+        -------
+        tuple of Backend
+            Backends that the list no longer shows; work in flight there goes on.
+        """
+        self.entry_vms_by_id = {vm.vm_id: vm for vm in vms if vm.role is VmRole.ENTRY}
+        listed = {vm.vm_id: vm for vm in vms if vm.role is not VmRole.ENTRY}
+        gone = tuple(
+            backend
+            for backend_id, backend in self.backends_by_id.items()
+            if backend_id not in listed
+        )
+        for backend in gone:
+            backend.listed = False
+            del self.backends_by_id[backend.endpoint_id]
+        for vm in listed.values():
+            self._apply_vm(vm)
+        self._index()
+        return gone
+
+    def pool(self, name: str) -> tuple[Backend, ...]:
+        """Return the backends of a model or service."""
+        return self._by_pool.get(name, ())
+
+    def pools(self) -> tuple[str, ...]:
+        """Return the names of all models and services that are served."""
+        return tuple(self._by_pool)
+
+    def _apply_vm(self, vm: Vm) -> None:
+        known = self.backends_by_id.get(vm.vm_id)
+        if known is None or known.vm.address != vm.address:
+            known = Backend(vm=vm, service=self._factory(vm))
+            self.backends_by_id[vm.vm_id] = known
+        known.vm = vm
+        if vm.state is VmState.LEAVING:
+            known.draining = True
+
+    def _index(self) -> None:
+        by_pool: dict[str, list[Backend]] = {}
+        for backend_id in sorted(self.backends_by_id):
+            backend = self.backends_by_id[backend_id]
+            by_pool.setdefault(backend.vm.pool, []).append(backend)
+        self._by_pool = {name: tuple(found) for name, found in by_pool.items()}
--- /dev/null
+++ b/src/foxtailbank/dispatcher.py
@@ -0,0 +1,293 @@
+"""Runs work on endpoints: choice, attempts, retries and resumption."""
+
+import contextlib
+import dataclasses
+import typing as t
+
+import anyio
+
+from foxtailbank.backend import Backend
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.directory import Directory
+from foxtailbank.endpoint import Answer, Endpoint
+from foxtailbank.exceptions import (
+    DeadlineExceeded,
+    EndpointFailed,
+    EndpointRefused,
+    EndpointStalled,
+    FoxtailbankError,
+    NoEndpoint,
+    OutcomeUnknown,
+    Ran,
+)
+from foxtailbank.isolation import Isolation
+from foxtailbank.quarantine import Quarantine
+from foxtailbank.retry_budget import RetryBudget
+from foxtailbank.routing import Router, RouteRequest
+from foxtailbank.sentinels import Missing
+from foxtailbank.sink import Sink
+from foxtailbank.sse import EventTail
+from foxtailbank.work import Work
+
+MAX_ATTEMPTS = 4
+NO_ENDPOINT_RETRY_MS = 1_000
+FAILED_RETRY_MS = 500
+FIRST_ERROR_STATUS = 400
+FIRST_SERVER_ERROR_STATUS = 500
+
+
+class DispatchObserver:
+    """Hooks that are told of dispatches; each does nothing by default."""
+
+    def on_dispatch(self, backend: Backend, work: Work) -> None:
+        """Note that work goes to an endpoint, before its first byte is sent."""
+
+    def on_end(self, backend: Backend, work: Work) -> None:
+        """Note that work left an endpoint."""
+
+    def on_first_token(self, backend: Backend, work: Work, ttft_ms: int) -> None:
+        """Note the time from dispatch to the first content."""
+
+    def on_chunk_gap(self, backend: Backend, work: Work, gap_ms: int) -> None:
+        """Note the time between two pieces of content."""
+
+    def on_death(self, backend: Backend, work: Work) -> None:
+        """Note that an endpoint died while work was in flight there."""
+
+    def on_resumed(self, backend: Backend, work: Work, reason: str) -> None:
+        """Note that work goes on after an attempt that failed there."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Progress:
+    """What has happened to one piece of work so far."""
+
+    resume_at: int
+    attempts: int = 0
+    tried: frozenset[str] = frozenset()
+
+
+class Dispatcher:
+    """Runs work on endpoints until it has its whole answer or a typed failure.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    zone : str
+        Availability zone of this VM.
+    directory : Directory
+        Known endpoints.
+    router : Router
+        Chooses among them.
+    quarantine : Quarantine
+        Requests that took down endpoints.
+    retry_budget : RetryBudget
+        Bound on retries.
+    observer : DispatchObserver
+        Is told of dispatches.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        zone: str,
+        directory: Directory,
+        router: Router,
+        quarantine: Quarantine,
+        retry_budget: RetryBudget,
+        observer: DispatchObserver,
+    ) -> None:
+        self._clock = clock
+        self._zone = zone
+        self._directory = directory
+        self._router = router
+        self._quarantine = quarantine
+        self._retry_budget = retry_budget
+        self._observer = observer
+
+    async def run(self, work: Work, sink: Sink, *, on: Backend | None = None) -> None:
+        """Run work and give its answer to a sink.
+
+        Parameters
+        ----------
+        work : Work
+            What to run.
+        sink : Sink
+            Takes the answer.
+        on : Backend, optional
+            The endpoint of the first attempt; chosen if not given.
+
+        Raises
+        ------
+        FoxtailbankError
+            Why there is no whole answer; says whether the work may have run.
+        """
+        progress = _Progress(resume_at=work.resume_at)
+        self._retry_budget.on_request(self._clock.now_ms())
+        remaining_ms = work.deadline_at_ms - self._clock.now_ms()
+        with anyio.move_on_after(max(0, remaining_ms) / MS_PER_S) as scope:
+            await self._run(work, sink, progress, on)
+        if scope.cancelled_caught:
+            ran = Ran.UNKNOWN if progress.attempts else Ran.NO
+            raise DeadlineExceeded(detail="the deadline passed", ran=ran)
+
+    async def _run(
+        self, work: Work, sink: Sink, progress: _Progress, on: Backend | None
+    ) -> None:
+        while True:
+            backend = on or self._choose(work, progress)
+            on = None
+            try:
+                await self._attempt(work, sink, progress, backend)
+                return
+            except (EndpointFailed, EndpointRefused) as failure:
+                self._note_failure(backend, failure)
+                await self._check_death(work, backend, failure)
+                progress.tried |= {backend.endpoint_id}
+                self._decide(work, progress, failure)
+                self._observer.on_resumed(backend, work, failure.code)
+
+    def _choose(self, work: Work, progress: _Progress) -> Backend:
+        now_ms = self._clock.now_ms()
+        verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
+        if verdict.isolation is Isolation.REFUSED:
+            raise verdict.error()
+        backends = self._directory.pool(work.entry.pool)
+        request = RouteRequest(
+            zone=self._zone,
+            prefix_digest=work.prefix_digest,
+            tried=progress.tried,
+            isolation=verdict.isolation,
+        )
+        views = [backend.view(now_ms) for backend in backends]
+        chosen = self._router.choose(request, views, now_ms)
+        if isinstance(chosen, Missing):
+            raise self._no_endpoint(work, progress, chosen)
+        return self._directory.backends_by_id[chosen.endpoint_id]
+
+    def _no_endpoint(
+        self, work: Work, progress: _Progress, reason: Missing
+    ) -> FoxtailbankError:
+        ran = Ran.UNKNOWN if progress.attempts else Ran.NO
+        return NoEndpoint(
+            detail=f"no endpoint for {work.entry.name}: {reason.reason}",
+            retry_after_ms=NO_ENDPOINT_RETRY_MS,
+            ran=ran,
+        )
+
+    async def _attempt(
+        self, work: Work, sink: Sink, progress: _Progress, backend: Backend
+    ) -> None:
+        with self._counted(work, backend):
+            started_ms = self._clock.now_ms()
+            async with backend.service.open(
+                work.call(resume_at=progress.resume_at)
+            ) as answer:
+                progress.attempts += 1
+                if work.streamed and answer.status < FIRST_ERROR_STATUS:
+                    await self._relay(work, sink, progress, backend, answer, started_ms)
+                else:
+                    await self._relay_whole(work, sink, backend, answer)
+        backend.breaker.on_success()
+
+    async def _relay_whole(
+        self, work: Work, sink: Sink, backend: Backend, answer: Answer
+    ) -> None:
+        body = b"".join([part async for part in answer.chunks()])
+        if answer.status >= FIRST_SERVER_ERROR_STATUS and work.for_engine:
+            raise EndpointFailed(
+                detail=f"{backend.endpoint_id} answered {answer.status}"
+            )
+        await sink.start(status=answer.status, headers=answer.headers)
+        if body:
+            await sink.write(body)
+
+    async def _relay(
+        self,
+        work: Work,
+        sink: Sink,
+        progress: _Progress,
+        backend: Backend,
+        answer: Answer,
+        started_ms: int,
+    ) -> None:
+        tail = EventTail()
+        last_ms = 0
+        try:
+            async for part in answer.chunks():
+                events = tail.feed(part)
+                if not events:
+                    continue
+                now_ms = self._clock.now_ms()
+                if not last_ms:
+                    self._observer.on_first_token(backend, work, now_ms - started_ms)
+                else:
+                    self._observer.on_chunk_gap(backend, work, now_ms - last_ms)
+                last_ms = now_ms
+                if not sink.started:
+                    await sink.start(status=answer.status, headers=answer.headers)
+                await sink.write(events)
+        finally:
+            progress.resume_at = tail.next_index(progress.resume_at)
+        if not tail.done:
+            raise EndpointFailed(detail=f"{backend.endpoint_id} ended a stream early")
+
+    def _note_failure(self, backend: Backend, failure: FoxtailbankError) -> None:
+        now_ms = self._clock.now_ms()
+        if isinstance(failure, EndpointRefused) or not isinstance(failure, EndpointStalled):
+            backend.breaker.on_failure(now_ms)
+
+    async def _check_death(
+        self, work: Work, backend: Backend, failure: FoxtailbankError
+    ) -> None:
+        if isinstance(failure, EndpointStalled | EndpointRefused):
+            return
+        if not isinstance(backend.service, Endpoint):
+            return
+        try:
+            await backend.service.load()
+        except EndpointRefused:
+            backend.breaker.on_death(self._clock.now_ms())
+            self._observer.on_death(backend, work)
+        except EndpointFailed:
+            return
+
+    def _decide(
+        self, work: Work, progress: _Progress, failure: FoxtailbankError
+    ) -> None:
+        not_run = failure.ran is Ran.NO and progress.attempts == 0
+        if not work.idempotent and not not_run:
+            raise OutcomeUnknown(
+                detail=f"the call may have run: {failure.detail}"
+            ) from failure
+        now_ms = self._clock.now_ms()
+        exhausted = len(progress.tried) >= MAX_ATTEMPTS
+        if exhausted or not (not_run or self._retry_budget.try_retry(now_ms)):
+            failure.retry_after_ms = failure.retry_after_ms or FAILED_RETRY_MS
+            raise failure
+
+    @contextlib.contextmanager
+    def _counted(self, work: Work, backend: Backend) -> t.Iterator[None]:
+        now_ms = self._clock.now_ms()
+        verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
+        suspect = verdict.isolation is not Isolation.NONE
+        backend.breaker.on_dispatch(now_ms)
+        self._observer.on_dispatch(backend, work)
+        self._add(work, backend, 1, suspect)
+        try:
+            yield
+        finally:
+            self._add(work, backend, -1, suspect)
+            self._observer.on_end(backend, work)
+
+    def _add(self, work: Work, backend: Backend, count: int, suspect: bool) -> None:
+        if work.batch:
+            backend.batch_in_flight += count
+        else:
+            backend.online_in_flight += count
+        backend.in_flight_by_fingerprint[work.fingerprint] += count
+        if not backend.in_flight_by_fingerprint[work.fingerprint]:
+            del backend.in_flight_by_fingerprint[work.fingerprint]
+        backend.suspects_in_flight += count if suspect else 0
--- a/src/foxtailbank/exceptions.py
+++ b/src/foxtailbank/exceptions.py
@@ -195,3 +195,18 @@
     code = "settings_invalid"
     kind = "invalid_request_error"
     status = 422
+
+
+class CallerGone(FoxtailbankError):
+    """The caller closed its connection before the answer's end."""
+
+    code = "caller_gone"
+    status = 499
+
+
+class BatchDisabled(FoxtailbankError):
+    """The entry's class does not take this kind of work."""
+
+    code = "wrong_class"
+    kind = "invalid_request_error"
+    status = 400
--- /dev/null
+++ b/src/foxtailbank/work.py
@@ -0,0 +1,80 @@
+"""One request on its way to an endpoint."""
+
+import dataclasses
+
+from foxtailbank.endpoint import EndpointCall
+from foxtailbank.entry import Entry, Kind
+from foxtailbank.quarantine import Fingerprint
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Work:
+    """A request that was admitted and is to be run.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifier on every hop.
+    entry : Entry
+        Catalogue entry that permits it.
+    method, path : str
+        HTTP method; path and query at the endpoint.
+    headers : tuple of (str, str)
+        Headers for the endpoint.
+    body : bytes
+        Content.
+    streamed : bool
+        Whether the answer is a token stream.
+    batch : bool
+        Whether it is an item of a batch job.
+    idempotent : bool
+        Whether it may be sent more than once.
+    fingerprint : Fingerprint
+        Identity over all its repetitions.
+    prefix_digest : int
+        64-bit digest of the prompt's prefix; 0 without one.
+    tokens : int
+        Most tokens that it may generate.
+    deadline_at_ms : int
+        When its answer is no longer wanted, on the scale of `Clock.now_ms`.
+    resume_at : int
+        Index of the first token wanted.
+    """
+
+    request_id: str
+    entry: Entry
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    streamed: bool
+    batch: bool
+    idempotent: bool
+    fingerprint: Fingerprint
+    prefix_digest: int
+    tokens: int
+    deadline_at_ms: int
+    resume_at: int = 0
+
+    @property
+    def for_engine(self) -> bool:
+        """Whether a model engine runs it."""
+        return self.entry.kind is Kind.ENGINE
+
+    def call(self, *, resume_at: int) -> EndpointCall:
+        """Return the call to the endpoint.
+
+        Parameters
+        ----------
+        resume_at : int
+            Index of the first token wanted.
+        """
+        return EndpointCall(
+            request_id=self.request_id,
+            method=self.method,
+            path=self.path,
+            headers=self.headers,
+            body=self.body,
+            resume_at=resume_at,
+            fresh=not self.idempotent,
+        )
