Add thin stand-ins and HTTP adapters

Need: the daemon needs something to talk to before its parts can run together. Weighed: starlette for the stand-ins was left out, since their routes are few and the streaming path needs raw ASGI anyway; httpx's client was left out for its transport, which does the same without redirects, cookies and auth. Change: platform (log, VM list, weight store), engine (continuous batching) and records programs over hypercorn, and adapters for the log, VM list, weight store, plain service and engine.

--- a/src/foxtailbank/exceptions.py
+++ b/src/foxtailbank/exceptions.py
@@ -195,3 +195,10 @@
     code = "settings_invalid"
     kind = "invalid_request_error"
     status = 422
+
+
+class EndpointStalled(EndpointFailed):
+    """An open connection to the endpoint stopped delivering bytes."""
+
+    code = "endpoint_stalled"
+    status = 504
--- /dev/null
+++ b/src/foxtailbank_bench/completion_request.py
@@ -0,0 +1,117 @@
+"""Completion requests in the shape of the ecosystem's clients."""
+
+import msgspec
+
+from foxtailbank_bench.asgi import Malformed, decode
+
+DEFAULT_MAX_TOKENS = 16
+DEFAULT_CHAT_MAX_TOKENS = 64
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+
+
+class StreamOptions(msgspec.Struct, frozen=True):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class _Part(msgspec.Struct, frozen=True):
+    type: str = "text"
+    text: str = ""
+
+
+class _ChatMessage(msgspec.Struct, frozen=True):
+    role: str
+    content: str | list[_Part] | None = None
+
+
+class _Body(msgspec.Struct, frozen=True):
+    model: str
+    prompt: str | list[str] | None = None
+    messages: tuple[_ChatMessage, ...] = ()
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    n: int | None = None
+
+
+class CompletionRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What the engine needs to know of a request.
+
+    Attributes
+    ----------
+    model : str
+        Model or adapter.
+    prompt : str
+        Whole prompt; chat messages are joined as ``role: content`` lines.
+    max_tokens : int
+        Bound on the tokens, counted from index 0.
+    stream : bool
+        Whether the answer is streamed.
+    include_usage : bool
+        Whether a streamed answer ends with its usage.
+    chat : bool
+        Whether the answer has the chat shape.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+    chat: bool
+
+
+def parse_request(path: str, body: bytes) -> CompletionRequest:
+    """Return a request as the engine sees it.
+
+    Parameters
+    ----------
+    path : str
+        `TEXT_PATH` or `CHAT_PATH`.
+    body : bytes
+        JSON content.
+
+    Raises
+    ------
+    Malformed
+        The content can't be served.
+    """
+    parsed = decode(body, _Body)
+    chat = path == CHAT_PATH
+    default = DEFAULT_CHAT_MAX_TOKENS if chat else DEFAULT_MAX_TOKENS
+    max_tokens = parsed.max_completion_tokens or parsed.max_tokens or default
+    if max_tokens < 1:
+        raise Malformed("max_tokens is not positive")
+    if parsed.n not in (None, 1):
+        raise Malformed("n must be 1")
+    options = parsed.stream_options or StreamOptions()
+    return CompletionRequest(
+        model=parsed.model,
+        prompt=_chat_prompt(parsed.messages) if chat else _text_prompt(parsed.prompt),
+        max_tokens=max_tokens,
+        stream=parsed.stream,
+        include_usage=options.include_usage,
+        chat=chat,
+    )
+
+
+def _text_prompt(prompt: str | list[str] | None) -> str:
+    if prompt is None:
+        raise Malformed("prompt is missing")
+    return prompt if isinstance(prompt, str) else "\n".join(prompt)
+
+
+def _chat_prompt(messages: tuple[_ChatMessage, ...]) -> str:
+    if not messages:
+        raise Malformed("messages are missing")
+    lines = (f"{item.role}: {_content_text(item.content)}\n" for item in messages)
+    return "".join(lines)
+
+
+def _content_text(content: str | list[_Part] | None) -> str:
+    if content is None or isinstance(content, str):
+        return content or ""
+    return "".join(part.text for part in content)
--- /dev/null
+++ b/src/foxtailbank_bench/engine_orders.py
@@ -0,0 +1,132 @@
+"""Orders to the engine stand-in and what it holds."""
+
+import anyio
+import anyio.abc
+
+from foxtailbank import exceptions
+from foxtailbank.clock import MS_PER_S
+from foxtailbank.endpoint import EngineState, Order
+from foxtailbank.http_channel import HttpChannel
+
+OK = 200
+READ_MS = 600_000
+ROLE_MS = 20
+DEFAULT_ROLE = "mixed"
+
+
+class OrderRefused(Exception):
+    """The order carries a stale fencing number, or another is carried out."""
+
+
+class EngineOrders:
+    """Carries out one order at a time.
+
+    Parameters
+    ----------
+    models : tuple of (str, str)
+        Models loaded from the start, with their versions.
+    check_fence : bool
+        Whether a stale fencing number is refused.
+    weights_address : str
+        Weight store; empty loads without one.
+    load_ms : int
+        Duration of a load beyond the read of the weights, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        models: tuple[tuple[str, str], ...],
+        check_fence: bool,
+        weights_address: str,
+        load_ms: int,
+    ) -> None:
+        self._versions_by_model = dict(models)
+        self._versions_by_adapter: dict[str, str] = {}
+        self._role = DEFAULT_ROLE
+        self._check_fence = check_fence
+        self._fence = 0
+        self._busy = False
+        self._load_ms = load_ms
+        self._store = HttpChannel(address=weights_address) if weights_address else None
+        self._work = anyio.Event()
+        self._pending: list[Order] = []
+
+    def serves(self, model: str) -> bool:
+        """Return whether a model or adapter of this name is loaded."""
+        return model in self._versions_by_model or model in self._versions_by_adapter
+
+    def names(self) -> tuple[str, ...]:
+        """Return all loaded models and adapters."""
+        return (*self._versions_by_model, *self._versions_by_adapter)
+
+    def state(self) -> EngineState:
+        """Return what the engine holds."""
+        return EngineState(
+            fence=self._fence if self._check_fence else 0,
+            models=tuple(self._versions_by_model.items()),
+            adapters=tuple(self._versions_by_adapter.items()),
+            role=self._role,
+            busy=self._busy,
+        )
+
+    def give(self, order: Order) -> None:
+        """Take an order; `run` carries it out.
+
+        Parameters
+        ----------
+        order : Order
+            The order.
+
+        Raises
+        ------
+        OrderRefused
+            Its fencing number is stale, or another order is carried out.
+        """
+        if self._check_fence and order.fence < self._fence:
+            raise OrderRefused("stale_fence")
+        if self._busy:
+            raise OrderRefused("busy")
+        self._fence = max(self._fence, order.fence)
+        self._busy = True
+        self._pending.append(order)
+        self._work.set()
+
+    async def run(self) -> None:
+        """Carry out orders for ever."""
+        while True:
+            await self._work.wait()
+            self._work = anyio.Event()
+            while self._pending:
+                await self._carry_out(self._pending.pop(0))
+            self._busy = False
+
+    async def _carry_out(self, order: Order) -> None:
+        match order.kind:
+            case "load_model":
+                if await self._load(order):
+                    self._versions_by_model[order.target] = order.version
+            case "load_adapter":
+                if await self._load(order):
+                    self._versions_by_adapter[order.target] = order.version
+            case "unload_model":
+                self._versions_by_model.pop(order.target, None)
+                self._versions_by_adapter.pop(order.target, None)
+            case "set_role":
+                await anyio.sleep(ROLE_MS / MS_PER_S)
+                self._role = order.target
+
+    async def _load(self, order: Order) -> bool:
+        if self._store is not None and not await self._read_weights(order):
+            return False
+        await anyio.sleep(self._load_ms / MS_PER_S)
+        return True
+
+    async def _read_weights(self, order: Order) -> bool:
+        assert self._store is not None
+        path = f"/weights/{order.target}/{order.version}/reads"
+        try:
+            answer = await self._store.request("POST", path, timeout_ms=READ_MS)
+        except (exceptions.EndpointRefused, exceptions.EndpointFailed):
+            return False
+        return answer.status == OK
--- /dev/null
+++ b/src/foxtailbank_bench/load_history.py
@@ -0,0 +1,56 @@
+"""Load reports that lag."""
+
+import collections
+
+from foxtailbank.endpoint import LoadReport
+
+MAX_SAMPLES = 100_000
+
+
+class LoadHistory:
+    """Keeps what the load was, long enough to report it late.
+
+    Parameters
+    ----------
+    lag_ms : int
+        How late a report is, in milliseconds.
+    max_running : int
+        Most streams that the engine runs at once.
+    """
+
+    def __init__(self, *, lag_ms: int, max_running: int) -> None:
+        self.lag_ms = lag_ms
+        self._max_running = max_running
+        self._samples: collections.deque[tuple[int, int, int, float]]
+        self._samples = collections.deque([(0, 0, 0, 0.0)], maxlen=MAX_SAMPLES)
+
+    def note(self, *, now_ms: int, running: int, waiting: int, step_ms: float) -> None:
+        """Note the load at a point in time."""
+        self._samples.append((now_ms, running, waiting, step_ms))
+        self._forget(now_ms - self.lag_ms)
+
+    def report(self, *, now_ms: int, draining: bool) -> LoadReport:
+        """Return the load as it was one lag ago.
+
+        Parameters
+        ----------
+        now_ms : int
+            Present time, in milliseconds.
+        draining : bool
+            Whether the engine is leaving now.
+        """
+        self._forget(now_ms - self.lag_ms)
+        _, running, waiting, step_ms = self._samples[0]
+        return LoadReport(
+            age_ms=self.lag_ms,
+            running=running,
+            waiting=waiting,
+            max_running=self._max_running,
+            step_ms=step_ms,
+            draining=draining,
+        )
+
+    def _forget(self, shown_ms: int) -> None:
+        samples = self._samples
+        while len(samples) > 1 and samples[1][0] <= shown_ms:
+            samples.popleft()
--- /dev/null
+++ b/src/foxtailbank_bench/serving.py
@@ -0,0 +1,183 @@
+"""Runs an ASGI application on a listening socket."""
+
+import contextlib
+import dataclasses
+import logging
+import signal
+import socket
+import sys
+import typing as t
+
+import anyio
+import anyio.abc
+import hypercorn.asyncio
+import hypercorn.config
+import msgspec
+
+from foxtailbank_bench.asgi import App
+
+KEEP_ALIVE_MAX_REQUESTS = 10_000_000
+KEEP_ALIVE_S = 60.0
+GRACEFUL_S = 5.0
+BACKLOG = 1_024
+MAX_QUEUED_MESSAGES = 1_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listening:
+    """Notice that a program accepts connections.
+
+    Attributes
+    ----------
+    address : str
+        IP number and port.
+    event : str
+        Kind of the notice.
+    """
+
+    address: str
+    event: str = "listening"
+
+
+def listen(*, host: str, port: int) -> socket.socket:
+    """Return a listening socket.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port; 0 takes a free one.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(BACKLOG)
+    return sock
+
+
+def address_of(sock: socket.socket) -> str:
+    """Return a socket's own IP number and port."""
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
+async def serve(
+    app: App,
+    *,
+    sock: socket.socket,
+    stop: anyio.Event,
+    graceful_s: float = GRACEFUL_S,
+) -> None:
+    """Serve until told to stop.
+
+    Parameters
+    ----------
+    app : callable
+        ASGI application.
+    sock : socket.socket
+        Listening socket; it is closed at the end.
+    stop : anyio.Event
+        Ends the service once set.
+    graceful_s : float
+        Seconds that running requests get after that.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [f"fd://{sock.detach()}"]
+    config.backlog = BACKLOG
+    config.keep_alive_max_requests = KEEP_ALIVE_MAX_REQUESTS
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = graceful_s
+    config.max_app_queue_size = MAX_QUEUED_MESSAGES
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = logging.getLogger("foxtailbank_bench.server")
+    await hypercorn.asyncio.serve(
+        t.cast(t.Any, app), config, shutdown_trigger=stop.wait, mode="asgi"
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(app: App, *, graceful_s: float = 0.2) -> t.AsyncIterator[str]:
+    """Serve an application on a free port of this process.
+
+    Parameters
+    ----------
+    app : callable
+        ASGI application.
+    graceful_s : float
+        Seconds that running requests get at the end.
+
+    Yields
+    ------
+    str
+        IP number and port.
+    """
+    sock = listen(host="127.0.0.1", port=0)
+    address = address_of(sock)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_serve, app, sock, stop, graceful_s)
+        try:
+            yield address
+        finally:
+            stop.set()
+
+
+async def run_program(
+    app: App,
+    *,
+    host: str,
+    port: int,
+    background: t.Callable[[], t.Coroutine[t.Any, t.Any, None]] | None = None,
+    on_stop: t.Callable[[], None] | None = None,
+) -> None:
+    """Serve as a program until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    app : callable
+        ASGI application.
+    host : str
+        IP number to listen on.
+    port : int
+        Port; 0 takes a free one.
+    background : callable, optional
+        Coroutine function that runs beside the application.
+    on_stop : callable, optional
+        Called before the listening socket closes.
+    """
+    sock = listen(host=host, port=port)
+    stop = anyio.Event()
+    announce(Listening(address=address_of(sock)))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop, on_stop)
+        if background is not None:
+            tasks.start_soon(background)
+        # The server's own task group can leave its task marked as cancelled, so
+        # that it gets a task of its own.
+        async with anyio.create_task_group() as server:
+            server.start_soon(_serve, app, sock, stop, GRACEFUL_S)
+        tasks.cancel_scope.cancel()
+
+
+def announce(notice: Listening) -> None:
+    """Print a notice as one line of JSON."""
+    sys.stdout.write(msgspec.json.encode(notice).decode() + "\n")
+    sys.stdout.flush()
+
+
+async def _serve(
+    app: App, sock: socket.socket, stop: anyio.Event, graceful_s: float
+) -> None:
+    await serve(app, sock=sock, stop=stop, graceful_s=graceful_s)
+
+
+async def _watch_signals(
+    stop: anyio.Event, on_stop: t.Callable[[], None] | None
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if on_stop is not None:
+                on_stop()
+            stop.set()
