--- a/src/foxtailbank/backend.py
+++ b/src/foxtailbank/backend.py
@@ -1,12 +1,10 @@
 """One endpoint of the fleet with what this VM knows of it."""
 
-import collections
 import dataclasses
 
 from foxtailbank.breaker import BreakerState, CircuitBreaker
 from foxtailbank.endpoint import LoadReport, PlainService
 from foxtailbank.endpoint_view import EndpointView
-from foxtailbank.quarantine import Fingerprint
 from foxtailbank.vm_list import Vm
 
 
@@ -50,10 +48,8 @@
         Online requests of this VM that run there.
     batch_in_flight : int
         Batch streams of this VM that run there.
-    in_flight_by_fingerprint : Counter of Fingerprint
-        Requests of this VM that run there, by content.
     suspects_in_flight : int
-        Those of them that are suspected of crashing endpoints.
+        Requests of this VM there that are suspected of crashing endpoints.
     reserved : bool
         Whether it is kept free for a request that must run exclusively.
     draining : bool
@@ -70,9 +66,6 @@
         self.breaker = CircuitBreaker()
         self.online_in_flight = 0
         self.batch_in_flight = 0
-        self.in_flight_by_fingerprint: collections.Counter[Fingerprint] = (
-            collections.Counter()
-        )
         self.suspects_in_flight = 0
         self.reserved = False
         self.draining = False
--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -63,9 +63,14 @@
     """What has happened to one piece of work so far."""
 
     resume_at: int
-    attempts: int = 0
+    may_have_run: bool = False
     tried: frozenset[str] = frozenset()
 
+    @property
+    def ran(self) -> Ran:
+        """Whether the work may have run."""
+        return Ran.UNKNOWN if self.may_have_run else Ran.NO
+
 
 class Dispatcher:
     """Runs work on endpoints until it has its whole answer or a typed failure.
@@ -130,8 +135,7 @@
         with anyio.move_on_after(max(0, remaining_ms) / MS_PER_S) as scope:
             await self._run(work, sink, progress, on)
         if scope.cancelled_caught:
-            ran = Ran.UNKNOWN if progress.attempts else Ran.NO
-            raise DeadlineExceeded(detail="the deadline passed", ran=ran)
+            raise DeadlineExceeded(detail="the deadline passed", ran=progress.ran)
 
     async def _run(
         self, work: Work, sink: Sink, progress: _Progress, on: Backend | None
@@ -140,9 +144,12 @@
             backend = on or self._choose(work, progress)
             on = None
             try:
+                before = progress.may_have_run
+                progress.may_have_run = True
                 await self._attempt(work, sink, progress, backend)
                 return
             except (EndpointFailed, EndpointRefused) as failure:
+                progress.may_have_run = before or failure.ran is Ran.UNKNOWN
                 self._note_failure(backend, failure)
                 await self._check_death(work, backend, failure)
                 progress.tried |= {backend.endpoint_id}
@@ -170,11 +177,10 @@
     def _no_endpoint(
         self, work: Work, progress: _Progress, reason: Missing
     ) -> FoxtailbankError:
-        ran = Ran.UNKNOWN if progress.attempts else Ran.NO
         return NoEndpoint(
             detail=f"no endpoint for {work.entry.name}: {reason.reason}",
             retry_after_ms=NO_ENDPOINT_RETRY_MS,
-            ran=ran,
+            ran=progress.ran,
         )
 
     async def _attempt(
@@ -185,7 +191,6 @@
             async with backend.service.open(
                 work.call(resume_at=progress.resume_at)
             ) as answer:
-                progress.attempts += 1
                 if work.streamed and answer.status < FIRST_ERROR_STATUS:
                     await self._relay(work, sink, progress, backend, answer, started_ms)
                 else:
@@ -235,9 +240,8 @@
             raise EndpointFailed(detail=f"{backend.endpoint_id} ended a stream early")
 
     def _note_failure(self, backend: Backend, failure: FoxtailbankError) -> None:
-        now_ms = self._clock.now_ms()
-        if isinstance(failure, EndpointRefused) or not isinstance(failure, EndpointStalled):
-            backend.breaker.on_failure(now_ms)
+        if not isinstance(failure, EndpointStalled):
+            backend.breaker.on_failure(self._clock.now_ms())
 
     async def _check_death(
         self, work: Work, backend: Backend, failure: FoxtailbankError
@@ -257,14 +261,14 @@
     def _decide(
         self, work: Work, progress: _Progress, failure: FoxtailbankError
     ) -> None:
-        not_run = failure.ran is Ran.NO and progress.attempts == 0
-        if not work.idempotent and not not_run:
+        if not work.idempotent and progress.may_have_run:
             raise OutcomeUnknown(
                 detail=f"the call may have run: {failure.detail}"
             ) from failure
         now_ms = self._clock.now_ms()
         exhausted = len(progress.tried) >= MAX_ATTEMPTS
-        if exhausted or not (not_run or self._retry_budget.try_retry(now_ms)):
+        if exhausted or not self._retry_budget.try_retry(now_ms):
+            failure.ran = progress.ran
             failure.retry_after_ms = failure.retry_after_ms or FAILED_RETRY_MS
             raise failure
 
@@ -287,7 +291,4 @@
             backend.batch_in_flight += count
         else:
             backend.online_in_flight += count
-        backend.in_flight_by_fingerprint[work.fingerprint] += count
-        if not backend.in_flight_by_fingerprint[work.fingerprint]:
-            del backend.in_flight_by_fingerprint[work.fingerprint]
         backend.suspects_in_flight += count if suspect else 0
--- a/src/foxtailbank/exceptions.py
+++ b/src/foxtailbank/exceptions.py
@@ -210,3 +210,10 @@
     code = "wrong_class"
     kind = "invalid_request_error"
     status = 400
+
+
+class EndpointStalled(EndpointFailed):
+    """An open connection to the endpoint stopped delivering bytes."""
+
+    code = "endpoint_stalled"
+    status = 504
--- a/online.py
+++ b/src/foxtailbank/online.py
@@ -6,15 +6,13 @@
 
 import anyio
 import xxhash
-from foxtailbank.caller import authenticate, entry_by_name, entry_for_model
-from foxtailbank.completion import CHAT_PATH, COMPLETIONS_PATH, parse_completion
-from foxtailbank.headers import Headers, strip_hop_by_hop
-from foxtailbank.http_sink import HttpSink
 
 from foxtailbank.admission import Admission, Admit, Refusal
 from foxtailbank.asgi import Receive, Scope, Send, header, read_body
+from foxtailbank.caller import authenticate, entry_by_name, entry_for_model
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.clock import Clock
+from foxtailbank.completion import CHAT_PATH, COMPLETIONS_PATH, parse_completion
 from foxtailbank.dispatcher import Dispatcher
 from foxtailbank.entry import Entry, Kind, WorkClass
 from foxtailbank.events import Event
@@ -25,6 +23,8 @@
     InvalidRequest,
     NotFound,
 )
+from foxtailbank.headers import Headers, strip_hop_by_hop
+from foxtailbank.http_sink import HttpSink
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.quarantine import Fingerprint
 from foxtailbank.settings import Settings
