--- /dev/null
+++ b/src/foxtailbank/item_set.py
@@ -0,0 +1,70 @@
+"""Sets of item positions within a chunk: ranges on the wire, a bitmap in memory."""
+
+import typing as t
+
+import msgspec
+
+
+class ItemRange(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A run of consecutive item positions within one chunk.
+
+    Attributes
+    ----------
+    first : int
+        First position, counted from 0.
+    count : int
+        Number of positions, at least 1.
+    """
+
+    first: int
+    count: int
+
+
+def bitmap_of(ranges: t.Iterable[ItemRange], *, size: int) -> int | None:
+    """Return the bitmap that holds exactly the positions of some ranges.
+
+    Parameters
+    ----------
+    ranges : iterable of ItemRange
+        May overlap.
+    size : int
+        Number of positions in the chunk.
+
+    Returns
+    -------
+    int or None
+        Bit ``i`` stands for position ``i``; None if a range leaves the chunk.
+    """
+    bitmap = 0
+    for item_range in ranges:
+        first, count = item_range.first, item_range.count
+        if first < 0 or count < 1 or first + count > size:
+            return None
+        bitmap |= ((1 << count) - 1) << first
+    return bitmap
+
+
+def ranges_of(bitmap: int) -> tuple[ItemRange, ...]:
+    """Return the shortest list of ranges for a bitmap, in ascending order."""
+    ranges = []
+    first = 0
+    while bitmap:
+        zeros = (bitmap & -bitmap).bit_length() - 1
+        bitmap >>= zeros
+        first += zeros
+        ones = (~bitmap & (bitmap + 1)).bit_length() - 1
+        ranges.append(ItemRange(first, ones))
+        bitmap >>= ones
+        first += ones
+    return tuple(ranges)
+
+
+def positions_of(bitmap: int) -> t.Iterator[int]:
+    """Yield the positions in a bitmap in ascending order."""
+    for item_range in ranges_of(bitmap):
+        yield from range(item_range.first, item_range.first + item_range.count)
+
+
+def full_bitmap(size: int) -> int:
+    """Return the bitmap that holds every position of a chunk of `size` items."""
+    return (1 << size) - 1
--- /dev/null
+++ b/src/foxtailbank/job_state.py
@@ -0,0 +1,299 @@
+"""State of a batch job as replayed from the ledger, in compact form."""
+
+import array
+import dataclasses
+import enum
+import typing as t
+
+from foxtailbank.item_set import ItemRange, full_bitmap, ranges_of
+from foxtailbank.records import ChunkRef, JobAccepted
+
+MAX_CHUNK_ITEMS = 4096
+MAX_JOB_ITEMS = (1 << 31) - 1
+MAX_PAYLOAD_OFFSET = (1 << 62) - 1
+
+
+class JobStatus(enum.Enum):
+    """Where a job stands."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ResultPart:
+    """Items whose one valid result lies in a payload record.
+
+    Attributes
+    ----------
+    payload_offset : int
+        Offset in the payload stream.
+    items : tuple of ItemRange
+        Positions within the chunk; other lines of the record are void.
+    """
+
+    payload_offset: int
+    items: tuple[ItemRange, ...]
+
+
+class PartialChunk:
+    """A chunk that is neither untouched nor ended by a single record.
+
+    Attributes
+    ----------
+    done : int
+        Bitmap of the items that have ended.
+    unknown : int
+        Bitmap of the items that ended as failures of unknown outcome.
+    claimed : dict of str to int
+        Bitmap of the items claimed, by claimant.
+    won : dict of int to int
+        Bitmap of the items whose result is valid, by payload offset.
+    """
+
+    __slots__ = ("claimed", "done", "unknown", "won")
+
+    def __init__(self) -> None:
+        self.done = 0
+        self.unknown = 0
+        self.claimed: dict[str, int] = {}
+        self.won: dict[int, int] = {}
+
+    @property
+    def claimed_by_anyone(self) -> int:
+        """Bitmap of the items that somebody claimed."""
+        bitmap = 0
+        for claimed in self.claimed.values():
+            bitmap |= claimed
+        return bitmap
+
+
+def has_valid_chunks(accepted: JobAccepted) -> bool:
+    """Return whether a job's chunks cover its items without gap or overlap."""
+    first = 0
+    for chunk in accepted.chunks:
+        if chunk.first != first or not 0 < chunk.count <= MAX_CHUNK_ITEMS:
+            return False
+        if not is_payload_offset(chunk.payload_offset):
+            return False
+        first += chunk.count
+    return 0 < first == accepted.item_count <= MAX_JOB_ITEMS
+
+
+def is_payload_offset(offset: int) -> bool:
+    """Return whether a number can be an offset of the payload stream."""
+    return 0 <= offset <= MAX_PAYLOAD_OFFSET
+
+
+class JobState:
+    """One job that has not been retired.
+
+    Chunks that are untouched or that one record ended cost a few bytes in
+    arrays; only the others have an object.
+
+    Parameters
+    ----------
+    accepted : JobAccepted
+        Entry with valid chunks.
+    accepted_offset : int
+        Offset of its record.
+    """
+
+    __slots__ = (
+        "_counts",
+        "_firsts",
+        "_input_offsets",
+        "_partial_by_chunk",
+        "_whole_results",
+        "accepted_offset",
+        "at_ms",
+        "deadline_ms",
+        "digest",
+        "ended_count",
+        "entry",
+        "failed_count",
+        "idempotent",
+        "item_count",
+        "job_id",
+        "key",
+        "owner",
+        "status",
+    )
+
+    def __init__(self, *, accepted: JobAccepted, accepted_offset: int) -> None:
+        self.job_id = accepted.job_id
+        self.owner = accepted.owner
+        self.entry = accepted.entry
+        self.key = accepted.key
+        self.digest = accepted.digest
+        self.deadline_ms = accepted.deadline_ms
+        self.item_count = accepted.item_count
+        self.idempotent = accepted.idempotent
+        self.at_ms = accepted.at_ms
+        self.accepted_offset = accepted_offset
+        self.status = JobStatus.RUNNING
+        self.ended_count = 0
+        self.failed_count = 0
+        chunks = accepted.chunks
+        self._input_offsets = array.array("Q", (c.payload_offset for c in chunks))
+        self._firsts = array.array("I", (c.first for c in chunks))
+        self._counts = array.array("H", (c.count for c in chunks))
+        # 0 where no single record ended the chunk, else payload offset + 1
+        self._whole_results = array.array("Q", bytes(8 * len(chunks)))
+        self._partial_by_chunk: dict[int, PartialChunk] = {}
+
+    @property
+    def chunk_count(self) -> int:
+        """Number of chunks."""
+        return len(self._counts)
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing may change the job's items any more."""
+        return self.status is not JobStatus.RUNNING
+
+    def chunk(self, index: int) -> ChunkRef:
+        """Return where the input of a chunk lies."""
+        return ChunkRef(
+            self._input_offsets[index], self._firsts[index], self._counts[index]
+        )
+
+    def done(self, index: int) -> int:
+        """Return the bitmap of a chunk's items that have ended."""
+        if self._whole_results[index]:
+            return full_bitmap(self._counts[index])
+        partial = self._partial_by_chunk.get(index)
+        return partial.done if partial else 0
+
+    def open(self, index: int) -> int:
+        """Return the bitmap of a chunk's items that nobody ended or claimed."""
+        taken = self.done(index)
+        partial = self._partial_by_chunk.get(index)
+        if partial:
+            taken |= partial.claimed_by_anyone
+        return full_bitmap(self._counts[index]) & ~taken
+
+    def claimed_by_claimant(self, index: int) -> dict[str, int]:
+        """Return bitmaps of a chunk's claimed items that have not ended."""
+        partial = self._partial_by_chunk.get(index)
+        if partial is None:
+            return {}
+        held = ((who, bits & ~partial.done) for who, bits in partial.claimed.items())
+        return {who: bits for who, bits in held if bits}
+
+    def chunk_ended(self, index: int) -> bool:
+        """Return whether every item of a chunk has ended."""
+        if self._whole_results[index]:
+            return True
+        return self.done(index) == full_bitmap(self._counts[index])
+
+    def open_chunks(self) -> t.Iterator[int]:
+        """Yield the chunks that have not ended, in order."""
+        for index in range(len(self._counts)):
+            if not self.chunk_ended(index):
+                yield index
+
+    def partial_chunks(self) -> t.Iterator[int]:
+        """Yield the chunks that have claims or several result records."""
+        yield from self._partial_by_chunk
+
+    def results(self, index: int) -> tuple[ResultPart, ...]:
+        """Return the payload records that hold a chunk's valid results.
+
+        Every item that has a valid result is in exactly one part.
+        """
+        whole = self._whole_results[index]
+        if whole:
+            items = (ItemRange(0, self._counts[index]),)
+            return (ResultPart(payload_offset=whole - 1, items=items),)
+        partial = self._partial_by_chunk.get(index)
+        if partial is None:
+            return ()
+        return tuple(
+            ResultPart(payload_offset=offset, items=ranges_of(bitmap))
+            for offset, bitmap in partial.won.items()
+        )
+
+    def unknown(self, index: int) -> int:
+        """Return the bitmap of items that ended as failures of unknown outcome."""
+        partial = self._partial_by_chunk.get(index)
+        return partial.unknown if partial else 0
+
+    def claim(self, index: int, bitmap: int, claimant: str) -> int:
+        """Claim items for a claimant; return the bitmap of those won."""
+        won = bitmap & self.open(index)
+        if won:
+            claimed = self._partial(index).claimed
+            claimed[claimant] = claimed.get(claimant, 0) | won
+        return won
+
+    def win(
+        self, index: int, bitmap: int, failed: int, payload_offset: int, claimant: str
+    ) -> int:
+        """Apply results; return the bitmap of the items that they ended."""
+        size = self._counts[index]
+        won = bitmap & ~self.done(index)
+        if not self.idempotent:
+            won &= self.claimed_by_claimant(index).get(claimant, 0)
+        if not won:
+            return 0
+        if won == full_bitmap(size):
+            self._partial_by_chunk.pop(index, None)
+            self._whole_results[index] = payload_offset + 1
+        else:
+            partial = self._partial(index)
+            partial.won[payload_offset] = partial.won.get(payload_offset, 0) | won
+            self._end(index, partial, won)
+        self._count_ended(won, won & failed)
+        return won
+
+    def abandon(self, index: int, bitmap: int, claimant: str) -> int:
+        """End a claimant's items with unknown outcome; return their bitmap."""
+        lost = bitmap & self.claimed_by_claimant(index).get(claimant, 0)
+        if lost:
+            partial = self._partial(index)
+            partial.unknown |= lost
+            self._end(index, partial, lost)
+            self._count_ended(lost, lost)
+        return lost
+
+    def move(self, to_by_from: t.Mapping[int, int]) -> int:
+        """Lead references to records appended anew; return how many changed."""
+        moved = 0
+        for index, offset in enumerate(self._input_offsets):
+            if offset in to_by_from:
+                self._input_offsets[index] = to_by_from[offset]
+                moved += 1
+        for index, offset in enumerate(self._whole_results):
+            if offset and offset - 1 in to_by_from:
+                self._whole_results[index] = to_by_from[offset - 1] + 1
+                moved += 1
+        for partial in self._partial_by_chunk.values():
+            moved += _move_won(partial, to_by_from)
+        return moved
+
+    def _partial(self, index: int) -> PartialChunk:
+        partial = self._partial_by_chunk.get(index)
+        if partial is None:
+            partial = self._partial_by_chunk[index] = PartialChunk()
+        return partial
+
+    def _end(self, index: int, partial: PartialChunk, bitmap: int) -> None:
+        partial.done |= bitmap
+        if partial.done == full_bitmap(self._counts[index]):
+            partial.claimed = {}
+
+    def _count_ended(self, ended: int, failed: int) -> None:
+        self.ended_count += ended.bit_count()
+        self.failed_count += failed.bit_count()
+        if self.ended_count == self.item_count:
+            self.status = JobStatus.FINISHED
+
+
+def _move_won(partial: PartialChunk, to_by_from: t.Mapping[int, int]) -> int:
+    moved = [offset for offset in partial.won if offset in to_by_from]
+    for offset in moved:
+        target = to_by_from[offset]
+        partial.won[target] = partial.won.get(target, 0) | partial.won.pop(offset)
+    return len(moved)
