Serve a request from end to end as separate processes

Need: the whole path, thin: caller, entry VM, endpoint and back, with platform, engines and records as stand-ins. Found on the way: a launcher started with SIGINT ignored never stopped (handler is set explicitly now); a route that failed to be registered made a test poll for 30 s per parameter.

--- a/src/foxtailbank/completion.py
+++ b/src/foxtailbank/completion.py
@@ -13,10 +13,13 @@
 DEFAULT_MAX_TOKENS = 16
 
 
+_ABSENT = msgspec.Raw(b"")
+
+
 class _Body(msgspec.Struct, frozen=True):
     model: str
-    prompt: msgspec.Raw | None = None
-    messages: msgspec.Raw | None = None
+    prompt: msgspec.Raw = _ABSENT
+    messages: msgspec.Raw = _ABSENT
     stream: bool = False
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
@@ -73,9 +76,9 @@
         raise InvalidRequest(detail=f"malformed body: {error}") from error
     name = "messages" if path == CHAT_PATH else "prompt"
     raw = call.messages if path == CHAT_PATH else call.prompt
-    if raw is None:
-        raise InvalidRequest(detail=f"`{name}` is missing")
     content = bytes(raw)
+    if content in (b"", b"null"):
+        raise InvalidRequest(detail=f"`{name}` is missing")
     if path == CHAT_PATH and not content.startswith(b"["):
         raise InvalidRequest(detail="`messages` must be a list")
     wanted = call.max_completion_tokens or call.max_tokens
--- /dev/null
+++ b/src/foxtailbank/daemon.py
@@ -0,0 +1,89 @@
+"""Daemon of an entry VM."""
+
+import argparse
+import random
+import signal
+import sys
+
+import anyio
+
+from foxtailbank.clock import MS_PER_S, SystemClock
+from foxtailbank.entry_vm import EntryVm
+from foxtailbank.events import Event
+from foxtailbank.exceptions import SettingsInvalid
+from foxtailbank.http_server import listen, serve
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.settings import Settings, load_settings
+from foxtailbank.settings_sections import LogLevel
+
+EXIT_SETTINGS = 3
+EXIT_ADDRESS = 4
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop.
+
+    Parameters
+    ----------
+    argv : list of str, optional
+        Arguments of the command line.
+
+    Returns
+    -------
+    int
+        0 after a planned stop, 3 for bad settings, 4 for an address in use.
+    """
+    parser = argparse.ArgumentParser(prog="foxtailbankd", description=__doc__)
+    parser.add_argument("--settings", required=True, help="TOML file")
+    options = parser.parse_args(argv)
+    try:
+        settings = load_settings(options.settings)
+    except SettingsInvalid as failure:
+        sys.stderr.write(f"foxtailbankd: {failure.detail}\n")
+        return EXIT_SETTINGS
+    return anyio.run(_run, settings)
+
+
+async def _run(settings: Settings) -> int:
+    logs = Logs(vm=settings.vm.id, zone=settings.vm.zone, level=settings.logs.level)
+    vm = EntryVm(settings=settings, clock=SystemClock(), logs=logs, rng=random.Random())
+    try:
+        sock = listen(settings.vm.http_address)
+    except OSError as error:
+        reason = f"{settings.vm.http_address}: {error.strerror}"
+        fields = LogFields(reason=reason)
+        logs.write(Event.SETTINGS_REFUSED, level=LogLevel.ERROR, fields=fields)
+        return EXIT_ADDRESS
+    logs.write(Event.VM_STARTED)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await vm.run(tasks)
+        tasks.start_soon(_watch_signals, vm, settings, stop, logs)
+        # The server's own task group can leave its task marked as cancelled, so
+        # that it gets a task of its own.
+        async with anyio.create_task_group() as server:
+
+            async def _serve() -> None:
+                await serve(vm.app, sock=sock, settings=settings, stop=stop)
+
+            server.start_soon(_serve)
+        tasks.cancel_scope.cancel()
+    logs.write(Event.VM_STOPPED)
+    return 0
+
+
+async def _watch_signals(
+    vm: EntryVm, settings: Settings, stop: anyio.Event, logs: Logs
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if vm.health.stopping:
+                continue
+            vm.health.stopping = True
+            logs.write(Event.VM_DRAINING)
+            await anyio.sleep(settings.timing.drain_notice_ms / MS_PER_S)
+            stop.set()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/foxtailbank/models_api.py
@@ -0,0 +1,45 @@
+"""Models that a caller's key opens."""
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from foxtailbank.admin_api import json_response
+from foxtailbank.asgi import drain_body
+from foxtailbank.caller import authenticate
+from foxtailbank.catalogue import Catalogue
+from foxtailbank.entry import Kind, WorkClass
+
+
+class ModelsApi:
+    """Handler of the path that lists models.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        Who may use which model.
+    """
+
+    def __init__(self, *, catalogue: Catalogue) -> None:
+        self._catalogue = catalogue
+
+    def routes(self) -> list[Route]:
+        """Return the path with its handler."""
+        return [Route("/v1/models", self._models, methods=["GET"])]
+
+    async def _models(self, request: Request) -> Response:
+        await drain_body(request.receive)
+        caller = authenticate(request.scope, self._catalogue)
+        entries = self._catalogue.entries_of_key(caller.hashed_key)
+        models = sorted(
+            {
+                entry.model
+                for entry in entries
+                if entry.kind is Kind.ENGINE and entry.work_class is WorkClass.ONLINE
+            }
+        )
+        listed = [
+            {"id": model, "object": "model", "created": 0, "owned_by": caller.owner}
+            for model in models
+        ]
+        return json_response({"object": "list", "data": listed})
--- /dev/null
+++ b/src/foxtailbank_bench/demo_catalogue.py
@@ -0,0 +1,61 @@
+"""Catalogue of the demo fleet."""
+
+import typing as t
+
+import httpx
+
+from foxtailbank.entry import key_hash
+
+CALLER_KEY = "demo-key"
+OWNER = "mwangaza"
+
+
+def demo_entries() -> dict[str, dict[str, t.Any]]:
+    """Return the demo's catalogue entries by name."""
+    keys = [key_hash(CALLER_KEY)]
+    common = {"owner": OWNER, "key_hashes": keys}
+    engine = {"kind": "engine", "pool": "wordsmith", "model": "wordsmith"}
+    service = {"kind": "service", "pool": "records", "work_class": "online"}
+    return {
+        "tributes": {**common, **engine, "work_class": "online"},
+        "notices": {
+            **common,
+            **engine,
+            "work_class": "batch",
+            "limits": {"deadline_ms": 3_600_000, "requests_per_s": 5_000},
+        },
+        "contracts": {**common, **service, "idempotent": True},
+        "bookings": {**common, **service, "idempotent": False},
+    }
+
+
+def put_entry(
+    address: str, name: str, entry: dict[str, t.Any], *, admin_key: str
+) -> int:
+    """Create or replace a catalogue entry.
+
+    Parameters
+    ----------
+    address : str
+        HTTP address of an entry VM.
+    name : str
+        Name of the entry.
+    entry : dict
+        Content.
+    admin_key : str
+        The operators' key.
+
+    Returns
+    -------
+    int
+        Version of the entry.
+    """
+    url = f"http://{address}/admin/catalogue/{name}"
+    headers = {"authorization": f"Bearer {admin_key}"}
+    with httpx.Client(trust_env=False, headers=headers, timeout=10.0) as client:
+        present = client.get(url)
+        known = present.status_code == httpx.codes.OK
+        based_on = present.json()["version"] if known else 0
+        answer = client.put(url, json={"entry": entry, "based_on": based_on})
+    answer.raise_for_status()
+    return int(answer.json()["version"])
--- /dev/null
+++ b/src/foxtailbank_bench/launcher.py
@@ -0,0 +1,258 @@
+"""Starts and stops the separate processes of a small fleet."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing as t
+
+import httpx
+
+from foxtailbank.vm_list import Vm, VmRole
+from foxtailbank_bench.deployment import Deployment, EndpointSpec, EntrySpec
+from foxtailbank_bench.settings_text import settings_text
+
+START_S = 30.0
+POLL_S = 0.05
+STOP_S = 15.0
+ADMIN_KEY = "demo-admin"
+PEER_SECRET = "demo-peer-secret"
+
+
+class LaunchFailed(Exception):
+    """A process ended or did not come up in time."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Program:
+    """One running process.
+
+    Attributes
+    ----------
+    name : str
+        Name in the fleet.
+    process : subprocess.Popen
+        The process.
+    output : pathlib.Path
+        File with its standard output and error.
+    address : str
+        Where it listens; empty until known.
+    """
+
+    name: str
+    process: "subprocess.Popen[bytes]"
+    output: pathlib.Path
+    address: str = ""
+
+
+class Launcher:
+    """A fleet on this machine, one process for each VM and stand-in.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    directory : pathlib.Path
+        Where settings, secrets and outputs are written.
+    """
+
+    def __init__(self, *, deployment: Deployment, directory: pathlib.Path) -> None:
+        self.deployment = deployment
+        self.directory = directory
+        self.programs_by_name: dict[str, Program] = {}
+
+    def start(self) -> None:
+        """Start all programs and wait until every entry VM is ready.
+
+        Raises
+        ------
+        LaunchFailed
+            A program did not come up.
+        """
+        self.directory.mkdir(parents=True, exist_ok=True)
+        for spec in self.deployment.endpoints:
+            self.start_endpoint(spec)
+        vms = [self._endpoint_vm(spec) for spec in self.deployment.endpoints]
+        vms += [_entry_vm(spec) for spec in self.deployment.entries]
+        vms_file = self.directory / "vms.json"
+        vms_file.write_text(json.dumps([_vm_json(vm) for vm in vms]))
+        self._run("platform", "foxtailbank_bench.platform", "--vms", str(vms_file))
+        self._wait_listening("platform")
+        self._write_secret("admin.key", ADMIN_KEY)
+        self._write_secret("peers.key", PEER_SECRET)
+        for entry in self.deployment.entries:
+            self.start_entry(entry)
+        for entry in self.deployment.entries:
+            self.wait_ready(entry)
+
+    def start_endpoint(self, spec: EndpointSpec, *, port: int = 0) -> None:
+        """Start the stand-in of an endpoint VM."""
+        module = "foxtailbank_bench.records"
+        arguments = list(spec.arguments)
+        if spec.role is VmRole.ENGINE:
+            module = "foxtailbank_bench.engine"
+            arguments += ["--model", spec.pool]
+        journal = str(self.journal(spec.name))
+        arguments += ["--zone", spec.zone, "--port", str(port), "--journal", journal]
+        self._run(spec.name, module, *arguments)
+        self._wait_listening(spec.name)
+
+    def start_entry(self, spec: EntrySpec) -> None:
+        """Start an entry VM."""
+        file = self.directory / f"{spec.name}.toml"
+        platform = self.address("platform")
+        file.write_text(settings_text(self.deployment, spec, platform=platform))
+        self._run(spec.name, "foxtailbank.daemon", "--settings", str(file))
+
+    def wait_ready(self, spec: EntrySpec) -> None:
+        """Wait until an entry VM is ready.
+
+        Raises
+        ------
+        LaunchFailed
+            It ended or did not become ready in time.
+        """
+        self.wait_until(lambda: _answers(f"http://{spec.http_address}/readyz"))
+
+    def wait_until(
+        self, condition: t.Callable[[], bool], *, timeout_s: float = START_S
+    ) -> None:
+        """Wait until a condition holds.
+
+        Raises
+        ------
+        LaunchFailed
+            It did not hold in time.
+        """
+        ends = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > ends:
+                raise LaunchFailed(f"waited {timeout_s} s in vain: {condition}")
+            time.sleep(POLL_S)
+
+    def address(self, name: str) -> str:
+        """Return where a stand-in listens."""
+        return self.programs_by_name[name].address
+
+    def journal(self, name: str) -> pathlib.Path:
+        """Return the file with the requests that reached an endpoint."""
+        return self.directory / f"{name}.journal"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one program."""
+        self.programs_by_name[name].process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End one program at once."""
+        program = self.programs_by_name[name]
+        program.process.kill()
+        program.process.wait()
+
+    def faults(self, name: str, **faults: t.Any) -> None:
+        """Switch faults of a stand-in."""
+        url = f"http://{self.address(name)}/control/faults"
+        httpx.post(url, json=faults, trust_env=False).raise_for_status()
+
+    def stop(self) -> dict[str, int]:
+        """Stop all programs, entry VMs first.
+
+        Returns
+        -------
+        dict of str to int
+            Exit code of each.
+        """
+        entries = [spec.name for spec in self.deployment.entries]
+        others = [name for name in self.programs_by_name if name not in entries]
+        codes = self._stop_all([n for n in entries if n in self.programs_by_name])
+        return codes | self._stop_all(others)
+
+    def _stop_all(self, names: t.Sequence[str]) -> dict[str, int]:
+        for name in names:
+            process = self.programs_by_name[name].process
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        return {name: self._reap(name) for name in names}
+
+    def _reap(self, name: str) -> int:
+        process = self.programs_by_name[name].process
+        try:
+            return process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def _run(self, name: str, module: str, *arguments: str) -> None:
+        output = self.directory / f"{name}.out"
+        with output.open("ab") as file:
+            offset = file.tell()
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=file,
+                stderr=subprocess.STDOUT,
+                env=dict(os.environ, PYTHONUNBUFFERED="1"),
+            )
+        self.programs_by_name[name] = Program(
+            name=name, process=process, output=output, address=f"@{offset}"
+        )
+
+    def _wait_listening(self, name: str) -> None:
+        program = self.programs_by_name[name]
+        offset = int(program.address[1:])
+
+        def listening() -> bool:
+            if program.process.poll() is not None:
+                raise LaunchFailed(f"{name} ended: {program.output.read_text()}")
+            for line in program.output.read_bytes()[offset:].splitlines():
+                if b'"listening"' in line:
+                    program.address = json.loads(line)["address"]
+                    return True
+            return False
+
+        self.wait_until(listening)
+
+    def _endpoint_vm(self, spec: EndpointSpec) -> Vm:
+        return Vm(
+            vm_id=spec.name,
+            role=spec.role,
+            zone=spec.zone,
+            address=self.address(spec.name),
+            pool=spec.pool,
+        )
+
+    def _write_secret(self, name: str, content: str) -> None:
+        file = self.directory / name
+        file.write_text(content)
+        file.chmod(0o600)
+
+
+def _entry_vm(spec: EntrySpec) -> Vm:
+    return Vm(
+        vm_id=spec.name,
+        role=VmRole.ENTRY,
+        zone=spec.zone,
+        address=spec.peer_address,
+    )
+
+
+def _vm_json(vm: Vm) -> dict[str, str]:
+    return {
+        "vm_id": vm.vm_id,
+        "role": vm.role.value,
+        "zone": vm.zone,
+        "address": vm.address,
+        "state": vm.state.value,
+        "pool": vm.pool,
+    }
+
+
+def _answers(url: str) -> bool:
+    try:
+        return httpx.get(url, trust_env=False).status_code == httpx.codes.OK
+    except httpx.TransportError:
+        return False
