Test the stand-ins and HTTP adapters against their contracts

Need: the fault cases that the system is built for have to be provoked by the stand-ins and told apart by the adapters. Ruled out: closing connections by a 500 answer for lost answers, since the caller would then have an answer.

--- a/src/foxtailbank_bench/asgi.py
+++ b/src/foxtailbank_bench/asgi.py
@@ -88,6 +88,12 @@
         raise Malformed(str(error)) from error
 
 
+def path_parts(scope: Scope) -> list[str]:
+    """Return the path's segments, each of them unquoted."""
+    raw_path = scope["raw_path"].decode("latin-1")
+    return [urllib.parse.unquote(part) for part in raw_path.split("/")[1:]]
+
+
 def query_of(scope: Scope) -> dict[str, str]:
     """Return the query's fields, the last value of each name."""
     return dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
--- /dev/null
+++ b/src/foxtailbank_bench/control.py
@@ -0,0 +1,77 @@
+"""Client of the stand-ins' control interfaces, for tests and experiments."""
+
+import typing as t
+
+import msgspec
+
+from foxtailbank import exceptions
+from foxtailbank.http_channel import HttpChannel
+from foxtailbank.vm_list import Vm
+from foxtailbank_bench.journal import JournalEntry
+from foxtailbank_bench.platform_app import PlatformStats
+
+FIRST_ERROR = 400
+TIMEOUT_MS = 10_000
+
+
+class StandInControl:
+    """Controls of one running stand-in.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port of the stand-in.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self._channel = HttpChannel(address=address)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._channel.aclose()
+
+    async def set_faults(self, **faults: t.Any) -> None:
+        """Change faults; the names are those of the stand-in's fault struct.
+
+        Raises
+        ------
+        EndpointFailed
+            The stand-in refused the change or gave no answer.
+        """
+        body = msgspec.json.encode(faults)
+        await self._request("POST", "/control/faults", body)
+
+    async def journal(self, *, since: int = 0) -> list[JournalEntry]:
+        """Return the requests that reached the stand-in, in order of arrival.
+
+        Parameters
+        ----------
+        since : int
+            How many of the first ones to leave out.
+        """
+        body = await self._request("GET", f"/control/journal?since={since}")
+        return [
+            msgspec.json.decode(line, type=JournalEntry) for line in body.splitlines()
+        ]
+
+    async def platform_stats(self) -> PlatformStats:
+        """Return the use of a platform stand-in so far."""
+        body = await self._request("GET", "/control/stats")
+        return msgspec.json.decode(body, type=PlatformStats)
+
+    async def put_vm(self, vm: Vm) -> None:
+        """Add or replace a VM on a platform stand-in's list."""
+        await self._request("PUT", f"/vms/{vm.vm_id}", msgspec.json.encode(vm))
+
+    async def delete_vm(self, vm_id: str) -> None:
+        """Take a VM off a platform stand-in's list."""
+        await self._request("DELETE", f"/vms/{vm_id}")
+
+    async def _request(self, method: str, path: str, body: bytes = b"") -> bytes:
+        answer = await self._channel.request(
+            method, path, content=body, timeout_ms=TIMEOUT_MS
+        )
+        if answer.status >= FIRST_ERROR:
+            detail = answer.body.decode("utf-8", "replace")
+            raise exceptions.EndpointFailed(detail=detail)
+        return answer.body
--- a/src/foxtailbank_bench/engine.py
+++ b/src/foxtailbank_bench/engine.py
@@ -10,7 +10,7 @@
 from foxtailbank_bench.engine_app import EngineApp
 from foxtailbank_bench.engine_orders import EngineOrders
 from foxtailbank_bench.journal import Journal
-from foxtailbank_bench.serving import run_program
+from foxtailbank_bench.serving import GRACEFUL_S, run_program
 from foxtailbank_bench.step_loop import EngineRates
 
 CRASH_STATUS = 70
@@ -51,6 +51,7 @@
         port=options.port,
         background=app.run,
         on_stop=app.drain,
+        graceful_s=options.graceful_s,
     )
 
 
@@ -84,6 +85,12 @@
         "--weights", default="", metavar="ADDRESS", help="weight store to load from"
     )
     parser.add_argument("--load-ms", type=int, default=DEFAULT_LOAD_MS)
+    parser.add_argument(
+        "--graceful-s",
+        type=float,
+        default=GRACEFUL_S,
+        help="time that running streams get after SIGTERM",
+    )
     parser.add_argument("--journal", type=pathlib.Path, help="file for the journal")
     return parser
 
--- a/src/foxtailbank_bench/engine_app.py
+++ b/src/foxtailbank_bench/engine_app.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import typing as t
-import urllib.parse
 import uuid
 
 import anyio
@@ -131,9 +130,6 @@
             return await asgi.run_lifespan(receive, send)
         with contextlib.suppress(asgi.Disconnected):
             body = await asgi.read_body(receive)
-            if self._connections.is_stalled(send):
-                await _wait_for_disconnect(receive)
-                return
             try:
                 await self._route(scope, body, receive, send)
             except asgi.Malformed as error:
@@ -143,12 +139,31 @@
         self, scope: asgi.Scope, body: bytes, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         path = scope["path"]
-        if not path.startswith("/control/"):
+        if path.startswith("/control/"):
+            await self._control(scope, body, send)
+        elif self._connections.is_stalled(send):
+            await _wait_for_disconnect(receive)
+        else:
             self._connections.note(send)
-        if path in (TEXT_PATH, CHAT_PATH) and scope["method"] == "POST":
-            await self._complete(scope, body, receive, send)
-            return
-        parts = [urllib.parse.unquote(part) for part in path.split("/")[1:]]
+            if path in (TEXT_PATH, CHAT_PATH) and scope["method"] == "POST":
+                await self._complete(scope, body, receive, send)
+            else:
+                await self._answer(scope, body, send)
+
+    async def _control(self, scope: asgi.Scope, body: bytes, send: asgi.Send) -> None:
+        match scope["method"], scope["path"]:
+            case "POST", "/control/faults":
+                self._change_faults(asgi.decode(body, EngineFaults))
+                await asgi.send_json(send, content=self._faults)
+            case "GET", "/control/journal":
+                since = asgi.query_int(asgi.query_of(scope), "since", 0)
+                lines = self._journal.lines(since=since)
+                await asgi.send_answer(send, status=200, body=lines)
+            case _:
+                await _send_error(send, 404, "not found", "invalid_request_error")
+
+    async def _answer(self, scope: asgi.Scope, body: bytes, send: asgi.Send) -> None:
+        parts = asgi.path_parts(scope)
         match (scope["method"], *parts):
             case "POST", "v1", "requests", request_id, "cancel":
                 cancelled = self._loop.cancel(request_id)
@@ -174,11 +189,6 @@
             case "GET", "healthz":
                 status = UNAVAILABLE if self._faults.drain else 200
                 await asgi.send_json(send, status=status, content={"zone": self._zone})
-            case "POST", "control", "faults":
-                self._change_faults(asgi.decode(body, EngineFaults))
-                await asgi.send_json(send, content=self._faults)
-            case "GET", "control", "journal":
-                await asgi.send_answer(send, status=200, body=self._journal.lines())
             case _:
                 await _send_error(send, 404, "not found", "invalid_request_error")
 
--- a/src/foxtailbank_bench/journal.py
+++ b/src/foxtailbank_bench/journal.py
@@ -1,6 +1,7 @@
 """Record of the requests that reached a stand-in."""
 
 import collections
+import itertools
 import pathlib
 import typing as t
 
@@ -68,9 +69,16 @@
         entry.outcome = outcome
         self._write(entry)
 
-    def lines(self) -> bytes:
-        """Return all entries as JSON lines, in order of arrival."""
-        return b"".join(msgspec.json.encode(item) + b"\n" for item in self._entries)
+    def lines(self, *, since: int = 0) -> bytes:
+        """Return entries as JSON lines, in order of arrival.
+
+        Parameters
+        ----------
+        since : int
+            How many of the first ones to leave out.
+        """
+        entries = itertools.islice(self._entries, since, None)
+        return b"".join(msgspec.json.encode(item) + b"\n" for item in entries)
 
     def _write(self, entry: JournalEntry) -> None:
         if self._output is None:
--- a/src/foxtailbank_bench/platform_app.py
+++ b/src/foxtailbank_bench/platform_app.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import typing as t
-import urllib.parse
 
 import anyio
 import msgspec
@@ -133,7 +132,7 @@
                 await asgi.send_json(send, status=400, content=content)
 
     async def _route(self, scope: asgi.Scope, body: bytes, send: asgi.Send) -> None:
-        parts = [urllib.parse.unquote(p) for p in scope["path"].split("/")[1:]]
+        parts = asgi.path_parts(scope)
         match (scope["method"], *parts):
             case "POST", "streams", name, "records":
                 await self._append(name, body, send)
--- a/src/foxtailbank_bench/records.py
+++ b/src/foxtailbank_bench/records.py
@@ -5,7 +5,6 @@
 import functools
 import pathlib
 import typing as t
-import urllib.parse
 import uuid
 
 import anyio
@@ -90,7 +89,7 @@
     async def _route(
         self, scope: asgi.Scope, body: bytes, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        parts = [urllib.parse.unquote(p) for p in scope["path"].split("/")[1:]]
+        parts = asgi.path_parts(scope)
         match (scope["method"], *parts):
             case "GET", "healthz":
                 status = UNAVAILABLE if self._faults.drain else 200
@@ -99,7 +98,9 @@
                 self._change_faults(asgi.decode(body, RecordsFaults))
                 await asgi.send_json(send, content=self._faults)
             case "GET", "control", "journal":
-                await asgi.send_answer(send, status=200, body=self._journal.lines())
+                since = asgi.query_int(asgi.query_of(scope), "since", 0)
+                body = self._journal.lines(since=since)
+                await asgi.send_answer(send, status=200, body=body)
             case _:
                 await self._serve(scope, parts, body, receive, send)
 
--- a/src/foxtailbank_bench/serving.py
+++ b/src/foxtailbank_bench/serving.py
@@ -116,12 +116,18 @@
     sock = listen(host="127.0.0.1", port=0)
     address = address_of(sock)
     stop = anyio.Event()
+    failure: Exception | None = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_serve, app, sock, stop, graceful_s)
         try:
             yield address
+        except Exception as error:
+            # Raised outside the task group, which would wrap it.
+            failure = error
         finally:
             stop.set()
+    if failure is not None:
+        raise failure
 
 
 async def run_program(
@@ -131,6 +137,7 @@
     port: int,
     background: t.Callable[[], t.Coroutine[t.Any, t.Any, None]] | None = None,
     on_stop: t.Callable[[], None] | None = None,
+    graceful_s: float = GRACEFUL_S,
 ) -> None:
     """Serve as a program until SIGTERM or SIGINT.
 
@@ -146,6 +153,8 @@
         Coroutine function that runs beside the application.
     on_stop : callable, optional
         Called before the listening socket closes.
+    graceful_s : float
+        Seconds that running requests get at the end.
     """
     sock = listen(host=host, port=port)
     stop = anyio.Event()
@@ -157,7 +166,7 @@
         # The server's own task group can leave its task marked as cancelled, so
         # that it gets a task of its own.
         async with anyio.create_task_group() as server:
-            server.start_soon(_serve, app, sock, stop, GRACEFUL_S)
+            server.start_soon(_serve, app, sock, stop, graceful_s)
         tasks.cancel_scope.cancel()
 
 
@@ -170,7 +179,9 @@
 async def _serve(
     app: App, sock: socket.socket, stop: anyio.Event, graceful_s: float
 ) -> None:
-    await serve(app, sock=sock, stop=stop, graceful_s=graceful_s)
+    # The server ends by itself once told to stop, and fails if it is cancelled.
+    with anyio.CancelScope(shield=True):
+        await serve(app, sock=sock, stop=stop, graceful_s=graceful_s)
 
 
 async def _watch_signals(
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,408 @@
+import contextlib
+import itertools
+
+import anyio
+import msgspec
+import openai
+import pytest
+
+from foxtailbank import exceptions
+from foxtailbank.endpoint import EndpointCall, Order
+from foxtailbank.http_endpoint import HttpEndpoint
+from foxtailbank.weight_store import Weights
+from foxtailbank_bench.control import StandInControl
+from foxtailbank_bench.engine_app import EngineApp
+from foxtailbank_bench.engine_orders import EngineOrders
+from foxtailbank_bench.journal import Journal, JournalEntry
+from foxtailbank_bench.platform_app import PlatformApp
+from foxtailbank_bench.prefix_cache import BLOCK_BYTES, PrefixCache, prefix_digests
+from foxtailbank_bench.program import started
+from foxtailbank_bench.serving import running
+from foxtailbank_bench.step_loop import EngineRates
+
+pytestmark = pytest.mark.anyio
+GIVE_UP_S = 30
+FAST = EngineRates(base_step_ms=1, per_stream_ms=0, prefill_us_per_token=0)
+SLOW = EngineRates(base_step_ms=20)
+PATIENT = {"control_ms": 15_000, "stall_ms": 15_000}
+LONG_TOKENS = 512
+TEXT_PATH = "/v1/completions"
+CHAT_PATH = "/v1/chat/completions"
+_ids = itertools.count()
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Engine:
+    """An engine in this process, seen through the adapter."""
+
+    def __init__(self, address, **bounds):
+        self.address = address
+        self.endpoint = HttpEndpoint(address=address, **{**PATIENT, **bounds})
+        self.control = StandInControl(address=address)
+
+    async def aclose(self):
+        await self.endpoint.aclose()
+        await self.control.aclose()
+
+    async def outcome(self, request_id):
+        """Wait for a request's end and return its journal entry."""
+        while True:
+            for entry in await self.control.journal():
+                if entry.request_id == request_id and entry.outcome != "running":
+                    return entry
+            await anyio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def engine(
+    *, rates=FAST, weights="", check_fence=False, journal=None, bounds=(), **options
+):
+    app = EngineApp(
+        orders=EngineOrders(
+            models=(("wordsmith", "1"),),
+            check_fence=check_fence,
+            weights_address=weights,
+            load_ms=0,
+        ),
+        rates=rates,
+        crash=lambda: None,
+        journal=journal,
+        **options,
+    )
+    with anyio.fail_after(GIVE_UP_S):
+        async with running(app) as address, anyio.create_task_group() as tasks:
+            tasks.start_soon(app.run)
+            client = Engine(address, **dict(bounds))
+            try:
+                yield client
+            finally:
+                await client.aclose()
+                tasks.cancel_scope.cancel()
+
+
+def call(*, path=TEXT_PATH, resume_at=0, request_id="", **fields):
+    content = {"model": "wordsmith", "max_tokens": 8, **fields}
+    if path == CHAT_PATH:
+        content.setdefault("messages", [{"role": "user", "content": "hello"}])
+    else:
+        content.setdefault("prompt", "hello")
+    return EndpointCall(
+        request_id=request_id or f"r{next(_ids)}",
+        method="POST",
+        path=path,
+        headers=(("content-type", "application/json"),),
+        body=msgspec.json.encode(content),
+        resume_at=resume_at,
+    )
+
+
+def events_of(body):
+    events = [event.removeprefix(b"data: ") for event in body.split(b"\n\n")[:-1]]
+    assert events[-1] == b"[DONE]"
+    return [msgspec.json.decode(event) for event in events[:-1]]
+
+
+def text_of(choice):
+    if "delta" in choice:
+        return choice["delta"].get("content", "")
+    return choice["message"]["content"] if "message" in choice else choice["text"]
+
+
+@pytest.mark.parametrize("path", [TEXT_PATH, CHAT_PATH])
+async def test_stream_carries_the_same_text_as_the_whole_answer(path):
+    async with engine() as server:
+        whole = await server.endpoint.call(call(path=path))
+        options = {"stream": True, "stream_options": {"include_usage": True}}
+        streamed = await server.endpoint.call(call(path=path, **options))
+    whole = msgspec.json.decode(whole.body)
+    *chunks, end, usage = events_of(streamed.body)
+    assert [chunk["token_index"] for chunk in chunks] == list(range(8))
+    text = "".join(text_of(chunk["choices"][0]) for chunk in chunks)
+    assert text == text_of(whole["choices"][0])
+    assert end["choices"][0]["finish_reason"] == "length"
+    assert whole["choices"][0]["finish_reason"] == "length"
+    assert usage["usage"] == whole["usage"]
+    assert whole["usage"]["completion_tokens"] == 8
+
+
+@pytest.mark.parametrize("resume_at", [1, 3, 8, 20])
+async def test_resumed_stream_is_the_rest_of_the_lost_one(resume_at):
+    lost = call(stream=True, request_id="r")
+    async with engine() as first:
+        body = (await first.endpoint.call(lost)).body
+    async with engine() as second:
+        rest = call(stream=True, request_id="r", resume_at=resume_at)
+        resumed = (await second.endpoint.call(rest)).body
+        entry = await second.outcome("r")
+    events = body.split(b"\n\n")
+    assert resumed == b"\n\n".join(events[min(resume_at, 8) :])
+    assert (entry.resume_at, entry.tokens) == (resume_at, max(0, 8 - resume_at))
+
+
+async def test_tokens_depend_on_model_and_prompt_only():
+    async with engine() as server:
+        one = await server.endpoint.call(call(prompt="a", request_id="x"))
+        same = await server.endpoint.call(call(prompt="a", request_id="x"))
+        other = await server.endpoint.call(call(prompt="b", request_id="x"))
+    assert one.body == same.body != other.body
+
+
+async def test_the_ecosystems_client_understands_the_answers():
+    async with engine() as server:
+        client = openai.AsyncOpenAI(
+            base_url=f"http://{server.address}/v1", api_key="none", max_retries=0
+        )
+        async with client:
+            messages = [{"role": "user", "content": "hello"}]
+            options = {"model": "wordsmith", "messages": messages, "max_tokens": 5}
+            whole = await client.chat.completions.create(**options)
+            stream = await client.chat.completions.create(stream=True, **options)
+            parts = [part.choices[0].delta.content async for part in stream]
+            assert "".join(filter(None, parts)) == whole.choices[0].message.content
+            models = await client.models.list()
+            assert [model.id for model in models.data] == ["wordsmith"]
+            with pytest.raises(openai.BadRequestError):
+                await client.chat.completions.create(**{**options, "n": 2})
+
+
+@pytest.mark.parametrize(
+    ("faults", "fields"),
+    [
+        ({"drain": True}, {}),
+        ({"reject": True}, {}),
+        ({}, {"model": "other"}),
+    ],
+)
+async def test_not_admitted_requests_leave_no_trace(faults, fields):
+    async with engine() as server:
+        await server.control.set_faults(**faults)
+        with pytest.raises(exceptions.EndpointRefused) as caught:
+            await server.endpoint.call(call(**fields))
+        assert caught.value.ran is exceptions.Ran.NO
+        assert await server.control.journal() == []
+
+
+async def test_full_queue_admits_nothing_until_a_place_is_free():
+    rates = EngineRates(base_step_ms=20, max_running=1, max_waiting=0)
+    async with engine(rates=rates) as server:
+        long = call(stream=True, max_tokens=LONG_TOKENS, request_id="long")
+        async with server.endpoint.open(long) as answer:
+            parts = answer.chunks()
+            await anext(parts)
+            with pytest.raises(exceptions.EndpointRefused):
+                await server.endpoint.call(call())
+        await server.outcome("long")
+        assert (await server.endpoint.call(call())).status == 200
+
+
+@pytest.mark.parametrize("ways", ["call", "closed connection"])
+async def test_cancel_frees_the_place(ways):
+    rates = EngineRates(base_step_ms=20, max_running=1)
+    async with engine(rates=rates) as server:
+        long = call(stream=True, max_tokens=LONG_TOKENS, request_id="long")
+        async with server.endpoint.open(long) as answer:
+            parts = answer.chunks()
+            await anext(parts)
+            if ways == "call":
+                await server.endpoint.cancel(request_id="long")
+                rest = b"".join([part async for part in parts])
+                (end,) = events_of(rest)[-1:]
+                assert end["choices"][0]["finish_reason"] == "cancelled"
+        entry = await server.outcome("long")
+        assert entry.outcome == "cancelled"
+        assert entry.tokens < LONG_TOKENS
+        assert (await server.endpoint.call(call())).status == 200
+
+
+async def test_cancel_of_an_unknown_request_changes_nothing():
+    async with engine() as server:
+        await server.endpoint.cancel(request_id="never/seen")
+
+
+@pytest.mark.parametrize("stream", [False, True])
+async def test_stalled_connections_stay_silent_while_new_ones_work(stream):
+    async with engine(rates=SLOW, bounds={"stall_ms": 500}) as server:
+        held = call(stream=True, max_tokens=LONG_TOKENS)
+        async with server.endpoint.open(held) as answer:
+            parts = answer.chunks()
+            await anext(parts)
+            await server.control.set_faults(stall_open=True)
+            with pytest.raises(exceptions.EndpointStalled):
+                while True:
+                    await anext(parts)
+        assert (await server.endpoint.call(call(stream=stream))).status == 200
+
+
+async def test_stalled_pooled_connection_is_replaced():
+    async with engine(bounds={"control_ms": 500}) as server:
+        await server.endpoint.load()
+        await server.control.set_faults(stall_open=True)
+        with pytest.raises(exceptions.EndpointStalled):
+            await server.endpoint.load()
+        await server.endpoint.load()
+
+
+async def test_load_report_lags():
+    rates = EngineRates(base_step_ms=20, max_running=7)
+    async with engine(rates=rates, report_lag_ms=3_600_000) as server:
+        long = call(stream=True, max_tokens=LONG_TOKENS)
+        async with server.endpoint.open(long) as answer:
+            parts = answer.chunks()
+            await anext(parts)
+            report = await server.endpoint.load()
+            assert (report.running, report.age_ms) == (0, 3_600_000)
+            await server.control.set_faults(report_lag_ms=0, drain=True)
+            report = await server.endpoint.load()
+            assert (report.running, report.waiting, report.max_running) == (1, 0, 7)
+            assert report.draining
+
+
+def prompt_of(blocks):
+    return "".join(str(number % 10) * BLOCK_BYTES for number in range(blocks))
+
+
+async def test_cache_events_have_gaps_and_start_after_a_number():
+    async with engine() as server:
+        await server.endpoint.call(call(prompt=prompt_of(20)))
+        events = await server.endpoint.cache_events(since=2)
+        assert [event.sequence for event in events] == [*range(3, 16), *range(17, 21)]
+        assert await server.endpoint.cache_events(since=20) == ()
+
+
+async def test_cache_evicts_the_least_recently_used_prefix():
+    cache = PrefixCache(max_blocks=3)
+    old = prefix_digests(prompt_of(2).encode())
+    new = prefix_digests(b"z" * BLOCK_BYTES * 2)
+    cache.store(old, now_ms=1)
+    cache.store(new, now_ms=2)
+    assert cache.cached_blocks(old) == 1
+    assert cache.cached_blocks(new) == 2
+    evicted = [item for item in cache.events(since=0, until_ms=2) if not item.stored]
+    assert [item.prefix for item in evicted] == [old[1]]
+    assert len(cache.events(since=0, until_ms=1)) == 2
+
+
+async def test_kv_moves_between_engines():
+    prompt = prompt_of(3)
+    prefix = prefix_digests(prompt.encode())[-1]
+    async with engine() as first, engine() as second:
+        assert await first.endpoint.export_kv(prefix=prefix) == b""
+        await first.endpoint.call(call(prompt=prompt))
+        content = await first.endpoint.export_kv(prefix=prefix)
+        await second.endpoint.import_kv(prefix=prefix, content=content)
+        assert await second.endpoint.export_kv(prefix=prefix) == content
+        events = await second.endpoint.cache_events(since=0)
+        assert {event.prefix for event in events} == set(
+            prefix_digests(prompt.encode())
+        )
+
+
+async def settled(server):
+    while True:
+        state = await server.endpoint.state()
+        if not state.busy:
+            return state
+        await anyio.sleep(0.01)
+
+
+@pytest.mark.parametrize(("check_fence", "role"), [(True, "new"), (False, "old")])
+async def test_stale_fence_is_refused_where_it_is_checked(check_fence, role):
+    async with engine(check_fence=check_fence) as server:
+        await server.endpoint.order(Order(fence=5, kind="set_role", target="new"))
+        assert (await settled(server)).role == "new"
+        stale = Order(fence=4, kind="set_role", target="old")
+        if check_fence:
+            with pytest.raises(exceptions.EndpointRefused):
+                await server.endpoint.order(stale)
+        else:
+            await server.endpoint.order(stale)
+        state = await settled(server)
+        assert (state.role, state.fence) == (role, 5 if check_fence else 0)
+
+
+async def test_model_is_loaded_from_the_weight_store():
+    weights = (Weights(name="clerk", version="7", size_bytes=200),)
+    store = PlatformApp(weights=weights, weight_rate_bytes_per_s=1_000)
+    order = Order(fence=1, kind="load_model", target="clerk", version="7")
+    async with running(store) as address, engine(weights=address) as server:
+        await server.endpoint.order(order)
+        with pytest.raises(exceptions.EndpointRefused):
+            await server.endpoint.order(order)
+        state = await settled(server)
+        assert state.models == (("wordsmith", "1"), ("clerk", "7"))
+        assert (await server.endpoint.call(call(model="clerk"))).status == 200
+        unknown = Order(fence=2, kind="load_adapter", target="clerk", version="8")
+        await server.endpoint.order(unknown)
+        assert (await settled(server)).adapters == ()
+        unload = Order(fence=3, kind="unload_model", target="clerk")
+        await server.endpoint.order(unload)
+        assert (await settled(server)).models == (("wordsmith", "1"),)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"max_tokens": -1}, {"prompt": 7}, {"prompt": None}, {"n": 3}],
+)
+async def test_malformed_requests_are_refused(fields):
+    async with engine() as server:
+        assert (await server.endpoint.call(call(**fields))).status == 400
+        assert await server.control.journal() == []
+
+
+async def test_crash_breaks_other_streams_and_the_journal_survives(tmp_path):
+    file = tmp_path / "journal"
+    arguments = ["--model", "wordsmith", "--base-step-ms", "20", "--journal", str(file)]
+    with anyio.fail_after(GIVE_UP_S):
+        async with started("foxtailbank_bench.engine", *arguments) as program:
+            server = Engine(program.address)
+            long = call(stream=True, max_tokens=LONG_TOKENS, request_id="long")
+            crashing = call(prompt="a __crash__ b", request_id="crash")
+            async with server.endpoint.open(long) as answer:
+                parts = answer.chunks()
+                await anext(parts)
+                with pytest.raises(exceptions.EndpointFailed) as caught:
+                    await server.endpoint.call(crashing)
+                assert caught.value.ran is exceptions.Ran.UNKNOWN
+                with pytest.raises(exceptions.EndpointFailed):
+                    while True:
+                        await anext(parts)
+            assert await program.process.wait() != 0
+            with pytest.raises(exceptions.EndpointRefused):
+                await server.endpoint.call(call())
+            await server.aclose()
+    lines = file.read_bytes().splitlines()
+    entries = [msgspec.json.decode(line, type=JournalEntry) for line in lines]
+    assert [(entry.request_id, entry.outcome) for entry in entries] == [
+        ("long", "running"),
+        ("crash", "running"),
+    ]
+
+
+async def test_sigterm_lets_streams_finish():
+    arguments = ["--model", "wordsmith", "--base-step-ms", "10"]
+    with anyio.fail_after(GIVE_UP_S):
+        async with started("foxtailbank_bench.engine", *arguments) as program:
+            server = Engine(program.address)
+            stream = call(stream=True, max_tokens=20)
+            async with server.endpoint.open(stream) as answer:
+                parts = answer.chunks()
+                body = await anext(parts)
+                program.process.terminate()
+                body += b"".join([part async for part in parts])
+            assert len(events_of(body)) == 21
+            assert await program.process.wait() == 0
+            await server.aclose()
+
+
+async def test_journal_file_has_a_line_for_each_change(tmp_path):
+    file = tmp_path / "journal"
+    async with engine(journal=Journal(file=file)) as server:
+        await server.endpoint.call(call(request_id="r"))
+    lines = file.read_bytes().splitlines()
+    entries = [msgspec.json.decode(line, type=JournalEntry) for line in lines]
+    assert [entry.outcome for entry in entries] == ["running", "done"]
+    assert entries[1].tokens == 8
