--- a/src/foxtailbank_bench/asgi.py
+++ b/src/foxtailbank_bench/asgi.py
@@ -62,18 +62,6 @@
     await send({"type": "http.response.body", "body": body})
 
 
-async def send_json(
-    send: Send,
-    *,
-    content: t.Any,
-    status: int = 200,
-    headers: t.Iterable[tuple[bytes, bytes]] = (),
-) -> None:
-    """Send a whole answer in JSON."""
-    body = msgspec.json.encode(content)
-    await send_answer(send, status=status, body=body, headers=headers)
-
-
 def decode(body: bytes, kind: type[Content]) -> Content:
     """Return a JSON request body as a type.
 
@@ -99,20 +87,6 @@
     return dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
 
 
-def query_int(query: t.Mapping[str, str], name: str, default: int) -> int:
-    """Return a numeric field of the query.
-
-    Raises
-    ------
-    Malformed
-        It is no number.
-    """
-    try:
-        return int(query.get(name, default))
-    except ValueError as error:
-        raise Malformed(f"{name} is not a number") from error
-
-
 def header(scope: Scope, name: bytes) -> str:
     """Return a header's value; empty if it is absent."""
     for key, value in scope["headers"]:
--- a/src/foxtailbank_bench/control.py
+++ b/src/foxtailbank_bench/control.py
@@ -8,7 +8,7 @@
 from foxtailbank.http_channel import HttpChannel
 from foxtailbank.vm_list import Vm
 from foxtailbank_bench.journal import JournalEntry
-from foxtailbank_bench.platform_app import PlatformStats
+from foxtailbank_bench.platform_stats import PlatformStats
 
 FIRST_ERROR = 400
 TIMEOUT_MS = 10_000
--- a/src/foxtailbank_bench/platform.py
+++ b/src/foxtailbank_bench/platform.py
@@ -9,10 +9,8 @@
 
 from foxtailbank.vm_list import Vm
 from foxtailbank.weight_store import Weights
-from foxtailbank_bench.platform_app import (
-    DEFAULT_WEIGHT_RATE_BYTES_PER_S,
-    PlatformApp,
-)
+from foxtailbank_bench.platform_app import PlatformApp
+from foxtailbank_bench.platform_weights import DEFAULT_RATE_BYTES_PER_S
 from foxtailbank_bench.serving import run_program
 
 
@@ -50,7 +48,7 @@
     parser.add_argument(
         "--weight-rate-bytes-per-s",
         type=int,
-        default=DEFAULT_WEIGHT_RATE_BYTES_PER_S,
+        default=DEFAULT_RATE_BYTES_PER_S,
     )
     return parser
 
--- /dev/null
+++ b/src/foxtailbank_bench/platform_log.py
@@ -0,0 +1,110 @@
+"""The platform stand-in's log service."""
+
+import anyio
+
+from foxtailbank.clock import MS_PER_S
+from foxtailbank.log_service import LogBounds
+from foxtailbank_bench.connections import abort
+from foxtailbank_bench.exchange import Exchange
+from foxtailbank_bench.log_stream import LogStream
+from foxtailbank_bench.pacer import Pacer
+from foxtailbank_bench.platform_faults import PlatformFaults
+from foxtailbank_bench.platform_stats import StreamStats
+from foxtailbank_bench.stand_in import UNAVAILABLE
+
+CREATED = 201
+GONE = 410
+DEFAULT_READ_BYTES = 1 << 20
+
+
+class PlatformLog:
+    """Streams by name, under the platform's faults.
+
+    Parameters
+    ----------
+    retention_records : int
+        Most records that a stream keeps; 0 keeps all.
+    faults : PlatformFaults
+        The platform's faults, changed by others.
+    """
+
+    def __init__(self, *, retention_records: int, faults: PlatformFaults) -> None:
+        self._retention_records = retention_records
+        self._faults = faults
+        self._streams_by_name: dict[str, LogStream] = {}
+        self._pacer = Pacer(units_per_s=0)
+
+    async def append(self, name: str, exchange: Exchange) -> None:
+        """Append the request's body."""
+        await self._pacer.use(1)
+        if not await self._answers(exchange):
+            return
+        offset = self._stream(name).append(exchange.body)
+        if self._faults.lose_answers:
+            self._faults.lose_answers -= 1
+            await abort(exchange.send)
+            return
+        await exchange.send_json({"offset": offset}, status=CREATED)
+
+    async def read(self, name: str, exchange: Exchange) -> None:
+        """Answer with records from the wanted offset on."""
+        offset = exchange.query_int("offset", 0)
+        max_bytes = exchange.query_int("max_bytes", DEFAULT_READ_BYTES)
+        wait_s = exchange.query_int("wait_ms", 0) / MS_PER_S
+        if not await self._answers(exchange):
+            return
+        stream = self._stream(name)
+        await stream.wait_for_growth(offset=offset, wait_s=wait_s)
+        if self._faults.log == "down":
+            await send_unavailable(exchange)
+        elif offset < stream.earliest:
+            await exchange.send_json({"earliest": stream.earliest}, status=GONE)
+        else:
+            frames = stream.frames(offset=offset, max_bytes=max_bytes)
+            await exchange.send_bytes(frames)
+
+    async def bounds(self, name: str, exchange: Exchange) -> None:
+        """Answer with a stream's extent."""
+        if not await self._answers(exchange):
+            return
+        stream = self._stream(name)
+        bounds = LogBounds(earliest=stream.earliest, end=stream.end)
+        await exchange.send_json(bounds)
+
+    def on_change(self, change: PlatformFaults) -> None:
+        """Follow a change of the faults."""
+        for name, records in (change.retention_records or {}).items():
+            self._stream(name).set_retention(records=records)
+        if change.appends_per_s is not None:
+            self._pacer.units_per_s = change.appends_per_s
+        for stream in self._streams_by_name.values():
+            stream.wake()
+
+    def stats(self) -> dict[str, StreamStats]:
+        """Return the use of each stream."""
+        return {
+            name: StreamStats(
+                appends=stream.end, bytes=stream.appended_bytes, reads=stream.reads
+            )
+            for name, stream in self._streams_by_name.items()
+        }
+
+    async def _answers(self, exchange: Exchange) -> bool:
+        if self._faults.delay_ms:
+            await anyio.sleep(self._faults.delay_ms / MS_PER_S)
+        if self._faults.log == "down":
+            await send_unavailable(exchange)
+            return False
+        return True
+
+    def _stream(self, name: str) -> LogStream:
+        stream = self._streams_by_name.get(name)
+        if stream is None:
+            stream = LogStream(retention_records=self._retention_records)
+            self._streams_by_name[name] = stream
+        return stream
+
+
+async def send_unavailable(exchange: Exchange) -> None:
+    """Answer that this part of the platform is down."""
+    await exchange.send_json({"error": "unavailable"}, status=UNAVAILABLE)
--- /dev/null
+++ b/src/foxtailbank_bench/platform_weights.py
@@ -0,0 +1,58 @@
+"""The platform stand-in's weight store."""
+
+import msgspec
+
+from foxtailbank.weight_store import Weights
+from foxtailbank_bench.exchange import Exchange
+from foxtailbank_bench.pacer import Pacer
+from foxtailbank_bench.stand_in import NOT_FOUND
+
+DEFAULT_RATE_BYTES_PER_S = 1 << 30
+
+
+class _Size(msgspec.Struct):
+    size_bytes: int
+
+
+class PlatformWeights:
+    """Weights whose readers share one rate.
+
+    Parameters
+    ----------
+    weights : tuple of Weights
+        What the store holds from the start.
+    rate_bytes_per_s : int
+        Rate for all readers together.
+    """
+
+    def __init__(self, *, weights: tuple[Weights, ...], rate_bytes_per_s: int) -> None:
+        self._weights_by_key = {(item.name, item.version): item for item in weights}
+        self._pacer = Pacer(units_per_s=rate_bytes_per_s)
+        self.reads = 0
+
+    def set_rate(self, *, bytes_per_s: int) -> None:
+        """Change the rate for all readers together."""
+        self._pacer.units_per_s = bytes_per_s
+
+    async def list(self, exchange: Exchange) -> None:
+        """Answer with the rate and all weights."""
+        weights = list(self._weights_by_key.values())
+        rate = self._pacer.units_per_s
+        await exchange.send_json({"rate_bytes_per_s": rate, "weights": weights})
+
+    async def put(self, name: str, version: str, exchange: Exchange) -> None:
+        """Add or replace weights."""
+        size_bytes = exchange.content(_Size).size_bytes
+        item = Weights(name=name, version=version, size_bytes=size_bytes)
+        self._weights_by_key[name, version] = item
+        await exchange.send_json(item)
+
+    async def read(self, name: str, version: str, exchange: Exchange) -> None:
+        """Answer once the shared rate has allowed a read."""
+        item = self._weights_by_key.get((name, version))
+        if item is None:
+            await exchange.send_json({"error": "no such weights"}, status=NOT_FOUND)
+            return
+        self.reads += 1
+        await self._pacer.use(item.size_bytes)
+        await exchange.send_json(item)
--- /dev/null
+++ b/src/foxtailbank_bench/records_app.py
@@ -0,0 +1,160 @@
+"""The records stand-in's HTTP interface."""
+
+import typing as t
+import uuid
+
+import anyio
+
+from foxtailbank.clock import MS_PER_S, Clock, SystemClock
+from foxtailbank_bench.connections import Connections, abort
+from foxtailbank_bench.exchange import Exchange
+from foxtailbank_bench.faults import Faults
+from foxtailbank_bench.journal import Journal, JournalEntry, digest_of
+from foxtailbank_bench.stand_in import (
+    NOT_ADMITTED,
+    NOT_FOUND,
+    UNAVAILABLE,
+    StandIn,
+)
+
+CREATED = 201
+OK = 200
+CONTRACT_STATES = ("active", "expired", "in renewal")
+
+
+class RecordsFaults(Faults):
+    """Change of the service's faults; what is left out stays as it is.
+
+    Attributes
+    ----------
+    delay_ms : int
+        Delay of each answer after its effect, in milliseconds.
+    drop_after_effect : int
+        How many of the next requests take effect without an answer.
+    stall_open : bool
+        True lets all connections used so far send nothing any more.
+    drain : bool
+        Whether the service is leaving: it admits nothing new.
+    """
+
+    delay_ms: int | None = None
+    drop_after_effect: int | None = None
+    stall_open: bool | None = None
+    drain: bool | None = None
+
+
+class RecordsApp(StandIn):
+    """ASGI application of a records service.
+
+    Parameters
+    ----------
+    journal : Journal, optional
+        Record of the requests.
+    zone : str
+        Availability zone.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        journal: Journal | None = None,
+        zone: str = "",
+        clock: Clock | None = None,
+    ) -> None:
+        self._journal = journal or Journal()
+        self._zone = zone
+        self._clock = clock or SystemClock()
+        self._connections = Connections()
+        self._faults = RecordsFaults(delay_ms=0, drop_after_effect=0, drain=False)
+
+    def drain(self) -> None:
+        """Admit nothing new."""
+        self._faults.drain = True
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request."""
+        match exchange.method, exchange.path:
+            case "GET", "/healthz":
+                status = UNAVAILABLE if self._faults.drain else OK
+                await exchange.send_json({"zone": self._zone}, status=status)
+            case "POST", "/control/faults":
+                self._change_faults(exchange.content(RecordsFaults))
+                await exchange.send_json(self._faults)
+            case "GET", "/control/journal":
+                since = exchange.query_int("since", 0)
+                await exchange.send_bytes(self._journal.lines(since=since))
+            case _:
+                await self._handle_call(exchange)
+
+    async def _handle_call(self, exchange: Exchange) -> None:
+        if self._connections.is_stalled(exchange.send):
+            await exchange.wait_for_disconnect()
+            return
+        self._connections.note(exchange.send)
+        if self._faults.drain:
+            await self.send_error(exchange, UNAVAILABLE, "draining", NOT_ADMITTED)
+            return
+        entry = self._entry(exchange)
+        self._journal.add(entry)
+        try:
+            status, content = _answer(exchange)
+            answered = await self._send(exchange, status, content)
+            self._journal.end(entry, "done" if answered else "broken")
+        finally:
+            self._journal.end(entry, "broken")
+
+    async def _send(self, exchange: Exchange, status: int, content: t.Any) -> bool:
+        if self._faults.drop_after_effect:
+            self._faults.drop_after_effect -= 1
+            await abort(exchange.send)
+            return False
+        if self._faults.delay_ms:
+            await anyio.sleep(self._faults.delay_ms / MS_PER_S)
+        if self._connections.is_stalled(exchange.send):
+            await exchange.wait_for_disconnect()
+            return False
+        await exchange.send_json(content, status=status)
+        return True
+
+    def _entry(self, exchange: Exchange) -> JournalEntry:
+        return JournalEntry(
+            request_id=exchange.header(b"x-request-id"),
+            path=exchange.path,
+            digest=digest_of(exchange.body),
+            at_ms=self._clock.wall_ms(),
+        )
+
+    def _change_faults(self, change: RecordsFaults) -> None:
+        self._faults.apply(change)
+        if change.stall_open:
+            self._connections.stall_all()
+
+
+def _answer(exchange: Exchange) -> tuple[int, t.Any]:
+    match (exchange.method, *exchange.parts):
+        case "GET", "contracts", contract_id:
+            state = CONTRACT_STATES[len(contract_id) % len(CONTRACT_STATES)]
+            return OK, {"contract_id": contract_id, "status": state}
+        case "POST", "bookings":
+            booking = exchange.content(dict[str, t.Any])
+            return CREATED, {"booking_id": uuid.uuid4().hex, "request": booking}
+        case (_, "echo", *_):
+            return OK, _echo(exchange)
+        case _:
+            return NOT_FOUND, {"error": "not found"}
+
+
+def _echo(exchange: Exchange) -> dict[str, t.Any]:
+    scope = exchange.scope
+    return {
+        "method": exchange.method,
+        "path": scope["raw_path"].decode("latin-1"),
+        "query": scope["query_string"].decode("latin-1"),
+        "headers": [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        ],
+        "body": exchange.body.decode("utf-8", "replace"),
+    }
--- /dev/null
+++ b/src/foxtailbank_bench/stand_in.py
@@ -0,0 +1,58 @@
+"""What all stand-ins have in common."""
+
+import abc
+import contextlib
+import typing as t
+
+from foxtailbank_bench import asgi
+from foxtailbank_bench.exchange import Exchange
+
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNAVAILABLE = 503
+NOT_ADMITTED = ((b"x-not-admitted", b"1"),)
+
+
+class StandIn(abc.ABC):
+    """ASGI application that reads each request whole before it answers."""
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            return await asgi.run_lifespan(receive, send)
+        with contextlib.suppress(asgi.Disconnected):
+            body = await asgi.read_body(receive)
+            exchange = Exchange(scope=scope, body=body, receive=receive, send=send)
+            try:
+                await self.handle(exchange)
+            except asgi.Malformed as error:
+                await self.send_error(exchange, BAD_REQUEST, str(error))
+
+    @abc.abstractmethod
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+
+        Raises
+        ------
+        Malformed
+            The request could not be understood.
+        """
+
+    async def send_error(
+        self,
+        exchange: Exchange,
+        status: int,
+        message: str,
+        headers: t.Iterable[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Answer with an error in the ecosystem's shape."""
+        kind = "invalid_request_error" if status < UNAVAILABLE else "overloaded_error"
+        content = {"error": {"type": kind, "message": message, "code": kind}}
+        await exchange.send_json(content, status=status, headers=headers)
--- a/tests/test_http_endpoint.py
+++ b/tests/test_http_endpoint.py
@@ -8,7 +8,7 @@
 from foxtailbank.endpoint import EndpointCall
 from foxtailbank.headers import strip_hop_by_hop
 from foxtailbank.http_endpoint import HttpEndpoint
-from foxtailbank_bench.records import RecordsApp
+from foxtailbank_bench.records_app import RecordsApp
 from foxtailbank_bench.serving import address_of, listen, running
 
 pytestmark = pytest.mark.anyio
