Add a relay whose links can be cut, delayed, stalled or refused

Need: tests of partitions have to sever one pair of processes and not another, without touching the machine's network. Weighed: one process a link costs a whole interpreter for each pair, so that a process takes many links; a listener that is merely closed would lose its port, so that a bound socket that does not listen keeps it while the link refuses. Change: foxtailbank_bench.relay passes TCP and UDP; a control call sets mode and delay of one link or all, and answers once the change is in force.

--- a/src/foxtailbank_bench/control.py
+++ b/src/foxtailbank_bench/control.py
@@ -59,6 +59,11 @@
         body = await self._request("GET", "/control/stats")
         return msgspec.json.decode(body, type=PlatformStats)
 
+    async def links(self) -> dict[str, str]:
+        """Return the addresses of a relay's links, by name."""
+        body = await self._request("GET", "/control/links")
+        return msgspec.json.decode(body, type=dict[str, str])
+
     async def put_vm(self, vm: Vm) -> None:
         """Add or replace a VM on a platform stand-in's list."""
         await self._request("PUT", f"/vms/{vm.vm_id}", msgspec.json.encode(vm))
--- /dev/null
+++ b/src/foxtailbank_bench/relay_app.py
@@ -0,0 +1,41 @@
+"""The relay's control interface."""
+
+from foxtailbank_bench import asgi
+from foxtailbank_bench.exchange import Exchange
+from foxtailbank_bench.relay_faults import LinkFaults
+from foxtailbank_bench.relay_link import RelayLink
+from foxtailbank_bench.stand_in import NOT_FOUND, StandIn
+
+
+class RelayApp(StandIn):
+    """ASGI application that changes links.
+
+    Parameters
+    ----------
+    links : tuple of RelayLink
+        All links, with distinct names.
+    """
+
+    def __init__(self, *, links: tuple[RelayLink, ...]) -> None:
+        self._links_by_name = {link.name: link for link in links}
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request."""
+        match exchange.method, exchange.path:
+            case "POST", "/control/faults":
+                await self._change(exchange.content(LinkFaults))
+                await exchange.send_json({})
+            case "GET", "/control/links":
+                links = self._links_by_name.values()
+                await exchange.send_json({link.name: link.address for link in links})
+            case _:
+                await self.send_error(exchange, NOT_FOUND, "not found")
+
+    async def _change(self, change: LinkFaults) -> None:
+        if change.link is None:
+            for link in self._links_by_name.values():
+                await link.change(change)
+            return
+        if change.link not in self._links_by_name:
+            raise asgi.Malformed("no such link")
+        await self._links_by_name[change.link].change(change)
--- /dev/null
+++ b/src/foxtailbank_bench/relay_datagrams.py
@@ -0,0 +1,100 @@
+"""Relayed UDP datagrams of one link."""
+
+import typing as t
+
+import anyio
+import anyio.abc
+
+from foxtailbank.clock import MS_PER_S
+from foxtailbank_bench.relay_faults import LinkFaults, LinkMode
+
+MAX_SOURCES = 1_024
+
+
+class DatagramRelay:
+    """Passes datagrams to the target, and its replies back to their source.
+
+    Parameters
+    ----------
+    port : int
+        Port to listen on.
+    target : (str, int)
+        IP number and port.
+    faults : LinkFaults
+        Faults of the link, changed by others.
+    """
+
+    def __init__(
+        self, *, port: int, target: tuple[str, int], faults: LinkFaults
+    ) -> None:
+        self._port = port
+        self._target = target
+        self._faults = faults
+        self._sockets_by_source: dict[
+            tuple[str, int], anyio.abc.ConnectedUDPSocket
+        ] = {}
+
+    async def run(self, host: str) -> None:
+        """Pass datagrams for ever.
+
+        Parameters
+        ----------
+        host : str
+            IP number to listen on.
+        """
+        async with (
+            await anyio.create_udp_socket(
+                local_host=host, local_port=self._port
+            ) as listener,
+            anyio.create_task_group() as tasks,
+        ):
+            async for data, (source_host, source_port) in listener:
+                source = (source_host, source_port)
+                upstream = self._sockets_by_source.get(source)
+                if upstream is None:
+                    if len(self._sockets_by_source) >= MAX_SOURCES:
+                        continue
+                    upstream = await self._connect(source)
+                    tasks.start_soon(self._reply, upstream, listener, source, tasks)
+                self._pass(tasks, upstream.send, data)
+
+    async def _connect(self, source: tuple[str, int]) -> anyio.abc.ConnectedUDPSocket:
+        host, port = self._target
+        upstream = await anyio.create_connected_udp_socket(host, port)
+        self._sockets_by_source[source] = upstream
+        return upstream
+
+    async def _reply(
+        self,
+        upstream: anyio.abc.ConnectedUDPSocket,
+        listener: anyio.abc.UDPSocket,
+        source: tuple[str, int],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        async with upstream:
+            while True:
+                try:
+                    data = await upstream.receive()
+                except (anyio.BrokenResourceError, OSError):
+                    # Nobody listens at the target for now.
+                    await anyio.sleep(1 / MS_PER_S)
+                    continue
+                self._pass(tasks, listener.sendto, data, *source)
+
+    def _pass(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        send: t.Callable[..., t.Awaitable[None]],
+        *arguments: t.Any,
+    ) -> None:
+        if self._faults.mode is LinkMode.PASS:
+            tasks.start_soon(self._send_late, send, arguments)
+
+    async def _send_late(
+        self, send: t.Callable[..., t.Awaitable[None]], arguments: tuple[t.Any, ...]
+    ) -> None:
+        await anyio.sleep((self._faults.delay_ms or 0) / MS_PER_S)
+        try:
+            await send(*arguments)
+        except (anyio.BrokenResourceError, OSError):
+            return
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,151 @@
+import contextlib
+
+import anyio
+import pytest
+
+from foxtailbank import exceptions
+from foxtailbank.endpoint import EndpointCall
+from foxtailbank.http_endpoint import HttpEndpoint
+from foxtailbank_bench.control import StandInControl
+from foxtailbank_bench.program import started
+from foxtailbank_bench.records_app import RecordsApp
+from foxtailbank_bench.relay_app import RelayApp
+from foxtailbank_bench.relay_link import RelayLink
+from foxtailbank_bench.serving import running
+
+pytestmark = pytest.mark.anyio
+GIVE_UP_S = 30
+SILENCE_S = 0.3
+LOOKUP = EndpointCall(request_id="r", method="GET", path="/contracts/c1")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def relayed(target):
+    link = RelayLink(name="sv-a/sv-b", host="127.0.0.1", target=target)
+    with anyio.fail_after(GIVE_UP_S):
+        async with (
+            running(RelayApp(links=(link,))) as address,
+            anyio.create_task_group() as tasks,
+        ):
+            await tasks.start(link.run)
+            control = StandInControl(address=address)
+            try:
+                yield link.address, control
+            finally:
+                await control.aclose()
+                tasks.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def relayed_records():
+    async with running(RecordsApp()) as target, relayed(target) as (address, control):
+        endpoint = HttpEndpoint(address=address, head_ms=500)
+        try:
+            yield endpoint, control
+        finally:
+            await endpoint.aclose()
+
+
+@pytest.mark.parametrize("delay_ms", [0, 20])
+async def test_traffic_passes_both_ways(delay_ms):
+    async with relayed_records() as (endpoint, control):
+        await control.set_faults(delay_ms=delay_ms)
+        body = b"x" * 1_000_000
+        call = EndpointCall(request_id="r", method="POST", path="/echo", body=body)
+        for _ in range(3):
+            assert body in (await endpoint.call(call)).body
+
+
+@pytest.mark.parametrize(
+    ("mode", "failure"),
+    [
+        ("cut", exceptions.EndpointFailed),
+        ("stall", exceptions.EndpointStalled),
+        ("refuse", exceptions.EndpointRefused),
+    ],
+)
+@pytest.mark.parametrize("fresh", [False, True])
+async def test_link_fails_in_its_own_way_and_recovers(mode, failure, fresh):
+    async with relayed_records() as (endpoint, control):
+        await control.set_faults(mode=mode, link="sv-a/sv-b")
+        call = EndpointCall(request_id="r", method="GET", path="/echo", fresh=fresh)
+        with pytest.raises(failure):
+            await endpoint.call(call)
+        await control.set_faults(mode="pass")
+        assert (await endpoint.call(call)).status == 200
+
+
+async def test_stalled_connection_stays_silent_after_the_link_recovers():
+    async with relayed_records() as (endpoint, control):
+        await endpoint.call(LOOKUP)
+        await control.set_faults(mode="stall")
+        await control.set_faults(mode="pass")
+        with pytest.raises(exceptions.EndpointStalled):
+            await endpoint.call(LOOKUP)
+        assert (await endpoint.call(LOOKUP)).status == 200
+
+
+@pytest.mark.parametrize("mode", ["cut", "refuse"])
+async def test_open_connections_break_off(mode):
+    async with relayed_records() as (endpoint, control):
+        await endpoint.call(LOOKUP)
+        await control.set_faults(mode=mode)
+        with pytest.raises((exceptions.EndpointFailed, exceptions.EndpointRefused)):
+            await endpoint.call(LOOKUP)
+
+
+@pytest.mark.parametrize("change", [{"link": "other"}, {"mode": "sideways"}])
+async def test_unknown_changes_are_refused(change):
+    async with relayed_records() as (_, control):
+        with pytest.raises(exceptions.EndpointFailed):
+            await control.set_faults(**change)
+
+
+async def echo(socket):
+    async for data, (host, port) in socket:
+        await socket.sendto(data, host, port)
+
+
+async def received(socket):
+    with anyio.move_on_after(SILENCE_S):
+        return await socket.receive()
+    return None
+
+
+@pytest.mark.parametrize("mode", ["cut", "stall", "refuse"])
+async def test_datagrams_are_dropped_unless_the_link_passes(mode):
+    target = await anyio.create_udp_socket(local_host="127.0.0.1")
+    port = target.extra(anyio.abc.SocketAttribute.local_port)
+    async with (
+        target,
+        relayed(f"127.0.0.1:{port}") as (address, control),
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(echo, target)
+        host, _, relay_port = address.partition(":")
+        source = await anyio.create_connected_udp_socket(host, int(relay_port))
+        async with source:
+            await source.send(b"1")
+            assert await source.receive() == b"1"
+            await control.set_faults(mode=mode)
+            await source.send(b"2")
+            assert await received(source) is None
+            await control.set_faults(mode="pass")
+            await source.send(b"3")
+            assert await source.receive() == b"3"
+        tasks.cancel_scope.cancel()
+
+
+async def test_program_lists_its_links():
+    arguments = ["--link", "a=127.0.0.1:1", "--link", "b=127.0.0.1:2"]
+    with anyio.fail_after(GIVE_UP_S):
+        async with started("foxtailbank_bench.relay", *arguments) as program:
+            control = StandInControl(address=program.address)
+            assert sorted(await control.links()) == ["a", "b"]
+            await control.aclose()
+        assert program.process.returncode == 0
