Split the ledger by what it holds: jobs, calls, fences

Change: JobTable, RetiredJob and Fence in files of their own; no behaviour changes; jobs_by_id and retired_by_id stay readable on Ledger.

--- /dev/null
+++ b/src/foxtailbank/job_table.py
@@ -0,0 +1,232 @@
+"""Batch jobs as replayed from the ledger."""
+
+import dataclasses
+import typing as t
+
+from foxtailbank.item_set import bitmap_of, ranges_of
+from foxtailbank.job_state import (
+    JobState,
+    JobStatus,
+    has_valid_chunks,
+    is_payload_offset,
+)
+from foxtailbank.ledger_events import (
+    EntryIgnored,
+    IgnoreReason,
+    ItemsClaimWon,
+    ItemsEnded,
+    JobAdded,
+    JobCancelledEvent,
+    JobConflict,
+    JobFinished,
+    JobRepeated,
+    JobRetiredEvent,
+    LedgerEvent,
+    PayloadMovedEvent,
+    ResultsApplied,
+)
+from foxtailbank.records import (
+    ChunkResults,
+    ClaimsAbandoned,
+    ItemsClaimed,
+    JobAccepted,
+    JobCancelled,
+    JobRetired,
+    PayloadMoved,
+)
+from foxtailbank.retired_job import RetiredJob, retire
+
+Events: t.TypeAlias = tuple[LedgerEvent, ...]
+
+
+class JobTable:
+    """Jobs by id, and by owner and idempotency key.
+
+    Attributes
+    ----------
+    jobs_by_id : dict of str to JobState
+        Jobs that have not been retired.
+    retired_by_id : dict of str to RetiredJob
+        Jobs that have been retired and not been forgotten.
+    job_ids_by_key : dict of (str, str) to str
+        Job by owner and idempotency key.
+    """
+
+    def __init__(self) -> None:
+        self.jobs_by_id: dict[str, JobState] = {}
+        self.retired_by_id: dict[str, RetiredJob] = {}
+        self.job_ids_by_key: dict[tuple[str, str], str] = {}
+
+    def accept(self, index: int, offset: int, entry: JobAccepted) -> LedgerEvent:
+        """Add a job, unless its key or id was used before."""
+        known_id = self._known_job_id(entry)
+        if known_id is not None:
+            if self._job_digest(known_id) == entry.digest:
+                return JobRepeated(index=index, job_id=known_id)
+            return JobConflict(index=index, job_id=known_id)
+        if not has_valid_chunks(entry):
+            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        job = JobState(accepted=entry, accepted_offset=offset)
+        self.jobs_by_id[entry.job_id] = job
+        if entry.key:
+            self.job_ids_by_key[entry.owner, entry.key] = entry.job_id
+        return JobAdded(index=index, job_id=entry.job_id)
+
+    def _known_job_id(self, entry: JobAccepted) -> str | None:
+        if entry.key:
+            known_id = self.job_ids_by_key.get((entry.owner, entry.key))
+            if known_id is not None:
+                return known_id
+        if entry.job_id in self.jobs_by_id or entry.job_id in self.retired_by_id:
+            return entry.job_id
+        return None
+
+    def _job_digest(self, job_id: str) -> str:
+        job = self.jobs_by_id.get(job_id) or self.retired_by_id[job_id]
+        return job.digest
+
+    def _running_job(self, job_id: str) -> JobState | IgnoreReason:
+        job = self.jobs_by_id.get(job_id)
+        if job is None:
+            if job_id in self.retired_by_id:
+                return IgnoreReason.JOB_ENDED
+            return IgnoreReason.UNKNOWN_JOB
+        if job.ended:
+            return IgnoreReason.JOB_ENDED
+        return job
+
+    def cancel(self, index: int, entry: JobCancelled) -> LedgerEvent:
+        """End a running job."""
+        job = self._running_job(entry.job_id)
+        if isinstance(job, IgnoreReason):
+            return EntryIgnored(index=index, reason=job)
+        job.status = JobStatus.CANCELLED
+        return JobCancelledEvent(index=index, job_id=entry.job_id)
+
+    def _select(
+        self, entry: ItemsClaimed | ClaimsAbandoned | ChunkResults
+    ) -> tuple[JobState, int] | IgnoreReason:
+        job = self._running_job(entry.job_id)
+        if isinstance(job, IgnoreReason):
+            return job
+        if not 0 <= entry.chunk < job.chunk_count:
+            return IgnoreReason.OUT_OF_RANGE
+        bitmap = bitmap_of(entry.items, size=job.chunk(entry.chunk).count)
+        if not bitmap:
+            return IgnoreReason.OUT_OF_RANGE
+        return job, bitmap
+
+    def claim(self, index: int, entry: ItemsClaimed) -> LedgerEvent:
+        """Give items of a non-idempotent job to their first claimant."""
+        selected = self._select(entry)
+        if isinstance(selected, IgnoreReason):
+            return EntryIgnored(index=index, reason=selected)
+        job, bitmap = selected
+        won = 0 if job.idempotent else job.claim(entry.chunk, bitmap, entry.claimant)
+        if not won:
+            return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
+        return ItemsClaimWon(
+            index=index,
+            job_id=entry.job_id,
+            chunk=entry.chunk,
+            items=ranges_of(won),
+            claimant=entry.claimant,
+        )
+
+    def abandon(self, index: int, entry: ClaimsAbandoned) -> Events:
+        """End what a lost claimant held."""
+        selected = self._select(entry)
+        if isinstance(selected, IgnoreReason):
+            return (EntryIgnored(index=index, reason=selected),)
+        job, bitmap = selected
+        lost = job.abandon(entry.chunk, bitmap, entry.claimant)
+        if not lost:
+            return (EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW),)
+        ended = ItemsEnded(
+            index=index, job_id=entry.job_id, chunk=entry.chunk, items=ranges_of(lost)
+        )
+        return (ended, *_finished(index, job))
+
+    def apply_results(self, index: int, entry: ChunkResults) -> Events:
+        """End items by the first valid results."""
+        selected = self._select(entry)
+        if isinstance(selected, IgnoreReason):
+            return (EntryIgnored(index=index, reason=selected),)
+        job, bitmap = selected
+        failed = bitmap_of(entry.failed, size=job.chunk(entry.chunk).count)
+        if failed is None or not is_payload_offset(entry.payload_offset):
+            return (EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE),)
+        won = job.win(entry.chunk, bitmap, failed, entry.payload_offset, entry.claimant)
+        if not won:
+            return (EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW),)
+        applied = ResultsApplied(
+            index=index,
+            job_id=entry.job_id,
+            chunk=entry.chunk,
+            items=ranges_of(won),
+            payload_offset=entry.payload_offset,
+            failed_count=(won & failed).bit_count(),
+        )
+        return (applied, *_finished(index, job))
+
+    def retire(self, index: int, entry: JobRetired) -> LedgerEvent:
+        """Replace an ended job's state by its manifest."""
+        job = self.jobs_by_id.get(entry.job_id)
+        if job is None:
+            retired = entry.job_id in self.retired_by_id
+            reason = IgnoreReason.JOB_ENDED if retired else IgnoreReason.UNKNOWN_JOB
+            return EntryIgnored(index=index, reason=reason)
+        if not job.ended:
+            return EntryIgnored(index=index, reason=IgnoreReason.JOB_NOT_ENDED)
+        if not is_payload_offset(entry.manifest_offset):
+            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        del self.jobs_by_id[entry.job_id]
+        self.retired_by_id[entry.job_id] = retire(job, entry.manifest_offset)
+        return JobRetiredEvent(
+            index=index, job_id=entry.job_id, manifest_offset=entry.manifest_offset
+        )
+
+    def move(self, index: int, entry: PayloadMoved) -> LedgerEvent:
+        """Lead references to records that were appended anew."""
+        to_by_from = {move.from_offset: move.to_offset for move in entry.moves}
+        if not all(map(is_payload_offset, to_by_from.values())):
+            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        moved = self._move_references(entry.job_id, to_by_from)
+        if isinstance(moved, IgnoreReason):
+            return EntryIgnored(index=index, reason=moved)
+        return PayloadMovedEvent(index=index, job_id=entry.job_id, moved_count=moved)
+
+    def _move_references(
+        self, job_id: str, to_by_from: dict[int, int]
+    ) -> int | IgnoreReason:
+        job = self.jobs_by_id.get(job_id)
+        if job is not None:
+            return job.move(to_by_from) or IgnoreReason.NOTHING_NEW
+        retired = self.retired_by_id.get(job_id)
+        if retired is None:
+            return IgnoreReason.UNKNOWN_JOB
+        target = to_by_from.get(retired.manifest_offset)
+        if target is None:
+            return IgnoreReason.NOTHING_NEW
+        self.retired_by_id[job_id] = dataclasses.replace(
+            retired, manifest_offset=target
+        )
+        return 1
+
+    def forget(self, before_offset: int) -> int:
+        """Drop retired jobs accepted before an offset; return how many."""
+        expired = [
+            job
+            for job in self.retired_by_id.values()
+            if job.accepted_offset < before_offset
+        ]
+        for job in expired:
+            del self.retired_by_id[job.job_id]
+            self.job_ids_by_key.pop((job.owner, job.key), None)
+        return len(expired)
+
+
+def _finished(index: int, job: JobState) -> Events:
+    if job.status is not JobStatus.FINISHED:
+        return ()
+    return (JobFinished(index=index, job_id=job.job_id),)
