--- /dev/null
+++ b/src/foxtailbank/results.py
@@ -0,0 +1,136 @@
+"""Merges a chunk's payload records to exactly one line per item."""
+
+import typing as t
+
+import msgspec
+
+from foxtailbank.exceptions import FoxtailbankError, OutcomeUnknown
+from foxtailbank.item_set import bitmap_of, positions_of
+from foxtailbank.job_input import parse_item
+from foxtailbank.job_state import ResultPart
+from foxtailbank.payload import Payload, PayloadInvalid
+
+
+class ItemCancelled(FoxtailbankError):
+    """The job was cancelled before the item ended."""
+
+    code = "item_cancelled"
+    kind = "cancelled"
+
+
+class FailureLine(msgspec.Struct, frozen=True, kw_only=True):
+    """Result line of an item without an answer."""
+
+    custom_id: str
+    response: None
+    error: "LineError"
+
+
+class LineError(msgspec.Struct, frozen=True, kw_only=True):
+    """What a result line says of a failure, as in answers to callers."""
+
+    type: str
+    code: str
+    message: str
+    ran: str
+
+
+def failure_line(custom_id: str, error: FoxtailbankError) -> bytes:
+    """Return the result line of an item that ended as a typed failure.
+
+    Parameters
+    ----------
+    custom_id : str
+        The caller's name for the item.
+    error : FoxtailbankError
+        Why there is no answer.
+    """
+    line = FailureLine(
+        custom_id=custom_id,
+        response=None,
+        error=LineError(
+            type=error.kind,
+            code=error.code,
+            message=error.detail,
+            ran=error.ran.value,
+        ),
+    )
+    return msgspec.json.encode(line)
+
+
+def merge_chunk(
+    *,
+    count: int,
+    parts: t.Iterable[tuple[ResultPart, Payload]],
+    unknown: int,
+    load_input: t.Callable[[], bytes],
+    open_error: FoxtailbankError | None = None,
+) -> tuple[bytes, ...]:
+    """Return a chunk's result lines in order of items.
+
+    Parameters
+    ----------
+    count : int
+        Number of items.
+    parts : iterable of (ResultPart, Payload)
+        The valid items of each payload record, and the record.
+    unknown : int
+        Bitmap of items that ended as failures of unknown outcome.
+    load_input : callable
+        Returns the chunk's input lines; called only if an item has no line in
+        any record.
+    open_error : FoxtailbankError, optional
+        What to say of items that have not ended; by default they have no line.
+
+    Returns
+    -------
+    tuple of bytes
+        One line for each item that has ended, and for every item if
+        `open_error` is given.
+
+    Raises
+    ------
+    PayloadInvalid
+        A payload record lacks a line that it should have.
+    """
+    lines_by_position: dict[int, bytes] = {}
+    for part, payload in parts:
+        _take_part(lines_by_position, part, payload, count)
+    missing = _missing(lines_by_position, count, unknown, open_error)
+    if missing:
+        inputs = load_input().split(b"\n")
+        for position, error in missing.items():
+            custom_id = parse_item(inputs[position], number=position + 1)
+            lines_by_position[position] = failure_line(custom_id, error)
+    return tuple(lines_by_position[i] for i in sorted(lines_by_position))
+
+
+def _take_part(
+    lines_by_position: dict[int, bytes], part: ResultPart, payload: Payload, count: int
+) -> None:
+    lines = payload.body.split(b"\n")
+    held = bitmap_of(payload.header.items, size=count) or 0
+    if len(lines) != held.bit_count():
+        raise PayloadInvalid(detail=f"{len(lines)} lines do not fit the header's items")
+    line_by_position = dict(zip(positions_of(held), lines, strict=True))
+    for position in positions_of(bitmap_of(part.items, size=count) or 0):
+        if position not in line_by_position:
+            raise PayloadInvalid(detail=f"no line for item {position}")
+        if position in lines_by_position:
+            raise PayloadInvalid(detail=f"two results for item {position}")
+        lines_by_position[position] = line_by_position[position]
+
+
+def _missing(
+    lines_by_position: dict[int, bytes],
+    count: int,
+    unknown: int,
+    open_error: FoxtailbankError | None,
+) -> dict[int, FoxtailbankError]:
+    missing: dict[int, FoxtailbankError] = {}
+    for position in range(count):
+        if unknown >> position & 1:
+            missing[position] = OutcomeUnknown()
+        elif open_error is not None and position not in lines_by_position:
+            missing[position] = open_error
+    return missing
