--- a/src/foxtailbank/job_state.py
+++ b/src/foxtailbank/job_state.py
@@ -6,6 +6,8 @@
 import typing as t
 
 from foxtailbank.item_set import ItemRange, full_bitmap, ranges_of
+from foxtailbank.ledger_image import JobImage
+from foxtailbank.partial_chunk import PartialChunk
 from foxtailbank.records import ChunkRef, JobAccepted
 
 MAX_CHUNK_ITEMS = 4096
@@ -37,38 +39,6 @@
     items: tuple[ItemRange, ...]
 
 
-class PartialChunk:
-    """A chunk that is neither untouched nor ended by a single record.
-
-    Attributes
-    ----------
-    done : int
-        Bitmap of the items that have ended.
-    unknown : int
-        Bitmap of the items that ended as failures of unknown outcome.
-    claimed : dict of str to int
-        Bitmap of the items claimed, by claimant.
-    won : dict of int to int
-        Bitmap of the items whose result is valid, by payload offset.
-    """
-
-    __slots__ = ("claimed", "done", "unknown", "won")
-
-    def __init__(self) -> None:
-        self.done = 0
-        self.unknown = 0
-        self.claimed: dict[str, int] = {}
-        self.won: dict[int, int] = {}
-
-    @property
-    def claimed_by_anyone(self) -> int:
-        """Bitmap of the items that somebody claimed."""
-        bitmap = 0
-        for claimed in self.claimed.values():
-            bitmap |= claimed
-        return bitmap
-
-
 def has_valid_chunks(accepted: JobAccepted) -> bool:
     """Return whether a job's chunks cover its items without gap or overlap."""
     first = 0
@@ -143,6 +113,32 @@
         self._whole_results = array.array("Q", bytes(8 * len(chunks)))
         self._partial_by_chunk: dict[int, PartialChunk] = {}
 
+    @classmethod
+    def from_image(cls, image: JobImage) -> "JobState":
+        """Return the job that an image was taken of."""
+        job = cls(accepted=image.accepted, accepted_offset=image.accepted_offset)
+        job.status = JobStatus(image.status)
+        job.ended_count = image.ended_count
+        job.failed_count = image.failed_count
+        job._whole_results = array.array("Q", image.whole_results)
+        job._partial_by_chunk = {
+            partial.chunk: PartialChunk.from_image(partial, job._counts[partial.chunk])
+            for partial in image.partials
+        }
+        return job
+
+    def image(self) -> JobImage:
+        """Return a copy of the state that later records do not change."""
+        return JobImage(
+            accepted=self._accepted(),
+            accepted_offset=self.accepted_offset,
+            status=self.status.value,
+            ended_count=self.ended_count,
+            failed_count=self.failed_count,
+            whole_results=self._whole_results.tolist(),
+            partials=[p.image(i) for i, p in self._partial_by_chunk.items()],
+        )
+
     @property
     def chunk_count(self) -> int:
         """Number of chunks."""
@@ -258,6 +254,32 @@
             self._count_ended(lost, lost)
         return lost
 
+    def needs_input(self, index: int) -> bool:
+        """Return whether some item of a chunk has no valid result record."""
+        if self._whole_results[index]:
+            return False
+        partial = self._partial_by_chunk.get(index)
+        won = partial.done & ~partial.unknown if partial else 0
+        return won != full_bitmap(self._counts[index])
+
+    def retained_offsets(self) -> t.Iterator[int]:
+        """Yield the payload records that the results of an ended job lie in."""
+        for index, input_offset in enumerate(self._input_offsets):
+            if self.needs_input(index):
+                yield input_offset
+            for part in self.results(index):
+                yield part.payload_offset
+
+    def payload_offsets_before(self, before: int) -> tuple[int, ...]:
+        """Return the payload records before an offset that are still needed."""
+        offsets = {offset for offset in self._input_offsets if offset < before}
+        offsets.update(
+            offset - 1 for offset in self._whole_results if 0 < offset <= before
+        )
+        for partial in self._partial_by_chunk.values():
+            offsets.update(offset for offset in partial.won if offset < before)
+        return tuple(sorted(offsets))
+
     def move(self, to_by_from: t.Mapping[int, int]) -> int:
         """Lead references to records appended anew; return how many changed."""
         moved = 0
@@ -270,9 +292,23 @@
                 self._whole_results[index] = to_by_from[offset - 1] + 1
                 moved += 1
         for partial in self._partial_by_chunk.values():
-            moved += _move_won(partial, to_by_from)
+            moved += partial.move(to_by_from)
         return moved
 
+    def _accepted(self) -> JobAccepted:
+        return JobAccepted(
+            job_id=self.job_id,
+            owner=self.owner,
+            entry=self.entry,
+            key=self.key,
+            digest=self.digest,
+            deadline_ms=self.deadline_ms,
+            item_count=self.item_count,
+            chunks=tuple(map(self.chunk, range(self.chunk_count))),
+            idempotent=self.idempotent,
+            at_ms=self.at_ms,
+        )
+
     def _partial(self, index: int) -> PartialChunk:
         partial = self._partial_by_chunk.get(index)
         if partial is None:
@@ -289,11 +325,3 @@
         self.failed_count += failed.bit_count()
         if self.ended_count == self.item_count:
             self.status = JobStatus.FINISHED
-
-
-def _move_won(partial: PartialChunk, to_by_from: t.Mapping[int, int]) -> int:
-    moved = [offset for offset in partial.won if offset in to_by_from]
-    for offset in moved:
-        target = to_by_from[offset]
-        partial.won[target] = partial.won.get(target, 0) | partial.won.pop(offset)
-    return len(moved)
--- a/src/foxtailbank/job_table.py
+++ b/src/foxtailbank/job_table.py
@@ -22,6 +22,7 @@
     JobRepeated,
     JobRetiredEvent,
     LedgerEvent,
+    ManifestMovedEvent,
     PayloadMovedEvent,
     ResultsApplied,
 )
@@ -32,6 +33,7 @@
     JobAccepted,
     JobCancelled,
     JobRetired,
+    ManifestMoved,
     PayloadMoved,
 )
 from foxtailbank.retired_job import RetiredJob, retire
@@ -191,27 +193,31 @@
         to_by_from = {move.from_offset: move.to_offset for move in entry.moves}
         if not all(map(is_payload_offset, to_by_from.values())):
             return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
-        moved = self._move_references(entry.job_id, to_by_from)
-        if isinstance(moved, IgnoreReason):
-            return EntryIgnored(index=index, reason=moved)
+        job = self._running_job(entry.job_id)
+        if isinstance(job, IgnoreReason):
+            return EntryIgnored(index=index, reason=job)
+        moved = job.move(to_by_from)
+        if not moved:
+            return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
         return PayloadMovedEvent(index=index, job_id=entry.job_id, moved_count=moved)
 
-    def _move_references(
-        self, job_id: str, to_by_from: dict[int, int]
-    ) -> int | IgnoreReason:
-        job = self.jobs_by_id.get(job_id)
-        if job is not None:
-            return job.move(to_by_from) or IgnoreReason.NOTHING_NEW
-        retired = self.retired_by_id.get(job_id)
+    def move_manifest(self, index: int, entry: ManifestMoved) -> LedgerEvent:
+        """Lead a retired job to its new manifest."""
+        retired = self.retired_by_id.get(entry.job_id)
         if retired is None:
-            return IgnoreReason.UNKNOWN_JOB
-        target = to_by_from.get(retired.manifest_offset)
-        if target is None:
-            return IgnoreReason.NOTHING_NEW
-        self.retired_by_id[job_id] = dataclasses.replace(
-            retired, manifest_offset=target
+            return EntryIgnored(index=index, reason=IgnoreReason.UNKNOWN_JOB)
+        if retired.manifest_offset != entry.from_offset:
+            return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
+        if not is_payload_offset(entry.to_offset):
+            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        self.retired_by_id[entry.job_id] = dataclasses.replace(
+            retired,
+            manifest_offset=entry.to_offset,
+            oldest_offset=entry.oldest_offset,
+        )
+        return ManifestMovedEvent(
+            index=index, job_id=entry.job_id, manifest_offset=entry.to_offset
         )
-        return 1
 
     def forget(self, before_offset: int) -> int:
         """Drop retired jobs accepted before an offset; return how many."""
--- a/src/foxtailbank/ledger.py
+++ b/src/foxtailbank/ledger.py
@@ -32,6 +32,7 @@
     JobAccepted,
     JobCancelled,
     JobRetired,
+    ManifestMoved,
     PayloadMoved,
     Snapshot,
 )
@@ -139,6 +140,8 @@
                 return (self.jobs.retire(index, entry),)
             case PayloadMoved():
                 return (self.jobs.move(index, entry),)
+            case ManifestMoved():
+                return (self.jobs.move_manifest(index, entry),)
             case CallClaimed():
                 return (self.calls.claim(index, offset, entry),)
             case CallReleased():
--- a/src/foxtailbank/ledger_events.py
+++ b/src/foxtailbank/ledger_events.py
@@ -140,6 +140,14 @@
     moved_count: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ManifestMovedEvent(LedgerEvent):
+    """A retired job's manifest now lies at `manifest_offset`."""
+
+    job_id: str
+    manifest_offset: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallClaimWon(LedgerEvent):
     """The claimant alone may dispatch the call."""
--- a/src/foxtailbank/ledger_replay.py
+++ b/src/foxtailbank/ledger_replay.py
@@ -8,6 +8,7 @@
 from foxtailbank.records import Envelope, MalformedRecord, decode
 
 Listener: t.TypeAlias = t.Callable[[Envelope, tuple[LedgerEvent, ...]], None]
+ReplacementListener: t.TypeAlias = t.Callable[[Ledger], None]
 
 
 class LedgerReplay:
@@ -23,6 +24,7 @@
         self.ledger = ledger
         self.malformed_count = 0
         self._listeners: list[Listener] = []
+        self._replacement_listeners: list[ReplacementListener] = []
 
     def listen(self, listener: Listener) -> None:
         """Call a function with each record applied and what it changed.
@@ -31,6 +33,28 @@
         """
         self._listeners.append(listener)
 
+    def listen_for_replacement(self, listener: ReplacementListener) -> None:
+        """Call a function when the ledger was replaced by a snapshot's.
+
+        What the records in between changed is seen by nobody: whoever keeps
+        state of their own has to derive it from the ledger anew.
+        """
+        self._replacement_listeners.append(listener)
+
+    def replace(self, ledger: Ledger) -> None:
+        """Go on from the ledger of a snapshot.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            Ignored if it is behind what was applied.
+        """
+        if ledger.next_offset < self.ledger.next_offset:
+            return
+        self.ledger = ledger
+        for listener in self._replacement_listeners:
+            listener(ledger)
+
     def apply(self, record: LogRecord) -> None:
         """Apply one record.
 
--- a/src/foxtailbank/manifest.py
+++ b/src/foxtailbank/manifest.py
@@ -11,6 +11,8 @@
     encode_payload,
 )
 
+NO_INPUT = -1
+
 
 class ManifestPart(msgspec.Struct, frozen=True, array_like=True):
     """Items whose one valid result lies in a payload record."""
@@ -25,7 +27,8 @@
     Attributes
     ----------
     input_offset : int
-        Offset of the input in the payload stream.
+        Offset of the input in the payload stream, or `NO_INPUT` if every item
+        has a result record.
     count : int
         Number of items.
     parts : tuple of ManifestPart
@@ -66,6 +69,14 @@
     status: JobStatus
     chunks: tuple[ManifestChunk, ...]
 
+    def payload_offsets(self) -> tuple[int, ...]:
+        """Return the payload records that the manifest names, ascending."""
+        offsets = {chunk.input_offset for chunk in self.chunks}
+        offsets.discard(NO_INPUT)
+        for chunk in self.chunks:
+            offsets.update(part.payload_offset for part in chunk.parts)
+        return tuple(sorted(offsets))
+
     def moved(self, to_by_from: dict[int, int]) -> "Manifest":
         """Return the manifest after payload records were appended anew."""
         chunks = tuple(_move_chunk(chunk, to_by_from) for chunk in self.chunks)
@@ -108,7 +119,7 @@
 def _chunk_of(job: JobState, index: int) -> ManifestChunk:
     chunk = job.chunk(index)
     return ManifestChunk(
-        input_offset=chunk.payload_offset,
+        input_offset=chunk.payload_offset if job.needs_input(index) else NO_INPUT,
         count=chunk.count,
         parts=tuple(
             ManifestPart(part.payload_offset, part.items) for part in job.results(index)
--- /dev/null
+++ b/src/foxtailbank/partial_chunk.py
@@ -0,0 +1,68 @@
+"""State of a chunk that several records have a part in."""
+
+import typing as t
+
+from foxtailbank.item_set import bitmap_of, ranges_of
+from foxtailbank.ledger_image import PartialImage
+
+
+class PartialChunk:
+    """A chunk that is neither untouched nor ended by a single record.
+
+    Attributes
+    ----------
+    done : int
+        Bitmap of the items that have ended.
+    unknown : int
+        Bitmap of the items that ended as failures of unknown outcome.
+    claimed : dict of str to int
+        Bitmap of the items claimed, by claimant.
+    won : dict of int to int
+        Bitmap of the items whose result is valid, by payload offset.
+    """
+
+    __slots__ = ("claimed", "done", "unknown", "won")
+
+    def __init__(self) -> None:
+        self.done = 0
+        self.unknown = 0
+        self.claimed: dict[str, int] = {}
+        self.won: dict[int, int] = {}
+
+    @classmethod
+    def from_image(cls, image: PartialImage, size: int) -> "PartialChunk":
+        """Return the chunk of `size` items that an image was taken of."""
+        partial = cls()
+        partial.done = bitmap_of(image.done, size=size) or 0
+        partial.unknown = bitmap_of(image.unknown, size=size) or 0
+        for claimant, items in image.claimed:
+            partial.claimed[claimant] = bitmap_of(items, size=size) or 0
+        for offset, items in image.won:
+            partial.won[offset] = bitmap_of(items, size=size) or 0
+        return partial
+
+    def image(self, chunk: int) -> PartialImage:
+        """Return a copy of the state that later records do not change."""
+        return PartialImage(
+            chunk=chunk,
+            done=ranges_of(self.done),
+            unknown=ranges_of(self.unknown),
+            claimed=[(who, ranges_of(bits)) for who, bits in self.claimed.items()],
+            won=[(offset, ranges_of(bits)) for offset, bits in self.won.items()],
+        )
+
+    def move(self, to_by_from: t.Mapping[int, int]) -> int:
+        """Lead results to records appended anew; return how many changed."""
+        moved = [offset for offset in self.won if offset in to_by_from]
+        for offset in moved:
+            target = to_by_from[offset]
+            self.won[target] = self.won.get(target, 0) | self.won.pop(offset)
+        return len(moved)
+
+    @property
+    def claimed_by_anyone(self) -> int:
+        """Bitmap of the items that somebody claimed."""
+        bitmap = 0
+        for claimed in self.claimed.values():
+            bitmap |= claimed
+        return bitmap
--- a/src/foxtailbank/records.py
+++ b/src/foxtailbank/records.py
@@ -155,12 +155,29 @@
 
 
 class PayloadMoved(Entry, frozen=True, kw_only=True):
-    """Payload records of a job were appended anew before retention took them."""
+    """Payload records of a running job were appended anew."""
 
     job_id: str
     moves: tuple[PayloadMove, ...]
 
 
+class ManifestMoved(Entry, frozen=True, kw_only=True):
+    """A retired job's manifest was written anew.
+
+    Attributes
+    ----------
+    from_offset, to_offset : int
+        Offsets of the manifest replaced and of the new one.
+    oldest_offset : int
+        Lowest offset of a payload record that the new one names.
+    """
+
+    job_id: str
+    from_offset: int
+    to_offset: int
+    oldest_offset: int
+
+
 class CallClaimed(Entry, frozen=True, kw_only=True):
     """The claimant alone may dispatch a keyed call.
 
@@ -264,6 +281,7 @@
     | ChunkResults
     | JobRetired
     | PayloadMoved
+    | ManifestMoved
     | CallClaimed
     | CallReleased
     | CallCompleted
--- a/src/foxtailbank/retired_job.py
+++ b/src/foxtailbank/retired_job.py
@@ -15,6 +15,8 @@
         Offset of the manifest in the payload stream.
     accepted_offset : int
         Offset of the record that accepted the job.
+    oldest_offset : int
+        Lowest offset of a payload record that the manifest names.
     """
 
     job_id: str
@@ -27,6 +29,7 @@
     failed_count: int
     manifest_offset: int
     accepted_offset: int
+    oldest_offset: int
 
 
 def retire(job: JobState, manifest_offset: int) -> RetiredJob:
@@ -42,4 +45,5 @@
         failed_count=job.failed_count,
         manifest_offset=manifest_offset,
         accepted_offset=job.accepted_offset,
+        oldest_offset=min(job.retained_offsets(), default=manifest_offset),
     )
--- /dev/null
+++ b/src/foxtailbank/snapshot.py
@@ -0,0 +1,288 @@
+"""Encodes the ledger's state in parts and puts it together again."""
+
+import dataclasses
+import typing as t
+import zlib
+
+import msgspec
+import xxhash
+
+from foxtailbank.call_state import CallState
+from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.fence import Fence
+from foxtailbank.job_state import JobState, JobStatus
+from foxtailbank.ledger import Ledger
+from foxtailbank.ledger_image import (
+    CallImage,
+    FenceImage,
+    HeadImage,
+    JobImage,
+    PartImage,
+    RetiredImage,
+)
+from foxtailbank.records import UnsupportedRecord
+from foxtailbank.retired_job import RetiredJob
+
+SCHEMA = 1
+JOB_CHUNKS_PER_PART = 8000
+IMAGES_PER_PART = 2000
+MAX_PART_BYTES = 16 * 1024 * 1024
+_COMPRESSION_LEVEL = 1
+
+_Image = t.TypeVar("_Image")
+
+
+class SnapshotInvalid(FoxtailbankError):
+    """The parts are damaged, incomplete or not the ones that were named."""
+
+    code = "snapshot_invalid"
+
+
+class _SchemaOnly(msgspec.Struct, array_like=True):
+    schema: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LedgerImage:
+    """The ledger's state at one offset, unaffected by later records."""
+
+    head: HeadImage
+    jobs: tuple[JobImage, ...]
+    retired: tuple[RetiredImage, ...]
+    calls: tuple[CallImage, ...]
+
+    @property
+    def covers_offset(self) -> int:
+        """Offset of the last ledger record applied; -1 if none was."""
+        return self.head.next_offset - 1
+
+
+def image_of(ledger: Ledger) -> LedgerImage:
+    """Return a copy of the ledger's state."""
+    jobs = ledger.jobs.jobs_by_id.values()
+    retired = ledger.jobs.retired_by_id.values()
+    calls = ledger.calls.calls_by_key
+    head = HeadImage(
+        next_offset=ledger.next_offset,
+        sequences=list(ledger.sequences_by_incarnation.items()),
+        fences=[_fence_image(*item) for item in ledger.fences_by_scope.items()],
+        snapshot=ledger.snapshot,
+        job_count=len(jobs),
+        retired_count=len(retired),
+        call_count=len(calls),
+    )
+    return LedgerImage(
+        head=head,
+        jobs=tuple(job.image() for job in jobs),
+        retired=tuple(map(_retired_image, retired)),
+        calls=tuple(_call_image(*key, call) for key, call in calls.items()),
+    )
+
+
+def encode_parts(image: LedgerImage) -> t.Iterator[bytes]:
+    """Yield the parts of a snapshot one by one, each bounded in work."""
+    yield _encode(PartImage(schema=SCHEMA, head=image.head))
+    for jobs in _batches_by_chunks(image.jobs):
+        yield _encode(PartImage(schema=SCHEMA, jobs=jobs))
+    for retired in _batches(image.retired):
+        yield _encode(PartImage(schema=SCHEMA, retired=retired))
+    for calls in _batches(image.calls):
+        yield _encode(PartImage(schema=SCHEMA, calls=calls))
+
+
+class SnapshotDigest:
+    """Digest over the parts of a snapshot in order."""
+
+    def __init__(self) -> None:
+        self._hash = xxhash.xxh3_128()
+
+    def update(self, part: bytes) -> None:
+        """Take the next part."""
+        self._hash.update(len(part).to_bytes(8, "big"))
+        self._hash.update(part)
+
+    def value(self) -> str:
+        """Return the digest of all parts so far."""
+        return self._hash.hexdigest()
+
+
+def digest_of(parts: t.Iterable[bytes]) -> str:
+    """Return the digest of a snapshot's parts."""
+    digest = SnapshotDigest()
+    for part in parts:
+        digest.update(part)
+    return digest.value()
+
+
+class SnapshotAssembler:
+    """Puts a ledger together from the parts of a snapshot.
+
+    Parameters
+    ----------
+    digest : str
+        Digest that the parts must have.
+    """
+
+    def __init__(self, *, digest: str) -> None:
+        self._expected = digest
+        self._digest = SnapshotDigest()
+        self._head: HeadImage | None = None
+        self._ledger = Ledger()
+
+    def feed(self, part: bytes) -> None:
+        """Take the next part.
+
+        Raises
+        ------
+        SnapshotInvalid
+            The part is damaged.
+        UnsupportedRecord
+            A newer version wrote the part.
+        """
+        self._digest.update(part)
+        image = _decode(part)
+        if image.head is not None:
+            self._take_head(image.head)
+        for job in image.jobs:
+            self._take_job(job)
+        for retired in image.retired:
+            self._take_retired(retired)
+        for call in image.calls:
+            self._take_call(call)
+
+    def finish(self) -> Ledger:
+        """Return the ledger.
+
+        Raises
+        ------
+        SnapshotInvalid
+            Parts are missing, or the digest differs.
+        """
+        if self._digest.value() != self._expected:
+            raise SnapshotInvalid(detail="the digest does not match the parts")
+        head = self._head
+        ledger = self._ledger
+        counts = (
+            len(ledger.jobs.jobs_by_id),
+            len(ledger.jobs.retired_by_id),
+            len(ledger.calls.calls_by_key),
+        )
+        if head is None or counts != (
+            head.job_count,
+            head.retired_count,
+            head.call_count,
+        ):
+            raise SnapshotInvalid(detail="parts are missing")
+        return ledger
+
+    def _take_head(self, head: HeadImage) -> None:
+        self._head = head
+        ledger = self._ledger
+        ledger.next_offset = head.next_offset
+        ledger.sequences_by_incarnation = dict(head.sequences)
+        ledger.snapshot = head.snapshot
+        ledger.fences_by_scope = {
+            fence.scope: Fence(
+                holder=fence.holder, number=fence.number, lease_ms=fence.lease_ms
+            )
+            for fence in head.fences
+        }
+
+    def _take_job(self, image: JobImage) -> None:
+        job = JobState.from_image(image)
+        self._ledger.jobs.jobs_by_id[job.job_id] = job
+        self._take_key(job)
+
+    def _take_retired(self, image: RetiredImage) -> None:
+        fields = msgspec.structs.asdict(image)
+        fields["status"] = JobStatus(image.status)
+        job = RetiredJob(**fields)
+        self._ledger.jobs.retired_by_id[job.job_id] = job
+        self._take_key(job)
+
+    def _take_key(self, job: JobState | RetiredJob) -> None:
+        if job.key:
+            self._ledger.jobs.job_ids_by_key[job.owner, job.key] = job.job_id
+
+    def _take_call(self, image: CallImage) -> None:
+        self._ledger.calls.calls_by_key[image.owner, image.key] = CallState(
+            digest=image.digest,
+            claimant=image.claimant,
+            claimed_offset=image.claimed_offset,
+            at_ms=image.at_ms,
+            status=image.status,
+            payload_offset=image.payload_offset,
+        )
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PartImage)
+_schema_decoder = msgspec.msgpack.Decoder(_SchemaOnly)
+
+
+def _encode(part: PartImage) -> bytes:
+    return zlib.compress(_encoder.encode(part), _COMPRESSION_LEVEL)
+
+
+def _decode(part: bytes) -> PartImage:
+    try:
+        data = zlib.decompressobj().decompress(part, MAX_PART_BYTES)
+        schema = _schema_decoder.decode(data).schema
+        if schema != SCHEMA:
+            raise UnsupportedRecord(detail=f"snapshot schema {schema}")
+        return _decoder.decode(data)
+    except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise SnapshotInvalid(detail=str(error)) from error
+
+
+def _batches(images: t.Sequence[_Image]) -> t.Iterator[list[_Image]]:
+    for first in range(0, len(images), IMAGES_PER_PART):
+        yield list(images[first : first + IMAGES_PER_PART])
+
+
+def _batches_by_chunks(images: t.Sequence[JobImage]) -> t.Iterator[list[JobImage]]:
+    batch: list[JobImage] = []
+    chunks = 0
+    for image in images:
+        batch.append(image)
+        chunks += len(image.whole_results)
+        if chunks >= JOB_CHUNKS_PER_PART:
+            yield batch
+            batch, chunks = [], 0
+    if batch:
+        yield batch
+
+
+def _fence_image(scope: str, fence: Fence) -> FenceImage:
+    return FenceImage(
+        scope=scope, holder=fence.holder, number=fence.number, lease_ms=fence.lease_ms
+    )
+
+
+def _retired_image(job: RetiredJob) -> RetiredImage:
+    return RetiredImage(
+        job_id=job.job_id,
+        owner=job.owner,
+        entry=job.entry,
+        key=job.key,
+        digest=job.digest,
+        status=job.status.value,
+        item_count=job.item_count,
+        failed_count=job.failed_count,
+        manifest_offset=job.manifest_offset,
+        accepted_offset=job.accepted_offset,
+        oldest_offset=job.oldest_offset,
+    )
+
+
+def _call_image(owner: str, key: str, call: CallState) -> CallImage:
+    return CallImage(
+        owner=owner,
+        key=key,
+        digest=call.digest,
+        claimant=call.claimant,
+        claimed_offset=call.claimed_offset,
+        at_ms=call.at_ms,
+        status=call.status,
+        payload_offset=call.payload_offset,
+    )
