--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -128,6 +128,14 @@
         restored(parts, digest)
 
 
+@pytest.mark.parametrize("missing", [0, 1, 2])
+def test_parts_that_are_missing_from_the_start_are_refused(missing):
+    parts = list(encode_parts(image_of(replayed())))
+    del parts[missing]
+    with pytest.raises(SnapshotInvalid):
+        restored(parts, digest_of(parts))
+
+
 def test_parts_of_a_newer_version_are_unsupported(monkeypatch):
     monkeypatch.setattr("foxtailbank.snapshot.SCHEMA", 2)
     parts = list(encode_parts(image_of(replayed())))
@@ -172,7 +180,8 @@
 
 
 @pytest.mark.anyio
-async def test_fresh_vm_starts_from_the_furthest_snapshot():
+@pytest.mark.parametrize("earliest", [0, len(HISTORY) + 1])
+async def test_fresh_vm_starts_from_the_furthest_snapshot(earliest):
     rig = Rig()
     early = await rig.snapshot()
     rig.put(LATER[0])
@@ -180,11 +189,23 @@
     rig.put(await rig.snapshot())
     rig.put(early)
     rig.put(LATER[1])
-    rig.log.expire("ledger", len(HISTORY) + 1)
+    rig.log.expire("ledger", earliest)
     assert await rig.resync(0) == len(HISTORY) + 1
     assert rig.catch_up()
 
 
+@pytest.mark.anyio
+async def test_snapshot_with_a_gap_behind_it_is_not_used():
+    rig = Rig()
+    early = await rig.snapshot()
+    rig.put(LATER[0])
+    rig.put(early)
+    rig.log.expire("ledger", len(HISTORY) + 1)
+    with pytest.raises(ResyncFailed):
+        await rig.resync(0)
+    assert rig.fresh.ledger.next_offset == 0
+
+
 @pytest.mark.anyio
 async def test_snapshot_of_a_paused_vm_replaces_nothing():
     rig = Rig()
