Compare lagging load reports with a window of own counts

Cause: dispatches and ends of batch streams reach the engine later than they are counted, so that a report looked as if it showed online streams; the limit then cancelled batch work on an engine without online load. Change: a report counts only what it shows beyond the highest count within 250 ms of its time. Ruled out: asking for several such reports in a row, since a steady turnover of batch streams gives them.

--- a/src/foxtailbank/online_estimate.py
+++ b/src/foxtailbank/online_estimate.py
@@ -6,13 +6,15 @@
 
 HISTORY_MS = 10_000
 LOST_END_REPORTS = 10
+REPORT_JITTER_MS = 250
 
 
 class OnlineEstimate:
     """Counts online streams that notices name and those that only reports show.
 
-    A report is compared with the counts at the time when it was taken. Online
-    streams that it shows beyond these are added; streams that several reports in a
+    A report is compared with the counts around the time when it was taken, since
+    dispatches and cancellations take a while to reach the engine. Online streams that
+    it shows beyond the highest of these are added; streams that several reports in a
     row don't show have ended without notice and are taken off.
     """
 
@@ -57,10 +59,14 @@
         now_ms : int
             Present time in milliseconds.
         """
-        noticed, batch = self._counts_at(now_ms - report.age_ms)
-        shown = max(0, report.running + report.waiting - batch)
-        self._unnoticed = max(0, shown - noticed)
-        missing = noticed - shown
+        counts = self._counts_around(now_ms - report.age_ms)
+        shown = report.running + report.waiting
+        highest = max(noticed + batch for noticed, batch in counts)
+        self._unnoticed = max(0, shown - highest)
+        missing = min(noticed - max(0, shown - batch) for noticed, batch in counts)
+        self._take_off(missing, now_ms)
+
+    def _take_off(self, missing: int, now_ms: int) -> None:
         if missing <= 0:
             self._missing_reports = 0
             return
@@ -71,8 +77,11 @@
             self._missing_reports = 0
             self.on_change(online=-least, batch=0, now_ms=now_ms)
 
-    def _counts_at(self, at_ms: int) -> tuple[int, int]:
+    def _counts_around(self, at_ms: int) -> list[tuple[int, int]]:
+        counts = []
         for changed_ms, noticed, batch in reversed(self._counts):
-            if changed_ms <= at_ms:
-                return noticed, batch
-        return 0, 0
+            if changed_ms <= at_ms + REPORT_JITTER_MS:
+                counts.append((noticed, batch))
+            if changed_ms <= at_ms - REPORT_JITTER_MS:
+                break
+        return counts or [(0, 0)]
