--- /dev/null
+++ b/tests/test_breaker.py
@@ -0,0 +1,26 @@
+from foxtailbank.breaker import BreakerState, CircuitBreaker
+
+
+def test_half_open_circuit_lets_one_probe_through_and_backs_off():
+    breaker = CircuitBreaker(failures_to_open=2, open_ms=100, open_max_ms=1000)
+    breaker.on_failure(0)
+    assert breaker.state(0) is BreakerState.CLOSED
+    breaker.on_failure(0)
+    assert breaker.state(99) is BreakerState.OPEN
+    assert breaker.state(100) is BreakerState.HALF_OPEN
+    breaker.on_dispatch(100)
+    assert breaker.state(101) is BreakerState.OPEN
+    breaker.on_failure(150)
+    assert breaker.state(349) is BreakerState.OPEN
+    assert breaker.state(350) is BreakerState.HALF_OPEN
+    breaker.on_dispatch(350)
+    breaker.on_success()
+    assert breaker.state(351) is BreakerState.CLOSED
+
+
+def test_failures_of_old_requests_do_not_put_off_the_probe():
+    breaker = CircuitBreaker(open_ms=100)
+    breaker.on_death(0)
+    for now_ms in range(0, 100, 10):
+        breaker.on_failure(now_ms)
+    assert breaker.state(100) is BreakerState.HALF_OPEN
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,61 @@
+import pytest
+
+from foxtailbank.drain import SOURCE_TTL_MS, DrainReport, DrainSource, DrainState
+
+
+def report(source, leaving, at_ms=0, incarnation=""):
+    return DrainReport(
+        source=source, incarnation=incarnation, leaving=leaving, at_ms=at_ms
+    )
+
+
+@pytest.mark.parametrize("source", list(DrainSource))
+def test_any_source_is_enough(source):
+    state = DrainState()
+    assert not state.is_leaving("e", 0)
+    for other in DrainSource:
+        state.on_report("e", report(other, other is source))
+    assert state.is_leaving("e", 0)
+    assert not state.is_leaving("f", 0)
+
+
+@pytest.mark.parametrize(
+    ("reports", "now_ms", "leaving"),
+    [
+        (
+            [(DrainSource.VM_LIST, True, 0, ""), (DrainSource.VM_LIST, False, 5, "")],
+            9,
+            0,
+        ),
+        (
+            [(DrainSource.VM_LIST, False, 5, ""), (DrainSource.VM_LIST, True, 0, "")],
+            9,
+            0,
+        ),
+        ([(DrainSource.PEER, True, 0, "")], SOURCE_TTL_MS - 1, 1),
+        ([(DrainSource.PEER, True, 0, "")], SOURCE_TTL_MS, 0),
+        ([(DrainSource.VM_LIST, True, 0, "")], SOURCE_TTL_MS * 9, 1),
+        (
+            [
+                (DrainSource.ENDPOINT, True, 0, "1"),
+                (DrainSource.PEER, True, 1, "1"),
+                (DrainSource.ENDPOINT, False, 2, "2"),
+            ],
+            3,
+            0,
+        ),
+        (
+            [
+                (DrainSource.ENDPOINT, False, 2, "2"),
+                (DrainSource.PEER, True, 3, "1"),
+            ],
+            3,
+            0,
+        ),
+    ],
+)
+def test_reports_in_force(reports, now_ms, leaving):
+    state = DrainState()
+    for source, is_leaving, at_ms, incarnation in reports:
+        state.on_report("e", report(source, is_leaving, at_ms, incarnation))
+    assert state.is_leaving("e", now_ms) == bool(leaving)
