--- a/src/foxtailbank/admission.py
+++ b/src/foxtailbank/admission.py
@@ -4,7 +4,7 @@
 import enum
 
 from foxtailbank.exceptions import RateLimited
-from foxtailbank.token_bucket import TokenBucket
+from foxtailbank.token_bucket import Take, TokenBucket
 
 FIRST_HOLD_MS = 1000
 _HOLD_WEIGHT = 8
@@ -55,11 +55,14 @@
         Tokens charged.
     at_ms : int
         Time of admission in milliseconds.
+    takes : tuple of Take
+        Token amounts to settle, in the order of `keys`.
     """
 
     keys: tuple[str, ...]
     tokens: int
     at_ms: int
+    takes: tuple[Take | None, ...] = dataclasses.field(default=(), compare=False)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -137,11 +140,18 @@
             return None
         return Refusal(key=key, kind=kind, retry_after_ms=waits[kind])
 
-    def charge(self, tokens: int, now_ms: int) -> None:
+    def charge(self, tokens: int, now_ms: int) -> Take | None:
         self.in_flight += 1
-        self.requests.take(1, now_ms)
-        if self.tokens is not None:
-            self.tokens.take(tokens, now_ms)
+        request = self.requests.take(1, now_ms)
+        self.requests.settle(request, used=1, now_ms=now_ms)
+        if self.tokens is None:
+            return None
+        return self.tokens.take(tokens, now_ms)
+
+    def release(self, take: Take | None, used_tokens: int, now_ms: int) -> None:
+        self.in_flight = max(0, self.in_flight - 1)
+        if take is not None and self.tokens is not None and self.tokens.owns(take):
+            self.tokens.settle(take, used=used_tokens, now_ms=now_ms)
 
 
 class Admission:
@@ -207,10 +217,9 @@
         )
         if worst is not None:
             return worst
-        for _, limit in limits:
-            limit.charge(tokens, now_ms)
+        takes = tuple(limit.charge(tokens, now_ms) for _, limit in limits)
         charged = tuple(key for key, _ in limits)
-        return Admit(keys=charged, tokens=tokens, at_ms=now_ms)
+        return Admit(keys=charged, tokens=tokens, at_ms=now_ms, takes=takes)
 
     def release(self, admit: Admit, *, used_tokens: int, now_ms: int) -> None:
         """End an admitted request and give back the tokens that it did not use.
@@ -224,13 +233,10 @@
         now_ms : int
             Present time in milliseconds.
         """
-        for key in admit.keys:
+        held_ms = max(0, now_ms - admit.at_ms)
+        for key, take in zip(admit.keys, admit.takes, strict=True):
             limit = self._limits_by_key.get(key)
             if limit is None:
                 continue
-            limit.in_flight = max(0, limit.in_flight - 1)
-            held_ms = max(0, now_ms - admit.at_ms)
             limit.hold_ms += (held_ms - limit.hold_ms) // _HOLD_WEIGHT
-            if limit.tokens is not None:
-                unused = max(0, admit.tokens - used_tokens)
-                limit.tokens.give_back(unused, now_ms)
+            limit.release(take, used_tokens, now_ms)
