--- a/src/foxtailbank/exceptions.py
+++ b/src/foxtailbank/exceptions.py
@@ -195,3 +195,52 @@
     code = "settings_invalid"
     kind = "invalid_request_error"
     status = 422
+
+
+class PeerError(FoxtailbankError):
+    """A message to or from another entry VM failed."""
+
+    code = "peer_error"
+    status = 503
+
+
+class FrameInvalid(PeerError):
+    """A frame or datagram failed its authentication or could not be decoded."""
+
+    code = "peer_frame_invalid"
+
+
+class FrameTooLarge(PeerError):
+    """A frame or datagram exceeds its bound."""
+
+    code = "peer_frame_too_large"
+
+
+class MessageUnsupported(PeerError):
+    """A message kind or schema version is not known to its receiver."""
+
+    code = "peer_message_unsupported"
+
+
+class PeerUnreachable(PeerError):
+    """No connection to the peer could be opened, or it broke."""
+
+    code = "peer_unreachable"
+
+
+class PeerTimeout(PeerError):
+    """The peer gave no answer within the deadline."""
+
+    code = "peer_timeout"
+
+
+class PeerQueueFull(PeerError):
+    """Too many messages to the peer wait to be sent."""
+
+    code = "peer_queue_full"
+
+
+class PeerRefused(PeerError):
+    """The peer refused the request."""
+
+    code = "peer_refused"
--- /dev/null
+++ b/src/foxtailbank/peer_link.py
@@ -0,0 +1,160 @@
+"""One authenticated connection between two entry VMs."""
+
+import dataclasses
+import secrets
+import typing as t
+
+import anyio
+import anyio.abc
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from foxtailbank import clock as clock_module
+from foxtailbank import exceptions, peer_codec
+from foxtailbank import peer_messages as pm
+
+HANDSHAKE_TIMEOUT_MS = 3000
+CLIENT = b"c"
+SERVER = b"s"
+
+BROKEN_ERRORS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class PeerLink:
+    """Connection after its handshake.
+
+    Attributes
+    ----------
+    stream : ByteStream
+        The connection.
+    reader : BufferedByteReceiveStream
+        Its receiving half.
+    sealer : FrameSealer
+        Makes frames.
+    opener : FrameOpener
+        Checks frames.
+    peer : Hello
+        The other side.
+    """
+
+    stream: anyio.abc.ByteStream
+    reader: BufferedByteReceiveStream
+    sealer: peer_codec.FrameSealer
+    opener: peer_codec.FrameOpener
+    peer: pm.Hello = dataclasses.field(default_factory=lambda: pm.Hello(vm_id=""))
+
+    async def send(self, envelopes: t.Iterable[peer_codec.Envelope]) -> None:
+        """Send messages in one write; callers take turns.
+
+        Raises
+        ------
+        FrameTooLarge
+            A message exceeds the bound; nothing was sent.
+        PeerUnreachable
+            The connection broke.
+        """
+        data = b"".join([self.sealer.seal(one) for one in envelopes])
+        try:
+            await self.stream.send(data)
+        except BROKEN_ERRORS as error:
+            raise exceptions.PeerUnreachable(detail="connection broke") from error
+
+    async def receive(self) -> peer_codec.Envelope:
+        """Return the next message.
+
+        Raises
+        ------
+        PeerUnreachable
+            The connection broke or ended.
+        FrameInvalid, FrameTooLarge
+            The connection cannot be trusted any longer.
+        UnsupportedMessage
+            The message is not known; the connection remains usable.
+        """
+        try:
+            header = await self.reader.receive_exactly(peer_codec.LENGTH.size)
+            length = peer_codec.frame_length(header)
+            body = await self.reader.receive_exactly(length)
+        except BROKEN_ERRORS as error:
+            raise exceptions.PeerUnreachable(detail="connection broke") from error
+        return self.opener.open(body)
+
+    async def close(self) -> None:
+        """Close the connection without waiting for the other side."""
+        await anyio.aclose_forcefully(self.stream)
+
+
+async def open_link(
+    stream: anyio.abc.ByteStream, *, secret: bytes, own: pm.Hello, is_client: bool
+) -> PeerLink:
+    """Exchange challenges and names on a new connection.
+
+    Each side sends a random challenge; the session's key depends on both, so
+    frames of another connection are not accepted.
+
+    Parameters
+    ----------
+    stream : ByteStream
+        New connection.
+    secret : bytes
+        Secret that all entry VMs share.
+    own : Hello
+        This VM.
+    is_client : bool
+        Whether this side opened the connection.
+
+    Returns
+    -------
+    PeerLink
+        The connection, with the other side's name.
+
+    Raises
+    ------
+    FrameInvalid
+        The other side does not have the secret.
+    PeerUnreachable
+        The connection broke.
+    PeerTimeout
+        The other side did not complete the handshake in time.
+    """
+    try:
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_MS / clock_module.MS_PER_S):
+            return await _shake_hands(stream, secret, own, is_client)
+    except TimeoutError as error:
+        raise exceptions.PeerTimeout(detail="handshake timed out") from error
+
+
+async def _shake_hands(
+    stream: anyio.abc.ByteStream, secret: bytes, own: pm.Hello, is_client: bool
+) -> PeerLink:
+    own_nonce = secrets.token_bytes(peer_codec.NONCE_BYTES)
+    reader = BufferedByteReceiveStream(stream)
+    try:
+        await stream.send(own_nonce)
+        peer_nonce = await reader.receive_exactly(peer_codec.NONCE_BYTES)
+    except BROKEN_ERRORS as error:
+        raise exceptions.PeerUnreachable(detail="connection broke") from error
+    key = peer_codec.session_key(
+        secret=secret,
+        client_nonce=own_nonce if is_client else peer_nonce,
+        server_nonce=peer_nonce if is_client else own_nonce,
+    )
+    own_direction, peer_direction = (CLIENT, SERVER) if is_client else (SERVER, CLIENT)
+    link = PeerLink(
+        stream=stream,
+        reader=reader,
+        sealer=peer_codec.FrameSealer(key=key, direction=own_direction),
+        opener=peer_codec.FrameOpener(key=key, direction=peer_direction),
+    )
+    await link.send([peer_codec.Envelope(message=own)])
+    first = (await link.receive()).message
+    if not isinstance(first, pm.Hello):
+        raise exceptions.FrameInvalid(detail="first message is no hello")
+    link.peer = first
+    return link
--- /dev/null
+++ b/src/foxtailbank/view_sync.py
@@ -0,0 +1,90 @@
+"""Repair of zone views that differ between VMs."""
+
+from foxtailbank import gossip, heartbeat_writer, member_table
+from foxtailbank import membership_actions as actions
+from foxtailbank import peer_messages as pm
+
+VIEW_PART_BYTES = 700
+
+
+class ViewSync:
+    """Compares digests, and asks for views part by part where they differ.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Known VMs.
+    writer : HeartbeatWriter
+        Makes the datagrams.
+    interval_ms : int
+        Least time between two requests for the same zone.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: member_table.MemberTable,
+        writer: heartbeat_writer.HeartbeatWriter,
+        interval_ms: int,
+    ) -> None:
+        self._table = table
+        self._writer = writer
+        self._interval_ms = interval_ms
+        self._asked_at_by_zone: dict[str, int] = {}
+
+    def compare(
+        self, heartbeat: pm.Heartbeat, *, now_ms: int
+    ) -> tuple[actions.MembershipAction, ...]:
+        """Ask the sender for the first zone whose digest differs."""
+        for digest in heartbeat.digests:
+            view = self._table.view_by_zone.get(digest.zone)
+            if view is not None and view.view_hash == digest.view_hash:
+                continue
+            asked_ms = self._asked_at_by_zone.get(digest.zone)
+            if asked_ms is not None and now_ms - asked_ms < self._interval_ms:
+                continue
+            self._asked_at_by_zone[digest.zone] = now_ms
+            return self._ask(heartbeat.sender, digest.zone, "", now_ms)
+        return ()
+
+    def answer(
+        self, request: pm.Heartbeat, *, now_ms: int
+    ) -> tuple[actions.MembershipAction, ...]:
+        """Answer a request with the part of the view that it asks for."""
+        view = self._table.view_by_zone.get(request.view_zone)
+        if view is None:
+            return ()
+        records, through_id = view.part(
+            after_id=request.after_id,
+            limit_bytes=VIEW_PART_BYTES,
+            size_of=gossip.member_bytes,
+        )
+        return self._writer.write(
+            request.sender,
+            pm.HeartbeatKind.VIEW_PART,
+            now_ms=now_ms,
+            is_urgent=True,
+            updates=records,
+            view_zone=request.view_zone,
+            after_id=request.after_id,
+            through_id=through_id,
+        )
+
+    def ask_next(
+        self, part: pm.Heartbeat, *, now_ms: int
+    ) -> tuple[actions.MembershipAction, ...]:
+        """Ask for what follows a part."""
+        if not part.through_id:
+            return ()
+        return self._ask(part.sender, part.view_zone, part.through_id, now_ms)
+
+    def _ask(
+        self, to: pm.MemberRecord, zone: str, after_id: str, now_ms: int
+    ) -> tuple[actions.MembershipAction, ...]:
+        return self._writer.write(
+            to,
+            pm.HeartbeatKind.VIEW_REQUEST,
+            now_ms=now_ms,
+            view_zone=zone,
+            after_id=after_id,
+        )
