--- a/src/foxtailbank/catalogue.py
+++ b/src/foxtailbank/catalogue.py
@@ -12,6 +12,7 @@
     RecordSkipped,
     ReplayBlocked,
 )
+from foxtailbank.catalogue_history import CatalogueHistory
 from foxtailbank.catalogue_index import CatalogueIndex
 from foxtailbank.catalogue_records import (
     MAX_EDITS_PER_RECORD,
@@ -33,8 +34,6 @@
 from foxtailbank.entry import Entry, WorkClass
 from foxtailbank.sentinels import NOT_FOUND, Missing
 
-HISTORY_PER_ENTRY = 8
-DELETED_NAMES = 512
 INCARNATIONS = 1024
 BEFORE_FIRST = -1
 
@@ -50,10 +49,7 @@
         self._applied_offset = BEFORE_FIRST
         self._blocked: ReplayBlocked | None = None
         self._versioned_by_name: dict[str, VersionedEntry] = {}
-        self._history_by_name: dict[str, tuple[HistoryItem, ...]] = {}
-        self._deleted_names: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
+        self._history = CatalogueHistory()
         self._sequence_by_incarnation: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -171,15 +167,7 @@
             by=edit.by,
             at_ms=edit.at_ms,
         )
-        name = edit.name
-        history = (*self._history_by_name.get(name, ()), item)
-        self._history_by_name[name] = history[-HISTORY_PER_ENTRY:]
-        self._deleted_names.pop(name, None)
-        if entry is None:
-            self._deleted_names[name] = None
-        if len(self._deleted_names) > DELETED_NAMES:
-            forgotten, _ = self._deleted_names.popitem(last=False)
-            del self._history_by_name[forgotten]
+        self._history.add(edit.name, item)
 
     def version(self, name: str) -> int:
         """Return the version of an entry; 0 if there is none."""
@@ -231,7 +219,7 @@
 
     def history(self, name: str) -> tuple[HistoryItem, ...]:
         """Return the latest edits of an entry that took effect, oldest first."""
-        return self._history_by_name.get(name, ())
+        return self._history.items(name)
 
     def state(self) -> CatalogueState:
         """Return all that another VM needs to go on from here."""
@@ -242,11 +230,7 @@
                 self._versioned_by_name[name]
                 for name in sorted(self._versioned_by_name)
             ),
-            history_by_name={
-                name: self._history_by_name[name]
-                for name in sorted(self._history_by_name)
-            },
-            deleted_names=tuple(self._deleted_names),
+            history_by_name=self._history.items_by_name(),
             incarnations=tuple(
                 Incarnation(name=name, sequence=sequence)
                 for name, sequence in sequences
@@ -272,8 +256,8 @@
         if self._blocked is not None and self._blocked.offset <= state.applied_offset:
             self._blocked = None
         self._versioned_by_name = {v.entry.name: v for v in state.entries}
-        self._history_by_name = dict(state.history_by_name)
-        self._deleted_names = collections.OrderedDict.fromkeys(state.deleted_names)
+        self._history = CatalogueHistory()
+        self._history.restore(state.history_by_name)
         self._sequence_by_incarnation = collections.OrderedDict(
             (item.name, item.sequence) for item in state.incarnations
         )
--- a/src/foxtailbank/catalogue_events.py
+++ b/src/foxtailbank/catalogue_events.py
@@ -110,6 +110,24 @@
     schema: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CatalogueRestored:
+    """The state was taken over from a snapshot.
+
+    Attributes
+    ----------
+    offset : int
+        Last offset that the snapshot includes.
+    """
+
+    offset: int
+
+
 CatalogueEvent: t.TypeAlias = (
-    EntryChanged | EditConflict | DuplicateDropped | RecordSkipped | ReplayBlocked
+    EntryChanged
+    | EditConflict
+    | DuplicateDropped
+    | RecordSkipped
+    | ReplayBlocked
+    | CatalogueRestored
 )
--- a/src/foxtailbank/catalogue_state.py
+++ b/src/foxtailbank/catalogue_state.py
@@ -84,8 +84,6 @@
         In order of name.
     history_by_name : dict of str to tuple of HistoryItem
         Latest edits of each entry, oldest first.
-    deleted_names : tuple of str
-        Deleted entries whose history is kept, in order of deletion.
     incarnations : tuple of Incarnation
         In order of their last record.
     """
@@ -93,7 +91,6 @@
     applied_offset: int
     entries: tuple[VersionedEntry, ...]
     history_by_name: dict[str, tuple[HistoryItem, ...]]
-    deleted_names: tuple[str, ...]
     incarnations: tuple[Incarnation, ...]
 
 
