--- /dev/null
+++ b/src/foxtailbank_bench/measure_metrics.py
@@ -0,0 +1,134 @@
+"""Cost of metrics, burn events and log lines; prints JSON lines.
+
+Run with ``python -m foxtailbank_bench.measure_metrics``.
+"""
+
+import gc
+import os
+import sys
+import time
+import tracemalloc
+import typing as t
+
+import msgspec
+
+from foxtailbank.burn import BurnRecorder
+from foxtailbank.burn_judge import GOOD
+from foxtailbank.burn_merge import merge_burn
+from foxtailbank.entry import Entry, Kind, WorkClass
+from foxtailbank.events import Event
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.metrics import Count, Metrics, Signal
+from foxtailbank_bench.measure_catalogue import US_PER_S, Figure
+
+ROUNDS = 50_000
+ENTRIES = 200
+REPORT_ENTRIES = 1_000
+VMS = 12
+NOW_MS = 1_800_000_000_000
+
+
+def main() -> int:
+    """Measure and print."""
+    for figure in measure():
+        print(msgspec.json.encode(figure).decode())
+    return 0
+
+
+def measure() -> t.Iterator[Figure]:
+    """Yield processor time for each step, and memory for each entry."""
+    yield from _measure_hot_path()
+    yield from _measure_exposition()
+    yield from _measure_burn()
+
+
+def _per_call(name: str, call: t.Callable[[int], None], rounds: int) -> Figure:
+    started = time.process_time()
+    for number in range(rounds):
+        call(number)
+    used = time.process_time() - started
+    return Figure(name=name, value=used / rounds * US_PER_S, unit="us of processor")
+
+
+def _measure_hot_path() -> t.Iterator[Figure]:
+    metrics = Metrics()
+    burn = BurnRecorder(vm="vm-1", zone="zone-1")
+
+    def record(number: int) -> None:
+        value_ms = float(number % 4000)
+        metrics.record(entry="e", signal=Signal.CALL, value_ms=value_ms)
+
+    def count(_: int) -> None:
+        metrics.count(Count.CALLS, entry="e")
+
+    def add(number: int) -> None:
+        burn.add(entry="e", verdict=GOOD, now_ms=NOW_MS + number)
+
+    yield _per_call("record_latency", record, ROUNDS)
+    yield _per_call("count", count, ROUNDS)
+    yield _per_call("add_burn_event", add, ROUNDS)
+    with open(os.devnull, "w", encoding="utf-8") as stream:
+        logs = Logs(vm="vm-1", zone="zone-1", stream=stream)
+        fields = LogFields(request_id="r", owner="o", entry="e", status=200)
+
+        def write(_: int) -> None:
+            logs.write(Event.CALL_FINISHED, fields=fields)
+
+        yield _per_call("log_line", write, ROUNDS)
+
+
+def _measure_exposition() -> t.Iterator[Figure]:
+    tracemalloc.start()
+    metrics = Metrics()
+    for number in range(ENTRIES):
+        for signal in (Signal.FIRST_TOKEN, Signal.TOKEN_GAP, Signal.CALL):
+            metrics.record(entry=f"e{number}", signal=signal, value_ms=number)
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    yield Figure(name="metrics_memory_of_entry", value=held / ENTRIES, unit="bytes")
+    started = time.process_time()
+    text = metrics.exposition()
+    used = time.process_time() - started
+    yield Figure(name="exposition", value=used * 1000, unit="ms of processor")
+    yield Figure(name="exposition_size", value=len(text) / 1024, unit="KiB")
+
+
+def _measure_burn() -> t.Iterator[Figure]:
+    recorders = [BurnRecorder(vm=f"vm-{n}", zone="zone-1") for n in range(VMS)]
+    tracemalloc.start()
+    for recorder in recorders:
+        for number in range(REPORT_ENTRIES):
+            recorder.add(entry=f"e{number}", verdict=GOOD, now_ms=NOW_MS)
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    per_entry = held / VMS / REPORT_ENTRIES
+    yield Figure(name="burn_memory_of_entry", value=per_entry, unit="bytes")
+    started = time.process_time()
+    reports = [recorder.report(now_ms=NOW_MS) for recorder in recorders]
+    used = time.process_time() - started
+    yield Figure(name="vm_report", value=used / VMS * 1000, unit="ms of processor")
+    size = len(msgspec.json.encode(reports[0]))
+    yield Figure(name="vm_report_size", value=size / 1024, unit="KiB")
+    started = time.process_time()
+    entries_by_name = {f"e{n}": _entry(f"e{n}") for n in range(REPORT_ENTRIES)}
+    merge_burn(reports, entries_by_name=entries_by_name, live_vms=(), now_ms=NOW_MS)
+    used = time.process_time() - started
+    yield Figure(name="merge_reports", value=used * 1000, unit="ms of processor")
+
+
+def _entry(name: str) -> Entry:
+    return Entry(
+        name=name,
+        owner="o",
+        work_class=WorkClass.ONLINE,
+        kind=Kind.ENGINE,
+        pool="p",
+        model="m",
+        key_hashes=(),
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
