Count a call whose answer was sent as finished

Cause: the watcher of the caller's connection sees a disconnect as soon as the answer is complete; seen in the log as call_failed/caller_gone for calls that the caller had received whole (3 of 3 VMs in a test run). Change: the outcome is decided when the dispatcher returns. Test ports come from a range of the test process, since two runs at once collided on port 20000.

--- a/src/foxtailbank/online.py
+++ b/src/foxtailbank/online.py
@@ -98,28 +98,23 @@
             self.in_flight -= 1
 
     async def _run(self, work: Work, sink: HttpSink, receive: Receive) -> None:
-        gone = False
-
         async def watch() -> None:
-            nonlocal gone
             while (await receive())["type"] != "http.disconnect":
                 pass
-            gone = True
             tasks.cancel_scope.cancel()
 
-        failures: list[FoxtailbankError] = []
+        outcome: FoxtailbankError | None = CallerGone()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch)
             try:
                 await self._dispatcher.run(work, sink)
+                outcome = None
                 await sink.finish()
             except FoxtailbankError as failure:
-                failures.append(failure)
+                outcome = failure
             tasks.cancel_scope.cancel()
-        if gone:
-            raise CallerGone()
-        if failures:
-            raise failures[0]
+        if outcome is not None:
+            raise outcome
 
     def _work(self, scope: Scope, body: bytes, request_id: str, now_ms: int) -> Work:
         caller = authenticate(scope, self._catalogue)
--- a/src/foxtailbank_bench/launcher.py
+++ b/src/foxtailbank_bench/launcher.py
@@ -1,6 +1,7 @@
 """Starts and stops the separate processes of a small fleet."""
 
 import dataclasses
+import functools
 import json
 import os
 import pathlib
@@ -130,10 +131,18 @@
         """
         ends = time.monotonic() + timeout_s
         while not condition():
+            self._check_alive()
             if time.monotonic() > ends:
                 raise LaunchFailed(f"waited {timeout_s} s in vain: {condition}")
             time.sleep(POLL_S)
 
+    def _check_alive(self) -> None:
+        for program in self.programs_by_name.values():
+            code = program.process.poll()
+            if code is not None and code > 0:
+                tail = program.output.read_text()[-2_000:]
+                raise LaunchFailed(f"{program.name} ended with {code}: {tail}")
+
     def address(self, name: str) -> str:
         """Return where a stand-in listens."""
         return self.programs_by_name[name].address
@@ -155,7 +164,7 @@
     def faults(self, name: str, **faults: t.Any) -> None:
         """Switch faults of a stand-in."""
         url = f"http://{self.address(name)}/control/faults"
-        httpx.post(url, json=faults, trust_env=False).raise_for_status()
+        _client().post(url, json=faults).raise_for_status()
 
     def stop(self) -> dict[str, int]:
         """Stop all programs, entry VMs first.
@@ -253,6 +262,11 @@
 
 def _answers(url: str) -> bool:
     try:
-        return httpx.get(url, trust_env=False).status_code == httpx.codes.OK
+        return _client().get(url).status_code == httpx.codes.OK
     except httpx.TransportError:
         return False
+
+
+@functools.cache
+def _client() -> httpx.Client:
+    return httpx.Client(trust_env=False, verify=False)
--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import os
 import socket
 
 from foxtailbank_bench.demo_catalogue import demo_entries, put_entry
@@ -11,7 +12,9 @@
 
 def free_ports(count):
     """Ports that were free a moment ago, as a consecutive run."""
-    for first in range(20_000, 30_000, count):
+    # Each process has a range of its own, so that two test runs don't collide.
+    base = 20_000 + os.getpid() % 600 * 16
+    for first in range(base, base + 16, count):
         with contextlib.ExitStack() as stack:
             try:
                 for port in range(first, first + count):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -109,6 +109,16 @@
     assert CALLER_KEY not in echoed
 
 
+def test_log_tells_one_outcome_a_call(fleet, address):
+    headers = KEY | {"x-request-id": f"outcome-{address}"}
+    url = f"http://{address}/v1/services/contracts/contracts/17"
+    assert httpx.get(url, headers=headers).status_code == 200
+    name = next(e.name for e in fleet.deployment.entries if e.http_address == address)
+    lines = fleet.programs_by_name[name].output.read_text().splitlines()
+    found = [json.loads(line) for line in lines if f"outcome-{address}" in line]
+    assert [line["event"] for line in found] == ["call_finished"]
+
+
 def test_unknown_path_is_a_typed_error(address):
     answer = httpx.get(f"http://{address}/v1/nothing", headers=KEY)
     assert answer.status_code == 404
