--- a/src/foxtailbank/backend.py
+++ b/src/foxtailbank/backend.py
@@ -7,6 +7,8 @@
 from foxtailbank.endpoint_view import EndpointView
 from foxtailbank.vm_list import Vm
 
+DEATH_WINDOW_MS = 10_000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TimedReport:
@@ -98,6 +100,16 @@
             reserved=self.reserved,
         )
 
+    def death_id(self, wall_ms: int) -> str:
+        """Return a name for a death seen now, the same on VMs that see it too.
+
+        Parameters
+        ----------
+        wall_ms : int
+            Civil time in milliseconds.
+        """
+        return f"{self.vm.vm_id}@{wall_ms // DEATH_WINDOW_MS}"
+
     def health(self, now_ms: int) -> BreakerState:
         """Return the state of the circuit breaker."""
         return self.breaker.state(now_ms)
--- /dev/null
+++ b/src/foxtailbank/batch_item.py
@@ -0,0 +1,148 @@
+"""Items of a batch job as requests to endpoints."""
+
+import dataclasses
+import typing as t
+
+import msgspec
+
+from foxtailbank.completion import CHAT_PATH, COMPLETIONS_PATH, parse_completion
+from foxtailbank.entry import Entry, Kind
+from foxtailbank.exceptions import InvalidRequest
+from foxtailbank.quarantine import Fingerprint
+from foxtailbank.work import Work, fingerprint_of
+
+JSON_HEADERS = (("content-type", "application/json"),)
+STREAM_OPTIONS = {"include_usage": True}
+
+
+class _Line(msgspec.Struct, frozen=True):
+    custom_id: str
+    body: msgspec.Raw
+    method: str = "POST"
+    url: str = COMPLETIONS_PATH
+
+
+_decoder = msgspec.json.Decoder(_Line)
+_body_decoder = msgspec.json.Decoder(dict[str, t.Any])
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BatchItem:
+    """One item that can be sent to an endpoint.
+
+    Attributes
+    ----------
+    custom_id : str
+        The caller's name for it.
+    method, path : str
+        HTTP method; path at the endpoint.
+    body : bytes
+        Content for the endpoint.
+    tokens : int
+        Most tokens that it may generate; 0 for a service.
+    prefix_digest : int
+        64-bit digest of the prompt's prefix.
+    fingerprint : Fingerprint
+        Identity of the content.
+    """
+
+    custom_id: str
+    method: str
+    path: str
+    body: bytes
+    tokens: int
+    prefix_digest: int
+    fingerprint: Fingerprint
+
+    def work(
+        self,
+        *,
+        entry: Entry,
+        request_id: str,
+        deadline_at_ms: int,
+        resume_at: int,
+    ) -> Work:
+        """Return the item as work.
+
+        Parameters
+        ----------
+        entry : Entry
+            Catalogue entry that permits it.
+        request_id : str
+            Identifier on every hop.
+        deadline_at_ms : int
+            When its answer is no longer wanted.
+        resume_at : int
+            Index of the first token wanted.
+        """
+        return Work(
+            request_id=request_id,
+            entry=entry,
+            method=self.method,
+            path=self.path,
+            headers=JSON_HEADERS,
+            body=self.body,
+            streamed=entry.kind is Kind.ENGINE,
+            batch=True,
+            idempotent=entry.idempotent,
+            fingerprint=self.fingerprint,
+            prefix_digest=self.prefix_digest,
+            tokens=self.tokens,
+            deadline_at_ms=deadline_at_ms,
+            resume_at=resume_at,
+        )
+
+
+def read_item(line: bytes, entry: Entry) -> BatchItem:
+    """Read one input line.
+
+    Parameters
+    ----------
+    line : bytes
+        JSON object with ``custom_id`` and ``body``.
+    entry : Entry
+        Catalogue entry of the job.
+
+    Raises
+    ------
+    InvalidRequest
+        The body does not fit the entry.
+    """
+    try:
+        parsed = _decoder.decode(line)
+    except msgspec.MsgspecError as error:
+        raise InvalidRequest(detail=f"malformed item: {error}") from error
+    body = bytes(parsed.body)
+    if entry.kind is Kind.SERVICE:
+        return BatchItem(
+            custom_id=parsed.custom_id,
+            method=parsed.method,
+            path=parsed.url,
+            body=body,
+            tokens=0,
+            prefix_digest=0,
+            fingerprint=fingerprint_of(entry.owner, body),
+        )
+    if parsed.url not in (COMPLETIONS_PATH, CHAT_PATH):
+        raise InvalidRequest(detail=f"unknown `url` {parsed.url!r}")
+    call = parse_completion(parsed.url, body)
+    if call.model != entry.model:
+        raise InvalidRequest(detail=f"the entry serves `{entry.model}`")
+    if call.max_tokens > entry.limits.max_tokens:
+        raise InvalidRequest(detail=f"`max_tokens` exceeds {entry.limits.max_tokens}")
+    return BatchItem(
+        custom_id=parsed.custom_id,
+        method="POST",
+        path=parsed.url,
+        body=_streamed(body),
+        tokens=call.max_tokens,
+        prefix_digest=call.prefix_digest,
+        fingerprint=fingerprint_of(entry.owner, body),
+    )
+
+
+def _streamed(body: bytes) -> bytes:
+    content = _body_decoder.decode(body)
+    content["stream"] = True
+    content["stream_options"] = STREAM_OPTIONS
+    return msgspec.json.encode(content)
--- /dev/null
+++ b/src/foxtailbank/batch_runner.py
@@ -0,0 +1,383 @@
+"""Runs batch work on the endpoints whose batch owner this VM is."""
+
+import secrets
+import typing as t
+
+import anyio
+import anyio.abc
+
+from foxtailbank.adaptive_batch_limit import AdaptiveBatchLimit
+from foxtailbank.backend import Backend
+from foxtailbank.batch_limit import BatchLimit
+from foxtailbank.batch_order import BatchOrder, ChunkView
+from foxtailbank.catalogue import Catalogue
+from foxtailbank.chunk_source import ChunkKey, ChunkSource
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.directory import Directory
+from foxtailbank.dispatcher import Dispatcher
+from foxtailbank.endpoint_batch import EndpointBatch
+from foxtailbank.entry import Entry
+from foxtailbank.events import Event
+from foxtailbank.exceptions import FoxtailbankError, LogUnavailable
+from foxtailbank.gap_objective import RelativeGapObjective
+from foxtailbank.item_runner import ItemRunner
+from foxtailbank.job_state import JobState
+from foxtailbank.ledger import Ledger
+from foxtailbank.ledger_events import (
+    ItemsEnded,
+    JobAdded,
+    JobCancelledEvent,
+    JobFinished,
+    LedgerEvent,
+    ResultsApplied,
+)
+from foxtailbank.ledger_service import LedgerService
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.open_chunk import OpenChunk
+from foxtailbank.ownership import Placement
+from foxtailbank.payload import PayloadKind
+from foxtailbank.preemption import LeastWaste
+from foxtailbank.records import Envelope
+from foxtailbank.result_recorder import ResultRecorder
+from foxtailbank.sentinels import Missing
+from foxtailbank.step_model import StepModel
+
+PUMP_MS = 10
+READ_AHEAD_ITEMS = 64
+FIRST_MAX_RUNNING = 8
+ITEM_TOKENS = 128
+FIRST_RATE_TOKENS_PER_S = 1_000.0
+
+
+class BatchRunner:
+    """Keeps the batch streams of its endpoints at their limits.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    vm_id : str
+        This VM.
+    catalogue : Catalogue
+        Entries of the jobs.
+    directory : Directory
+        Known endpoints.
+    dispatcher : Dispatcher
+        Runs items.
+    service : LedgerService
+        Jobs and their payloads.
+    logs : Logs
+        Takes a line for each preemption and finished job.
+    may_start : callable
+        Whether new items may start; False while a cancellation could have been
+        accepted unseen.
+    max_buffer_bytes : int
+        Bound on results that wait to be recorded.
+    max_in_flight : int
+        Bound on items in flight on this VM.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        vm_id: str,
+        catalogue: Catalogue,
+        directory: Directory,
+        dispatcher: Dispatcher,
+        service: LedgerService,
+        logs: Logs,
+        may_start: t.Callable[[], bool],
+        max_buffer_bytes: int,
+        max_in_flight: int,
+    ) -> None:
+        self._clock = clock
+        self._vm_id = vm_id
+        self._catalogue = catalogue
+        self._directory = directory
+        self._service = service
+        self._logs = logs
+        self._may_start = may_start
+        self._max_buffer_bytes = max_buffer_bytes
+        self._max_in_flight = max_in_flight
+        self._source = ChunkSource(vm_id=vm_id, catalogue=catalogue)
+        self._order = BatchOrder(tokens_per_s=FIRST_RATE_TOKENS_PER_S)
+        self._items = ItemRunner(clock=clock, dispatcher=dispatcher, order=self._order)
+        self._recorder = ResultRecorder(service=service)
+        self._batches_by_endpoint: dict[str, EndpointBatch] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._stopping = False
+        service.replay.listen(self._on_record)
+        service.replay.listen_for_replacement(self._on_replacement)
+
+    async def run(self) -> None:
+        """Run items until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._recorder.run)
+            while True:
+                if not self._stopping:
+                    self._pump()
+                await anyio.sleep(PUMP_MS / MS_PER_S)
+
+    async def stop(self) -> None:
+        """Start nothing new, keep what is done, hand the rest over."""
+        self._stopping = True
+        for batch in self._batches_by_endpoint.values():
+            for item in batch.active_by_id.values():
+                item.scope.cancel()
+        await self._recorder.drain()
+
+    def place(self, placements_by_pool: dict[str, Placement]) -> None:
+        """Take a new view of live endpoints and VMs.
+
+        Parameters
+        ----------
+        placements_by_pool : dict of str to Placement
+            By model or service.
+        """
+        self._source.place(placements_by_pool, self._service.ledger)
+        for batch in self._batches_by_endpoint.values():
+            for chunk in batch.chunks:
+                job = self._service.ledger.jobs_by_id.get(chunk.job_id)
+                if job is None or not self._source.is_own(chunk.key, job):
+                    chunk.pending.clear()
+
+    def hold_job(self, job_id: str) -> None:
+        """Stop a job whose cancellation another VM has seen on the ledger."""
+        self._source.forget(job_id)
+        for batch in self._batches_by_endpoint.values():
+            batch.cancel_job(job_id)
+
+    def limit_of(self, endpoint_id: str) -> BatchLimit | None:
+        """Return the batch limit of an endpoint that this VM drives."""
+        batch = self._batches_by_endpoint.get(endpoint_id)
+        return batch.limit if batch else None
+
+    def on_online(self, endpoint_id: str, change: int) -> None:
+        """Take note of online requests that went to, or left, an endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint.
+        change : int
+            Requests more, or fewer if negative.
+        """
+        batch = self._batches_by_endpoint.get(endpoint_id)
+        if batch is None:
+            return
+        now_ms = self._clock.now_ms()
+        for _ in range(change):
+            self._preempt(batch, batch.limit.on_online_dispatch(now_ms))
+        for _ in range(-change):
+            batch.limit.on_online_end(now_ms)
+
+    def on_report(self, backend: Backend) -> None:
+        """Take note of an endpoint's load report."""
+        batch = self._batches_by_endpoint.get(backend.endpoint_id)
+        if batch is None or backend.latest is None:
+            return
+        now_ms = self._clock.now_ms()
+        actions = batch.limit.on_load_report(backend.latest.report, now_ms)
+        self._preempt(batch, actions)
+
+    def _preempt(self, batch: EndpointBatch, actions: tuple[t.Any, ...]) -> None:
+        count = batch.carry_out(actions)
+        if count:
+            fields = LogFields(endpoint=batch.backend.endpoint_id, count=count)
+            self._logs.write(Event.BATCH_PREEMPTED, fields=fields)
+
+    def _pump(self) -> None:
+        now_ms = self._clock.now_ms()
+        for backend in list(self._directory.backends_by_id.values()):
+            batch = self._batch(backend)
+            batch.chunks = [chunk for chunk in batch.chunks if not chunk.idle]
+            self._read_ahead(batch)
+            if backend.draining or not self._has_room():
+                continue
+            while batch.limit.startable(now_ms) > 0 and self._start_next(batch):
+                pass
+
+    def _has_room(self) -> bool:
+        in_flight = sum(len(b.active_by_id) for b in self._batches_by_endpoint.values())
+        return (
+            self._may_start()
+            and self._recorder.buffered_bytes + self._kept_bytes()
+            < self._max_buffer_bytes
+            and in_flight < self._max_in_flight
+        )
+
+    def _kept_bytes(self) -> int:
+        return sum(
+            chunk.buffered_bytes
+            for batch in self._batches_by_endpoint.values()
+            for chunk in batch.chunks
+        )
+
+    def _batch(self, backend: Backend) -> EndpointBatch:
+        batch = self._batches_by_endpoint.get(backend.endpoint_id)
+        if batch is None or batch.backend is not backend:
+            limit = AdaptiveBatchLimit(
+                max_running=FIRST_MAX_RUNNING,
+                objective=RelativeGapObjective(),
+                model=StepModel(),
+            )
+            batch = EndpointBatch(backend=backend, limit=limit, preemption=LeastWaste())
+            self._batches_by_endpoint[backend.endpoint_id] = batch
+        return batch
+
+    def _read_ahead(self, batch: EndpointBatch) -> None:
+        if batch.loading or batch.pending_count() >= READ_AHEAD_ITEMS:
+            return
+        endpoint_id = batch.backend.endpoint_id
+        views = [self._view(key) for key in self._source.heads(endpoint_id)]
+        known = [view for view in views if view is not None]
+        chosen = self._order.next_chunk(known, self._clock.wall_ms())
+        if chosen is None or self._tasks is None:
+            return
+        key = (chosen.job_id, chosen.chunk)
+        self._source.take(endpoint_id, key)
+        batch.loading = True
+        self._tasks.start_soon(self._load, batch, key)
+
+    def _view(self, key: ChunkKey) -> ChunkView | None:
+        job = self._service.ledger.jobs_by_id.get(key[0])
+        if job is None or job.ended:
+            return None
+        return ChunkView(
+            job_id=job.job_id,
+            chunk=key[1],
+            owner=job.owner,
+            deadline_ms=job.deadline_ms,
+            job_tokens_left=(job.item_count - job.ended_count) * ITEM_TOKENS,
+        )
+
+    async def _load(self, batch: EndpointBatch, key: ChunkKey) -> None:
+        try:
+            chunk = await self._read_chunk(key)
+            if chunk is not None:
+                batch.chunks.append(chunk)
+        except LogUnavailable:
+            self._source.put_back(batch.backend.endpoint_id, key)
+            await anyio.sleep(1)
+        finally:
+            batch.loading = False
+
+    async def _read_chunk(self, key: ChunkKey) -> OpenChunk | None:
+        job_id, index = key
+        job = self._service.ledger.jobs_by_id.get(job_id)
+        if job is None or job.ended or job.chunk_ended(index):
+            return None
+        payload = await self._service.payloads.read(
+            offset=job.chunk(index).payload_offset,
+            kind=PayloadKind.INPUT,
+            job_id=job_id,
+            part=index,
+        )
+        open_bitmap = job.open(index)
+        if not job.idempotent:
+            open_bitmap = await self._claim(job, index, open_bitmap)
+        return OpenChunk(
+            job_id=job_id,
+            index=index,
+            owner=job.owner,
+            lines=payload.body.split(b"\n"),
+            open_bitmap=open_bitmap,
+        )
+
+    async def _claim(self, job: JobState, index: int, bitmap: int) -> int:
+        return await self._items.claim(self._service, job.job_id, index, bitmap)
+
+    def _start_next(self, batch: EndpointBatch) -> bool:
+        waiting = {chunk.key: chunk for chunk in batch.chunks if chunk.pending}
+        views = [self._view(key) for key in waiting]
+        chosen = self._order.next_chunk(
+            [view for view in views if view is not None], self._clock.wall_ms()
+        )
+        if chosen is None or self._tasks is None:
+            return False
+        chunk = waiting[chosen.job_id, chosen.chunk]
+        job = self._service.ledger.jobs_by_id[chunk.job_id]
+        entry = self._catalogue.entry(job.entry)
+        if isinstance(entry, Missing):
+            chunk.pending.clear()
+            return True
+        position = chunk.pending.popleft()
+        chunk.running.add(position)
+        batch.limit.on_batch_start(self._clock.now_ms())
+        request_id = f"{chunk.job_id}-{secrets.token_hex(6)}"
+        self._tasks.start_soon(
+            self._run_item, batch, chunk, position, entry, job.deadline_ms, request_id
+        )
+        return True
+
+    async def _run_item(
+        self,
+        batch: EndpointBatch,
+        chunk: OpenChunk,
+        position: int,
+        entry: Entry,
+        deadline_ms: int,
+        request_id: str,
+    ) -> None:
+        preempted = False
+        try:
+            preempted = await self._items.run(
+                batch=batch,
+                chunk=chunk,
+                position=position,
+                entry=entry,
+                deadline_ms=deadline_ms,
+                request_id=request_id,
+            )
+        except FoxtailbankError as failure:
+            fields = LogFields(job_id=chunk.job_id, reason=failure.code)
+            self._logs.write(Event.ITEM_FAILED, fields=fields)
+        finally:
+            # A preempted stream was taken off the limit when it was chosen.
+            if not preempted:
+                batch.limit.on_batch_end(self._clock.now_ms())
+        self._recorder.offer(chunk)
+
+    def _on_record(self, envelope: Envelope, events: tuple[LedgerEvent, ...]) -> None:
+        for event in events:
+            if isinstance(event, JobAdded):
+                self._source.add(self._service.ledger.jobs_by_id[event.job_id])
+            elif isinstance(event, JobCancelledEvent | JobFinished):
+                self._end_job(event.job_id)
+            elif isinstance(event, ResultsApplied | ItemsEnded):
+                self._drop_ended(event)
+
+    def _end_job(self, job_id: str) -> None:
+        self._source.forget(job_id)
+        for batch in self._batches_by_endpoint.values():
+            batch.cancel_job(job_id)
+        job = self._service.ledger.jobs_by_id.get(job_id)
+        if job is not None:
+            fields = LogFields(
+                job_id=job_id,
+                owner=job.owner,
+                entry=job.entry,
+                reason=job.status.value,
+                count=job.item_count,
+            )
+            self._logs.write(Event.JOB_FINISHED, fields=fields)
+
+    def _drop_ended(self, event: ResultsApplied | ItemsEnded) -> None:
+        key = (event.job_id, event.chunk)
+        for batch in self._batches_by_endpoint.values():
+            for chunk in batch.chunks:
+                if chunk.key == key:
+                    ended = self._service.ledger.jobs_by_id[event.job_id]
+                    chunk.drop(ended.done(event.chunk))
+
+    def _on_replacement(self, ledger: Ledger) -> None:
+        for batch in self._batches_by_endpoint.values():
+            for chunk in list(batch.chunks):
+                job = ledger.jobs_by_id.get(chunk.job_id)
+                if job is None or job.ended:
+                    batch.cancel_job(chunk.job_id)
+                else:
+                    chunk.drop(job.done(chunk.index))
+        self._source.place(self._source.placements_by_pool, ledger)
--- /dev/null
+++ b/src/foxtailbank/catalogue_service.py
@@ -0,0 +1,104 @@
+"""The catalogue of one entry VM: replay, writer and limits in force."""
+
+import random
+
+import anyio.abc
+
+from foxtailbank.admission import Admission
+from foxtailbank.catalogue import Catalogue
+from foxtailbank.catalogue_events import CatalogueEvent, EntryChanged
+from foxtailbank.catalogue_records import STREAM, decode_envelope
+from foxtailbank.catalogue_writer import CatalogueWriter
+from foxtailbank.clock import Clock
+from foxtailbank.events import Event
+from foxtailbank.limit_shares import share_of
+from foxtailbank.log_service import LogRecord, LogService
+from foxtailbank.log_tailer import LogTailer, ResyncFailed
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.settings_sections import TimingSection
+
+
+class CatalogueService:
+    """Keeps the catalogue in force.
+
+    Parameters
+    ----------
+    log : LogService
+        The platform's log.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Spreads pauses.
+    incarnation : str
+        This run of this VM.
+    timing : TimingSection
+        Time limits.
+    admission : Admission
+        Gets the limits of changed entries.
+    logs : Logs
+        Takes a line for each change.
+
+    Attributes
+    ----------
+    catalogue : Catalogue
+        Entries in force.
+    writer : CatalogueWriter
+        Publishes edits.
+    tailer : LogTailer
+        Follows the stream.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        clock: Clock,
+        rng: random.Random,
+        incarnation: str,
+        timing: TimingSection,
+        admission: Admission,
+        logs: Logs,
+    ) -> None:
+        self._clock = clock
+        self._admission = admission
+        self._logs = logs
+        self.catalogue = Catalogue()
+        self.writer = CatalogueWriter(log=log, incarnation=incarnation)
+        self.tailer = LogTailer(
+            log=log,
+            stream=STREAM,
+            apply=self.apply,
+            resync=_no_snapshot,
+            clock=clock,
+            rng=rng,
+            wait_ms=timing.log_wait_ms,
+        )
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start following the stream."""
+        tasks.start_soon(self.tailer.run)
+
+    def apply(self, record: LogRecord) -> None:
+        """Apply one record of the stream."""
+        events = self.catalogue.apply(record.offset, decode_envelope(record.data))
+        self.writer.applied(events)
+        for event in events:
+            self._note(event)
+
+    def _note(self, event: CatalogueEvent) -> None:
+        if not isinstance(event, EntryChanged):
+            return
+        key = f"entry:{event.name}"
+        if event.entry is None:
+            self._admission.remove(key)
+        else:
+            share = share_of(event.entry.limits)
+            self._admission.set_share(key, share, self._clock.now_ms())
+        self._logs.write(
+            Event.CATALOGUE_CHANGED,
+            fields=LogFields(entry=event.name, version=event.version),
+        )
+
+
+async def _no_snapshot(next_offset: int) -> int:
+    raise ResyncFailed(detail=f"no snapshot beyond offset {next_offset}")
--- a/src/foxtailbank/daemon.py
+++ b/src/foxtailbank/daemon.py
@@ -82,6 +82,7 @@
             vm.health.stopping = True
             logs.write(Event.VM_DRAINING)
             await anyio.sleep(settings.timing.drain_notice_ms / MS_PER_S)
+            await vm.hand_over()
             stop.set()
 
 
--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -51,8 +51,11 @@
     def on_chunk_gap(self, backend: Backend, work: Work, gap_ms: int) -> None:
         """Note the time between two pieces of content."""
 
-    def on_death(self, backend: Backend, work: Work) -> None:
-        """Note that an endpoint died while work was in flight there."""
+    def on_death(self, backend: Backend, work: Work, exclusive: bool) -> None:
+        """Note that an endpoint died while work was in flight there, maybe alone."""
+
+    def on_complete(self, backend: Backend, work: Work) -> None:
+        """Note that work has its whole answer."""
 
     def on_resumed(self, backend: Backend, work: Work, reason: str) -> None:
         """Note that work goes on after an attempt that failed there."""
@@ -112,7 +115,14 @@
         self._retry_budget = retry_budget
         self._observer = observer
 
-    async def run(self, work: Work, sink: Sink, *, on: Backend | None = None) -> None:
+    async def run(
+        self,
+        work: Work,
+        sink: Sink,
+        *,
+        on: Backend | None = None,
+        may_retry: bool = True,
+    ) -> None:
         """Run work and give its answer to a sink.
 
         Parameters
@@ -122,7 +132,10 @@
         sink : Sink
             Takes the answer.
         on : Backend, optional
-            The endpoint of the first attempt; chosen if not given.
+            The endpoint of the first attempt; chosen if not given, or if the work
+            is suspected of crashing endpoints.
+        may_retry : bool
+            Whether to go on after an attempt that failed.
 
         Raises
         ------
@@ -133,40 +146,52 @@
         self._retry_budget.on_request(self._clock.now_ms())
         remaining_ms = work.deadline_at_ms - self._clock.now_ms()
         with anyio.move_on_after(max(0, remaining_ms) / MS_PER_S) as scope:
-            await self._run(work, sink, progress, on)
+            await self._run(work, sink, progress, on, may_retry)
         if scope.cancelled_caught:
             raise DeadlineExceeded(detail="the deadline passed", ran=progress.ran)
 
     async def _run(
-        self, work: Work, sink: Sink, progress: _Progress, on: Backend | None
+        self,
+        work: Work,
+        sink: Sink,
+        progress: _Progress,
+        on: Backend | None,
+        may_retry: bool,
     ) -> None:
+        if on is not None and self._is_suspect(work):
+            on = None
         while True:
-            backend = on or self._choose(work, progress)
+            isolation = self._isolation(work)
+            backend = on or self._choose(work, progress, isolation)
             on = None
             try:
                 before = progress.may_have_run
                 progress.may_have_run = True
                 await self._attempt(work, sink, progress, backend)
+                self._observer.on_complete(backend, work)
                 return
             except (EndpointFailed, EndpointRefused) as failure:
                 progress.may_have_run = before or failure.ran is Ran.UNKNOWN
                 self._note_failure(backend, failure)
-                await self._check_death(work, backend, failure)
+                await self._check_death(work, backend, failure, isolation)
                 progress.tried |= {backend.endpoint_id}
-                self._decide(work, progress, failure)
+                self._decide(work, progress, failure, may_retry)
                 self._observer.on_resumed(backend, work, failure.code)
 
-    def _choose(self, work: Work, progress: _Progress) -> Backend:
-        now_ms = self._clock.now_ms()
+    def _isolation(self, work: Work) -> Isolation:
         verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
         if verdict.isolation is Isolation.REFUSED:
             raise verdict.error()
+        return verdict.isolation
+
+    def _choose(self, work: Work, progress: _Progress, isolation: Isolation) -> Backend:
+        now_ms = self._clock.now_ms()
         backends = self._directory.pool(work.entry.pool)
         request = RouteRequest(
             zone=self._zone,
             prefix_digest=work.prefix_digest,
             tried=progress.tried,
-            isolation=verdict.isolation,
+            isolation=isolation,
         )
         views = [backend.view(now_ms) for backend in backends]
         chosen = self._router.choose(request, views, now_ms)
@@ -244,7 +269,11 @@
             backend.breaker.on_failure(self._clock.now_ms())
 
     async def _check_death(
-        self, work: Work, backend: Backend, failure: FoxtailbankError
+        self,
+        work: Work,
+        backend: Backend,
+        failure: FoxtailbankError,
+        isolation: Isolation,
     ) -> None:
         if isinstance(failure, EndpointStalled | EndpointRefused):
             return
@@ -254,29 +283,37 @@
             await backend.service.load()
         except EndpointRefused:
             backend.breaker.on_death(self._clock.now_ms())
-            self._observer.on_death(backend, work)
+            exclusive = isolation is Isolation.EXCLUSIVE
+            self._observer.on_death(backend, work, exclusive)
         except EndpointFailed:
             return
 
     def _decide(
-        self, work: Work, progress: _Progress, failure: FoxtailbankError
+        self,
+        work: Work,
+        progress: _Progress,
+        failure: FoxtailbankError,
+        may_retry: bool,
     ) -> None:
         if not work.idempotent and progress.may_have_run:
             raise OutcomeUnknown(
                 detail=f"the call may have run: {failure.detail}"
             ) from failure
         now_ms = self._clock.now_ms()
-        exhausted = len(progress.tried) >= MAX_ATTEMPTS
+        exhausted = not may_retry or len(progress.tried) >= MAX_ATTEMPTS
         if exhausted or not self._retry_budget.try_retry(now_ms):
             failure.ran = progress.ran
             failure.retry_after_ms = failure.retry_after_ms or FAILED_RETRY_MS
             raise failure
 
+    def _is_suspect(self, work: Work) -> bool:
+        verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
+        return verdict.isolation is not Isolation.NONE
+
     @contextlib.contextmanager
     def _counted(self, work: Work, backend: Backend) -> t.Iterator[None]:
         now_ms = self._clock.now_ms()
-        verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
-        suspect = verdict.isolation is not Isolation.NONE
+        suspect = self._is_suspect(work)
         backend.breaker.on_dispatch(now_ms)
         self._observer.on_dispatch(backend, work)
         self._add(work, backend, 1, suspect)
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -2,47 +2,49 @@
 
 import functools
 import random
-import secrets
 import typing as t
 
 import anyio
 import anyio.abc
 
+from foxtailbank import peer_messages as pm
 from foxtailbank.admin_api import AdminApi
 from foxtailbank.admission import Admission
 from foxtailbank.app import App
 from foxtailbank.backend import Backend
-from foxtailbank.catalogue import Catalogue
-from foxtailbank.catalogue_events import CatalogueEvent, EntryChanged
-from foxtailbank.catalogue_records import STREAM as CATALOGUE_STREAM
-from foxtailbank.catalogue_records import decode_envelope
-from foxtailbank.catalogue_writer import CatalogueWriter
+from foxtailbank.batch_api import BatchApi
+from foxtailbank.batch_runner import BatchRunner
+from foxtailbank.catalogue_service import CatalogueService
 from foxtailbank.clock import Clock
+from foxtailbank.connector import Connector
 from foxtailbank.directory import Directory
-from foxtailbank.dispatcher import Dispatcher, DispatchObserver
-from foxtailbank.endpoint import Endpoint, PlainService
+from foxtailbank.dispatcher import Dispatcher
+from foxtailbank.endpoint import Endpoint
 from foxtailbank.events import Event
 from foxtailbank.exceptions import EndpointFailed, EndpointRefused
+from foxtailbank.fleet_observer import FleetObserver
+from foxtailbank.fleet_placement import FleetPlacement
 from foxtailbank.health_api import HealthApi
-from foxtailbank.http_endpoint import HttpEndpoint
+from foxtailbank.heartbeat_writer import OwnState
 from foxtailbank.http_log import HttpLogService
-from foxtailbank.http_service import HttpPlainService
 from foxtailbank.http_vm_list import HttpVmList
-from foxtailbank.limit_shares import share_of
-from foxtailbank.log_service import LogRecord
-from foxtailbank.log_tailer import LogTailer, ResyncFailed
+from foxtailbank.keyed_calls import KeyedCalls
+from foxtailbank.ledger_service import LedgerService
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.membership_actions import MemberDead, MemberJoined, MembershipAction
 from foxtailbank.models_api import ModelsApi
 from foxtailbank.online import OnlineHandler
+from foxtailbank.peering import Peering
 from foxtailbank.quarantine import Quarantine
+from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
 from foxtailbank.tasks import every
-from foxtailbank.vm_list import Vm, VmRole
 
-INCARNATION_BYTES = 6
+PLACEMENT_PERIOD_MS = 250
+QUARANTINE_PERIOD_MS = 5_000
 
 
 class EntryVm:
@@ -67,41 +69,66 @@
         self._clock = clock
         self._logs = logs
         self._rng = rng
-        vm = settings.vm
-        self.incarnation = f"{vm.id}-{secrets.token_hex(INCARNATION_BYTES)}"
-        self._log = HttpLogService(
+        started_ms = clock.wall_ms()
+        self.incarnation = f"{settings.vm.id}@{started_ms}"
+        log = HttpLogService(
             address=settings.platform.log_address,
             timeout_ms=settings.timing.log_append_timeout_ms,
         )
         self._vm_list = HttpVmList(address=settings.platform.vm_list_address)
-        self.directory = Directory(factory=self._connect)
-        self.catalogue = Catalogue()
-        self._catalogue_writer = CatalogueWriter(
-            log=self._log, incarnation=self.incarnation
-        )
-        self._catalogue_tailer = LogTailer(
-            log=self._log,
-            stream=CATALOGUE_STREAM,
-            apply=self._apply_catalogue,
-            resync=_no_snapshot,
-            clock=clock,
-            rng=rng,
-            wait_ms=settings.timing.log_wait_ms,
+        self.directory = Directory(
+            factory=Connector(timing=settings.timing, logs=logs).connect
         )
+        self._placement = FleetPlacement(directory=self.directory)
         self._admission = Admission()
         self._quarantine = Quarantine(quarantine_ttl_ms=settings.timing.quarantine_ms)
-        self._dispatcher = self._make_dispatcher()
-        self.online = OnlineHandler(
+        self._catalogue = CatalogueService(
+            log=log,
             clock=clock,
-            settings=settings,
-            catalogue=self.catalogue,
+            rng=rng,
+            incarnation=self.incarnation,
+            timing=settings.timing,
             admission=self._admission,
-            dispatcher=self._dispatcher,
             logs=logs,
         )
+        self._ledger = LedgerService(
+            log=log,
+            clock=clock,
+            rng=rng,
+            incarnation=self.incarnation,
+            timing=settings.timing,
+        )
+        self._peering = Peering(
+            settings=settings,
+            clock=clock,
+            rng=rng,
+            secret=read_secret(settings.peers.secret_file),
+            started_ms=started_ms,
+            on_change=self._on_member,
+        )
+        self._exchange = QuarantineExchange(
+            clock=clock, quarantine=self._quarantine, peering=self._peering, logs=logs
+        )
+        self._observer = self._make_observer()
+        self._dispatcher = self._make_dispatcher()
+        self._runner = self._make_runner()
+        self._observer.runner = self._runner
+        self._handle_peers()
+        self.online = self._make_online()
         self.health = HealthApi(is_ready=self.is_ready)
         self.app = self._make_app()
 
+    def _make_observer(self) -> FleetObserver:
+        return FleetObserver(
+            clock=self._clock,
+            vm_id=self._settings.vm.id,
+            placement=self._placement,
+            peering=self._peering,
+            quarantine=self._quarantine,
+            exchange=self._exchange,
+            logs=self._logs,
+        )
+
     def _make_dispatcher(self) -> Dispatcher:
         least_loaded = LeastLoadedRouter(rng=self._rng)
         return Dispatcher(
@@ -111,24 +138,72 @@
             router=PrefixAffinityRouter(fallback=least_loaded),
             quarantine=self._quarantine,
             retry_budget=RetryBudget(),
-            observer=DispatchObserver(),
+            observer=self._observer,
+        )
+
+    def _make_runner(self) -> BatchRunner:
+        limits = self._settings.limits
+        return BatchRunner(
+            clock=self._clock,
+            vm_id=self._settings.vm.id,
+            catalogue=self._catalogue.catalogue,
+            directory=self.directory,
+            dispatcher=self._dispatcher,
+            service=self._ledger,
+            logs=self._logs,
+            may_start=self._may_start_batch,
+            max_buffer_bytes=limits.result_buffer_bytes,
+            max_in_flight=limits.batch_in_flight,
+        )
+
+    def _make_online(self) -> OnlineHandler:
+        keyed_calls = KeyedCalls(
+            clock=self._clock, service=self._ledger, dispatch=self._dispatcher.run
+        )
+        return OnlineHandler(
+            clock=self._clock,
+            settings=self._settings,
+            catalogue=self._catalogue.catalogue,
+            admission=self._admission,
+            dispatcher=self._dispatcher,
+            keyed_calls=keyed_calls,
+            logs=self._logs,
         )
 
     def _make_app(self) -> App:
+        catalogue = self._catalogue.catalogue
         admin = AdminApi(
             clock=self._clock,
             key=read_secret(self._settings.admin.key_file).decode(),
-            catalogue=self.catalogue,
-            writer=self._catalogue_writer,
+            catalogue=catalogue,
+            writer=self._catalogue.writer,
             directory=self.directory,
         )
-        models = ModelsApi(catalogue=self.catalogue)
-        routes = [*self.health.routes(), *models.routes(), *admin.routes()]
+        models = ModelsApi(catalogue=catalogue)
+        batches = BatchApi(
+            clock=self._clock,
+            catalogue=catalogue,
+            service=self._ledger,
+            logs=self._logs,
+            on_cancelled=self._tell_cancelled,
+        )
+        routes = [
+            *self.health.routes(),
+            *models.routes(),
+            *batches.routes(),
+            *admin.routes(),
+        ]
         return App(online=self.online, routes=routes)
 
+    def _handle_peers(self) -> None:
+        handlers = self._peering.handlers
+        handlers.on_notice(pm.OnlineDispatched, self._on_online_dispatched)
+        handlers.on_notice(pm.CancelNotice, self._on_cancel_notice)
+        handlers.on_notice(pm.Report, self._on_report)
+
     def is_ready(self) -> bool:
         """Return whether this VM has what it needs to serve."""
-        has_catalogue = self._catalogue_tailer.fresh_at_ms is not None
+        has_catalogue = self._catalogue.tailer.fresh_at_ms is not None
         return has_catalogue and bool(self.directory.backends_by_id)
 
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -140,11 +215,21 @@
             Runs the work until it is cancelled.
         """
         timing = self._settings.timing
-        tasks.start_soon(self._catalogue_tailer.run)
-        self._start_every(tasks, timing.vm_list_period_ms, self._read_vms, "vm_list")
-        self._start_every(tasks, timing.load_period_ms, self._read_loads, "load")
+        self._catalogue.start(tasks)
+        self._ledger.start(tasks)
+        tasks.start_soon(self._peering.run)
+        tasks.start_soon(self._runner.run)
+        self._every(tasks, timing.vm_list_period_ms, self._read_vms, "vm_list")
+        self._every(tasks, timing.load_period_ms, self._read_loads, "load")
+        self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
+        self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
+
+    async def hand_over(self) -> None:
+        """Record finished batch work and leave the fleet, before the end."""
+        await self._peering.leave()
+        await self._runner.stop()
 
-    def _start_every(
+    def _every(
         self,
         tasks: anyio.abc.TaskGroup,
         period_ms: int,
@@ -155,10 +240,11 @@
         tasks.start_soon(run)
 
     async def _read_vms(self) -> None:
-        gone = self.directory.apply(await self._vm_list.read())
-        for backend in gone:
+        vms = await self._vm_list.read()
+        for backend in self.directory.apply(vms):
             fields = LogFields(endpoint=backend.endpoint_id, reason="not_listed")
             self._logs.write(Event.ENDPOINT_LOST, fields=fields)
+        self._peering.listed(vms)
 
     async def _read_loads(self) -> None:
         async with anyio.create_task_group() as tasks:
@@ -177,41 +263,44 @@
             return
         backend.breaker.on_success()
         backend.take_report(report, self._clock.now_ms())
+        self._runner.on_report(backend)
 
-    def _connect(self, vm: Vm) -> PlainService:
-        self._logs.write(Event.ENDPOINT_JOINED, fields=LogFields(endpoint=vm.vm_id))
-        timing = self._settings.timing
-        bounds: dict[str, t.Any] = {
-            "address": vm.address,
-            "connect_ms": timing.connect_timeout_ms,
-            "head_ms": timing.first_chunk_timeout_ms,
-            "first_chunk_ms": timing.first_chunk_timeout_ms,
-            "stall_ms": timing.chunk_timeout_ms,
-        }
-        if vm.role is VmRole.ENGINE:
-            return HttpEndpoint(**bounds)
-        return HttpPlainService(**bounds)
-
-    def _apply_catalogue(self, record: LogRecord) -> None:
-        events = self.catalogue.apply(record.offset, decode_envelope(record.data))
-        self._catalogue_writer.applied(events)
-        for event in events:
-            self._note_catalogue(event)
-
-    def _note_catalogue(self, event: CatalogueEvent) -> None:
-        if not isinstance(event, EntryChanged):
-            return
-        key = f"entry:{event.name}"
-        if event.entry is None:
-            self._admission.remove(key)
-        else:
-            share = share_of(event.entry.limits)
-            self._admission.set_share(key, share, self._clock.now_ms())
-        self._logs.write(
-            Event.CATALOGUE_CHANGED,
-            fields=LogFields(entry=event.name, version=event.version),
+    async def _refresh(self) -> None:
+        if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
+            self._runner.place(self._placement.placements_by_pool)
+        state = OwnState(
+            catalogue_offset=self._catalogue.catalogue.applied_offset,
+            ledger_offset=self._ledger.ledger.next_offset - 1,
         )
+        self._peering.set_own_state(state)
+
+    async def _spread_marks(self) -> None:
+        self._exchange.spread_all()
+
+    def _may_start_batch(self) -> bool:
+        bound_ms = self._settings.timing.batch_view_ms
+        age_ms = self._ledger.tailer.age_ms()
+        if age_ms is not None and age_ms <= bound_ms:
+            return True
+        return self._peering.has_contact_with_all(within_ms=bound_ms)
+
+    def _tell_cancelled(self, job_id: str) -> None:
+        self._peering.tell_all(pm.CancelNotice(job_id=job_id))
+
+    def _on_online_dispatched(self, peer_id: str, notice: pm.OnlineDispatched) -> None:
+        self._runner.on_online(notice.endpoint_id, notice.count)
+
+    def _on_cancel_notice(self, peer_id: str, notice: pm.CancelNotice) -> None:
+        self._runner.hold_job(notice.job_id)
 
+    def _on_report(self, peer_id: str, report: pm.Report) -> None:
+        if report.name == REPORT_NAME:
+            self._exchange.received(report.content)
 
-async def _no_snapshot(next_offset: int) -> int:
-    raise ResyncFailed(detail=f"no snapshot beyond offset {next_offset}")
+    def _on_member(self, action: MembershipAction) -> None:
+        if isinstance(action, MemberJoined):
+            fields = LogFields(peer=action.record.vm_id)
+            self._logs.write(Event.PEER_JOINED, fields=fields)
+        elif isinstance(action, MemberDead):
+            fields = LogFields(peer=action.record.vm_id)
+            self._logs.write(Event.PEER_LOST, fields=fields)
--- /dev/null
+++ b/src/foxtailbank/fleet_observer.py
@@ -0,0 +1,109 @@
+"""What the fleet is told of dispatches on this VM."""
+
+from foxtailbank import peer_messages as pm
+from foxtailbank.backend import Backend
+from foxtailbank.batch_runner import BatchRunner
+from foxtailbank.clock import Clock
+from foxtailbank.dispatcher import DispatchObserver
+from foxtailbank.events import Event
+from foxtailbank.fleet_placement import FleetPlacement
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.peering import Peering
+from foxtailbank.quarantine import Quarantine
+from foxtailbank.quarantine_exchange import QuarantineExchange
+from foxtailbank.work import Work
+
+
+class FleetObserver(DispatchObserver):
+    """Tells batch owners of online requests, and all VMs of deaths.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    vm_id : str
+        This VM.
+    placement : FleetPlacement
+        Batch owner of each endpoint.
+    peering : Peering
+        Sends notices.
+    quarantine : Quarantine
+        Requests that took down endpoints.
+    exchange : QuarantineExchange
+        Passes its marks on.
+    logs : Logs
+        Takes a line for each resumption.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        vm_id: str,
+        placement: FleetPlacement,
+        peering: Peering,
+        quarantine: Quarantine,
+        exchange: QuarantineExchange,
+        logs: Logs,
+    ) -> None:
+        self._clock = clock
+        self._vm_id = vm_id
+        self._placement = placement
+        self._peering = peering
+        self._quarantine = quarantine
+        self._exchange = exchange
+        self._logs = logs
+        self.runner: BatchRunner | None = None
+
+    def on_dispatch(self, backend: Backend, work: Work) -> None:
+        """Tell the batch owner before the first byte is sent."""
+        if not work.batch and work.for_engine:
+            self._tell_owner(backend, 1)
+
+    def on_end(self, backend: Backend, work: Work) -> None:
+        """Tell the batch owner that an online request left."""
+        if not work.batch and work.for_engine:
+            self._tell_owner(backend, -1)
+
+    def on_chunk_gap(self, backend: Backend, work: Work, gap_ms: int) -> None:
+        """Let the batch limit learn from the gap."""
+        limit = self.runner.limit_of(backend.endpoint_id) if self.runner else None
+        if limit is not None:
+            limit.on_token_gap(gap_ms, self._clock.now_ms())
+
+    def on_death(self, backend: Backend, work: Work, exclusive: bool) -> None:
+        """Mark what was in flight and tell all VMs."""
+        now_ms = self._clock.wall_ms()
+        marks = self._quarantine.on_death(
+            death_id=backend.death_id(now_ms),
+            in_flight=(work.fingerprint,),
+            exclusive=exclusive,
+            now_ms=now_ms,
+        )
+        self._exchange.spread(marks)
+        fields = LogFields(endpoint=backend.endpoint_id, request_id=work.request_id)
+        self._logs.write(Event.ENDPOINT_LOST, fields=fields)
+
+    def on_complete(self, backend: Backend, work: Work) -> None:
+        """Clear a request that was suspect and completed."""
+        marks = self._quarantine.on_complete(work.fingerprint, self._clock.wall_ms())
+        if marks:
+            self._exchange.spread(marks)
+
+    def on_resumed(self, backend: Backend, work: Work, reason: str) -> None:
+        """Write a line."""
+        fields = LogFields(
+            request_id=work.request_id,
+            entry=work.entry.name,
+            endpoint=backend.endpoint_id,
+            reason=reason,
+        )
+        self._logs.write(Event.STREAM_RESUMED, fields=fields)
+
+    def _tell_owner(self, backend: Backend, change: int) -> None:
+        owner = self._placement.owner_of(backend)
+        if owner == self._vm_id and self.runner is not None:
+            self.runner.on_online(backend.endpoint_id, change)
+        elif owner:
+            notice = pm.OnlineDispatched(endpoint_id=backend.endpoint_id, count=change)
+            self._peering.tell(owner, notice)
--- /dev/null
+++ b/src/foxtailbank/fleet_placement.py
@@ -0,0 +1,78 @@
+"""Which VM drives batch work on which endpoint, from live views."""
+
+import typing as t
+
+from foxtailbank import peer_messages as pm
+from foxtailbank.backend import Backend
+from foxtailbank.breaker import BreakerState
+from foxtailbank.directory import Directory
+from foxtailbank.ownership import Candidate, Placement
+from foxtailbank.sentinels import Missing
+
+FIRST_CAPACITY = 8
+
+
+class FleetPlacement:
+    """Placement by pool, made anew when the live views change.
+
+    Parameters
+    ----------
+    directory : Directory
+        Known endpoints.
+
+    Attributes
+    ----------
+    placements_by_pool : dict of str to Placement
+        Present placement of each model or service.
+    """
+
+    def __init__(self, *, directory: Directory) -> None:
+        self._directory = directory
+        self._seen: tuple[t.Any, ...] = ()
+        self.placements_by_pool: dict[str, Placement] = {}
+
+    def refresh(self, members: t.Iterable[pm.MemberRecord], now_ms: int) -> bool:
+        """Look at the live views; return whether the placement changed.
+
+        Parameters
+        ----------
+        members : iterable of MemberRecord
+            Live entry VMs, this one included.
+        now_ms : int
+            Present time in milliseconds.
+        """
+        vms = tuple(Candidate(candidate_id=one.vm_id, zone=one.zone) for one in members)
+        endpoints_by_pool = {
+            pool: tuple(
+                candidate_of(backend)
+                for backend in self._directory.pool(pool)
+                if _is_live(backend, now_ms)
+            )
+            for pool in self._directory.pools()
+        }
+        seen = (vms, tuple(sorted(endpoints_by_pool.items())))
+        if seen == self._seen:
+            return False
+        self._seen = seen
+        self.placements_by_pool = {
+            pool: Placement(endpoints=endpoints, vms=vms)
+            for pool, endpoints in endpoints_by_pool.items()
+        }
+        return True
+
+    def owner_of(self, backend: Backend) -> str:
+        """Return the VM that drives batch work on an endpoint; empty if none."""
+        placement = self.placements_by_pool.get(backend.vm.pool)
+        if placement is None:
+            return ""
+        owner = placement.owner_of_endpoint(candidate_of(backend))
+        return "" if isinstance(owner, Missing) else owner.candidate_id
+
+
+def candidate_of(backend: Backend) -> Candidate:
+    """Return an endpoint as a candidate for chunks."""
+    return Candidate(candidate_id=backend.endpoint_id, zone=backend.vm.zone)
+
+
+def _is_live(backend: Backend, now_ms: int) -> bool:
+    return not backend.draining and backend.health(now_ms) is not BreakerState.OPEN
--- a/src/foxtailbank/heartbeat.py
+++ b/src/foxtailbank/heartbeat.py
@@ -43,6 +43,7 @@
         self._secret = secret
         self._on_change = on_change
         self._socket: anyio.abc.UDPSocket | None = None
+        self._sending = anyio.Lock()
         self.rejected_count = 0
 
     async def run(
@@ -104,8 +105,9 @@
         except exceptions.FrameTooLarge:
             logger.exception("heartbeat exceeds the bound on datagrams")
             return
-        with contextlib.suppress(OSError, anyio.ClosedResourceError):
-            await self._socket.sendto(datagram, host, int(port))
+        async with self._sending:
+            with contextlib.suppress(OSError, anyio.ClosedResourceError):
+                await self._socket.sendto(datagram, host, int(port))
 
 
 async def open_socket(*, host: str, port: int) -> anyio.abc.UDPSocket:
--- /dev/null
+++ b/src/foxtailbank/ledger_service.py
@@ -0,0 +1,129 @@
+"""The ledger of one entry VM: replay, writer and payloads on the log."""
+
+import random
+import typing as t
+
+import anyio.abc
+
+from foxtailbank.clock import Clock
+from foxtailbank.ledger import Ledger
+from foxtailbank.ledger_events import LedgerEvent
+from foxtailbank.ledger_replay import LedgerReplay
+from foxtailbank.ledger_resync import LedgerResync, LogSnapshotSource
+from foxtailbank.log_service import LogService
+from foxtailbank.log_tailer import LogTailer
+from foxtailbank.log_writer import LogWriter
+from foxtailbank.payload_store import PayloadStore
+from foxtailbank.records import AnyEntry, Envelope
+from foxtailbank.settings_sections import TimingSection
+from foxtailbank.snapshot_store import SnapshotStore
+
+LEDGER_STREAM = "ledger"
+PAYLOAD_STREAM = "payload"
+LINGER_MS = 200
+MAX_RECORD_BYTES = 256 * 1024
+
+
+class LedgerService:
+    """Keeps the replay running and appends this VM's entries.
+
+    Parameters
+    ----------
+    log : LogService
+        The platform's log.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Spreads pauses.
+    incarnation : str
+        This run of this VM.
+    timing : TimingSection
+        Time limits.
+
+    Attributes
+    ----------
+    replay : LedgerReplay
+        Tells listeners what changed.
+    writer : LogWriter
+        Appends entries.
+    payloads : PayloadStore
+        Inputs and results.
+    snapshots : SnapshotStore
+        Snapshots in the log.
+    tailer : LogTailer
+        Follows the stream.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        clock: Clock,
+        rng: random.Random,
+        incarnation: str,
+        timing: TimingSection,
+    ) -> None:
+        self.incarnation = incarnation
+        self.replay = LedgerReplay(ledger=Ledger())
+        self.writer = LogWriter(
+            log=log,
+            stream=LEDGER_STREAM,
+            incarnation=incarnation,
+            clock=clock,
+            rng=rng,
+            linger_ms=LINGER_MS,
+            max_bytes=MAX_RECORD_BYTES,
+            attempt_timeout_ms=timing.log_append_timeout_ms,
+        )
+        self.payloads = PayloadStore(log=log, stream=PAYLOAD_STREAM, rng=rng)
+        self.snapshots = SnapshotStore(
+            log=log, ledger_stream=LEDGER_STREAM, payloads=self.payloads
+        )
+        self.tailer = LogTailer(
+            log=log,
+            stream=LEDGER_STREAM,
+            apply=self.replay.apply,
+            resync=LedgerResync(
+                replay=self.replay, sources=[LogSnapshotSource(store=self.snapshots)]
+            ),
+            clock=clock,
+            rng=rng,
+            wait_ms=timing.log_wait_ms,
+        )
+        self._append_timeout_ms = timing.log_append_timeout_ms
+        self.replay.listen(self._applied)
+        self.replay.listen_for_replacement(self._replaced)
+
+    @property
+    def ledger(self) -> Ledger:
+        """State that follows from the records applied."""
+        return self.replay.ledger
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start following and appending."""
+        tasks.start_soon(self.tailer.run)
+        tasks.start_soon(self.writer.run)
+
+    async def append(
+        self,
+        entry: AnyEntry,
+        *,
+        on_late: t.Callable[[tuple[LedgerEvent, ...]], None] | None = None,
+    ) -> tuple[LedgerEvent, ...]:
+        """Append an entry and wait for this VM's own verdict on it.
+
+        Raises
+        ------
+        LogUnavailable
+            No verdict came in time; ``ran`` tells whether it may still take effect.
+        """
+        return await self.writer.append(
+            entry, timeout_ms=self._append_timeout_ms, on_late=on_late
+        )
+
+    def _applied(self, envelope: Envelope, events: tuple[LedgerEvent, ...]) -> None:
+        self.writer.applied(envelope.incarnation, envelope.sequence, events)
+
+    def _replaced(self, ledger: Ledger) -> None:
+        last = ledger.sequences_by_incarnation.get(self.incarnation, 0)
+        self.writer.resynchronised(last)
--- a/src/foxtailbank/online.py
+++ b/src/foxtailbank/online.py
@@ -5,7 +5,6 @@
 import typing as t
 
 import anyio
-import xxhash
 
 from foxtailbank.admission import Admission, Admit, Refusal
 from foxtailbank.asgi import Receive, Scope, Send, header, read_body
@@ -25,16 +24,17 @@
 )
 from foxtailbank.headers import Headers, strip_hop_by_hop
 from foxtailbank.http_sink import HttpSink
+from foxtailbank.keyed_calls import CallKey, KeyedCalls
 from foxtailbank.logs import LogFields, Logs
-from foxtailbank.quarantine import Fingerprint
 from foxtailbank.settings import Settings
 from foxtailbank.settings_sections import LogLevel
-from foxtailbank.work import Work
+from foxtailbank.work import Work, fingerprint_of
 
 SERVICES_PREFIX = "/v1/services/"
 ENGINE_HEADERS = frozenset(("content-type", "accept", "traceparent"))
 OWN_HEADERS = frozenset(("host", "authorization", "content-length", "x-request-id"))
 MAX_ID_CHARS = 128
+MAX_KEY_CHARS = 256
 
 
 class OnlineHandler:
@@ -52,6 +52,8 @@
         Limits of owners and entries.
     dispatcher : Dispatcher
         Runs what is admitted.
+    keyed_calls : KeyedCalls
+        Runs keyed calls that must not be repeated.
     logs : Logs
         Takes a line for each outcome.
     """
@@ -64,6 +66,7 @@
         catalogue: Catalogue,
         admission: Admission,
         dispatcher: Dispatcher,
+        keyed_calls: KeyedCalls,
         logs: Logs,
     ) -> None:
         self._clock = clock
@@ -71,6 +74,7 @@
         self._catalogue = catalogue
         self._admission = admission
         self._dispatcher = dispatcher
+        self._keyed_calls = keyed_calls
         self._logs = logs
         self.in_flight = 0
 
@@ -85,7 +89,8 @@
             body = await read_body(receive, max_bytes=self._settings.limits.body_bytes)
             work = self._work(scope, body, request_id, started_ms)
             with self._admitted(work):
-                await self._run(work, sink, receive)
+                key = header(scope, b"idempotency-key")
+                await self._run(work, sink, receive, key)
             self._note(Event.CALL_FINISHED, work, request_id, started_ms, sink.status)
         except FoxtailbankError as failure:
             event = Event.CALL_FAILED if sink.started else Event.CALL_REFUSED
@@ -97,7 +102,9 @@
         finally:
             self.in_flight -= 1
 
-    async def _run(self, work: Work, sink: HttpSink, receive: Receive) -> None:
+    async def _run(
+        self, work: Work, sink: HttpSink, receive: Receive, key: str
+    ) -> None:
         async def watch() -> None:
             while (await receive())["type"] != "http.disconnect":
                 pass
@@ -107,7 +114,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch)
             try:
-                await self._dispatcher.run(work, sink)
+                await self._dispatch(work, sink, key)
                 outcome = None
                 await sink.finish()
             except FoxtailbankError as failure:
@@ -116,6 +123,17 @@
         if outcome is not None:
             raise outcome
 
+    async def _dispatch(self, work: Work, sink: HttpSink, key: str) -> None:
+        if work.idempotent or not key:
+            await self._dispatcher.run(work, sink)
+            return
+        if len(key) > MAX_KEY_CHARS:
+            raise InvalidRequest(detail="`Idempotency-Key` is too long")
+        call = CallKey(owner=work.entry.owner, key=key, digest=work.fingerprint.digest)
+        # The answer is recorded for a resend even if the caller has gone.
+        with anyio.CancelScope(shield=True):
+            await self._keyed_calls.run(call, work, sink)
+
     def _work(self, scope: Scope, body: bytes, request_id: str, now_ms: int) -> Work:
         caller = authenticate(scope, self._catalogue)
         path = scope["path"]
@@ -221,11 +239,6 @@
     return secrets.token_hex(8)
 
 
-def fingerprint_of(owner: str, content: bytes) -> Fingerprint:
-    """Return the identity of a request over all its repetitions."""
-    return Fingerprint(owner=owner, digest=xxhash.xxh64_hexdigest(content))
-
-
 def deadline_ms(scope: Scope, entry: Entry) -> int:
     """Return how long a call may take, in milliseconds.
 
--- /dev/null
+++ b/src/foxtailbank/open_chunk.py
@@ -0,0 +1,141 @@
+"""A chunk of a batch job while this VM runs its items."""
+
+import collections
+import dataclasses
+import typing as t
+
+from foxtailbank.completion_collector import CompletionCollector
+from foxtailbank.item_set import ItemRange, ranges_of
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FinishedItems:
+    """Results that are ready to be recorded.
+
+    Attributes
+    ----------
+    positions : tuple of int
+        Positions in the chunk, ascending.
+    body : bytes
+        Their lines, joined by line feeds.
+    items, failed : tuple of ItemRange
+        The same positions, and those of them that are failures, as ranges.
+    """
+
+    positions: tuple[int, ...]
+    body: bytes
+    items: tuple[ItemRange, ...]
+    failed: tuple[ItemRange, ...]
+
+
+class OpenChunk:
+    """Items of one chunk by how they stand on this VM.
+
+    Parameters
+    ----------
+    job_id : str
+        The job.
+    index : int
+        Number of the chunk in the job.
+    owner : str
+        Owner of the job.
+    lines : sequence of bytes
+        Input lines.
+    open_bitmap : int
+        Items that nobody has ended or claimed.
+
+    Attributes
+    ----------
+    pending : deque of int
+        Positions that wait to be run.
+    running : set of int
+        Positions in flight.
+    attempts_by_position : Counter of int
+        Attempts that may have run.
+    partial_by_position : dict of int to CompletionCollector
+        Output kept from attempts that were cut off.
+    """
+
+    def __init__(
+        self,
+        *,
+        job_id: str,
+        index: int,
+        owner: str,
+        lines: t.Sequence[bytes],
+        open_bitmap: int,
+    ) -> None:
+        self.job_id = job_id
+        self.index = index
+        self.owner = owner
+        self.lines = lines
+        self.pending = collections.deque(
+            position for position in range(len(lines)) if open_bitmap >> position & 1
+        )
+        self.running: set[int] = set()
+        self.attempts_by_position: collections.Counter[int] = collections.Counter()
+        self.partial_by_position: dict[int, CompletionCollector] = {}
+        self._results_by_position: dict[int, bytes] = {}
+        self._failed: set[int] = set()
+        self._recording = 0
+        self.buffered_bytes = 0
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Job and number of the chunk."""
+        return (self.job_id, self.index)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is left to run or to record."""
+        busy = self.pending or self.running or self._results_by_position
+        return not busy and not self._recording
+
+    @property
+    def drained(self) -> bool:
+        """Whether all items have run and only recording is left."""
+        return not self.pending and not self.running
+
+    def finish(self, position: int, line: bytes, *, failed: bool) -> int:
+        """Keep an item's result line; return its size in bytes."""
+        self.running.discard(position)
+        self.partial_by_position.pop(position, None)
+        self._results_by_position[position] = line
+        self.buffered_bytes += len(line)
+        if failed:
+            self._failed.add(position)
+        return len(line)
+
+    def give_back(self, position: int, partial: CompletionCollector | None) -> None:
+        """Put an item that was cut off back, with the output it has so far."""
+        self.running.discard(position)
+        if partial is not None and partial.next_index:
+            self.partial_by_position[position] = partial
+        self.pending.appendleft(position)
+
+    def drop(self, bitmap: int) -> None:
+        """Forget items that ended elsewhere."""
+        self.pending = collections.deque(
+            position for position in self.pending if not bitmap >> position & 1
+        )
+
+    def take_results(self) -> FinishedItems | None:
+        """Return what is ready to be recorded, once; None if there is nothing."""
+        if not self._results_by_position:
+            return None
+        positions = tuple(sorted(self._results_by_position))
+        body = b"\n".join(self._results_by_position[p] for p in positions)
+        failed = sum(1 << p for p in positions if p in self._failed)
+        self._results_by_position = {}
+        self._recording += 1
+        self.buffered_bytes = 0
+        return FinishedItems(
+            positions=positions,
+            body=body,
+            items=ranges_of(sum(1 << position for position in positions)),
+            failed=ranges_of(failed),
+        )
+
+    def recorded(self) -> None:
+        """Take note that results taken before are in the ledger."""
+        self._recording -= 1
--- a/src/foxtailbank/peer.capnp
+++ b/src/foxtailbank/peer.capnp
@@ -105,7 +105,7 @@
   digest @4 :UInt64;
   content @5 :Data;
 }
-struct OnlineDispatched { endpointId @0 :Text; count @1 :UInt32; }
+struct OnlineDispatched { endpointId @0 :Text; count @1 :Int32; }
 struct QuarantineMark { fingerprint @0 :Text; remainingMs @1 :UInt32; reason @2 :Text; }
 struct DrainNotice { endpointId @0 :Text; remainingMs @1 :UInt32; }
 struct ShareRequest {
--- a/src/foxtailbank/peer_messages.py
+++ b/src/foxtailbank/peer_messages.py
@@ -287,7 +287,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class OnlineDispatched(PeerMessage):
-    """Tells an endpoint's batch owner that online requests went to it."""
+    """Tells an endpoint's batch owner of online requests on it.
+
+    Attributes
+    ----------
+    endpoint_id : str
+        The endpoint.
+    count : int
+        Requests that went to it; negative for those that left it.
+    """
 
     endpoint_id: str
     count: int
--- a/src/foxtailbank/work.py
+++ b/src/foxtailbank/work.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import xxhash
+
 from foxtailbank.endpoint import EndpointCall
 from foxtailbank.entry import Entry, Kind
 from foxtailbank.quarantine import Fingerprint
@@ -78,3 +80,8 @@
             resume_at=resume_at,
             fresh=not self.idempotent,
         )
+
+
+def fingerprint_of(owner: str, content: bytes) -> Fingerprint:
+    """Return the identity of a request over all its repetitions."""
+    return Fingerprint(owner=owner, digest=xxhash.xxh64_hexdigest(content))
