Test the engine's cost model through its load report

Need: experiments rest on the step time, and no test tied it to the options. Change: a table of prompts, cached prefixes and resumptions against the step time that the engine reports.

--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -186,6 +186,28 @@
         assert await server.control.journal() == []
 
 
+@pytest.mark.parametrize(
+    ("prompts", "resume_at", "wanted_ms"),
+    [
+        ([""], 0, 13),
+        (["x" * BLOCK_BYTES], 0, 13 + 6.4),
+        (["x" * BLOCK_BYTES, "x" * BLOCK_BYTES], 0, 13),
+        (["x" * BLOCK_BYTES, "x" * BLOCK_BYTES + "y" * 40], 0, 13 + 1),
+        ([""], 30, 13 + 3),
+    ],
+)
+async def test_step_takes_base_streams_and_uncached_tokens(
+    prompts, resume_at, wanted_ms
+):
+    rates = EngineRates(base_step_ms=10, per_stream_ms=3, prefill_us_per_token=100)
+    async with engine(rates=rates) as server:
+        for prompt in prompts:
+            fields = {"prompt": prompt, "max_tokens": resume_at + 1}
+            await server.endpoint.call(call(resume_at=resume_at, **fields))
+        report = await server.endpoint.load()
+    assert report.step_ms == pytest.approx(wanted_ms)
+
+
 async def test_full_queue_admits_nothing_until_a_place_is_free():
     rates = EngineRates(base_step_ms=20, max_running=1, max_waiting=0)
     async with engine(rates=rates) as server:
