Refuse requests that HTTP can't carry with a type of their own

Cause: an illegal header or path ended as EndpointFailed with an unknown outcome though nothing had been sent, and one outside Latin-1 as an untyped error. Change: both are InvalidRequest, not run.

--- a/src/foxtailbank/http_channel.py
+++ b/src/foxtailbank/http_channel.py
@@ -164,6 +164,8 @@
 
         Raises
         ------
+        InvalidRequest
+            The request can't be sent over HTTP.
         EndpointRefused
             No connection was made.
         EndpointStalled
@@ -249,9 +251,9 @@
         return httpcore.Request(
             method,
             httpcore.URL(
-                scheme=b"http", host=self._host, port=self._port, target=path.encode()
+                scheme=b"http", host=self._host, port=self._port, target=_encode(path)
             ),
-            headers=[(name.encode(), value.encode("latin-1")) for name, value in sent],
+            headers=[(_encode(name), _encode(value)) for name, value in sent],
             content=content,
             extensions={"timeout": timeout},
         )
@@ -292,12 +294,22 @@
         return await connections.handle_async_request(request)
 
 
+def _encode(text: str) -> bytes:
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise exceptions.InvalidRequest(detail="unencodable request") from error
+
+
 @contextlib.contextmanager
 def _typed_failures() -> t.Iterator[None]:
     try:
         yield
     except _NOT_CONNECTED as error:
         raise exceptions.EndpointRefused(detail=str(error)) from error
+    except httpcore.LocalProtocolError as error:
+        # The request was malformed, which shows before a byte of it is sent.
+        raise exceptions.InvalidRequest(detail=str(error)) from error
     except httpcore.ReadTimeout as error:
         raise exceptions.EndpointStalled(detail="no answer in time") from error
     except _BROKEN as error:
--- a/tests/test_http_endpoint.py
+++ b/tests/test_http_endpoint.py
@@ -8,6 +8,7 @@
 from foxtailbank.endpoint import EndpointCall
 from foxtailbank.headers import strip_hop_by_hop
 from foxtailbank.http_endpoint import HttpEndpoint
+from foxtailbank_bench.control import StandInControl
 from foxtailbank_bench.records_app import RecordsApp
 from foxtailbank_bench.serving import address_of, listen, running
 
@@ -135,6 +136,27 @@
         assert (await endpoint.call(CALL)).status == 503
 
 
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/a b", ()),
+        ("/\u0142", ()),
+        ("/", (("x", "a\r\nb: c"),)),
+        ("/", (("x", "\u0142"),)),
+        ("/", (("x y", "a"),)),
+    ],
+)
+async def test_malformed_request_is_not_sent(path, headers):
+    call = EndpointCall(request_id="r", method="GET", path=path, headers=headers)
+    async with running(RecordsApp()) as address, endpoint_at(address) as endpoint:
+        with pytest.raises(exceptions.InvalidRequest) as caught:
+            await endpoint.call(call)
+        assert caught.value.ran is exceptions.Ran.NO
+        control = StandInControl(address=address)
+        assert await control.journal() == []
+        await control.aclose()
+
+
 @pytest.mark.parametrize(("fresh", "connections"), [(False, 1), (True, 3)])
 async def test_fresh_calls_share_no_connection(fresh, connections):
     script = SIZED + b"abcdef"
