Add the command line

Need: operators and callers drive the fleet from a shell and from scripts. Change: one module for each group of commands, exit codes that tell kinds of failure apart, errors with cause and next step, JSON for every table. Ruled out: columns fixed here for the lists of VMs, endpoints and jobs; they are the keys that the entry VM sends, so that both need not change together. Not run against a daemon.

--- /dev/null
+++ b/src/foxtailbank/cli_batch.py
@@ -0,0 +1,296 @@
+"""Commands ``batch``: submit, status, wait, cancel, results."""
+
+import argparse
+import codecs
+import datetime
+import os
+import pathlib
+import time
+
+import msgspec
+
+from foxtailbank.batch_upload import open_upload
+from foxtailbank.cli_client import Client, query, quoted
+from foxtailbank.cli_context import Context
+from foxtailbank.cli_failure import CommandFailed
+from foxtailbank.cli_group import Commands, add_command, add_group
+from foxtailbank.exit_code import ExitCode
+
+MS_PER_S = 1000
+DEFAULT_POLL_MS = 1000
+PROGRESS_BYTES = 8 << 20
+RUNNING = "running"
+CANCELLED = "cancelled"
+
+
+class BatchStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a job stands.
+
+    Attributes
+    ----------
+    id : str
+        The job.
+    status : str
+        ``running``, ``finished`` or ``cancelled``.
+    counts : dict of str to int
+        Items by what became of them, and ``total``.
+    deadline_ms : int
+        Wall time by which it is due, in milliseconds.
+    expected_finish_ms : int or None
+        Wall time at which it is expected to end.
+    """
+
+    id: str
+    status: str
+    counts: dict[str, int] = {}
+    deadline_ms: int | None = None
+    expected_finish_ms: int | None = None
+
+
+def add_batch(commands: Commands) -> None:
+    """Add the group."""
+    group = add_group(commands, "batch", help_text="submit and follow batch jobs")
+    parser = add_command(
+        group,
+        "submit",
+        _submit,
+        help_text="submit a job of JSON lines and print its id",
+        examples=[
+            "foxtailbank batch submit notices.jsonl --entry notices --deadline-s 3600",
+            "foxtailbank batch submit notices.jsonl --entry notices --wait",
+        ],
+        prints_table=True,
+    )
+    parser.add_argument("file", help="JSON lines, one item each; - for stdin")
+    parser.add_argument("--entry", required=True, help="batch entry of the catalogue")
+    parser.add_argument(
+        "--deadline-s",
+        type=float,
+        default=86_400.0,
+        metavar="S",
+        help="seconds from now by which it is due (default one day)",
+    )
+    parser.add_argument(
+        "--idempotency-key",
+        metavar="KEY",
+        help="the same key and content give the same job; derived from entry and "
+        "content if not given, so that a repeated submit is harmless",
+    )
+    parser.add_argument(
+        "--wait", action="store_true", help="wait for the end, as `batch wait` does"
+    )
+    _add_wait_options(parser)
+    parser = add_command(
+        group,
+        "status",
+        _status,
+        help_text="print where a job stands",
+        examples=["foxtailbank batch status job-7f3a"],
+        prints_table=True,
+    )
+    _add_job(parser)
+    parser = add_command(
+        group,
+        "wait",
+        _wait,
+        help_text="wait until a job has ended",
+        examples=["foxtailbank batch wait job-7f3a --timeout-s 600"],
+        prints_table=True,
+    )
+    _add_job(parser)
+    _add_wait_options(parser)
+    parser = add_command(
+        group,
+        "cancel",
+        _cancel,
+        help_text="cancel a job; results that come later are void",
+        examples=["foxtailbank batch cancel job-7f3a"],
+        prints_table=True,
+    )
+    _add_job(parser)
+    parser = add_command(
+        group,
+        "results",
+        _results,
+        help_text="write a job's results as JSON lines, one for each item",
+        examples=["foxtailbank batch results job-7f3a --output results.jsonl"],
+    )
+    _add_job(parser)
+    parser.add_argument("--output", metavar="FILE", help="standard output if not given")
+
+
+def _add_job(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("job", metavar="JOB", help="id of the job")
+
+
+def _add_wait_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--timeout-s", type=float, metavar="S", help="give up waiting; the job goes on"
+    )
+    parser.add_argument(
+        "--poll-ms", type=int, default=DEFAULT_POLL_MS, metavar="MS", help="poll period"
+    )
+
+
+def _submit(options: argparse.Namespace, context: Context) -> ExitCode:
+    client = context.client(options)
+    with open_upload(options.file, stdin=context.stdin) as upload:
+        key = options.idempotency_key or upload.digest(options.entry)
+        context.progress(f"sending {upload.size_bytes} bytes to {options.entry}")
+        headers = {
+            "idempotency-key": key,
+            "content-type": "application/jsonl",
+            "content-length": str(upload.size_bytes),
+        }
+        parameters = query(
+            entry=options.entry, deadline_ms=_deadline_ms(options.deadline_s)
+        )
+        status = client.caller(
+            "POST",
+            f"/v1/batches{parameters}",
+            reply=BatchStatus,
+            content=upload.chunks(lambda sent: _sent(context, sent, upload.size_bytes)),
+            headers=headers,
+        )
+    context.progress(f"accepted as {status.id}")
+    if options.wait:
+        status = _follow(status.id, client, options, context)
+        return _end(status, options, context)
+    if options.json:
+        context.write_json(status)
+    else:
+        context.write(status.id)
+    return ExitCode.OK
+
+
+def _deadline_ms(deadline_s: float) -> int:
+    return round(time.time() * MS_PER_S + deadline_s * MS_PER_S)
+
+
+def _sent(context: Context, sent_bytes: int, size_bytes: int) -> None:
+    share = sent_bytes / size_bytes if size_bytes else 1.0
+    context.progress(f"sent {sent_bytes} of {size_bytes} bytes ({share:.0%})")
+
+
+def _status(options: argparse.Namespace, context: Context) -> ExitCode:
+    status = _read_status(options.job, context.client(options))
+    _write_status(status, options, context)
+    return ExitCode.OK
+
+
+def _wait(options: argparse.Namespace, context: Context) -> ExitCode:
+    status = _follow(options.job, context.client(options), options, context)
+    return _end(status, options, context)
+
+
+def _cancel(options: argparse.Namespace, context: Context) -> ExitCode:
+    path = f"/v1/batches/{quoted(options.job)}/cancel"
+    status = context.client(options).caller("POST", path, reply=BatchStatus)
+    _write_status(status, options, context)
+    return ExitCode.OK
+
+
+def _results(options: argparse.Namespace, context: Context) -> ExitCode:
+    path = f"/v1/batches/{quoted(options.job)}/results"
+    client = context.client(options)
+    if options.output is None:
+        with client.stream(path) as chunks:
+            decoder = codecs.getincrementaldecoder("utf-8")(errors="replace")
+            for chunk in chunks:
+                context.stdout.write(decoder.decode(chunk))
+        return ExitCode.OK
+    target = pathlib.Path(options.output)
+    partial = target.with_name(target.name + ".partial")
+    written = announced = 0
+    try:
+        with client.stream(path) as chunks, partial.open("wb") as file:
+            for chunk in chunks:
+                written += file.write(chunk)
+                if written - announced >= PROGRESS_BYTES:
+                    announced = written
+                    context.progress(f"received {written} bytes")
+        os.replace(partial, target)
+    except OSError as error:
+        raise CommandFailed(
+            exit_code=ExitCode.INVALID_INPUT,
+            detail=f"{target} cannot be written: {error.strerror}",
+        ) from None
+    finally:
+        partial.unlink(missing_ok=True)
+    context.progress(f"wrote {written} bytes to {target}")
+    return ExitCode.OK
+
+
+def _read_status(job: str, client: Client) -> BatchStatus:
+    path = f"/v1/batches/{quoted(job)}"
+    return client.caller("GET", path, reply=BatchStatus)
+
+
+def _follow(
+    job: str, client: Client, options: argparse.Namespace, context: Context
+) -> BatchStatus:
+    """Wait for a job's end; an entry VM without an answer is asked again."""
+    started_s = context.monotonic()
+    shown = ""
+    while True:
+        line = "no answer; trying again"
+        try:
+            status = _read_status(job, client)
+        except CommandFailed as failure:
+            if failure.exit_code is not ExitCode.UNAVAILABLE:
+                raise
+        else:
+            if status.status != RUNNING:
+                return status
+            line = _progress_line(status)
+        if line != shown:
+            context.progress(f"{job}: {line}")
+            shown = line
+        passed_s = context.monotonic() - started_s
+        if options.timeout_s is not None and passed_s >= options.timeout_s:
+            raise CommandFailed(
+                exit_code=ExitCode.TIMED_OUT,
+                detail=f"{job} had not ended after {options.timeout_s:g} s",
+            )
+        context.sleep(options.poll_ms / MS_PER_S)
+
+
+def _progress_line(status: BatchStatus) -> str:
+    counts = ", ".join(f"{name} {count}" for name, count in status.counts.items())
+    expected = _time(status.expected_finish_ms)
+    return f"{status.status}: {counts}; expected finish {expected}"
+
+
+def _time(at_ms: int | None) -> str:
+    if at_ms is None:
+        return "not known"
+    moment = datetime.datetime.fromtimestamp(at_ms / MS_PER_S, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+def _write_status(
+    status: BatchStatus, options: argparse.Namespace, context: Context
+) -> None:
+    if options.json:
+        context.write_json(status)
+        return
+    row = {
+        "job": status.id,
+        "status": status.status,
+        **status.counts,
+        "deadline": _time(status.deadline_ms),
+        "expected finish": _time(status.expected_finish_ms),
+    }
+    context.write_rows([row], empty="")
+
+
+def _end(
+    status: BatchStatus, options: argparse.Namespace, context: Context
+) -> ExitCode:
+    _write_status(status, options, context)
+    if status.status == CANCELLED:
+        return ExitCode.CONFLICT
+    if status.counts.get("failed", 0):
+        context.progress(f"{status.id}: some items failed; see `batch results`")
+        return ExitCode.ITEMS_FAILED
+    return ExitCode.OK
--- a/src/foxtailbank/problem.py
+++ b/src/foxtailbank/problem.py
@@ -70,6 +70,8 @@
 
 
 def _shown(key: str, value: t.Any) -> str:
+    if value == "":
+        return ""
     name = key.rpartition(".")[2]
     if _is_secret(name):
         return HIDDEN
