Count each token of a resumed answer once

Cause: the closing event carries the index after the last token, and was counted as a token; an endpoint that resumes early repeats tokens. Ruled out: a token_count field, which engines don't send.

--- a/src/foxtailbank/completion_collector.py
+++ b/src/foxtailbank/completion_collector.py
@@ -6,35 +6,12 @@
 
 from foxtailbank.completion import CHAT_PATH
 from foxtailbank.sink import Sink
-from foxtailbank.sse import DATA_PREFIX, EVENT_END
+from foxtailbank.sse import DATA_PREFIX, EVENT_END, TokenEvent, parse_event
 
 FIRST_ERROR_STATUS = 400
 _EMPTY: dict[str, t.Any] = {}
 
 
-class _Delta(msgspec.Struct, frozen=True):
-    content: str | None = None
-
-
-class _Choice(msgspec.Struct, frozen=True):
-    text: str = ""
-    delta: _Delta | None = None
-    finish_reason: str | None = None
-
-
-class _Event(msgspec.Struct, frozen=True):
-    id: str = ""
-    created: int = 0
-    model: str = ""
-    choices: tuple[_Choice, ...] = ()
-    usage: dict[str, t.Any] | None = None
-    token_index: int = -1
-    token_count: int = 1
-
-
-_decoder = msgspec.json.Decoder(_Event)
-
-
 class CompletionCollector(Sink):
     """Collects the answer of one batch item.
 
@@ -61,7 +38,7 @@
         self._parts: list[str] = []
         self._reason: str | None = None
         self._usage: dict[str, t.Any] = _EMPTY
-        self._head = _Event()
+        self._head = TokenEvent()
         self._other = b""
 
     async def start(self, *, status: int, headers: tuple[tuple[str, str], ...]) -> None:
@@ -75,8 +52,9 @@
             self._other += part
             return
         for event in part.split(EVENT_END):
-            if event.startswith(DATA_PREFIX + b"{"):
-                self._take(_decoder.decode(event[len(DATA_PREFIX) :]))
+            parsed = parse_event(event)
+            if parsed is not None:
+                self._take(parsed)
 
     def body(self) -> msgspec.Raw | dict[str, t.Any]:
         """Return the whole answer's JSON body."""
@@ -98,17 +76,15 @@
             "usage": self._whole_usage(),
         }
 
-    def _take(self, event: _Event) -> None:
+    def _take(self, event: TokenEvent) -> None:
         self._head = event if event.id else self._head
         if event.usage:
             self._usage = event.usage
         if 0 <= event.token_index < self.next_index:
             return
-        if event.token_index >= 0:
-            self.next_index = event.token_index + event.token_count
+        self.next_index = max(self.next_index, event.next_index)
         for choice in event.choices:
-            self._parts.append(choice.delta.content or "" if choice.delta else "")
-            self._parts.append(choice.text)
+            self._parts.append(choice.content)
             if choice.finish_reason:
                 self._reason = choice.finish_reason
                 self.finished = True
--- a/src/foxtailbank/sse.py
+++ b/src/foxtailbank/sse.py
@@ -1,5 +1,7 @@
 """Server-sent events of a token stream, followed without decoding each."""
 
+import typing as t
+
 import msgspec
 
 EVENT_END = b"\n\n"
@@ -7,17 +9,55 @@
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
-class _Choice(msgspec.Struct, frozen=True):
+class Delta(msgspec.Struct, frozen=True):
+    """Text that a chat event adds."""
+
+    content: str | None = None
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """Part of an event that carries text or the end of it."""
+
+    text: str = ""
+    delta: Delta = Delta()
     finish_reason: str | None = None
 
+    @property
+    def content(self) -> str:
+        """Text that the event adds, in either shape."""
+        return self.text or self.delta.content or ""
+
 
-class _TokenEvent(msgspec.Struct, frozen=True):
+class TokenEvent(msgspec.Struct, frozen=True):
+    """What the system reads of one event.
+
+    Attributes
+    ----------
+    token_index : int
+        Index of its token; -1 without one.
+    choices : tuple of Choice
+        Text and end of the stream.
+    usage : dict or None
+        Tokens used, at the end.
+    """
+
+    id: str = ""
+    created: int = 0
+    model: str = ""
     token_index: int = -1
-    token_count: int = 1
-    choices: tuple[_Choice, ...] = ()
+    choices: tuple[Choice, ...] = ()
+    usage: dict[str, t.Any] | None = None
+
+    @property
+    def next_index(self) -> int:
+        """Index of the token after this event; -1 if it tells none."""
+        if self.token_index < 0:
+            return -1
+        has_text = any(choice.content for choice in self.choices)
+        return self.token_index + (1 if has_text else 0)
 
 
-_decoder = msgspec.json.Decoder(_TokenEvent)
+_decoder = msgspec.json.Decoder(TokenEvent)
 
 
 class EventTail:
@@ -82,12 +122,12 @@
         """
         for event in reversed(self._last.split(EVENT_END)):
             parsed = parse_event(event)
-            if parsed is not None and parsed.token_index >= 0:
-                return parsed.token_index + parsed.token_count
+            if parsed is not None and parsed.next_index >= 0:
+                return parsed.next_index
         return start
 
 
-def parse_event(event: bytes) -> _TokenEvent | None:
+def parse_event(event: bytes) -> TokenEvent | None:
     """Decode one event; None for an event that carries no token."""
     if not event.startswith(DATA_PREFIX):
         return None
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -114,7 +114,10 @@
     url = f"http://{address}/v1/services/contracts/contracts/17"
     assert httpx.get(url, headers=headers).status_code == 200
     name = next(e.name for e in fleet.deployment.entries if e.http_address == address)
-    lines = fleet.programs_by_name[name].output.read_text().splitlines()
+    output = fleet.programs_by_name[name].output
+    # The line follows the answer.
+    fleet.wait_until(lambda: f"outcome-{address}" in output.read_text())
+    lines = output.read_text().splitlines()
     found = [json.loads(line) for line in lines if f"outcome-{address}" in line]
     assert [line["event"] for line in found] == ["call_finished"]
 
