Say that a quarantined request may have run when it did

Cause: the refusal of a request that had crashed endpoints in the same call said "ran: no". Seen against the endpoints' journals. Change: the refusal takes over what the attempts say; outcome recorder, fleet API, metrics path and burn report over all VMs are wired; an unexpected fault becomes a typed answer.

--- a/src/foxtailbank/admin_api.py
+++ b/src/foxtailbank/admin_api.py
@@ -1,6 +1,5 @@
 """Administration API."""
 
-import hmac
 import secrets
 import typing as t
 
@@ -9,20 +8,16 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from foxtailbank.asgi import read_body
-from foxtailbank.caller import bearer_key
+from foxtailbank.admin_guard import AdminGuard
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.catalogue_records import EntryDeleted, EntryPut
 from foxtailbank.catalogue_writer import CatalogueWriter
 from foxtailbank.clock import Clock
-from foxtailbank.directory import Directory
 from foxtailbank.entry_check import read_entry
-from foxtailbank.exceptions import Forbidden, InvalidRequest, NotFound
+from foxtailbank.exceptions import InvalidRequest, NotFound
+from foxtailbank.json_response import json_response
 from foxtailbank.sentinels import Missing
 
-MAX_BODY_BYTES = 1 << 20
-JSON = "application/json"
-
 
 class _PutBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     entry: dict[str, t.Any]
@@ -37,62 +32,38 @@
     ----------
     clock : Clock
         Source of time.
-    key : str
-        The operators' key.
+    guard : AdminGuard
+        Checks the operators' key.
     catalogue : Catalogue
         Entries in force on this VM.
     writer : CatalogueWriter
         Publishes edits.
-    directory : Directory
-        Known endpoints.
     """
 
     def __init__(
         self,
         *,
         clock: Clock,
-        key: str,
+        guard: AdminGuard,
         catalogue: Catalogue,
         writer: CatalogueWriter,
-        directory: Directory,
     ) -> None:
         self._clock = clock
-        self._key = key.encode()
+        self._guard = guard
         self._catalogue = catalogue
         self._writer = writer
-        self._directory = directory
 
     def routes(self) -> list[Route]:
         """Return the operators' paths with their handlers."""
+        one = "/admin/catalogue/{name}"
         return [
-            Route("/admin/catalogue", self._guard(self._list), methods=["GET"]),
-            Route(
-                "/admin/catalogue/{name}/history",
-                self._guard(self._history),
-                methods=["GET"],
-            ),
-            Route("/admin/catalogue/{name}", self._guard(self._get), methods=["GET"]),
-            Route("/admin/catalogue/{name}", self._guard(self._put), methods=["PUT"]),
-            Route(
-                "/admin/catalogue/{name}",
-                self._guard(self._delete),
-                methods=["DELETE"],
-            ),
-            Route("/admin/endpoints", self._guard(self._endpoints), methods=["GET"]),
+            self._guard.route("/admin/catalogue", self._list),
+            self._guard.route(one + "/history", self._history),
+            self._guard.route(one, self._get),
+            self._guard.route(one, self._put, method="PUT"),
+            self._guard.route(one, self._delete, method="DELETE"),
         ]
 
-    def _guard(
-        self, handler: t.Callable[[Request, bytes], t.Awaitable[Response]]
-    ) -> t.Callable[[Request], t.Awaitable[Response]]:
-        async def guarded(request: Request) -> Response:
-            body = await read_body(request.receive, max_bytes=MAX_BODY_BYTES)
-            given = bearer_key(request.scope).encode()
-            if not hmac.compare_digest(given, self._key):
-                raise Forbidden(detail="not the operators' key")
-            return await handler(request, body)
-
-        return guarded
-
     async def _list(self, request: Request, body: bytes) -> Response:
         entries = [
             {"name": name, "version": self._catalogue.version(name), "entry": entry}
@@ -152,16 +123,3 @@
             )
         )
         return json_response({"name": name, "version": version})
-
-    async def _endpoints(self, request: Request, body: bytes) -> Response:
-        now_ms = self._clock.now_ms()
-        endpoints = [
-            backend.view(now_ms)
-            for _, backend in sorted(self._directory.backends_by_id.items())
-        ]
-        return json_response({"endpoints": endpoints})
-
-
-def json_response(content: t.Any, *, status: int = 200) -> Response:
-    """Return an answer with a JSON body."""
-    return Response(msgspec.json.encode(content), status_code=status, media_type=JSON)
--- a/src/foxtailbank/app.py
+++ b/src/foxtailbank/app.py
@@ -1,14 +1,17 @@
 """ASGI application of an entry VM: which handler serves which path."""
 
+import logging
 import typing as t
 
 from starlette.routing import Mount, Route, Router
 
-from foxtailbank.asgi import Receive, Scope, Send, drain_body
+from foxtailbank.asgi import Message, Receive, Scope, Send, drain_body
 from foxtailbank.error_answer import send_error
-from foxtailbank.exceptions import CallerGone, FoxtailbankError, NotFound
+from foxtailbank.exceptions import CallerGone, FoxtailbankError, NotFound, Ran
 from foxtailbank.online import request_id_of
 
+_log = logging.getLogger(__name__)
+
 Application = t.Callable[[Scope, Receive, Send], t.Awaitable[None]]
 
 
@@ -33,15 +36,42 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        path = scope["path"]
-        if _is_online(scope["method"], path):
-            await self._online(scope, receive, send)
-            return
+        guarded = _StartedSend(send=send)
         try:
-            await self._router(scope, receive, send)
+            await self._lead(scope, receive, guarded)
+        except CallerGone:
+            return
         except FoxtailbankError as failure:
-            if not isinstance(failure, CallerGone):
-                await send_error(send, failure, request_id=request_id_of(scope))
+            await self._tell(scope, guarded, failure)
+        except Exception:
+            _log.exception("internal_error", extra={"path": scope["path"]})
+            await self._tell(scope, guarded, FoxtailbankError(ran=Ran.UNKNOWN))
+
+    async def _lead(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if _is_online(scope["method"], scope["path"]):
+            await self._online(scope, receive, send)
+        else:
+            await self._router(scope, receive, send)
+
+    async def _tell(
+        self, scope: Scope, send: "_StartedSend", failure: FoxtailbankError
+    ) -> None:
+        if send.started:
+            # An unfinished body tells the caller that the answer is not whole.
+            raise failure
+        await send_error(send, failure, request_id=request_id_of(scope))
+
+
+class _StartedSend:
+    """Passes messages on and remembers whether the answer has begun."""
+
+    def __init__(self, *, send: Send) -> None:
+        self.started = False
+        self._send = send
+
+    async def __call__(self, message: Message) -> None:
+        self.started = True
+        await self._send(message)
 
 
 def _is_online(method: str, path: str) -> bool:
--- a/src/foxtailbank/batch_api.py
+++ b/src/foxtailbank/batch_api.py
@@ -7,7 +7,6 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-from foxtailbank.admin_api import json_response
 from foxtailbank.asgi import body_parts, drain_body, header
 from foxtailbank.batch_submission import BatchSubmission
 from foxtailbank.caller import Caller, authenticate, entry_by_name
@@ -24,6 +23,7 @@
 from foxtailbank.job_results import JobResults
 from foxtailbank.job_state import JobState
 from foxtailbank.job_view import view_of
+from foxtailbank.json_response import json_response
 from foxtailbank.ledger_events import JobCancelledEvent
 from foxtailbank.ledger_service import LedgerService
 from foxtailbank.logs import LogFields, Logs
--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -161,7 +161,7 @@
         if on is not None and self._is_suspect(work):
             on = None
         while True:
-            isolation = self._isolation(work)
+            isolation = self._isolation(work, progress)
             backend = on or self._choose(work, progress, isolation)
             on = None
             try:
@@ -178,10 +178,12 @@
                 self._decide(work, progress, failure, may_retry)
                 self._observer.on_resumed(backend, work, failure.code)
 
-    def _isolation(self, work: Work) -> Isolation:
+    def _isolation(self, work: Work, progress: _Progress) -> Isolation:
         verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
         if verdict.isolation is Isolation.REFUSED:
-            raise verdict.error()
+            refusal = verdict.error()
+            refusal.ran = progress.ran
+            raise refusal
         return verdict.isolation
 
     def _choose(self, work: Work, progress: _Progress, isolation: Isolation) -> Backend:
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -9,11 +9,13 @@
 
 from foxtailbank import peer_messages as pm
 from foxtailbank.admin_api import AdminApi
+from foxtailbank.admin_guard import AdminGuard
 from foxtailbank.admission import Admission
 from foxtailbank.app import App
 from foxtailbank.backend import Backend
 from foxtailbank.batch_api import BatchApi
 from foxtailbank.batch_runner import BatchRunner
+from foxtailbank.burn import BurnRecorder
 from foxtailbank.catalogue_service import CatalogueService
 from foxtailbank.clock import Clock
 from foxtailbank.connector import Connector
@@ -22,6 +24,7 @@
 from foxtailbank.endpoint import Endpoint
 from foxtailbank.events import Event
 from foxtailbank.exceptions import EndpointFailed, EndpointRefused
+from foxtailbank.fleet_api import FleetApi
 from foxtailbank.fleet_observer import FleetObserver
 from foxtailbank.fleet_placement import FleetPlacement
 from foxtailbank.health_api import HealthApi
@@ -32,8 +35,10 @@
 from foxtailbank.ledger_service import LedgerService
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.membership_actions import MemberDead, MemberJoined, MembershipAction
+from foxtailbank.metrics import Metrics
 from foxtailbank.models_api import ModelsApi
 from foxtailbank.online import OnlineHandler
+from foxtailbank.outcomes import Outcomes
 from foxtailbank.peering import Peering
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
@@ -106,6 +111,8 @@
             started_ms=started_ms,
             on_change=self._on_member,
         )
+        self._metrics = Metrics()
+        self._burn = BurnRecorder(vm=settings.vm.id, zone=settings.vm.zone)
         self._exchange = QuarantineExchange(
             clock=clock, quarantine=self._quarantine, peering=self._peering, logs=logs
         )
@@ -115,7 +122,7 @@
         self._observer.runner = self._runner
         self._handle_peers()
         self.online = self._make_online()
-        self.health = HealthApi(is_ready=self.is_ready)
+        self.health = HealthApi(is_ready=self.is_ready, metrics=self._metrics)
         self.app = self._make_app()
 
     def _make_observer(self) -> FleetObserver:
@@ -167,18 +174,36 @@
             admission=self._admission,
             dispatcher=self._dispatcher,
             keyed_calls=keyed_calls,
-            logs=self._logs,
+            outcomes=Outcomes(
+                clock=self._clock,
+                logs=self._logs,
+                metrics=self._metrics,
+                burn=self._burn,
+            ),
         )
 
     def _make_app(self) -> App:
         catalogue = self._catalogue.catalogue
+        key = read_secret(self._settings.admin.key_file).decode()
+        guard = AdminGuard(key=key)
         admin = AdminApi(
             clock=self._clock,
-            key=read_secret(self._settings.admin.key_file).decode(),
+            guard=guard,
             catalogue=catalogue,
             writer=self._catalogue.writer,
+        )
+        fleet = FleetApi(
+            clock=self._clock,
+            guard=guard,
+            catalogue=catalogue,
             directory=self.directory,
+            service=self._ledger,
+            quarantine=self._quarantine,
+            exchange=self._exchange,
+            peering=self._peering,
+            burn=self._burn,
         )
+        self._peering.handlers.on_request(pm.Report, fleet.answer_report)
         models = ModelsApi(catalogue=catalogue)
         batches = BatchApi(
             clock=self._clock,
@@ -192,6 +217,7 @@
             *models.routes(),
             *batches.routes(),
             *admin.routes(),
+            *fleet.routes(),
         ]
         return App(online=self.online, routes=routes)
 
--- a/src/foxtailbank/fleet_view.py
+++ b/src/foxtailbank/fleet_view.py
@@ -116,6 +116,10 @@
         """Return the latest load that a VM told."""
         return self.loads_by_vm_id.get(vm_id, ())
 
+    def catalogue_offset(self, vm_id: str) -> int:
+        """Return the catalogue offset that a VM applied; -1 if unknown."""
+        return self._offsets.lowest((vm_id,))
+
     def catalogue_offset_by_zone(self) -> dict[str, int]:
         """Return the catalogue offset that all live VMs of each zone applied."""
         offsets = {zone: self._offsets.of_zone(zone) for zone in self.other_zones}
--- a/src/foxtailbank/health_api.py
+++ b/src/foxtailbank/health_api.py
@@ -1,4 +1,4 @@
-"""Health and readiness of an entry VM."""
+"""Health, readiness and metrics of an entry VM."""
 
 import typing as t
 
@@ -6,7 +6,8 @@
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import Route
 
-OK = 200
+from foxtailbank.metrics import CONTENT_TYPE, Metrics
+
 UNAVAILABLE = 503
 
 
@@ -17,6 +18,8 @@
     ----------
     is_ready : callable
         Whether the VM has what it needs to serve.
+    metrics : Metrics
+        What is told at ``/metrics``.
 
     Attributes
     ----------
@@ -24,8 +27,9 @@
         Whether a planned stop has begun.
     """
 
-    def __init__(self, *, is_ready: t.Callable[[], bool]) -> None:
+    def __init__(self, *, is_ready: t.Callable[[], bool], metrics: Metrics) -> None:
         self._is_ready = is_ready
+        self._metrics = metrics
         self.stopping = False
 
     def routes(self) -> list[Route]:
@@ -33,11 +37,15 @@
         return [
             Route("/healthz", self._healthz, methods=["GET"]),
             Route("/readyz", self._readyz, methods=["GET"]),
+            Route("/metrics", self._exposition, methods=["GET"]),
         ]
 
     async def _healthz(self, request: Request) -> Response:
         return PlainTextResponse("ok\n")
 
+    async def _exposition(self, request: Request) -> Response:
+        return Response(self._metrics.exposition(), media_type=CONTENT_TYPE)
+
     async def _readyz(self, request: Request) -> Response:
         if self.stopping:
             return PlainTextResponse("stopping\n", status_code=UNAVAILABLE)
--- a/src/foxtailbank/http_sink.py
+++ b/src/foxtailbank/http_sink.py
@@ -1,6 +1,7 @@
 """Answer to a caller over ASGI."""
 
 from foxtailbank.asgi import Send
+from foxtailbank.clock import Clock
 from foxtailbank.error_answer import error_event, send_error
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.sink import Sink
@@ -15,6 +16,8 @@
         Sink of ASGI messages.
     request_id : str
         Identifier of the request.
+    clock : Clock
+        Source of time.
 
     Attributes
     ----------
@@ -22,10 +25,14 @@
         HTTP status sent; 0 before the head.
     parts : int
         Pieces of content sent.
+    first_ms : int
+        When the first of them was sent, in milliseconds; 0 before it.
     """
 
-    def __init__(self, *, send: Send, request_id: str) -> None:
+    def __init__(self, *, send: Send, request_id: str, clock: Clock) -> None:
         self.status = 0
+        self.first_ms = 0
+        self._clock = clock
         self.parts = 0
         self._send = send
         self._request_id = request_id
@@ -47,6 +54,8 @@
     async def write(self, part: bytes) -> None:
         """Send content."""
         self.parts += 1
+        if not self.first_ms:
+            self.first_ms = self._clock.now_ms()
         await self._send(
             {"type": "http.response.body", "body": part, "more_body": True}
         )
--- /dev/null
+++ b/src/foxtailbank/json_response.py
@@ -0,0 +1,21 @@
+"""Answers with a JSON body."""
+
+import typing as t
+
+import msgspec
+from starlette.responses import Response
+
+JSON = "application/json"
+
+
+def json_response(content: t.Any, *, status: int = 200) -> Response:
+    """Return an answer with a JSON body.
+
+    Parameters
+    ----------
+    content : object
+        Anything that msgspec encodes.
+    status : int
+        HTTP status.
+    """
+    return Response(msgspec.json.encode(content), status_code=status, media_type=JSON)
--- a/src/foxtailbank/models_api.py
+++ b/src/foxtailbank/models_api.py
@@ -4,11 +4,11 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from foxtailbank.admin_api import json_response
 from foxtailbank.asgi import drain_body
 from foxtailbank.caller import authenticate
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.entry import Kind, WorkClass
+from foxtailbank.json_response import json_response
 
 
 class ModelsApi:
--- a/src/foxtailbank/online.py
+++ b/src/foxtailbank/online.py
@@ -14,7 +14,6 @@
 from foxtailbank.completion import CHAT_PATH, COMPLETIONS_PATH, parse_completion
 from foxtailbank.dispatcher import Dispatcher
 from foxtailbank.entry import Entry, Kind, WorkClass
-from foxtailbank.events import Event
 from foxtailbank.exceptions import (
     BodyTooLarge,
     CallerGone,
@@ -25,9 +24,8 @@
 from foxtailbank.headers import Headers, strip_hop_by_hop
 from foxtailbank.http_sink import HttpSink
 from foxtailbank.keyed_calls import CallKey, KeyedCalls
-from foxtailbank.logs import LogFields, Logs
+from foxtailbank.outcomes import Outcomes
 from foxtailbank.settings import Settings
-from foxtailbank.settings_sections import LogLevel
 from foxtailbank.work import Work, fingerprint_of
 
 SERVICES_PREFIX = "/v1/services/"
@@ -54,8 +52,8 @@
         Runs what is admitted.
     keyed_calls : KeyedCalls
         Runs keyed calls that must not be repeated.
-    logs : Logs
-        Takes a line for each outcome.
+    outcomes : Outcomes
+        Notes how each call ended.
     """
 
     def __init__(
@@ -67,7 +65,7 @@
         admission: Admission,
         dispatcher: Dispatcher,
         keyed_calls: KeyedCalls,
-        logs: Logs,
+        outcomes: Outcomes,
     ) -> None:
         self._clock = clock
         self._settings = settings
@@ -75,14 +73,14 @@
         self._admission = admission
         self._dispatcher = dispatcher
         self._keyed_calls = keyed_calls
-        self._logs = logs
+        self._outcomes = outcomes
         self.in_flight = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
         started_ms = self._clock.now_ms()
         request_id = request_id_of(scope)
-        sink = HttpSink(send=send, request_id=request_id)
+        sink = HttpSink(send=send, request_id=request_id, clock=self._clock)
         work: Work | None = None
         self.in_flight += 1
         try:
@@ -91,13 +89,16 @@
             with self._admitted(work):
                 key = header(scope, b"idempotency-key")
                 await self._run(work, sink, receive, key)
-            self._note(Event.CALL_FINISHED, work, request_id, started_ms, sink.status)
+            self._outcomes.finished(work, sink, started_ms=started_ms)
         except FoxtailbankError as failure:
-            event = Event.CALL_FAILED if sink.started else Event.CALL_REFUSED
             if not isinstance(failure, CallerGone):
                 await sink.fail(failure)
-            self._note(
-                event, work, request_id, started_ms, failure.status, failure.code
+            self._outcomes.failed(
+                work,
+                failure,
+                request_id=request_id,
+                started_ms=started_ms,
+                answered=sink.first_ms > 0,
             )
         finally:
             self.in_flight -= 1
@@ -211,25 +212,6 @@
                 verdict, used_tokens=work.tokens, now_ms=self._clock.now_ms()
             )
 
-    def _note(
-        self,
-        event: Event,
-        work: Work | None,
-        request_id: str,
-        started_ms: int,
-        status: int,
-        reason: str = "",
-    ) -> None:
-        fields = LogFields(
-            request_id=request_id,
-            owner=work.entry.owner if work else "",
-            entry=work.entry.name if work else "",
-            reason=reason,
-            status=status,
-            duration_ms=self._clock.now_ms() - started_ms,
-        )
-        self._logs.write(event, level=LogLevel.INFO, fields=fields)
-
 
 def request_id_of(scope: Scope) -> str:
     """Return the caller's request id, or a new one."""
--- /dev/null
+++ b/tests/test_crash_inducing.py
@@ -0,0 +1,58 @@
+"""A request that crashes endpoints, sent again and again through all VMs."""
+
+import json
+
+import httpx
+import pytest
+
+from fleet_process import running_fleet
+from foxtailbank_bench.demo_catalogue import CALLER_KEY
+
+KEY = {"authorization": f"Bearer {CALLER_KEY}"}
+MAX_DEATHS = 3
+CRASHING = {"model": "wordsmith", "prompt": "__crash__", "max_tokens": 8}
+INNOCENT = {"model": "wordsmith", "prompt": "In loving memory", "max_tokens": 8}
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with running_fleet(tmp_path_factory.mktemp("fleet")) as launcher:
+        launcher.tolerated = tuple(spec.name for spec in launcher.deployment.endpoints)
+        urls = [f"http://{e.http_address}/v1" for e in launcher.deployment.entries]
+        for url in urls:
+            launcher.wait_until(
+                lambda url=url: (
+                    "wordsmith" in httpx.get(f"{url}/models", headers=KEY).text
+                )
+            )
+        yield launcher
+
+
+def test_it_takes_down_three_endpoints_at_most_and_nobody_else_suffers(fleet):
+    urls = [f"http://{e.http_address}/v1/completions" for e in fleet.deployment.entries]
+    answers = []
+    for turn in range(12):
+        url = urls[turn % len(urls)]
+        answers.append(httpx.post(url, headers=KEY, json=CRASHING, timeout=30).json())
+        innocent = httpx.post(url, headers=KEY, json=INNOCENT, timeout=30)
+        assert innocent.status_code == 200, innocent.text
+    codes = [answer["error"]["code"] for answer in answers]
+    assert codes[-1] == "quarantined"
+    dead = [
+        name
+        for name, program in fleet.programs_by_name.items()
+        if program.process.poll() is not None
+    ]
+    assert 1 <= len(dead) <= MAX_DEATHS
+    for answer in answers:
+        reached = _reached(fleet, answer["error"]["request_id"])
+        assert not (reached and answer["error"]["ran"] == "no"), answer
+
+
+def _reached(fleet, request_id):
+    return any(
+        request_id in line
+        for spec in fleet.deployment.endpoints
+        for line in fleet.journal(spec.name).read_text().splitlines()
+        if json.loads(line)
+    )
