--- a/src/foxtailbank/burn_report.py
+++ b/src/foxtailbank/burn_report.py
@@ -1,6 +1,5 @@
 """The burn report as a table, as JSON and as a page."""
 
-import datetime
 import html
 
 import msgspec
@@ -9,8 +8,7 @@
 from foxtailbank.burn_plot import budget_svg, history_svg
 from foxtailbank.burn_window import DAY_MS, HOUR_MS, MINUTE_MS, WINDOWS
 from foxtailbank.text_table import Column, render_table
-
-MS_PER_S = 1000
+from foxtailbank.utc_text import utc_text
 
 _COLUMNS = (
     Column(title="OWNER"),
@@ -53,7 +51,7 @@
     str
         A table, after a line for the VMs and one for each that is missing.
     """
-    lines = [f"Burn of objectives at {_time(report.at_ms)}, {_vms(report)}"]
+    lines = [f"Burn of objectives at {utc_text(report.at_ms)}, {_vms(report)}"]
     if report.unreachable_vms:
         lines.append(_missing(report))
     rows = [_cells(row) for row in report.rows]
@@ -83,7 +81,7 @@
     PlotsUnavailable
         The plotting library is not installed.
     """
-    title = f"Service-level burn, {_time(report.at_ms)}"
+    title = f"Service-level burn, {utc_text(report.at_ms)}"
     missing = ""
     if report.unreachable_vms:
         missing = f'<p class="missing">{html.escape(_missing(report))}</p>'
@@ -154,11 +152,6 @@
     return "1 min"
 
 
-def _time(at_ms: int) -> str:
-    moment = datetime.datetime.fromtimestamp(at_ms / MS_PER_S, tz=datetime.UTC)
-    return moment.strftime("%Y-%m-%d %H:%M:%S UTC")
-
-
 def _vms(report: BurnReport) -> str:
     count = len(report.vms)
     return f"{count} VM{'' if count == 1 else 's'} ({', '.join(report.vms)})"
--- a/src/foxtailbank/cli_batch.py
+++ b/src/foxtailbank/cli_batch.py
@@ -2,23 +2,22 @@
 
 import argparse
 import codecs
-import datetime
 import os
 import pathlib
 import time
 
 import msgspec
 
-from foxtailbank.batch_upload import open_upload
+from foxtailbank.batch_upload import PROGRESS_BYTES, open_upload
 from foxtailbank.cli_client import Client, query, quoted
 from foxtailbank.cli_context import Context
 from foxtailbank.cli_failure import CommandFailed
 from foxtailbank.cli_group import Commands, add_command, add_group
+from foxtailbank.clock import MS_PER_S
 from foxtailbank.exit_code import ExitCode
+from foxtailbank.utc_text import utc_text
 
-MS_PER_S = 1000
 DEFAULT_POLL_MS = 1000
-PROGRESS_BYTES = 8 << 20
 RUNNING = "running"
 CANCELLED = "cancelled"
 
@@ -262,10 +261,7 @@
 
 
 def _time(at_ms: int | None) -> str:
-    if at_ms is None:
-        return "not known"
-    moment = datetime.datetime.fromtimestamp(at_ms / MS_PER_S, tz=datetime.UTC)
-    return moment.strftime("%Y-%m-%d %H:%M:%S UTC")
+    return "not known" if at_ms is None else utc_text(at_ms)
 
 
 def _write_status(
--- a/src/foxtailbank/cli_catalogue.py
+++ b/src/foxtailbank/cli_catalogue.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from foxtailbank.batch_upload import STDIN_NAME
 from foxtailbank.catalogue_file import parse_catalogue
 from foxtailbank.cli_check import decode_file
 from foxtailbank.cli_client import query, quoted
@@ -17,7 +18,6 @@
 from foxtailbank.exit_code import ExitCode
 from foxtailbank.problem import CheckFailed
 
-STDIN_NAME = "-"
 _CONFLICT_STEP = "read it with `catalogue get`, merge your change and put it again"
 
 
--- a/src/foxtailbank/entry.py
+++ b/src/foxtailbank/entry.py
@@ -7,9 +7,8 @@
 
 import msgspec
 
-Name = t.Annotated[
-    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
-]
+from foxtailbank.names import Name
+
 KeyHash = t.Annotated[str, msgspec.Meta(pattern=r"^sha256:[0-9a-f]{64}$")]
 Version = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 Rate = t.Annotated[float, msgspec.Meta(gt=0, le=10_000_000)]
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -14,6 +14,7 @@
 )
 from prometheus_client.registry import Collector
 
+from foxtailbank.clock import MS_PER_S
 from foxtailbank.latency import (
     BUCKETS_MS,
     LatencyBuckets,
@@ -27,7 +28,6 @@
 MAX_REASONS = 64
 OTHER = "(other)"
 PREFIX = "foxtailbank"
-MS_PER_S = 1000
 
 
 class Signal(enum.Enum):
--- a/src/foxtailbank/settings_sections.py
+++ b/src/foxtailbank/settings_sections.py
@@ -6,9 +6,8 @@
 
 import msgspec
 
-Name = t.Annotated[
-    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
-]
+from foxtailbank.names import Name
+
 Count = t.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Bytes = t.Annotated[int, msgspec.Meta(ge=1024, le=4 << 30)]
 Milliseconds = t.Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
--- /dev/null
+++ b/src/foxtailbank/utc_text.py
@@ -0,0 +1,22 @@
+"""Wall time for people."""
+
+import datetime
+
+from foxtailbank.clock import MS_PER_S
+
+
+def utc_text(at_ms: int) -> str:
+    """Return wall time as text, to the second.
+
+    Parameters
+    ----------
+    at_ms : int
+        Milliseconds since the Unix epoch.
+
+    Returns
+    -------
+    str
+        ``"2026-12-03 21:55:30 UTC"``.
+    """
+    moment = datetime.datetime.fromtimestamp(at_ms / MS_PER_S, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S UTC")
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -186,3 +186,8 @@
     assert len(catalogue.history("n0")) == 2
     items_by_name = catalogue.state().history_by_name
     assert sum(len(items) for items in items_by_name.values()) == HISTORY_ITEMS
+    restored = Catalogue()
+    restored.restore(catalogue.state())
+    for vm in (catalogue, restored):
+        vm.apply(10_000, record(put("last"), sequence=10_000))
+    assert state_digest(restored.state()) == state_digest(catalogue.state())
