Keep a VM up to date from its peers when the log does not

Need: a VM cut off from the platform, but not from a peer, keeps up; a fresh VM without the platform takes state from a peer or is not ready. Ways weighed: pushing every record to all peers (each record n times), asking a random peer only while the own view is stale (chosen: costs nothing while the log answers). Change: cache of the latest records, requests for records and for state in parts, readiness after a peer's catalogue.

--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 	$(PYTHON) -m foxtailbank_bench.experiment
 
 fuzz: env
-	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py
+	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py tests/test_catalogue_fuzz.py
--- a/src/foxtailbank/catalogue_service.py
+++ b/src/foxtailbank/catalogue_service.py
@@ -3,18 +3,23 @@
 import random
 
 import anyio.abc
+import msgspec
 
 from foxtailbank.admission import Admission
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.catalogue_events import CatalogueEvent, EntryChanged
-from foxtailbank.catalogue_records import STREAM, decode_envelope
+from foxtailbank.catalogue_records import STREAM, CatalogueSnapshot, decode_envelope
+from foxtailbank.catalogue_state import read_snapshot, take_snapshot
 from foxtailbank.catalogue_writer import CatalogueWriter
 from foxtailbank.clock import Clock
+from foxtailbank.entry import Entry
 from foxtailbank.events import Event
 from foxtailbank.limit_shares import share_of
 from foxtailbank.log_service import LogRecord, LogService
 from foxtailbank.log_tailer import LogTailer, ResyncFailed
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.record_cache import RecordCache
+from foxtailbank.sentinels import Missing
 from foxtailbank.settings_sections import TimingSection
 
 
@@ -46,6 +51,8 @@
         Publishes edits.
     tailer : LogTailer
         Follows the stream.
+    cache : RecordCache
+        Latest records, for peers.
     """
 
     def __init__(
@@ -63,6 +70,7 @@
         self._admission = admission
         self._logs = logs
         self.catalogue = Catalogue()
+        self.cache = RecordCache()
         self.writer = CatalogueWriter(log=log, incarnation=incarnation)
         self.tailer = LogTailer(
             log=log,
@@ -81,19 +89,53 @@
     def apply(self, record: LogRecord) -> None:
         """Apply one record of the stream."""
         events = self.catalogue.apply(record.offset, decode_envelope(record.data))
+        self.cache.add(record)
         self.writer.applied(events)
         for event in events:
             self._note(event)
 
-    def _note(self, event: CatalogueEvent) -> None:
-        if not isinstance(event, EntryChanged):
-            return
-        key = f"entry:{event.name}"
-        if event.entry is None:
+    def encoded_state(self) -> bytes:
+        """Return the state as a snapshot."""
+        return msgspec.json.encode(take_snapshot(self.catalogue.state()))
+
+    def restore(self, content: bytes) -> bool:
+        """Go on from a snapshot that is ahead; return False if it is damaged.
+
+        Parameters
+        ----------
+        content : bytes
+            What `encoded_state` returned on another VM.
+        """
+        try:
+            snapshot = msgspec.json.decode(content, type=CatalogueSnapshot)
+        except msgspec.MsgspecError:
+            return False
+        state = read_snapshot(snapshot)
+        if isinstance(state, Missing):
+            return False
+        before = set(self.catalogue.entries_by_name)
+        if self.catalogue.restore(state):
+            for name, entry in self.catalogue.entries_by_name.items():
+                self._set_limits(name, entry)
+            for name in before - set(self.catalogue.entries_by_name):
+                self._set_limits(name, None)
+            self._logs.write(
+                Event.SNAPSHOT_RESTORED, fields=LogFields(offset=state.applied_offset)
+            )
+        return True
+
+    def _set_limits(self, name: str, entry: Entry | None) -> None:
+        key = f"entry:{name}"
+        if entry is None:
             self._admission.remove(key)
         else:
-            share = share_of(event.entry.limits)
+            share = share_of(entry.limits)
             self._admission.set_share(key, share, self._clock.now_ms())
+
+    def _note(self, event: CatalogueEvent) -> None:
+        if not isinstance(event, EntryChanged):
+            return
+        self._set_limits(event.name, event.entry)
         self._logs.write(
             Event.CATALOGUE_CHANGED,
             fields=LogFields(entry=event.name, version=event.version),
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -16,6 +16,7 @@
 from foxtailbank.batch_api import BatchApi
 from foxtailbank.batch_runner import BatchRunner
 from foxtailbank.burn import BurnRecorder
+from foxtailbank.catalogue_records import STREAM as CATALOGUE
 from foxtailbank.catalogue_service import CatalogueService
 from foxtailbank.clock import Clock
 from foxtailbank.connector import Connector
@@ -39,9 +40,11 @@
 from foxtailbank.models_api import ModelsApi
 from foxtailbank.online import OnlineHandler
 from foxtailbank.outcomes import Outcomes
+from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
+from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
@@ -116,6 +119,15 @@
         self._exchange = QuarantineExchange(
             clock=clock, quarantine=self._quarantine, peering=self._peering, logs=logs
         )
+        self._sync = PeerSync(
+            clock=clock,
+            rng=rng,
+            peering=self._peering,
+            streams=(
+                CatalogueStream(service=self._catalogue),
+                LedgerStream(service=self._ledger),
+            ),
+        )
         self._observer = self._make_observer()
         self._dispatcher = self._make_dispatcher()
         self._runner = self._make_runner()
@@ -229,7 +241,10 @@
 
     def is_ready(self) -> bool:
         """Return whether this VM has what it needs to serve."""
-        has_catalogue = self._catalogue.tailer.fresh_at_ms is not None
+        tailer = self._catalogue.tailer
+        has_catalogue = (
+            tailer.fresh_at_ms is not None or CATALOGUE in self._sync.synced_names
+        )
         return has_catalogue and bool(self.directory.backends_by_id)
 
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -245,6 +260,7 @@
         self._ledger.start(tasks)
         tasks.start_soon(self._peering.run)
         tasks.start_soon(self._runner.run)
+        tasks.start_soon(self._sync.run)
         self._every(tasks, timing.vm_list_period_ms, self._read_vms, "vm_list")
         self._every(tasks, timing.load_period_ms, self._read_loads, "load")
         self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
--- a/src/foxtailbank/ledger_service.py
+++ b/src/foxtailbank/ledger_service.py
@@ -6,16 +6,24 @@
 import anyio.abc
 
 from foxtailbank.clock import Clock
+from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.ledger import Ledger
 from foxtailbank.ledger_events import LedgerEvent
 from foxtailbank.ledger_replay import LedgerReplay
 from foxtailbank.ledger_resync import LedgerResync, LogSnapshotSource
-from foxtailbank.log_service import LogService
+from foxtailbank.log_service import LogRecord, LogService
 from foxtailbank.log_tailer import LogTailer
 from foxtailbank.log_writer import LogWriter
 from foxtailbank.payload_store import PayloadStore
+from foxtailbank.record_cache import RecordCache
 from foxtailbank.records import AnyEntry, Envelope
 from foxtailbank.settings_sections import TimingSection
+from foxtailbank.snapshot import (
+    SnapshotAssembler,
+    digest_of,
+    encode_parts,
+    image_of,
+)
 from foxtailbank.snapshot_store import SnapshotStore
 
 LEDGER_STREAM = "ledger"
@@ -52,6 +60,8 @@
         Snapshots in the log.
     tailer : LogTailer
         Follows the stream.
+    cache : RecordCache
+        Latest records, for peers.
     """
 
     def __init__(
@@ -65,6 +75,7 @@
     ) -> None:
         self.incarnation = incarnation
         self.replay = LedgerReplay(ledger=Ledger())
+        self.cache = RecordCache()
         self.writer = LogWriter(
             log=log,
             stream=LEDGER_STREAM,
@@ -82,7 +93,7 @@
         self.tailer = LogTailer(
             log=log,
             stream=LEDGER_STREAM,
-            apply=self.replay.apply,
+            apply=self._apply,
             resync=LedgerResync(
                 replay=self.replay, sources=[LogSnapshotSource(store=self.snapshots)]
             ),
@@ -121,6 +132,34 @@
             entry, timeout_ms=self._append_timeout_ms, on_late=on_late
         )
 
+    def encoded_state(self) -> tuple[bytes, ...]:
+        """Return the state in the parts of a snapshot; empty before any record."""
+        if not self.ledger.next_offset:
+            return ()
+        return tuple(encode_parts(image_of(self.ledger)))
+
+    def restore(self, parts: tuple[bytes, ...]) -> bool:
+        """Go on from a snapshot that is ahead; return False if it is damaged.
+
+        Parameters
+        ----------
+        parts : tuple of bytes
+            What `encoded_state` returned on another VM.
+        """
+        assembler = SnapshotAssembler(digest=digest_of(parts))
+        try:
+            for part in parts:
+                assembler.feed(part)
+            ledger = assembler.finish()
+        except FoxtailbankError:
+            return False
+        self.replay.replace(ledger)
+        return True
+
+    def _apply(self, record: LogRecord) -> None:
+        self.replay.apply(record)
+        self.cache.add(record)
+
     def _applied(self, envelope: Envelope, events: tuple[LedgerEvent, ...]) -> None:
         self.writer.applied(envelope.incarnation, envelope.sequence, events)
 
--- a/src/foxtailbank/log_tailer.py
+++ b/src/foxtailbank/log_tailer.py
@@ -137,6 +137,11 @@
             return False
         return self._apply_all(records)
 
+    def restored(self, next_offset: int) -> None:
+        """Go on from an offset, since the state was taken from a peer."""
+        self.next_offset = max(self.next_offset, next_offset)
+        self.resyncing = False
+
     async def run(self) -> None:
         """Follow the stream until cancelled or halted."""
         while self.halted_by is None:
