Give a job's deadline as a duration on the command line

Need: the entry VM takes deadline_ms from now on and defaults to the entry's limit; submit sent wall time and was refused by a running fleet.

--- a/src/foxtailbank/cli_batch.py
+++ b/src/foxtailbank/cli_batch.py
@@ -4,7 +4,6 @@
 import codecs
 import os
 import pathlib
-import time
 
 import msgspec
 
@@ -65,9 +64,8 @@
     parser.add_argument(
         "--deadline-s",
         type=float,
-        default=86_400.0,
         metavar="S",
-        help="seconds from now by which it is due (default one day)",
+        help="seconds from now by which it is due (default: the entry's limit)",
     )
     parser.add_argument(
         "--idempotency-key",
@@ -162,8 +160,8 @@
     return ExitCode.OK
 
 
-def _deadline_ms(deadline_s: float) -> int:
-    return round(time.time() * MS_PER_S + deadline_s * MS_PER_S)
+def _deadline_ms(deadline_s: float | None) -> int | None:
+    return None if deadline_s is None else round(deadline_s * MS_PER_S)
 
 
 def _sent(context: Context, sent_bytes: int, size_bytes: int) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -29,14 +29,14 @@
 STATUS = {
     "id": "job-7f3a",
     "status": "running",
-    "counts": {"total": 3, "done": 1, "failed": 0},
+    "counts": {"total": 3, "completed": 1, "failed": 0, "pending": 2},
     "deadline_ms": 1_800_000_000_000,
     "expected_finish_ms": 1_799_999_000_000,
 }
-FINISHED = STATUS | {"status": "finished", "counts": {"total": 3, "done": 3}}
+FINISHED = STATUS | {"status": "finished", "counts": {"total": 3, "completed": 3}}
 FAILED = STATUS | {
     "status": "finished",
-    "counts": {"total": 3, "done": 2, "failed": 1},
+    "counts": {"total": 3, "completed": 2, "failed": 1},
 }
 CANCELLED = STATUS | {"status": "cancelled"}
 
@@ -264,14 +264,15 @@
     sent = []
     for _ in range(2):
         code, output, errors, fleet = call(
-            f"batch submit {file} --entry notices", answers
+            f"batch submit {file} --entry notices --deadline-s 1.5", answers
         )
         assert (code, output) == (ExitCode.OK, "job-7f3a\n")
         assert "accepted as job-7f3a" in errors
         (request,) = fleet.requests
         assert request.content == file.read_bytes()
         assert request.headers["content-length"] == str(file.stat().st_size)
-        assert request.url.params["entry"] == "notices"
+        parameters = dict(request.url.params)
+        assert parameters == {"entry": "notices", "deadline_ms": "1500"}
         sent.append(request.headers["idempotency-key"])
     assert sent[0] == sent[1]
 
