--- a/src/foxtailbank_bench/connections.py
+++ b/src/foxtailbank_bench/connections.py
@@ -3,7 +3,9 @@
 import typing as t
 import weakref
 
-from foxtailbank_bench.asgi import Send
+from hypercorn.protocol.events import StreamClosed
+
+from foxtailbank.asgi import Send
 
 
 class Connections:
@@ -29,8 +31,6 @@
 async def abort(send: Send) -> None:
     """Close a request's connection without another byte."""
     # ASGI has no such event, so this reaches for the server's stream object.
-    from hypercorn.protocol.events import StreamClosed
-
     stream = t.cast(t.Any, send).__self__
     stream.closed = True
     await stream.send(StreamClosed(stream_id=stream.stream_id))
--- a/src/foxtailbank_bench/exchange.py
+++ b/src/foxtailbank_bench/exchange.py
@@ -5,20 +5,21 @@
 
 import msgspec
 
+from foxtailbank.asgi import Receive, Scope, Send, header, read_body
 from foxtailbank_bench import asgi
 
+MAX_BODY_BYTES = 64 << 20
+
 Content = t.TypeVar("Content")
 
 
 class Exchange:
-    """A request that was read whole.
+    """A request, whose body is empty until it is read.
 
     Parameters
     ----------
     scope : mapping
         ASGI scope.
-    body : bytes
-        Request body.
     receive, send : callable
         ASGI channels.
 
@@ -28,23 +29,36 @@
         HTTP method.
     path : str
         Unquoted path.
+    body : bytes
+        Request body.
     """
 
     def __init__(
         self,
         *,
-        scope: asgi.Scope,
-        body: bytes,
-        receive: asgi.Receive,
-        send: asgi.Send,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
     ) -> None:
         self.scope = scope
-        self.body = body
+        self.body = b""
         self.receive = receive
         self.send = send
         self.method: str = scope["method"]
         self.path: str = scope["path"]
 
+    async def read_body(self) -> None:
+        """Read the whole request body.
+
+        Raises
+        ------
+        BodyTooLarge
+            It exceeds `MAX_BODY_BYTES`.
+        CallerGone
+            The client went away first.
+        """
+        self.body = await read_body(self.receive, max_bytes=MAX_BODY_BYTES)
+
     @property
     def parts(self) -> list[str]:
         """The path's segments, each of them unquoted."""
@@ -70,7 +84,7 @@
 
     def header(self, name: bytes) -> str:
         """Return a header's value by lower-case name; empty if it is absent."""
-        return asgi.header(self.scope, name)
+        return header(self.scope, name)
 
     def content(self, kind: type[Content]) -> Content:
         """Return the JSON body as a type.
--- a/src/foxtailbank_bench/serving.py
+++ b/src/foxtailbank_bench/serving.py
@@ -14,7 +14,7 @@
 import hypercorn.config
 import msgspec
 
-from foxtailbank_bench.asgi import App
+from foxtailbank.asgi import Receive, Scope, Send
 
 KEEP_ALIVE_MAX_REQUESTS = 10_000_000
 KEEP_ALIVE_S = 60.0
@@ -22,6 +22,8 @@
 BACKLOG = 1_024
 MAX_QUEUED_MESSAGES = 1_000
 
+App: t.TypeAlias = t.Callable[[Scope, Receive, Send], t.Awaitable[None]]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Listening:
--- a/src/foxtailbank_bench/stand_in.py
+++ b/src/foxtailbank_bench/stand_in.py
@@ -4,6 +4,8 @@
 import contextlib
 import typing as t
 
+from foxtailbank.asgi import Receive, Scope, Send
+from foxtailbank.exceptions import BodyTooLarge, CallerGone
 from foxtailbank_bench import asgi
 from foxtailbank_bench.exchange import Exchange
 
@@ -16,17 +18,17 @@
 class StandIn(abc.ABC):
     """ASGI application that reads each request whole before it answers."""
 
-    async def __call__(
-        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
-    ) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
             return await asgi.run_lifespan(receive, send)
-        with contextlib.suppress(asgi.Disconnected):
-            body = await asgi.read_body(receive)
-            exchange = Exchange(scope=scope, body=body, receive=receive, send=send)
+        exchange = Exchange(scope=scope, receive=receive, send=send)
+        with contextlib.suppress(CallerGone):
             try:
+                await exchange.read_body()
                 await self.handle(exchange)
+            except BodyTooLarge as error:
+                await self.send_error(exchange, error.status, error.detail)
             except asgi.Malformed as error:
                 await self.send_error(exchange, BAD_REQUEST, str(error))
 
--- a/tests/test_http_log.py
+++ b/tests/test_http_log.py
@@ -4,6 +4,7 @@
 import pytest
 
 from foxtailbank import exceptions
+from foxtailbank.asgi import drain_body
 from foxtailbank.http_log import FRAME_HEAD, HttpLogService
 from foxtailbank.log_service import LogBounds
 from foxtailbank_bench import asgi
@@ -181,7 +182,7 @@
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
             return await asgi.run_lifespan(receive, send)
-        await asgi.read_body(receive)
+        await drain_body(receive)
         await asgi.send_answer(send, status=status, body=body)
 
     async with log_of(app) as (log, _):
