--- a/src/foxtailbank/digest_set.py
+++ b/src/foxtailbank/digest_set.py
@@ -8,7 +8,7 @@
 
 
 class DigestSet:
-    """Digests in buckets, so that only one bucket at a time is sorted."""
+    """Digests in buckets, of which one at a time is looked through."""
 
     def __init__(self) -> None:
         self._buckets = [array.array("Q") for _ in range(1 << _BUCKET_BITS)]
@@ -21,6 +21,8 @@
         """Return the digests that were added more than once."""
         repeated: set[int] = set()
         for bucket in self._buckets:
+            if len(set(bucket)) == len(bucket):
+                continue
             pairs = itertools.pairwise(sorted(bucket))
             repeated.update(one for one, other in pairs if one == other)
         return frozenset(repeated)
--- a/src/foxtailbank/job_state.py
+++ b/src/foxtailbank/job_state.py
@@ -3,17 +3,14 @@
 import array
 import dataclasses
 import enum
+import itertools
 import typing as t
 
 from foxtailbank.item_set import ItemRange, full_bitmap, ranges_of
-from foxtailbank.ledger_image import JobImage
+from foxtailbank.ledger_image import JobImage, array_of_bytes, bytes_of_array
 from foxtailbank.partial_chunk import PartialChunk
 from foxtailbank.records import ChunkRef, JobAccepted
 
-MAX_CHUNK_ITEMS = 4096
-MAX_JOB_ITEMS = (1 << 31) - 1
-MAX_PAYLOAD_OFFSET = (1 << 62) - 1
-
 
 class JobStatus(enum.Enum):
     """Where a job stands."""
@@ -39,23 +36,6 @@
     items: tuple[ItemRange, ...]
 
 
-def has_valid_chunks(accepted: JobAccepted) -> bool:
-    """Return whether a job's chunks cover its items without gap or overlap."""
-    first = 0
-    for chunk in accepted.chunks:
-        if chunk.first != first or not 0 < chunk.count <= MAX_CHUNK_ITEMS:
-            return False
-        if not is_payload_offset(chunk.payload_offset):
-            return False
-        first += chunk.count
-    return 0 < first == accepted.item_count <= MAX_JOB_ITEMS
-
-
-def is_payload_offset(offset: int) -> bool:
-    """Return whether a number can be an offset of the payload stream."""
-    return 0 <= offset <= MAX_PAYLOAD_OFFSET
-
-
 class JobState:
     """One job that has not been retired.
 
@@ -75,6 +55,7 @@
         "_firsts",
         "_input_offsets",
         "_partial_by_chunk",
+        "_view",
         "_whole_results",
         "accepted_offset",
         "at_ms",
@@ -112,30 +93,59 @@
         # 0 where no single record ended the chunk, else payload offset + 1
         self._whole_results = array.array("Q", bytes(8 * len(chunks)))
         self._partial_by_chunk: dict[int, PartialChunk] = {}
+        self._view: JobView | None = None
 
     @classmethod
     def from_image(cls, image: JobImage) -> "JobState":
         """Return the job that an image was taken of."""
         job = cls(accepted=image.accepted, accepted_offset=image.accepted_offset)
+        job._input_offsets = array_of_bytes("Q", image.input_offsets)
+        job._counts = array_of_bytes("H", image.counts)
+        firsts = itertools.accumulate(job._counts, initial=0)
+        job._firsts = array.array("I", itertools.islice(firsts, len(job._counts)))
         job.status = JobStatus(image.status)
         job.ended_count = image.ended_count
         job.failed_count = image.failed_count
-        job._whole_results = array.array("Q", image.whole_results)
+        job._whole_results = array_of_bytes("Q", image.whole_results)
         job._partial_by_chunk = {
-            partial.chunk: PartialChunk.from_image(partial, job._counts[partial.chunk])
+            partial.chunk: PartialChunk.from_image(partial)
             for partial in image.partials
         }
         return job
 
+    def copy(self) -> "JobState":
+        """Return a copy that later records do not change."""
+        copy = JobState.__new__(JobState)
+        for name in JobState.__slots__:
+            setattr(copy, name, getattr(self, name))
+        copy._input_offsets = self._input_offsets[:]
+        copy._whole_results = self._whole_results[:]
+        copy._partial_by_chunk = {
+            index: partial.copy() for index, partial in self._partial_by_chunk.items()
+        }
+        copy._view = None
+        return copy
+
+    def view(self) -> "JobView":
+        """Return a view of the job as it is now.
+
+        The state is copied only if a later record is about to change it.
+        """
+        if self._view is None:
+            self._view = JobView(job=self)
+        return self._view
+
     def image(self) -> JobImage:
-        """Return a copy of the state that later records do not change."""
+        """Return the state in the form that snapshots hold."""
         return JobImage(
             accepted=self._accepted(),
             accepted_offset=self.accepted_offset,
             status=self.status.value,
             ended_count=self.ended_count,
             failed_count=self.failed_count,
-            whole_results=self._whole_results.tolist(),
+            input_offsets=bytes_of_array(self._input_offsets),
+            counts=bytes_of_array(self._counts),
+            whole_results=bytes_of_array(self._whole_results),
             partials=[p.image(i) for i, p in self._partial_by_chunk.items()],
         )
 
@@ -216,10 +226,16 @@
         partial = self._partial_by_chunk.get(index)
         return partial.unknown if partial else 0
 
+    def cancel(self) -> None:
+        """End the job; its items stay as they are."""
+        self._keep_view()
+        self.status = JobStatus.CANCELLED
+
     def claim(self, index: int, bitmap: int, claimant: str) -> int:
         """Claim items for a claimant; return the bitmap of those won."""
         won = bitmap & self.open(index)
         if won:
+            self._keep_view()
             claimed = self._partial(index).claimed
             claimed[claimant] = claimed.get(claimant, 0) | won
         return won
@@ -234,6 +250,7 @@
             won &= self.claimed_by_claimant(index).get(claimant, 0)
         if not won:
             return 0
+        self._keep_view()
         if won == full_bitmap(size):
             self._partial_by_chunk.pop(index, None)
             self._whole_results[index] = payload_offset + 1
@@ -248,6 +265,7 @@
         """End a claimant's items with unknown outcome; return their bitmap."""
         lost = bitmap & self.claimed_by_claimant(index).get(claimant, 0)
         if lost:
+            self._keep_view()
             partial = self._partial(index)
             partial.unknown |= lost
             self._end(index, partial, lost)
@@ -282,6 +300,7 @@
 
     def move(self, to_by_from: t.Mapping[int, int]) -> int:
         """Lead references to records appended anew; return how many changed."""
+        self._keep_view()
         moved = 0
         for index, offset in enumerate(self._input_offsets):
             if offset in to_by_from:
@@ -295,6 +314,12 @@
             moved += partial.move(to_by_from)
         return moved
 
+    def _keep_view(self) -> None:
+        """Leave the state as it is to whoever holds a view of it."""
+        if self._view is not None:
+            self._view.job = self.copy()
+            self._view = None
+
     def _accepted(self) -> JobAccepted:
         return JobAccepted(
             job_id=self.job_id,
@@ -304,7 +329,7 @@
             digest=self.digest,
             deadline_ms=self.deadline_ms,
             item_count=self.item_count,
-            chunks=tuple(map(self.chunk, range(self.chunk_count))),
+            chunks=(),
             idempotent=self.idempotent,
             at_ms=self.at_ms,
         )
@@ -325,3 +350,18 @@
         self.failed_count += failed.bit_count()
         if self.ended_count == self.item_count:
             self.status = JobStatus.FINISHED
+
+
+class JobView:
+    """A job as it was when the view was taken.
+
+    Parameters
+    ----------
+    job : JobState
+        Replaced by a copy when the job is about to change.
+    """
+
+    __slots__ = ("job",)
+
+    def __init__(self, *, job: JobState) -> None:
+        self.job = job
--- a/src/foxtailbank/job_table.py
+++ b/src/foxtailbank/job_table.py
@@ -3,12 +3,11 @@
 import dataclasses
 import typing as t
 
+from foxtailbank.chunk_check import has_valid_chunks, is_payload_offset
 from foxtailbank.item_set import bitmap_of, ranges_of
 from foxtailbank.job_state import (
     JobState,
     JobStatus,
-    has_valid_chunks,
-    is_payload_offset,
 )
 from foxtailbank.ledger_events import (
     EntryIgnored,
@@ -102,7 +101,7 @@
         job = self._running_job(entry.job_id)
         if isinstance(job, IgnoreReason):
             return EntryIgnored(index=index, reason=job)
-        job.status = JobStatus.CANCELLED
+        job.cancel()
         return JobCancelledEvent(index=index, job_id=entry.job_id)
 
     def _select(
--- a/src/foxtailbank/ledger.py
+++ b/src/foxtailbank/ledger.py
@@ -3,10 +3,10 @@
 import typing as t
 
 from foxtailbank.call_state import CallTable
+from foxtailbank.chunk_check import is_payload_offset
 from foxtailbank.fence import Fence
 from foxtailbank.job_state import (
     JobState,
-    is_payload_offset,
 )
 from foxtailbank.job_table import JobTable
 from foxtailbank.ledger_events import (
--- a/src/foxtailbank/ledger_image.py
+++ b/src/foxtailbank/ledger_image.py
@@ -1,30 +1,74 @@
 """Copies of parts of the ledger's state, in the form that snapshots hold."""
 
+import array
+import sys
+
 import msgspec
 
-from foxtailbank.item_set import ItemRange
 from foxtailbank.records import JobAccepted, Snapshot
 
 
+def bytes_of_array(values: array.array) -> bytes:
+    """Return an array's values as little-endian bytes."""
+    if sys.byteorder == "big":
+        values = values[:]
+        values.byteswap()
+    return values.tobytes()
+
+
+def array_of_bytes(typecode: str, data: bytes) -> array.array:
+    """Return the array whose values stand in little-endian bytes."""
+    values = array.array(typecode)
+    values.frombytes(data)
+    if sys.byteorder == "big":
+        values.byteswap()
+    return values
+
+
+def bytes_of_bitmap(bitmap: int) -> bytes:
+    """Return a bitmap as little-endian bytes."""
+    return bitmap.to_bytes((bitmap.bit_length() + 7) // 8, "little")
+
+
+def bitmap_of_bytes(data: bytes) -> int:
+    """Return the bitmap that stands in little-endian bytes."""
+    return int.from_bytes(data, "little")
+
+
 class PartialImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A chunk that several records have a part in."""
+    """A chunk that several records have a part in.
+
+    Bitmaps are little-endian bytes.
+    """
 
     chunk: int
-    done: tuple[ItemRange, ...]
-    unknown: tuple[ItemRange, ...]
-    claimed: list[tuple[str, tuple[ItemRange, ...]]]
-    won: list[tuple[int, tuple[ItemRange, ...]]]
+    done: bytes
+    unknown: bytes
+    claimed: list[tuple[str, bytes]]
+    won: list[tuple[int, bytes]]
 
 
 class JobImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A job that has not been retired."""
+    """A job that has not been retired.
+
+    Attributes
+    ----------
+    accepted : JobAccepted
+        As recorded, but without its chunks.
+    input_offsets, whole_results : bytes
+        Little-endian, 8 bytes a chunk.
+    counts : bytes
+        Little-endian, 2 bytes a chunk.
+    """
 
     accepted: JobAccepted
     accepted_offset: int
     status: str
     ended_count: int
     failed_count: int
-    whole_results: list[int]
+    input_offsets: bytes
+    counts: bytes
+    whole_results: bytes
     partials: list[PartialImage]
 
 
--- a/src/foxtailbank/log_writer.py
+++ b/src/foxtailbank/log_writer.py
@@ -130,7 +130,7 @@
         backoff_max_ms: int = BACKOFF_MAX_MS,
     ) -> None:
         self.incarnation = incarnation
-        self.min_interval_ms = 0
+        self._min_interval_ms = 0
         self._log = log
         self._stream = stream
         self._clock = clock
@@ -155,6 +155,20 @@
         """Size of the entries that wait to be sent."""
         return self._queued_bytes
 
+    @property
+    def min_interval_ms(self) -> int:
+        """Least time between the starts of two appends, in milliseconds.
+
+        Keeps the fleet within the log's rate: the number of VMs, divided by
+        the appends a second that the log takes.
+        """
+        return self._min_interval_ms
+
+    @min_interval_ms.setter
+    def min_interval_ms(self, interval_ms: int) -> None:
+        self._min_interval_ms = interval_ms
+        self._notify()
+
     @property
     def idle(self) -> bool:
         """Whether every entry is in the log."""
@@ -315,7 +329,7 @@
         if not self._queue:
             return math.inf
         now_ms = self._clock.now_ms()
-        pace_ms = self._last_sent_ms + self.min_interval_ms - now_ms
+        pace_ms = self._last_sent_ms + self._min_interval_ms - now_ms
         full = self._queued_bytes >= self._max_bytes
         if full or any(pending.urgent for pending in self._queue):
             return pace_ms
--- a/src/foxtailbank/partial_chunk.py
+++ b/src/foxtailbank/partial_chunk.py
@@ -2,8 +2,11 @@
 
 import typing as t
 
-from foxtailbank.item_set import bitmap_of, ranges_of
-from foxtailbank.ledger_image import PartialImage
+from foxtailbank.ledger_image import (
+    PartialImage,
+    bitmap_of_bytes,
+    bytes_of_bitmap,
+)
 
 
 class PartialChunk:
@@ -30,25 +33,36 @@
         self.won: dict[int, int] = {}
 
     @classmethod
-    def from_image(cls, image: PartialImage, size: int) -> "PartialChunk":
-        """Return the chunk of `size` items that an image was taken of."""
+    def from_image(cls, image: PartialImage) -> "PartialChunk":
+        """Return the chunk that an image was taken of."""
         partial = cls()
-        partial.done = bitmap_of(image.done, size=size) or 0
-        partial.unknown = bitmap_of(image.unknown, size=size) or 0
+        partial.done = bitmap_of_bytes(image.done)
+        partial.unknown = bitmap_of_bytes(image.unknown)
         for claimant, items in image.claimed:
-            partial.claimed[claimant] = bitmap_of(items, size=size) or 0
+            partial.claimed[claimant] = bitmap_of_bytes(items)
         for offset, items in image.won:
-            partial.won[offset] = bitmap_of(items, size=size) or 0
+            partial.won[offset] = bitmap_of_bytes(items)
         return partial
 
+    def copy(self) -> "PartialChunk":
+        """Return a copy that later records do not change."""
+        copy = PartialChunk()
+        copy.done = self.done
+        copy.unknown = self.unknown
+        copy.claimed = self.claimed.copy()
+        copy.won = self.won.copy()
+        return copy
+
     def image(self, chunk: int) -> PartialImage:
-        """Return a copy of the state that later records do not change."""
+        """Return the state in the form that snapshots hold."""
         return PartialImage(
             chunk=chunk,
-            done=ranges_of(self.done),
-            unknown=ranges_of(self.unknown),
-            claimed=[(who, ranges_of(bits)) for who, bits in self.claimed.items()],
-            won=[(offset, ranges_of(bits)) for offset, bits in self.won.items()],
+            done=bytes_of_bitmap(self.done),
+            unknown=bytes_of_bitmap(self.unknown),
+            claimed=[
+                (who, bytes_of_bitmap(bits)) for who, bits in self.claimed.items()
+            ],
+            won=[(offset, bytes_of_bitmap(bits)) for offset, bits in self.won.items()],
         )
 
     def move(self, to_by_from: t.Mapping[int, int]) -> int:
--- a/src/foxtailbank/records.py
+++ b/src/foxtailbank/records.py
@@ -129,7 +129,8 @@
     failed : tuple of ItemRange
         Those of `items` whose line is a failure.
     claimant : str
-        Incarnation of the VM that ran them.
+        Incarnation of the VM that ran them; empty where the job is idempotent,
+        as nobody claims its items.
     """
 
     job_id: str
--- a/src/foxtailbank/snapshot.py
+++ b/src/foxtailbank/snapshot.py
@@ -10,7 +10,7 @@
 from foxtailbank.call_state import CallState
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fence import Fence
-from foxtailbank.job_state import JobState, JobStatus
+from foxtailbank.job_state import JobState, JobStatus, JobView
 from foxtailbank.ledger import Ledger
 from foxtailbank.ledger_image import (
     CallImage,
@@ -24,12 +24,12 @@
 from foxtailbank.retired_job import RetiredJob
 
 SCHEMA = 1
-JOB_CHUNKS_PER_PART = 8000
+JOB_CHUNKS_PER_PART = 4000
 IMAGES_PER_PART = 2000
 MAX_PART_BYTES = 16 * 1024 * 1024
 _COMPRESSION_LEVEL = 1
 
-_Image = t.TypeVar("_Image")
+_T = t.TypeVar("_T")
 
 
 class SnapshotInvalid(FoxtailbankError):
@@ -47,9 +47,9 @@
     """The ledger's state at one offset, unaffected by later records."""
 
     head: HeadImage
-    jobs: tuple[JobImage, ...]
-    retired: tuple[RetiredImage, ...]
-    calls: tuple[CallImage, ...]
+    jobs: tuple[JobView, ...]
+    retired: tuple[RetiredJob, ...]
+    calls: tuple[tuple[tuple[str, str], CallState], ...]
 
     @property
     def covers_offset(self) -> int:
@@ -73,9 +73,9 @@
     )
     return LedgerImage(
         head=head,
-        jobs=tuple(job.image() for job in jobs),
-        retired=tuple(map(_retired_image, retired)),
-        calls=tuple(_call_image(*key, call) for key, call in calls.items()),
+        jobs=tuple(job.view() for job in jobs),
+        retired=tuple(retired),
+        calls=tuple(calls.items()),
     )
 
 
@@ -85,9 +85,11 @@
     for jobs in _batches_by_chunks(image.jobs):
         yield _encode(PartImage(schema=SCHEMA, jobs=jobs))
     for retired in _batches(image.retired):
-        yield _encode(PartImage(schema=SCHEMA, retired=retired))
+        images = [_retired_image(job) for job in retired]
+        yield _encode(PartImage(schema=SCHEMA, retired=images))
     for calls in _batches(image.calls):
-        yield _encode(PartImage(schema=SCHEMA, calls=calls))
+        answers = [_call_image(*key, call) for key, call in calls]
+        yield _encode(PartImage(schema=SCHEMA, calls=answers))
 
 
 class SnapshotDigest:
@@ -141,14 +143,10 @@
         """
         self._digest.update(part)
         image = _decode(part)
-        if image.head is not None:
-            self._take_head(image.head)
-        for job in image.jobs:
-            self._take_job(job)
-        for retired in image.retired:
-            self._take_retired(retired)
-        for call in image.calls:
-            self._take_call(call)
+        try:
+            self._take(image)
+        except ValueError as error:
+            raise SnapshotInvalid(detail=str(error)) from error
 
     def finish(self) -> Ledger:
         """Return the ledger.
@@ -175,6 +173,16 @@
             raise SnapshotInvalid(detail="parts are missing")
         return ledger
 
+    def _take(self, image: PartImage) -> None:
+        if image.head is not None:
+            self._take_head(image.head)
+        for job in image.jobs:
+            self._take_job(job)
+        for retired in image.retired:
+            self._take_retired(retired)
+        for call in image.calls:
+            self._take_call(call)
+
     def _take_head(self, head: HeadImage) -> None:
         self._head = head
         ledger = self._ledger
@@ -235,17 +243,17 @@
         raise SnapshotInvalid(detail=str(error)) from error
 
 
-def _batches(images: t.Sequence[_Image]) -> t.Iterator[list[_Image]]:
-    for first in range(0, len(images), IMAGES_PER_PART):
-        yield list(images[first : first + IMAGES_PER_PART])
+def _batches(values: t.Sequence[_T]) -> t.Iterator[list[_T]]:
+    for first in range(0, len(values), IMAGES_PER_PART):
+        yield list(values[first : first + IMAGES_PER_PART])
 
 
-def _batches_by_chunks(images: t.Sequence[JobImage]) -> t.Iterator[list[JobImage]]:
+def _batches_by_chunks(views: t.Iterable[JobView]) -> t.Iterator[list[JobImage]]:
     batch: list[JobImage] = []
     chunks = 0
-    for image in images:
-        batch.append(image)
-        chunks += len(image.whole_results)
+    for view in views:
+        batch.append(view.job.image())
+        chunks += view.job.chunk_count
         if chunks >= JOB_CHUNKS_PER_PART:
             yield batch
             batch, chunks = [], 0
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 
 import anyio
@@ -211,3 +212,41 @@
         with pytest.raises(AppendOutcomeUnknown):
             await rig.writer.append(call(), timeout_ms=LONG_MS)
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_appends_keep_their_least_interval():
+    rig = Rig()
+    rig.writer.min_interval_ms = LONG_MS
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(rig.writer.run)
+        rig.writer.submit(job("j1"), urgent=True)
+        await until(lambda: rig.writer.idle)
+        rig.writer.submit(job("j2"), urgent=True)
+        rig.writer.submit(job("j3"), urgent=True)
+        await anyio.wait_all_tasks_blocked()
+        assert rig.log.append_count == 1
+        rig.writer.min_interval_ms = 0
+        await until(lambda: rig.writer.idle)
+        tasks.cancel_scope.cancel()
+    assert [len(e.entries) for e in rig.envelopes()] == [1, 2]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("applied_first", [False, True])
+async def test_cancelled_waiter_still_tells_of_a_claim_that_it_won(applied_first):
+    rig = Rig()
+    late = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(rig.writer.run)
+        appending = rig.writer.append(call(), timeout_ms=LONG_MS, on_late=late.extend)
+        waiter = asyncio.create_task(appending)
+        await until(lambda: rig.envelopes())
+        if applied_first:
+            rig.catch_up()
+        waiter.cancel()
+        await asyncio.wait([waiter])
+        rig.catch_up()
+        tasks.cancel_scope.cancel()
+    assert waiter.cancelled()
+    assert [type(event).__name__ for event in late] == ["CallClaimWon"]
