--- a/src/foxtailbank/catalogue_records.py
+++ b/src/foxtailbank/catalogue_records.py
@@ -174,3 +174,11 @@
     if len(envelope.entries) > MAX_EDITS_PER_RECORD:
         return MalformedRecord(reason="too many edits in one record")
     return envelope
+
+
+def is_snapshot(data: bytes) -> bool:
+    """Return whether a record holds a snapshot."""
+    record = decode_envelope(data)
+    return isinstance(record, CatalogueEnvelope) and any(
+        isinstance(entry, CatalogueSnapshot) for entry in record.entries
+    )
--- a/src/foxtailbank/catalogue_service.py
+++ b/src/foxtailbank/catalogue_service.py
@@ -8,7 +8,13 @@
 from foxtailbank.admission import Admission
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.catalogue_events import CatalogueEvent, EntryChanged
-from foxtailbank.catalogue_records import STREAM, CatalogueSnapshot, decode_envelope
+from foxtailbank.catalogue_records import (
+    STREAM,
+    CatalogueSnapshot,
+    decode_envelope,
+    is_snapshot,
+)
+from foxtailbank.catalogue_restore import SnapshotAge, catch_up, is_snapshot_due
 from foxtailbank.catalogue_state import read_snapshot, take_snapshot
 from foxtailbank.catalogue_writer import CatalogueWriter
 from foxtailbank.clock import Clock
@@ -22,6 +28,8 @@
 from foxtailbank.sentinels import Missing
 from foxtailbank.settings_sections import TimingSection
 
+RESYNC_BYTES = 4 * 1024 * 1024
+
 
 class CatalogueService:
     """Keeps the catalogue in force.
@@ -66,7 +74,9 @@
         admission: Admission,
         logs: Logs,
     ) -> None:
+        self._log = log
         self._clock = clock
+        self._snapshot_age = SnapshotAge(offset=-1, seen_ms=clock.now_ms())
         self._admission = admission
         self._logs = logs
         self.catalogue = Catalogue()
@@ -76,7 +86,7 @@
             log=log,
             stream=STREAM,
             apply=self.apply,
-            resync=_no_snapshot,
+            resync=self._resync,
             clock=clock,
             rng=rng,
             wait_ms=timing.log_wait_ms,
@@ -90,10 +100,51 @@
         """Apply one record of the stream."""
         events = self.catalogue.apply(record.offset, decode_envelope(record.data))
         self.cache.add(record)
+        if is_snapshot(record.data):
+            self._snapshot_age = SnapshotAge(
+                offset=record.offset, seen_ms=self._clock.now_ms()
+            )
         self.writer.applied(events)
         for event in events:
             self._note(event)
 
+    async def keep(self) -> None:
+        """Append the state anew if what the log keeps of it is about to go.
+
+        Raises
+        ------
+        LogUnavailable
+            The log gave no answer.
+        """
+        bounds = await self._log.bounds(stream=STREAM)
+        now_ms = self._clock.now_ms()
+        if self.catalogue.applied_offset < 0:
+            return
+        if not is_snapshot_due(
+            self._snapshot_age, earliest=bounds.earliest, end=bounds.end, now_ms=now_ms
+        ):
+            return
+        await self.writer.append_snapshot(take_snapshot(self.catalogue.state()))
+        fields = LogFields(offset=self.catalogue.applied_offset, reason=STREAM)
+        self._logs.write(Event.SNAPSHOT_TAKEN, fields=fields)
+
+    async def _resync(self, next_offset: int) -> int:
+        bounds = await self._log.bounds(stream=STREAM)
+        records: list[LogRecord] = []
+        offset = bounds.earliest
+        while offset < bounds.end:
+            found = await self._log.read(
+                stream=STREAM, offset=offset, max_bytes=RESYNC_BYTES
+            )
+            records.extend(found)
+            offset = found[-1].offset + 1 if found else bounds.end
+        events = catch_up(self.catalogue, records, earliest=bounds.earliest)
+        if isinstance(events, Missing):
+            raise ResyncFailed(detail=f"no snapshot beyond offset {next_offset}")
+        for name, entry in self.catalogue.entries_by_name.items():
+            self._set_limits(name, entry)
+        return self.catalogue.applied_offset + 1
+
     def encoded_state(self) -> bytes:
         """Return the state as a snapshot."""
         return msgspec.json.encode(take_snapshot(self.catalogue.state()))
@@ -140,7 +191,3 @@
             Event.CATALOGUE_CHANGED,
             fields=LogFields(entry=event.name, version=event.version),
         )
-
-
-async def _no_snapshot(next_offset: int) -> int:
-    raise ResyncFailed(detail=f"no snapshot beyond offset {next_offset}")
--- a/src/foxtailbank/catalogue_writer.py
+++ b/src/foxtailbank/catalogue_writer.py
@@ -8,6 +8,7 @@
     STREAM,
     CatalogueEdit,
     CatalogueEnvelope,
+    CatalogueSnapshot,
     encode_envelope,
 )
 from foxtailbank.clock import MS_PER_S
@@ -81,7 +82,17 @@
             del self._applied_by_edit_id[edit.edit_id]
             self._events_by_edit_id.pop(edit.edit_id, None)
 
-    async def _append(self, edit: CatalogueEdit) -> None:
+    async def append_snapshot(self, snapshot: CatalogueSnapshot) -> None:
+        """Append a snapshot.
+
+        Raises
+        ------
+        LogUnavailable
+            It was not confirmed; another copy does no harm.
+        """
+        await self._append(snapshot)
+
+    async def _append(self, edit: CatalogueEdit | CatalogueSnapshot) -> None:
         async with self._lock:
             self._sequence += 1
             envelope = CatalogueEnvelope(
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -34,17 +34,22 @@
 from foxtailbank.http_vm_list import HttpVmList
 from foxtailbank.keyed_calls import KeyedCalls
 from foxtailbank.ledger_service import LedgerService
+from foxtailbank.log_service import LogService
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.lost_claimants import LostClaimants
 from foxtailbank.membership_actions import MemberDead, MemberJoined, MembershipAction
 from foxtailbank.metrics import Metrics
 from foxtailbank.models_api import ModelsApi
 from foxtailbank.online import OnlineHandler
 from foxtailbank.outcomes import Outcomes
+from foxtailbank.ownership import Candidate, owner_of
 from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
+from foxtailbank.retention_keeper import PERIOD_MS as KEEP_PERIOD_MS
+from foxtailbank.retention_keeper import RetentionKeeper
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
@@ -129,6 +134,7 @@
             ),
         )
         self._observer = self._make_observer()
+        self._keeper = self._make_keeper(log)
         self._dispatcher = self._make_dispatcher()
         self._runner = self._make_runner()
         self._observer.runner = self._runner
@@ -137,6 +143,31 @@
         self.health = HealthApi(is_ready=self.is_ready, metrics=self._metrics)
         self.app = self._make_app()
 
+    def _make_keeper(self, log: LogService) -> RetentionKeeper:
+        lost = LostClaimants(
+            clock=self._clock, incarnation_of=self._peering.incarnation_of
+        )
+        return RetentionKeeper(
+            clock=self._clock,
+            retention_ms=self._settings.timing.log_retention_ms,
+            log=log,
+            service=self._ledger,
+            catalogue=self._catalogue,
+            logs=self._logs,
+            owns=self._owns,
+            is_lost=lost.is_lost,
+        )
+
+    def _owns(self, duty: str) -> bool:
+        """Return whether this VM has a duty that one VM does for the fleet."""
+        live = [
+            Candidate(candidate_id=one.vm_id, zone=one.zone)
+            for one in self._peering.live()
+        ]
+        owner = owner_of(duty, live)
+        own = self._settings.vm.id
+        return isinstance(owner, Candidate) and owner.candidate_id == own
+
     def _make_observer(self) -> FleetObserver:
         return FleetObserver(
             clock=self._clock,
@@ -264,6 +295,7 @@
         self._every(tasks, timing.vm_list_period_ms, self._read_vms, "vm_list")
         self._every(tasks, timing.load_period_ms, self._read_loads, "load")
         self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
+        self._every(tasks, KEEP_PERIOD_MS, self._keeper.run_once, "retention")
         self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
 
     async def hand_over(self) -> None:
@@ -278,7 +310,9 @@
         work: t.Callable[[], t.Awaitable[None]],
         name: str,
     ) -> None:
-        run = functools.partial(every, period_ms=period_ms, work=work, name=name)
+        run = functools.partial(
+            every, period_ms=period_ms, work=work, name=name, logs=self._logs
+        )
         tasks.start_soon(run)
 
     async def _read_vms(self) -> None:
--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -33,6 +33,7 @@
     REPLAY_BLOCKED = "replay_blocked"
     SNAPSHOT_TAKEN = "snapshot_taken"
     SNAPSHOT_RESTORED = "snapshot_restored"
+    PAYLOAD_LOST = "payload_lost"
     LOG_LOST = "log_lost"
     LOG_RESTORED = "log_restored"
     VM_LIST_LOST = "vm_list_lost"
@@ -49,4 +50,5 @@
     ORDER_GIVEN = "order_given"
     ORDER_FAILED = "order_failed"
     LEASE_LOST = "lease_lost"
+    TASK_FAILED = "task_failed"
     INTERNAL_ERROR = "internal_error"
--- a/src/foxtailbank/job_results.py
+++ b/src/foxtailbank/job_results.py
@@ -61,10 +61,8 @@
     async def _manifest(self, job: JobState | RetiredJob) -> Manifest:
         if isinstance(job, JobState):
             return manifest_of(job)
-        payload = await self._read(
-            job.job_id, 0, job.manifest_offset, PayloadKind.MANIFEST
-        )
-        return decode_manifest(payload.body, job_id=job.job_id)
+        data = await self._service.payloads.read_raw(job.manifest_offset)
+        return decode_manifest(data, job_id=job.job_id)
 
     async def _part(self, job_id: str, index: int, part: ResultPart) -> Payload:
         return await self._read(job_id, index, part.payload_offset, PayloadKind.RESULTS)
--- a/src/foxtailbank/ledger_service.py
+++ b/src/foxtailbank/ledger_service.py
@@ -16,7 +16,7 @@
 from foxtailbank.log_writer import LogWriter
 from foxtailbank.payload_store import PayloadStore
 from foxtailbank.record_cache import RecordCache
-from foxtailbank.records import AnyEntry, Envelope
+from foxtailbank.records import AnyEntry, Envelope, Snapshot
 from foxtailbank.settings_sections import TimingSection
 from foxtailbank.snapshot import (
     SnapshotAssembler,
@@ -138,6 +138,16 @@
             return ()
         return tuple(encode_parts(image_of(self.ledger)))
 
+    async def write_snapshot(self) -> Snapshot:
+        """Append the state's parts; return the entry that makes them known.
+
+        Raises
+        ------
+        LogUnavailable
+            A part was not confirmed.
+        """
+        return await self.snapshots.write(image_of(self.ledger))
+
     def restore(self, parts: tuple[bytes, ...]) -> bool:
         """Go on from a snapshot that is ahead; return False if it is damaged.
 
--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -40,6 +40,8 @@
         Other entry VM.
     job_id : str
         Batch job.
+    task : str
+        Periodic work of the daemon.
     status : int
         HTTP status of the answer.
     duration_ms : int
@@ -59,6 +61,7 @@
     endpoint: str = ""
     peer: str = ""
     job_id: str = ""
+    task: str = ""
     status: int | None = None
     duration_ms: int | None = None
     version: int | None = None
--- a/src/foxtailbank/peering.py
+++ b/src/foxtailbank/peering.py
@@ -141,6 +141,13 @@
         own = self._settings.vm.id
         return tuple(one for one in self.live() if one.vm_id != own)
 
+    def incarnation_of(self, vm_id: str) -> int | None:
+        """Return the incarnation of a live VM; None if it is not live."""
+        for one in self.live():
+            if one.vm_id == vm_id:
+                return one.incarnation
+        return None
+
     def has_contact_with_all(self, *, within_ms: int) -> bool:
         """Return whether every availability zone was heard from lately."""
         return self.membership.view.has_contact_with_all(
--- /dev/null
+++ b/src/foxtailbank/retention_keeper.py
@@ -0,0 +1,229 @@
+"""Appends anew what is still needed before the log's retention takes it."""
+
+import typing as t
+
+import msgspec
+
+from foxtailbank.catalogue_service import CatalogueService
+from foxtailbank.clock import Clock
+from foxtailbank.events import Event
+from foxtailbank.exceptions import OffsetExpired
+from foxtailbank.item_set import ranges_of
+from foxtailbank.ledger_service import LEDGER_STREAM, PAYLOAD_STREAM, LedgerService
+from foxtailbank.log_service import LogService
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.manifest import Manifest, decode_manifest, manifest_of
+from foxtailbank.payload import PayloadKind
+from foxtailbank.records import (
+    CallPayloadMoved,
+    ClaimsAbandoned,
+    JobRetired,
+    ManifestMoved,
+    PayloadMove,
+    PayloadMoved,
+)
+from foxtailbank.retention import (
+    Owns,
+    RenewAnswer,
+    RenewManifest,
+    RenewPayload,
+    RetentionAction,
+    RetentionView,
+    RetireJob,
+    WriteSnapshot,
+    renewal_actions,
+    snapshot_action,
+)
+from foxtailbank.settings_sections import LogLevel
+from foxtailbank.stream_age import StreamAge
+
+PERIOD_MS = 2_000
+SNAPSHOT_RECORDS = 2_000
+APPEND_MS = 10_000
+MAX_ACTIONS = 64
+CATALOGUE_DUTY = "catalogue-snapshot"
+
+
+class RetentionKeeper:
+    """Does this VM's part of keeping the streams readable.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    retention_ms : int
+        How long the log keeps a record, in milliseconds.
+    log : LogService
+        The platform's log.
+    service : LedgerService
+        Jobs, calls and their payloads.
+    catalogue : CatalogueService
+        Entries in force.
+    logs : Logs
+        Takes a line for each snapshot.
+    owns : callable
+        Tells whether this VM has a duty, by its name.
+    is_lost : callable
+        Tells whether an incarnation has been gone for long.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        retention_ms: int,
+        log: LogService,
+        service: LedgerService,
+        catalogue: CatalogueService,
+        logs: Logs,
+        owns: Owns,
+        is_lost: t.Callable[[str], bool],
+    ) -> None:
+        self._clock = clock
+        self._ages_by_stream = {
+            stream: StreamAge(retention_ms=retention_ms)
+            for stream in (LEDGER_STREAM, PAYLOAD_STREAM)
+        }
+        self._log = log
+        self._service = service
+        self._catalogue = catalogue
+        self._logs = logs
+        self._owns = owns
+        self._is_lost = is_lost
+
+    async def run_once(self) -> None:
+        """Look at the streams and do what is due.
+
+        Raises
+        ------
+        LogUnavailable
+            The log gave no answer; what is due stays due.
+        """
+        ledger_view = await self._look(LEDGER_STREAM)
+        payload_view = await self._look(PAYLOAD_STREAM)
+        snapshot = snapshot_action(
+            ledger=self._service.ledger,
+            ledger_view=ledger_view,
+            payload_view=payload_view,
+            interval_records=SNAPSHOT_RECORDS,
+            owns=self._owns,
+        )
+        if snapshot is not None:
+            await self._do(snapshot)
+        for action in self._due(payload_view):
+            await self._try(action)
+        self._abandon_lost_claims()
+        if self._owns(CATALOGUE_DUTY):
+            await self._catalogue.keep()
+
+    async def _look(self, stream: str) -> RetentionView:
+        bounds = await self._log.bounds(stream=stream)
+        aged_offset = self._ages_by_stream[stream].observe(
+            end=bounds.end, now_ms=self._clock.now_ms()
+        )
+        return RetentionView(bounds=bounds, aged_offset=aged_offset)
+
+    def _due(self, payload_view: RetentionView) -> list[RetentionAction]:
+        actions = []
+        found = renewal_actions(
+            ledger=self._service.ledger, payload_view=payload_view, owns=self._owns
+        )
+        for action in found:
+            actions.append(action)
+            if len(actions) == MAX_ACTIONS:
+                break
+        return actions
+
+    async def _try(self, action: RetentionAction) -> None:
+        try:
+            await self._do(action)
+        except OffsetExpired as failure:
+            # What is lost must not keep the rest from being renewed.
+            fields = LogFields(reason=failure.detail)
+            self._logs.write(Event.PAYLOAD_LOST, level=LogLevel.ERROR, fields=fields)
+
+    async def _do(self, action: RetentionAction) -> None:
+        match action:
+            case WriteSnapshot():
+                await self._write_snapshot()
+            case RenewPayload(job_id=job_id, offsets=offsets):
+                moves = await self._copy(offsets)
+                self._service.writer.submit(PayloadMoved(job_id=job_id, moves=moves))
+            case RenewManifest(job_id=job_id, manifest_offset=offset):
+                await self._renew_manifest(job_id, offset)
+            case RenewAnswer():
+                await self._renew_answer(action)
+            case RetireJob(job_id=job_id):
+                await self._retire(job_id)
+
+    async def _write_snapshot(self) -> None:
+        entry = await self._service.write_snapshot()
+        await self._service.append(entry)
+        fields = LogFields(offset=entry.covers_offset, reason=LEDGER_STREAM)
+        self._logs.write(Event.SNAPSHOT_TAKEN, fields=fields)
+
+    async def _copy(self, offsets: tuple[int, ...]) -> tuple[PayloadMove, ...]:
+        moves = []
+        for offset in offsets:
+            new = await self._service.payloads.copy(offset=offset, timeout_ms=APPEND_MS)
+            moves.append(PayloadMove(offset, new))
+        return tuple(moves)
+
+    async def _renew_manifest(self, job_id: str, offset: int) -> None:
+        data = await self._service.payloads.read_raw(offset)
+        manifest = decode_manifest(data, job_id=job_id)
+        moves = await self._copy(manifest.payload_offsets())
+        to_by_from = {move.from_offset: move.to_offset for move in moves}
+        moved = manifest.moved(to_by_from)
+        new_offset = await self._append_manifest(moved)
+        offsets = moved.payload_offsets()
+        self._service.writer.submit(
+            ManifestMoved(
+                job_id=job_id,
+                from_offset=offset,
+                to_offset=new_offset,
+                oldest_offset=min(offsets, default=new_offset),
+            )
+        )
+
+    async def _renew_answer(self, action: RenewAnswer) -> None:
+        moves = await self._copy((action.payload_offset,))
+        self._service.writer.submit(
+            CallPayloadMoved(
+                owner=action.owner,
+                key=action.key,
+                from_offset=action.payload_offset,
+                to_offset=moves[0].to_offset,
+            )
+        )
+
+    async def _retire(self, job_id: str) -> None:
+        job = self._service.ledger.jobs_by_id.get(job_id)
+        if job is None:
+            return
+        offset = await self._append_manifest(manifest_of(job))
+        await self._service.append(JobRetired(job_id=job_id, manifest_offset=offset))
+
+    async def _append_manifest(self, manifest: Manifest) -> int:
+        return await self._service.payloads.append(
+            kind=PayloadKind.MANIFEST,
+            body=msgspec.json.encode(manifest),
+            timeout_ms=APPEND_MS,
+            job_id=manifest.job_id,
+        )
+
+    def _abandon_lost_claims(self) -> None:
+        for job in self._service.ledger.jobs_by_id.values():
+            if job.ended or job.idempotent or not self._owns(job.job_id):
+                continue
+            for index in job.partial_chunks():
+                for claimant, bitmap in job.claimed_by_claimant(index).items():
+                    if self._is_lost(claimant):
+                        self._service.writer.submit(
+                            ClaimsAbandoned(
+                                job_id=job.job_id,
+                                chunk=index,
+                                items=ranges_of(bitmap),
+                                claimant=claimant,
+                            )
+                        )
--- a/src/foxtailbank/settings_sections.py
+++ b/src/foxtailbank/settings_sections.py
@@ -156,6 +156,8 @@
         Period of reading the platform's VM list.
     log_wait_ms : int
         How long the log may hold back an empty answer.
+    log_retention_ms : int
+        How long the log keeps a record, by the platform's word.
     log_append_timeout_ms : int
         Time limit of one append.
     connect_timeout_ms : int
@@ -184,6 +186,7 @@
     peer_timeout_ms: Milliseconds = 1_500
     vm_list_period_ms: Milliseconds = 1_000
     log_wait_ms: Milliseconds = 1_000
+    log_retention_ms: Milliseconds = 86_400_000
     log_append_timeout_ms: Milliseconds = 2_000
     connect_timeout_ms: Milliseconds = 500
     first_chunk_timeout_ms: Milliseconds = 10_000
--- a/src/foxtailbank/tasks.py
+++ b/src/foxtailbank/tasks.py
@@ -1,18 +1,23 @@
 """Periodic work of the daemon."""
 
-import logging
+import traceback
 import typing as t
 
 import anyio
 
 from foxtailbank.clock import MS_PER_S
+from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError
-
-_log = logging.getLogger(__name__)
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.settings_sections import LogLevel
 
 
 async def every(
-    *, period_ms: int, work: t.Callable[[], t.Awaitable[None]], name: str
+    *,
+    period_ms: int,
+    work: t.Callable[[], t.Awaitable[None]],
+    name: str,
+    logs: Logs,
 ) -> None:
     """Do work again and again; a failure is logged and does not end it.
 
@@ -24,12 +29,28 @@
         Coroutine function without arguments.
     name : str
         Name of the work in the log.
+    logs : Logs
+        Takes a line when the work starts to fail, and when it fails otherwise.
     """
+    last_reason = ""
     while True:
+        reason = ""
         try:
             await work()
         except FoxtailbankError as failure:
-            _log.info("task_failed", extra={"task": name, "reason": failure.code})
-        except Exception:
-            _log.exception("task_broken", extra={"task": name})
+            reason = failure.code
+            if reason != last_reason:
+                fields = LogFields(task=name, reason=f"{reason}: {failure.detail}")
+                logs.write(Event.TASK_FAILED, level=LogLevel.WARNING, fields=fields)
+        except Exception as error:
+            reason = type(error).__name__
+            if reason != last_reason:
+                fields = LogFields(task=name, reason=_where(error))
+                logs.write(Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields)
+        last_reason = reason
         await anyio.sleep(period_ms / MS_PER_S)
+
+
+def _where(error: Exception) -> str:
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{error!r} at {frame.name}:{frame.lineno}"
