Refuse new references to payload that may soon be lost

Cause: a VM that was paused between writing a result and recording it could, after the log's retention, win an item with a record that nobody can read any more.

Change: PayloadFloorRaised moves a floor up in the ledger; entries recorded later that refer to payload below it have no effect, on any VM. retention.py says when the VM that has the duty raises it (the offset before which it renews). Ruled out: asking the log for its bounds at apply time (VMs would differ).

--- a/src/foxtailbank/job_table.py
+++ b/src/foxtailbank/job_table.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from foxtailbank.chunk_check import has_valid_chunks, is_payload_offset
+from foxtailbank.chunk_check import PayloadFloor, chunks_refusal
 from foxtailbank.item_set import bitmap_of, ranges_of
 from foxtailbank.job_state import (
     JobState,
@@ -51,9 +51,15 @@
         Jobs that have been retired and not been forgotten.
     job_ids_by_key : dict of (str, str) to str
         Job by owner and idempotency key.
+
+    Parameters
+    ----------
+    floor : PayloadFloor
+        Tells which payload records new entries may refer to.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, floor: PayloadFloor) -> None:
+        self._floor = floor
         self.jobs_by_id: dict[str, JobState] = {}
         self.retired_by_id: dict[str, RetiredJob] = {}
         self.job_ids_by_key: dict[tuple[str, str], str] = {}
@@ -65,8 +71,9 @@
             if self._job_digest(known_id) == entry.digest:
                 return JobRepeated(index=index, job_id=known_id)
             return JobConflict(index=index, job_id=known_id)
-        if not has_valid_chunks(entry):
-            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        refusal = chunks_refusal(entry, self._floor)
+        if refusal is not None:
+            return EntryIgnored(index=index, reason=refusal)
         job = JobState(accepted=entry, accepted_offset=offset)
         self.jobs_by_id[entry.job_id] = job
         if entry.key:
@@ -155,8 +162,11 @@
             return (EntryIgnored(index=index, reason=selected),)
         job, bitmap = selected
         failed = bitmap_of(entry.failed, size=job.chunk(entry.chunk).count)
-        if failed is None or not is_payload_offset(entry.payload_offset):
+        if failed is None:
             return (EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE),)
+        refusal = self._floor.refusal(entry.payload_offset)
+        if refusal is not None:
+            return (EntryIgnored(index=index, reason=refusal),)
         won = job.win(entry.chunk, bitmap, failed, entry.payload_offset, entry.claimant)
         if not won:
             return (EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW),)
@@ -179,8 +189,9 @@
             return EntryIgnored(index=index, reason=reason)
         if not job.ended:
             return EntryIgnored(index=index, reason=IgnoreReason.JOB_NOT_ENDED)
-        if not is_payload_offset(entry.manifest_offset):
-            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        refusal = self._floor.refusal(entry.manifest_offset)
+        if refusal is not None:
+            return EntryIgnored(index=index, reason=refusal)
         del self.jobs_by_id[entry.job_id]
         self.retired_by_id[entry.job_id] = retire(job, entry.manifest_offset)
         return JobRetiredEvent(
@@ -190,8 +201,9 @@
     def move(self, index: int, entry: PayloadMoved) -> LedgerEvent:
         """Lead references to records that were appended anew."""
         to_by_from = {move.from_offset: move.to_offset for move in entry.moves}
-        if not all(map(is_payload_offset, to_by_from.values())):
-            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        for refusal in map(self._floor.refusal, to_by_from.values()):
+            if refusal is not None:
+                return EntryIgnored(index=index, reason=refusal)
         job = self._running_job(entry.job_id)
         if isinstance(job, IgnoreReason):
             return EntryIgnored(index=index, reason=job)
@@ -207,8 +219,9 @@
             return EntryIgnored(index=index, reason=IgnoreReason.UNKNOWN_JOB)
         if retired.manifest_offset != entry.from_offset:
             return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
-        if not is_payload_offset(entry.to_offset):
-            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        refusal = self._floor.refusal(min(entry.to_offset, entry.oldest_offset))
+        if refusal is not None:
+            return EntryIgnored(index=index, reason=refusal)
         self.retired_by_id[entry.job_id] = dataclasses.replace(
             retired,
             manifest_offset=entry.to_offset,
--- a/src/foxtailbank/ledger.py
+++ b/src/foxtailbank/ledger.py
@@ -3,7 +3,7 @@
 import typing as t
 
 from foxtailbank.call_state import CallTable
-from foxtailbank.chunk_check import is_payload_offset
+from foxtailbank.chunk_check import PayloadFloor
 from foxtailbank.fence import Fence
 from foxtailbank.job_state import (
     JobState,
@@ -15,6 +15,7 @@
     HistoryForgotten,
     IgnoreReason,
     LedgerEvent,
+    PayloadFloorMoved,
     SnapshotWritten,
 )
 from foxtailbank.records import (
@@ -33,6 +34,7 @@
     JobCancelled,
     JobRetired,
     ManifestMoved,
+    PayloadFloorRaised,
     PayloadMoved,
     Snapshot,
 )
@@ -53,6 +55,8 @@
     ----------
     next_offset : int
         Offset after the last record applied; it never decreases.
+    payload_floor : PayloadFloor
+        Tells which payload records new entries may refer to.
     jobs : JobTable
         Batch jobs.
     calls : CallTable
@@ -67,7 +71,8 @@
 
     def __init__(self) -> None:
         self.next_offset = 0
-        self.jobs = JobTable()
+        self.payload_floor = PayloadFloor()
+        self.jobs = JobTable(floor=self.payload_floor)
         self.calls = CallTable()
         self.fences_by_scope: dict[str, Fence] = {}
         self.snapshot: Snapshot | None = None
@@ -154,18 +159,22 @@
                 return (self._take_fence(index, offset, entry),)
             case HistoryExpired():
                 return (self._expire_history(index, entry),)
+            case PayloadFloorRaised():
+                return (self._raise_payload_floor(index, entry),)
             case Snapshot():
                 return (self._note_snapshot(index, offset, entry),)
         raise AssertionError(entry)
 
     def _complete_call(self, index: int, entry: CallCompleted) -> LedgerEvent:
-        if not is_payload_offset(entry.payload_offset):
-            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        refusal = self.payload_floor.refusal(entry.payload_offset)
+        if refusal is not None:
+            return EntryIgnored(index=index, reason=refusal)
         return self.calls.complete(index, entry)
 
     def _move_call(self, index: int, entry: CallPayloadMoved) -> LedgerEvent:
-        if not is_payload_offset(entry.to_offset):
-            return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
+        refusal = self.payload_floor.refusal(entry.to_offset)
+        if refusal is not None:
+            return EntryIgnored(index=index, reason=refusal)
         return self.calls.move(index, entry)
 
     def _take_fence(self, index: int, offset: int, entry: FenceTaken) -> LedgerEvent:
@@ -192,6 +201,13 @@
             job_count=self.jobs.forget(entry.before_offset),
         )
 
+    def _raise_payload_floor(
+        self, index: int, entry: PayloadFloorRaised
+    ) -> LedgerEvent:
+        if not self.payload_floor.raise_to(entry.before_offset):
+            return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
+        return PayloadFloorMoved(index=index, before_offset=entry.before_offset)
+
     def _note_snapshot(self, index: int, offset: int, entry: Snapshot) -> LedgerEvent:
         if not 0 <= entry.covers_offset < offset:
             return EntryIgnored(index=index, reason=IgnoreReason.OUT_OF_RANGE)
--- a/src/foxtailbank/ledger_events.py
+++ b/src/foxtailbank/ledger_events.py
@@ -15,6 +15,7 @@
     OUT_OF_RANGE = "out_of_range"
     NOT_CLAIMANT = "not_claimant"
     NOTHING_NEW = "nothing_new"
+    PAYLOAD_EXPIRED = "payload_expired"
     UNKNOWN_CALL = "unknown_call"
     CALL_COMPLETED = "call_completed"
 
@@ -234,6 +235,13 @@
     job_count: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PayloadFloorMoved(LedgerEvent):
+    """New references to payload before an offset are refused from here on."""
+
+    before_offset: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SnapshotWritten(LedgerEvent):
     """A snapshot that covers more than those before lies in the payload stream."""
--- a/src/foxtailbank/ledger_image.py
+++ b/src/foxtailbank/ledger_image.py
@@ -127,6 +127,7 @@
     sequences: list[tuple[str, int]]
     fences: list[FenceImage]
     snapshot: Snapshot | None
+    payload_floor: int
     job_count: int
     retired_count: int
     call_count: int
--- a/src/foxtailbank/records.py
+++ b/src/foxtailbank/records.py
@@ -256,6 +256,16 @@
     before_offset: int
 
 
+class PayloadFloorRaised(Entry, frozen=True, kw_only=True):
+    """Payload records before an offset may soon be lost.
+
+    Entries recorded later refer to none of them: what a VM wrote before a long
+    pause can no longer become a result that nobody can read.
+    """
+
+    before_offset: int
+
+
 class Snapshot(Entry, frozen=True, kw_only=True):
     """The ledger's state up to an offset lies in the payload stream.
 
@@ -289,6 +299,7 @@
     | CallPayloadMoved
     | FenceTaken
     | HistoryExpired
+    | PayloadFloorRaised
     | Snapshot
 )
 
--- a/src/foxtailbank/retention.py
+++ b/src/foxtailbank/retention.py
@@ -9,6 +9,7 @@
 
 SNAPSHOT_DUTY = "snapshot"
 RENEW_WINDOW_PART = 4
+FLOOR_WINDOW_PART = 16
 
 Owns: t.TypeAlias = t.Callable[[str], bool]
 
@@ -52,6 +53,13 @@
     """Write a snapshot of the ledger as it stands now."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RaisePayloadFloor(RetentionAction):
+    """Record `PayloadFloorRaised`."""
+
+    before_offset: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RenewPayload(RetentionAction):
     """Append payload records of a job anew, then `PayloadMoved`.
@@ -134,6 +142,28 @@
     return None
 
 
+def floor_action(
+    *, ledger: Ledger, payload_view: RetentionView, owns: Owns
+) -> RaisePayloadFloor | None:
+    """Return whether this VM has to raise the payload floor.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Replayed state.
+    payload_view : RetentionView
+        What is known of the payload stream.
+    owns : callable
+        Tells whether this VM has a duty.
+    """
+    before = payload_view.renew_before
+    bounds = payload_view.bounds
+    step = max(1, (bounds.end - bounds.earliest) // FLOOR_WINDOW_PART)
+    if before < ledger.payload_floor.before_offset + step or not owns(SNAPSHOT_DUTY):
+        return None
+    return RaisePayloadFloor(before_offset=before)
+
+
 def renewal_actions(
     *, ledger: Ledger, payload_view: RetentionView, owns: Owns
 ) -> t.Iterator[RetentionAction]:
--- a/src/foxtailbank/snapshot.py
+++ b/src/foxtailbank/snapshot.py
@@ -67,6 +67,7 @@
         sequences=list(ledger.sequences_by_incarnation.items()),
         fences=[_fence_image(*item) for item in ledger.fences_by_scope.items()],
         snapshot=ledger.snapshot,
+        payload_floor=ledger.payload_floor.before_offset,
         job_count=len(jobs),
         retired_count=len(retired),
         call_count=len(calls),
@@ -189,6 +190,7 @@
         ledger.next_offset = head.next_offset
         ledger.sequences_by_incarnation = dict(head.sequences)
         ledger.snapshot = head.snapshot
+        ledger.payload_floor.raise_to(head.payload_floor)
         ledger.fences_by_scope = {
             fence.scope: Fence(
                 holder=fence.holder, number=fence.number, lease_ms=fence.lease_ms
--- a/tests/ledger_oracle.py
+++ b/tests/ledger_oracle.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.seen = set()
         self.state = {"jobs": {}, "keys": {}, "calls": {}, "fences": {}, "covers": -1}
+        self.state["floor"] = 0
         self.states = [copy.deepcopy(self.state)]
 
     def apply(self, offset, envelope):
@@ -30,6 +31,8 @@
         keyed = e.key and (e.owner, e.key) in self.state["keys"]
         if keyed or e.job_id in self.state["jobs"]:
             return
+        if not self._kept(*(c.payload_offset for c in e.chunks)):
+            return
         if e.key:
             self.state["keys"][e.owner, e.key] = e.job_id
         self.state["jobs"][e.job_id] = {
@@ -79,7 +82,7 @@
         for position in expand(e.items) if job else ():
             item = (e.chunk, position)
             allowed = job["idempotent"] or job["claims"].get(item) == e.claimant
-            if item in job["open"] and allowed:
+            if item in job["open"] and allowed and self._kept(e.payload_offset):
                 job["results"][item] = e.payload_offset
                 if position in expand(e.failed):
                     job["failed"].add(item)
@@ -87,17 +90,21 @@
 
     def JobRetired(self, offset, e):  # noqa: N802
         job = self.state["jobs"].get(e.job_id)
-        if job and job["status"] != "running" and job["manifest"] is None:
+        retirable = job and job["status"] != "running" and job["manifest"] is None
+        if retirable and self._kept(e.manifest_offset):
             job["manifest"] = e.manifest_offset
 
     def ManifestMoved(self, offset, e):  # noqa: N802
         job = self.state["jobs"].get(e.job_id)
-        if job and job["manifest"] == e.from_offset:
+        kept = self._kept(e.to_offset, e.oldest_offset)
+        if job and job["manifest"] == e.from_offset and kept:
             job["manifest"] = e.to_offset
 
     def PayloadMoved(self, offset, e):  # noqa: N802
         if job := self._running(e.job_id):
             to = {move.from_offset: move.to_offset for move in e.moves}
+            if not self._kept(*to.values(), self.state["floor"]):
+                return
             job["inputs"] = [to.get(at, at) for at in job["inputs"]]
             job["results"] = {i: to.get(at, at) for i, at in job["results"].items()}
 
@@ -121,7 +128,8 @@
             call["claimant"] = ""
 
     def CallCompleted(self, offset, e):  # noqa: N802
-        if call := self._held(e):
+        call = self._held(e)
+        if call and self._kept(e.payload_offset):
             call["answer"] = (e.status, e.payload_offset)
 
     def FenceTaken(self, offset, e):  # noqa: N802
@@ -142,6 +150,12 @@
         keys = self.state["keys"].items()
         self.state["keys"] = {k: v for k, v in keys if v not in old}
 
+    def PayloadFloorRaised(self, offset, e):  # noqa: N802
+        self.state["floor"] = max(self.state["floor"], e.before_offset)
+
+    def _kept(self, *offsets):
+        return min(offsets) >= self.state["floor"]
+
     def Snapshot(self, offset, e):  # noqa: N802
         self.state["covers"] = max(self.state["covers"], e.covers_offset)
 
@@ -184,6 +198,7 @@
         "keys": dict(ledger.jobs.job_ids_by_key),
         "calls": calls,
         "fences": {scope: (f.number, f.holder) for scope, f in fences},
+        "floor": ledger.payload_floor.before_offset,
         "covers": ledger.snapshot.covers_offset if ledger.snapshot else -1,
     }
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -219,6 +219,42 @@
     assert names[-1] is REASON.JOB_ENDED
 
 
+@pytest.mark.parametrize(
+    "entry",
+    [
+        job("j3"),
+        results((1, 1)),
+        complete(at=500),
+        records.JobRetired(job_id="ended", manifest_offset=500),
+        records.PayloadMoved(job_id="j1", moves=(records.PayloadMove(100, 500),)),
+        records.ManifestMoved(
+            job_id="retired", from_offset=150, to_offset=601, oldest_offset=500
+        ),
+        records.CallPayloadMoved(
+            owner="mwangaza", key="k2", from_offset=120, to_offset=500
+        ),
+    ],
+)
+@pytest.mark.parametrize("raised", [False, True])
+def test_payload_below_the_floor_is_not_referred_to(entry, raised):
+    """A VM that was paused since it wrote the payload comes too late."""
+    ledger, _ = replay(
+        job(),
+        job("ended"),
+        cancel("ended"),
+        job("retired"),
+        results((0, 4), job_id="retired"),
+        records.JobRetired(job_id="retired", manifest_offset=150),
+        call(),
+        call(key="k2"),
+        complete(key="k2", at=120),
+        records.PayloadFloorRaised(before_offset=501 if raised else 1),
+        records.PayloadFloorRaised(before_offset=1),
+    )
+    _, names = replay(entry, ledger=ledger)
+    assert (names == [REASON.PAYLOAD_EXPIRED]) is raised
+
+
 def test_fencing_numbers_grow():
     def take(holder):
         return records.FenceTaken(scope="e1", holder=holder, lease_ms=5)
--- a/tests/test_ledger_fuzz.py
+++ b/tests/test_ledger_fuzz.py
@@ -91,8 +91,12 @@
             return
         self.dispatched.append(("call", event.key))
         if fate == 1:
-            self.queue.append(complete(self.incarnation, event.key, at=900))
-            self.queue.append(complete(self.incarnation, event.key, at=901))
+            self.queue.append(
+                complete(self.incarnation, event.key, at=self.next_offset + 95)
+            )
+            self.queue.append(
+                complete(self.incarnation, event.key, at=self.next_offset + 900)
+            )
 
     def _win_items(self, event):
         for run in event.items:
@@ -104,7 +108,7 @@
                     job_id=event.job_id,
                     chunk=event.chunk,
                     items=event.items,
-                    payload_offset=1000 + self.next_offset,
+                    payload_offset=95 + self.next_offset,
                     claimant=self.incarnation,
                 )
             )
@@ -165,6 +169,9 @@
             key=self._name("k", key) if key else "",
             digest=f"d{digest % 2}",
             idempotent=which % 2 == 0,
+            chunks=tuple(
+                records.ChunkRef(self._new_offset(), 5 * n, 5) for n in range(chunks)
+            ),
         )
         self.vms[vm].queue.append(entry)
 
@@ -215,11 +222,11 @@
                 job_id=job_id,
                 from_offset=manifest,
                 to_offset=self._new_offset(),
-                oldest_offset=0,
+                oldest_offset=self._new_offset(),
             ),
             records.FenceTaken(scope="e", holder=vm.incarnation, lease_ms=1),
             records.PayloadMoved(job_id=job_id, moves=self._moves(ledger, job_id)),
-            records.JobRetired(job_id=job_id, manifest_offset=self._new_offset()),
+            records.PayloadFloorRaised(before_offset=self.payload_offset + 95),
         ]
         vm.queue.append(entries[choice])
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -107,6 +107,25 @@
     assert list(renewal_actions(owns=lambda _: False, **given)) == []
 
 
+@pytest.mark.parametrize(
+    ("floor", "payload_view", "owned", "expected"),
+    [
+        (0, view(0, 1000), True, None),
+        (0, view(100, 500), True, 200),
+        (0, view(100, 500), False, None),
+        (176, view(100, 500), True, None),
+        (175, view(100, 500), True, 200),
+        (0, view(0, 1000, aged=300), True, 300),
+    ],
+)
+def test_payload_floor(floor, payload_view, owned, expected):
+    ledger = replayed(records.PayloadFloorRaised(before_offset=floor))
+    action = retention.floor_action(
+        ledger=ledger, payload_view=payload_view, owns=lambda _: owned
+    )
+    assert (action.before_offset if action else None) == expected
+
+
 def test_second_renewal_of_the_same_manifest_has_no_effect():
     def moved(to):
         return records.ManifestMoved(
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -61,8 +61,10 @@
     call("c", key="k3"),
     release("c", key="k3"),
     records.FenceTaken(scope="e1", holder="a", lease_ms=10),
+    records.PayloadFloorRaised(before_offset=100),
 ]
 LATER = [
+    job("expired", chunks=(records.ChunkRef(99, 0, 4),)),
     claim((3, 1), job_id="billed"),
     claim((0, 4), job_id="billed", chunk=1, claimant="z"),
     results((0, 4), job_id="more", chunk=1, at=520),
