--- a/src/foxtailbank/job_state.py
+++ b/src/foxtailbank/job_state.py
@@ -261,6 +261,14 @@
         self._count_ended(won, won & failed)
         return won
 
+    def release(self, index: int, bitmap: int, claimant: str) -> int:
+        """Make a claimant's items claimable again; return their bitmap."""
+        released = bitmap & self.claimed_by_claimant(index).get(claimant, 0)
+        if released:
+            self._keep_view()
+            self._partial(index).release(released, claimant)
+        return released
+
     def abandon(self, index: int, bitmap: int, claimant: str) -> int:
         """End a claimant's items with unknown outcome; return their bitmap."""
         lost = bitmap & self.claimed_by_claimant(index).get(claimant, 0)
--- a/src/foxtailbank/job_table.py
+++ b/src/foxtailbank/job_table.py
@@ -14,6 +14,7 @@
     IgnoreReason,
     ItemsClaimWon,
     ItemsEnded,
+    ItemsReleasedEvent,
     JobAdded,
     JobCancelledEvent,
     JobConflict,
@@ -29,6 +30,7 @@
     ChunkResults,
     ClaimsAbandoned,
     ItemsClaimed,
+    ItemsReleased,
     JobAccepted,
     JobCancelled,
     JobRetired,
@@ -112,7 +114,7 @@
         return JobCancelledEvent(index=index, job_id=entry.job_id)
 
     def _select(
-        self, entry: ItemsClaimed | ClaimsAbandoned | ChunkResults
+        self, entry: ItemsClaimed | ItemsReleased | ClaimsAbandoned | ChunkResults
     ) -> tuple[JobState, int] | IgnoreReason:
         job = self._running_job(entry.job_id)
         if isinstance(job, IgnoreReason):
@@ -141,6 +143,22 @@
             claimant=entry.claimant,
         )
 
+    def release(self, index: int, entry: ItemsReleased) -> LedgerEvent:
+        """Make items claimable again that did not run."""
+        selected = self._select(entry)
+        if isinstance(selected, IgnoreReason):
+            return EntryIgnored(index=index, reason=selected)
+        job, bitmap = selected
+        released = job.release(entry.chunk, bitmap, entry.claimant)
+        if not released:
+            return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
+        return ItemsReleasedEvent(
+            index=index,
+            job_id=entry.job_id,
+            chunk=entry.chunk,
+            items=ranges_of(released),
+        )
+
     def abandon(self, index: int, entry: ClaimsAbandoned) -> Events:
         """End what a lost claimant held."""
         selected = self._select(entry)
--- a/src/foxtailbank/ledger.py
+++ b/src/foxtailbank/ledger.py
@@ -30,6 +30,7 @@
     FenceTaken,
     HistoryExpired,
     ItemsClaimed,
+    ItemsReleased,
     JobAccepted,
     JobCancelled,
     JobRetired,
@@ -135,6 +136,8 @@
                 return self.jobs.apply_results(index, entry)
             case ItemsClaimed():
                 return (self.jobs.claim(index, entry),)
+            case ItemsReleased():
+                return (self.jobs.release(index, entry),)
             case ClaimsAbandoned():
                 return self.jobs.abandon(index, entry)
             case JobAccepted():
--- a/src/foxtailbank/ledger_events.py
+++ b/src/foxtailbank/ledger_events.py
@@ -84,6 +84,15 @@
     claimant: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ItemsReleasedEvent(LedgerEvent):
+    """Items may be claimed again."""
+
+    job_id: str
+    chunk: int
+    items: tuple[ItemRange, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ResultsApplied(LedgerEvent):
     """Items ended by the results of a payload record.
--- a/src/foxtailbank/partial_chunk.py
+++ b/src/foxtailbank/partial_chunk.py
@@ -65,6 +65,14 @@
             won=[(offset, bytes_of_bitmap(bits)) for offset, bits in self.won.items()],
         )
 
+    def release(self, bitmap: int, claimant: str) -> None:
+        """Take items back from a claimant."""
+        left = self.claimed[claimant] & ~bitmap
+        if left:
+            self.claimed[claimant] = left
+        else:
+            del self.claimed[claimant]
+
     def move(self, to_by_from: t.Mapping[int, int]) -> int:
         """Lead results to records appended anew; return how many changed."""
         moved = [offset for offset in self.won if offset in to_by_from]
--- a/src/foxtailbank/records.py
+++ b/src/foxtailbank/records.py
@@ -108,6 +108,15 @@
     claimant: str
 
 
+class ItemsReleased(Entry, frozen=True, kw_only=True):
+    """The claimant proved that these items did not run."""
+
+    job_id: str
+    chunk: int
+    items: tuple[ItemRange, ...]
+    claimant: str
+
+
 class ClaimsAbandoned(Entry, frozen=True, kw_only=True):
     """Items that a lost claimant held end as failures of unknown outcome."""
 
@@ -288,6 +297,7 @@
     JobAccepted
     | JobCancelled
     | ItemsClaimed
+    | ItemsReleased
     | ClaimsAbandoned
     | ChunkResults
     | JobRetired
--- a/tests/ledger_entries.py
+++ b/tests/ledger_entries.py
@@ -50,6 +50,12 @@
     )
 
 
+def release_items(*pairs, job_id="j1", chunk=0, claimant="a"):
+    return records.ItemsReleased(
+        job_id=job_id, chunk=chunk, items=ranges(*pairs), claimant=claimant
+    )
+
+
 def cancel(job_id="j1"):
     return records.JobCancelled(job_id=job_id)
 
--- a/tests/ledger_oracle.py
+++ b/tests/ledger_oracle.py
@@ -69,6 +69,12 @@
             if (e.chunk, position) in job["open"]:
                 job["claims"].setdefault((e.chunk, position), e.claimant)
 
+    def ItemsReleased(self, offset, e):  # noqa: N802
+        job = self._running(e.job_id)
+        for position in expand(e.items) if job else ():
+            if job["claims"].get((e.chunk, position)) == e.claimant:
+                del job["claims"][e.chunk, position]
+
     def ClaimsAbandoned(self, offset, e):  # noqa: N802
         job = self._running(e.job_id)
         for position in expand(e.items) if job else ():
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,6 +14,7 @@
     job,
     ranges,
     release,
+    release_items,
     results,
 )
 
@@ -100,6 +101,26 @@
                 "JobFinished",
             ],
         ),
+        (
+            [BILLED, claim((0, 3)), release_items((0, 2)), claim((0, 4), claimant="b")],
+            ["JobAdded", "ItemsClaimWon", "ItemsReleasedEvent", "ItemsClaimWon"],
+        ),
+        (
+            [BILLED, claim((0, 3)), release_items((0, 2)), results((0, 3))],
+            ["JobAdded", "ItemsClaimWon", "ItemsReleasedEvent", "ResultsApplied"],
+        ),
+        (
+            [BILLED, claim((0, 2)), release_items((0, 2), claimant="b")],
+            ["JobAdded", "ItemsClaimWon", REASON.NOTHING_NEW],
+        ),
+        (
+            [BILLED, claim((0, 2)), release_items((0, 2)), results((0, 2))],
+            ["JobAdded", "ItemsClaimWon", "ItemsReleasedEvent", REASON.NOTHING_NEW],
+        ),
+        (
+            [BILLED, claim((0, 2)), results((0, 2)), release_items((0, 2))],
+            ["JobAdded", "ItemsClaimWon", "ResultsApplied", REASON.NOTHING_NEW],
+        ),
         ([call(), call("b")], ["CallClaimWon", "CallClaimLost"]),
         ([call(), call()], ["CallClaimWon", "CallClaimLost"]),
         ([call(), call("b", "x")], ["CallClaimWon", "CallConflict"]),
--- a/tests/test_ledger_fuzz.py
+++ b/tests/test_ledger_fuzz.py
@@ -99,6 +99,17 @@
             )
 
     def _win_items(self, event):
+        """Dispatch the items, and tell or do not tell; or give them up unrun."""
+        if self.next_offset % 3 == 0:
+            self.queue.append(
+                records.ItemsReleased(
+                    job_id=event.job_id,
+                    chunk=event.chunk,
+                    items=event.items,
+                    claimant=self.incarnation,
+                )
+            )
+            return
         for run in event.items:
             for position in range(run.first, run.first + run.count):
                 self.dispatched.append((event.job_id, event.chunk, position))
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -31,6 +31,7 @@
     envelope,
     job,
     release,
+    release_items,
     results,
 )
 
@@ -107,11 +108,14 @@
     assert state_digest(other) == state_digest(ledger)
 
 
+RELEASE = release_items((2, 1), job_id="billed")
 ABANDON = abandon((2, 1), job_id="billed")
 MOVE = records.PayloadMoved(job_id="open", moves=(records.PayloadMove(500, 600),))
 
 
-@pytest.mark.parametrize("later", [LATER, *([e] for e in (*LATER, ABANDON, MOVE))])
+@pytest.mark.parametrize(
+    "later", [LATER, *([e] for e in (*LATER, RELEASE, ABANDON, MOVE))]
+)
 def test_image_is_unaffected_by_later_records(later):
     ledger = replayed()
     image = image_of(ledger)
