--- a/src/foxtailbank/quarantine.py
+++ b/src/foxtailbank/quarantine.py
@@ -9,7 +9,10 @@
 MARK_TTL_MS = 600_000
 QUARANTINE_TTL_MS = 1_800_000
 MAX_FINGERPRINTS = 10_000
-DEATHS_TO_EXCLUSIVE = 2
+DEATHS_TO_REFUSE = 2
+EXCLUSIVE_WAIT_MS = 1000
+CLEAR_TOKENS = 16
+_EXPIRY_PERIOD_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
@@ -83,10 +86,11 @@
 class Quarantine:
     """Marks of endpoint deaths, merged over all VMs.
 
-    A request is refused only after an endpoint died while the request ran on it
-    exclusively, which no innocent request causes. Marks form a set that grows by
-    union, and each flag in a mark only ever turns on, so that merging is idempotent
-    and commutative. Times are wall milliseconds, since VMs compare them.
+    A request that was in flight at a death runs exclusively from then on, or, if no
+    endpoint can be had for that, as the only suspect on an endpoint. It is refused
+    only after an endpoint died while the request ran there exclusively. Marks form a
+    set that grows by union, and each flag in a mark only ever turns on, so that merging
+    is idempotent and commutative. Times are wall milliseconds, since VMs compare them.
 
     Parameters
     ----------
@@ -108,9 +112,12 @@
         self._mark_ttl_ms = mark_ttl_ms
         self._quarantine_ttl_ms = quarantine_ttl_ms
         self._max_fingerprints = max_fingerprints
+        self._next_expiry_ms = 0
         self._marks_by_fingerprint: dict[Fingerprint, dict[str, DeathMark]] = {}
 
-    def verdict(self, fingerprint: Fingerprint, now_ms: int) -> Verdict:
+    def verdict(
+        self, fingerprint: Fingerprint, now_ms: int, *, waited_ms: int = 0
+    ) -> Verdict:
         """Return how a request may be run.
 
         Parameters
@@ -119,19 +126,23 @@
             The request.
         now_ms : int
             Present wall time in milliseconds.
+        waited_ms : int
+            How long the request has waited for an exclusive run. After
+            `EXCLUSIVE_WAIT_MS` a request that saw one death may share an endpoint
+            with requests that are not suspect.
         """
         marks = self._live_marks(fingerprint, now_ms)
         if not marks:
             return _CLEAN
         guilty = [mark for mark in marks if mark.exclusive]
-        if guilty and len(marks) >= DEATHS_TO_EXCLUSIVE:
+        if guilty and len(marks) >= DEATHS_TO_REFUSE:
             expires_wall_ms = max(mark.expires_wall_ms for mark in guilty)
             return Verdict(
                 isolation=Isolation.REFUSED, retry_after_ms=expires_wall_ms - now_ms
             )
-        if len(marks) >= DEATHS_TO_EXCLUSIVE:
-            return Verdict(isolation=Isolation.EXCLUSIVE)
-        return Verdict(isolation=Isolation.SOLE_SUSPECT)
+        if len(marks) == 1 and not guilty and waited_ms >= EXCLUSIVE_WAIT_MS:
+            return Verdict(isolation=Isolation.SOLE_SUSPECT)
+        return Verdict(isolation=Isolation.EXCLUSIVE)
 
     def on_death(
         self,
@@ -193,6 +204,29 @@
         cleared = tuple(dataclasses.replace(mark, cleared=True) for mark in marks)
         return self.merge(cleared, now_ms)
 
+    def on_progress(
+        self, fingerprint: Fingerprint, *, tokens_beyond: int, now_ms: int
+    ) -> tuple[DeathMark, ...]:
+        """Clear a request that went on well beyond where it was at the last death.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            The request.
+        tokens_beyond : int
+            Tokens received in this attempt beyond those seen in any before it.
+        now_ms : int
+            Present wall time in milliseconds.
+
+        Returns
+        -------
+        tuple of DeathMark
+            Cleared marks to tell all VMs.
+        """
+        if tokens_beyond < CLEAR_TOKENS:
+            return ()
+        return self.on_complete(fingerprint, now_ms)
+
     def merge(self, marks: t.Iterable[DeathMark], now_ms: int) -> tuple[DeathMark, ...]:
         """Take in marks of this or another VM.
 
@@ -206,7 +240,9 @@
         Returns
         -------
         tuple of DeathMark
-            Those that changed what was known, to be passed on.
+            Those that changed what was known, to be passed on. Requests that they
+            name and that run here without isolation are to be stopped and run again
+            under their verdict.
         """
         changed = []
         for mark in marks:
@@ -218,7 +254,8 @@
             if after != before:
                 known[mark.death_id] = after
                 changed.append(after)
-        self._expire(now_ms)
+        if now_ms >= self._next_expiry_ms:
+            self._expire(now_ms)
         return tuple(changed)
 
     def marks(self, now_ms: int) -> tuple[DeathMark, ...]:
@@ -239,6 +276,7 @@
         ]
 
     def _expire(self, now_ms: int) -> None:
+        self._next_expiry_ms = now_ms + _EXPIRY_PERIOD_MS
         for fingerprint, marks in list(self._marks_by_fingerprint.items()):
             for death_id, mark in list(marks.items()):
                 if mark.expires_wall_ms <= now_ms:
