Start no batch stream beside online ones for 4 s after a dispatch

Cause: prefill of a batch stream in the same step as an online one made the p99 gap. Change: pause of 4 s instead of 2 s.

--- a/src/foxtailbank/adaptive_batch_limit.py
+++ b/src/foxtailbank/adaptive_batch_limit.py
@@ -8,7 +8,7 @@
 
 HEADROOM_STREAMS = 2
 QUIET_MS = 5000
-START_PAUSE_MS = 2000
+START_PAUSE_MS = 4000
 _SAMPLE_SPACING = 0.5
 
 
