Compare which batch streams to cancel, on items that vary

Change: the replay draws prompts, lengths and deadlines of batch items, and takes the preemption policy as a parameter. Least progress stays the default.

--- a/src/foxtailbank_bench/measure_replay.py
+++ b/src/foxtailbank_bench/measure_replay.py
@@ -12,6 +12,13 @@
 from foxtailbank.adaptive_batch_limit import AdaptiveBatchLimit
 from foxtailbank.batch_limit import BatchLimit, StaticBatchLimit, UnlimitedBatch
 from foxtailbank.gap_objective import FixedGapObjective, RelativeGapObjective
+from foxtailbank.preemption import (
+    LatestDeadline,
+    LeastProgress,
+    LeastWaste,
+    MostRemaining,
+    Preemption,
+)
 from foxtailbank.step_model import StepModel
 from foxtailbank_bench.policy_replay import Replay, ReplayResult
 from foxtailbank_bench.replay_input import EngineModel, Workload
@@ -49,6 +56,26 @@
     preempted_max_ms: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PreemptionResult:
+    """Medians over seeds of one choice of streams to cancel."""
+
+    preemption: str
+    seeds: int
+    batch_tokens: float
+    resumed_tokens: float
+    ttft_p99_ms: float
+    gap_p99_ms: float
+
+
+PREEMPTIONS: tuple[Preemption, ...] = (
+    LeastProgress(),
+    LatestDeadline(),
+    MostRemaining(),
+    LeastWaste(),
+)
+
+
 def _static(model: EngineModel) -> BatchLimit:
     return StaticBatchLimit(max_batch_streams=model.max_running // 2)
 
@@ -147,6 +174,47 @@
     )
 
 
+def compare_preemption(*, model: EngineModel, seeds: int) -> list[PreemptionResult]:
+    """Run the adaptive limit with each choice of streams to cancel.
+
+    Parameters
+    ----------
+    model : EngineModel
+        Engine.
+    seeds : int
+        Number of recorded sequences.
+    """
+    workload = WORKLOADS_BY_NAME["bursts"]
+    results = []
+    for preemption in PREEMPTIONS:
+        runs = [
+            Replay(
+                model=model,
+                workload=workload,
+                arrivals=workload.arrivals(seed),
+                limit=_relative(model),
+                preemption=preemption,
+            ).run()
+            for seed in range(seeds)
+        ]
+        results.append(
+            PreemptionResult(
+                preemption=type(preemption).__name__,
+                seeds=seeds,
+                batch_tokens=statistics.median(run.batch_tokens for run in runs),
+                resumed_tokens=statistics.median(run.resumed_tokens for run in runs),
+                ttft_p99_ms=statistics.median(run.ttft_p99_ms for run in runs),
+                gap_p99_ms=statistics.median(run.gap_p99_ms for run in runs),
+            )
+        )
+    return results
+
+
+def _print(result: Comparison | PreemptionResult) -> None:
+    sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+    sys.stdout.flush()
+
+
 def main(arguments: t.Sequence[str] | None = None) -> int:
     """Run the comparison.
 
@@ -159,6 +227,7 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--workload", choices=sorted(WORKLOADS_BY_NAME), nargs="*")
     parser.add_argument("--policy", choices=[p.name for p in POLICIES], nargs="*")
+    parser.add_argument("--preemption", action="store_true")
     options = parser.parse_args(arguments)
     model = EngineModel()
     for name in options.workload or WORKLOADS_BY_NAME:
@@ -166,9 +235,10 @@
             if options.policy and policy.name not in options.policy:
                 continue
             result = compare(name, policy, model=model, seeds=options.seeds)
-            line = msgspec.json.encode(result, enc_hook=lambda value: round(value, 3))
-            sys.stdout.write(line.decode() + "\n")
-            sys.stdout.flush()
+            _print(result)
+    if options.preemption:
+        for outcome in compare_preemption(model=model, seeds=options.seeds):
+            _print(outcome)
     return 0
 
 
--- a/src/foxtailbank_bench/policy_replay.py
+++ b/src/foxtailbank_bench/policy_replay.py
@@ -10,23 +10,13 @@
 
 from foxtailbank.batch_limit import BatchLimit
 from foxtailbank.endpoint import LoadReport
-from foxtailbank_bench.replay_input import EngineModel, Workload
+from foxtailbank.preemption import LeastProgress, Preemption
+from foxtailbank_bench.replay_input import EngineModel, ReplayStream, Workload
 
 _HISTOGRAM_MAX_US = 600_000_000
 _US_PER_MS = 1000
 
 
-@dataclasses.dataclass(kw_only=True, eq=False)
-class _Stream:
-    online: bool
-    arrived_ms: float
-    prompt: int
-    left: int
-    done: int = 0
-    cancelled: bool = False
-    last_token_ms: float | None = None
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ReplayResult:
     """Latencies in milliseconds and batch tokens of one run."""
@@ -39,6 +29,7 @@
     online_tokens: int
     preempted_p100_ms: float
     cancelled: int
+    resumed_tokens: int
 
 
 class Replay:
@@ -58,6 +49,8 @@
         Whether the policy is told of each dispatch.
     backlog : int
         Most batch streams that are ever offered at once.
+    preemption : Preemption, optional
+        Chooses the batch streams that are cancelled.
     """
 
     def __init__(
@@ -69,18 +62,22 @@
         limit: BatchLimit | None,
         notice: bool = True,
         backlog: int = 256,
+        preemption: Preemption | None = None,
     ) -> None:
         self._model = model
         self._workload = workload
         self._limit = limit
         self._notice = notice
         self._backlog = backlog
+        self._preemption = preemption or LeastProgress()
+        self._resumed_tokens = 0
+        self._items = 0
         self._events: list[tuple[float, int, t.Callable[[float], None]]] = []
         self._sequence = 0
-        self._running: list[_Stream] = []
-        self._waiting: collections.deque[_Stream] = collections.deque()
-        self._paused: list[_Stream] = []
-        self._batch: list[_Stream] = []
+        self._running: list[ReplayStream] = []
+        self._waiting: collections.deque[ReplayStream] = collections.deque()
+        self._paused: list[ReplayStream] = []
+        self._batch: list[ReplayStream] = []
         self._stepping = False
         self._step_ms = model.base_ms
         self._tokens = {True: 0, False: 0}
@@ -109,6 +106,7 @@
             online_tokens=self._tokens[True],
             preempted_p100_ms=self._preempted_ms,
             cancelled=self._cancelled,
+            resumed_tokens=self._resumed_tokens,
         )
 
     def _at(self, at_ms: float, action: t.Callable[[float], None]) -> None:
@@ -116,7 +114,7 @@
         heapq.heappush(self._events, (at_ms, self._sequence, action))
 
     def _arrive(self, length: int, now_ms: float) -> None:
-        stream = _Stream(
+        stream = ReplayStream(
             online=True,
             arrived_ms=now_ms,
             prompt=self._workload.online_prompt,
@@ -133,18 +131,20 @@
         self._cancel(now_ms, sum(action.count for action in actions), arrived_ms)
 
     def _cancel(self, now_ms: float, count: int, since_ms: float) -> None:
-        victims = sorted(self._batch, key=lambda stream: stream.done)[:count]
-        for victim in victims:
+        views = [stream.view(n) for n, stream in enumerate(self._batch)]
+        chosen = self._preemption.choose(views, count)
+        for victim in [self._batch[int(view.stream_id)] for view in chosen]:
             self._batch.remove(victim)
             self._cancelled += 1
             arrives_ms = now_ms + self._model.network_ms
             self._at(arrives_ms, functools.partial(self._drop, victim))
             self._preempted_ms = max(self._preempted_ms, arrives_ms - since_ms)
 
-    def _drop(self, victim: _Stream, now_ms: float) -> None:
+    def _drop(self, victim: ReplayStream, now_ms: float) -> None:
         if victim.left == 0:
             return
         victim.cancelled = True
+        self._resumed_tokens += victim.prompt + victim.done
         resumed = dataclasses.replace(victim, cancelled=False, last_token_ms=None)
         self._paused.append(resumed)
 
@@ -160,15 +160,11 @@
             self._at(arrives_ms, functools.partial(self._admit, stream))
         self._at(now_ms + 5.0, self._fill)
 
-    def _new_item(self, now_ms: float) -> _Stream:
-        return _Stream(
-            online=False,
-            arrived_ms=now_ms,
-            prompt=self._workload.batch_prompt,
-            left=self._workload.batch_tokens,
-        )
+    def _new_item(self, now_ms: float) -> ReplayStream:
+        self._items += 1
+        return self._workload.item(self._items, now_ms)
 
-    def _admit(self, stream: _Stream, now_ms: float) -> None:
+    def _admit(self, stream: ReplayStream, now_ms: float) -> None:
         self._waiting.append(stream)
         if not self._stepping:
             self._start_step(now_ms)
@@ -198,7 +194,7 @@
                 self._emit(now_ms, stream)
         self._start_step(now_ms)
 
-    def _emit(self, now_ms: float, stream: _Stream) -> None:
+    def _emit(self, now_ms: float, stream: ReplayStream) -> None:
         stream.left -= 1
         stream.done += 1
         self._tokens[stream.online] += 1
@@ -216,7 +212,7 @@
         if stream.left == 0:
             self._finish(now_ms, stream)
 
-    def _finish(self, now_ms: float, stream: _Stream) -> None:
+    def _finish(self, now_ms: float, stream: ReplayStream) -> None:
         if self._limit is None:
             return
         if stream in self._batch:
--- a/src/foxtailbank_bench/replay_input.py
+++ b/src/foxtailbank_bench/replay_input.py
@@ -3,6 +3,8 @@
 import dataclasses
 import random
 
+from foxtailbank.preemption import BatchStream
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EngineModel:
@@ -21,6 +23,30 @@
         return streams / (self.base_ms + self.per_stream_ms * streams)
 
 
+@dataclasses.dataclass(kw_only=True, eq=False)
+class ReplayStream:
+    """A stream in the replay."""
+
+    online: bool
+    arrived_ms: float
+    prompt: int
+    left: int
+    done: int = 0
+    deadline_ms: float = 0.0
+    cancelled: bool = False
+    last_token_ms: float | None = None
+
+    def view(self, number: int) -> BatchStream:
+        """Return what a preemption policy is told of the stream."""
+        return BatchStream(
+            stream_id=f"{number:06}",
+            deadline_ms=int(self.deadline_ms),
+            prompt_tokens=self.prompt,
+            done_tokens=self.done,
+            expected_tokens=self.done + self.left,
+        )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Workload:
     """Online arrivals with bursts, and the shape of batch items."""
@@ -53,6 +79,17 @@
             arrivals.append((now_ms, length))
         return arrivals
 
+    def item(self, number: int, now_ms: float) -> ReplayStream:
+        """Return a batch item; prompts, lengths and deadlines vary."""
+        rng = random.Random(number)
+        return ReplayStream(
+            online=False,
+            arrived_ms=now_ms,
+            prompt=rng.randrange(self.batch_prompt // 2, self.batch_prompt * 3 // 2),
+            left=1 + int(rng.expovariate(1 / self.batch_tokens)),
+            deadline_ms=now_ms + rng.randrange(3_600_000),
+        )
+
     def _next_edge_ms(self, now_ms: float) -> float:
         cycle, phase = divmod(now_ms, self.burst_every_ms)
         offset_ms = self.burst_ms if phase < self.burst_ms else self.burst_every_ms
