--- a/src/foxtailbank/peer.capnp
+++ b/src/foxtailbank/peer.capnp
@@ -26,6 +26,9 @@
     payloadRequest @20 :PayloadRequest;
     payload @21 :Payload;
     report @22 :Report;
+    shareReturn @23 :ShareReturn;
+    shareEpochQuery @24 :ShareEpochQuery;
+    shareEpochApplied @25 :ShareEpochApplied;
   }
 }
 
@@ -110,16 +113,20 @@
 struct DrainNotice { endpointId @0 :Text; remainingMs @1 :UInt32; }
 struct ShareRequest {
   limitKey @0 :Text;
-  epoch @1 :UInt64;
-  requestId @2 :UInt64;
-  units @3 :UInt64;
+  loanId @1 :Text;
+  units @2 :UInt64;
+  attempt @3 :UInt32;
 }
 struct ShareGrant {
   limitKey @0 :Text;
-  epoch @1 :UInt64;
-  transferId @2 :Text;
-  units @3 :UInt64;
+  loanId @1 :Text;
+  units @2 :UInt64;
+  loanMs @3 :UInt32;
+  attempt @4 :UInt32;
 }
+struct ShareReturn { limitKey @0 :Text; loanId @1 :Text; }
+struct ShareEpochQuery { epoch @0 :UInt64; }
+struct ShareEpochApplied { holderId @0 :Text; epoch @1 :UInt64; }
 struct CancelNotice { jobId @0 :Text; }
 struct PayloadRequest { offset @0 :Int64; firstByte @1 :UInt64; maxBytes @2 :UInt32; }
 struct Payload {
--- a/src/foxtailbank/peer_codec.py
+++ b/src/foxtailbank/peer_codec.py
@@ -47,6 +47,9 @@
     pm.PayloadRequest: "payloadRequest",
     pm.Payload: "payload",
     pm.Report: "report",
+    pm.ShareReturn: "shareReturn",
+    pm.ShareEpochQuery: "shareEpochQuery",
+    pm.ShareEpochApplied: "shareEpochApplied",
 }
 TYPE_BY_KIND = {kind: message_type for message_type, kind in KIND_BY_TYPE.items()}
 
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,316 @@
+import os
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from foxtailbank import peer_messages as pm
+from foxtailbank import share_epoch, share_limit, shares
+
+RATE = "owner/rate"
+SLOTS = "owner/slots"
+SINGLE = "owner/single"
+LIMITS = {RATE: (7, 0), SLOTS: (3, 400), SINGLE: (1, 400)}
+LOAN_MS = 300
+CONFIG = share_limit.ShareConfig(loan_ms=LOAN_MS, ask_interval_ms=20)
+VM_COUNT = 4
+ROUNDS = 3
+
+
+class Vm:
+    """One incarnation, its shares and the work that runs on them."""
+
+    def __init__(self, vm_id, incarnation, zone):
+        self.holder = share_epoch.ShareHolder(
+            vm_id=vm_id, incarnation=incarnation, zone=zone
+        )
+        self.shares = shares.Shares(holder=self.holder, config=CONFIG)
+        self.end_ms_by_key = {key: [] for key in LIMITS}
+        self.wanted = dict.fromkeys(LIMITS, 0)
+        self.paused = False
+        for key, (units, hold_ms) in LIMITS.items():
+            self.shares.set_limit(limit_key=key, units=units, hold_ms=hold_ms)
+
+    def work(self, now_ms):
+        """End old work, admit as much as is wanted and allowed."""
+        for key, (_, hold_ms) in LIMITS.items():
+            running = [end for end in self.end_ms_by_key[key] if end > now_ms]
+            if hold_ms == 0:
+                running = []
+            usable = self.shares.usable(key, now_ms=now_ms)
+            while len(running) < min(self.wanted[key], usable):
+                running.append(now_ms + hold_ms)
+            self.end_ms_by_key[key] = running
+            self.shares.set_use(key, in_use=len(running), wanted=self.wanted[key])
+
+    def in_use(self, key, now_ms):
+        if LIMITS[key][1] == 0:
+            return self.shares.usable(key, now_ms=now_ms)
+        return sum(end > now_ms for end in self.end_ms_by_key[key])
+
+
+class Fleet:
+    """Several VMs, the messages between them and the ledger's epochs."""
+
+    def __init__(self):
+        self.now_ms = 1000
+        self.epochs = []
+        self.incarnation = 0
+        self.messages = []
+        self.vm_by_id = {}
+        self.seen = 0
+        for index in range(VM_COUNT):
+            self.start(f"vm{index}")
+
+    def start(self, vm_id):
+        self.incarnation += 1
+        zone = f"z{int(vm_id[2:]) % 2}"
+        self.vm_by_id[vm_id] = Vm(vm_id, self.incarnation, zone)
+
+    def append_epoch(self):
+        latest = self.epochs[-1] if self.epochs else share_epoch.ShareEpoch(number=0)
+        live = {one.holder.holder_id: one.holder for one in self.vm_by_id.values()}
+        ended = [one.holder_id for one in latest.holders if one.holder_id not in live]
+        self.epochs.append(latest.successor(added=live.values(), ended=ended))
+
+    def apply_epochs(self, vm, count=1000):
+        for epoch in self.epochs:
+            if epoch.number > vm.shares.epoch.number and count > 0:
+                vm.shares.apply_epoch(epoch, now_ms=self.now_ms)
+                count -= 1
+
+    def tick(self, vm):
+        vm.work(self.now_ms)
+        for action in vm.shares.tick(now_ms=self.now_ms):
+            self.send(vm, action.to, action.message)
+        vm.work(self.now_ms)
+
+    def send(self, vm, to, message):
+        self.messages.append((vm.holder.vm_id, to, message))
+
+    def deliver(self, index, *, keep=False):
+        index %= len(self.messages)
+        sender, to, message = self.messages[index]
+        vm = self.vm_by_id.get(to)
+        if vm is None or vm.paused:
+            return
+        if not keep:
+            del self.messages[index]
+        self.handle(vm, sender, message)
+        vm.work(self.now_ms)
+
+    def handle(self, vm, sender, message):
+        now_ms = self.now_ms
+        if isinstance(message, pm.ShareRequest):
+            vm.work(now_ms)
+            answer = vm.shares.on_request(sender, message, now_ms=now_ms)
+            self.send(vm, sender, answer)
+        elif isinstance(message, pm.ShareGrant):
+            vm.shares.on_grant(sender, message, now_ms=now_ms)
+        elif isinstance(message, pm.ShareReturn):
+            vm.shares.on_return(sender, message)
+        elif isinstance(message, pm.ShareEpochQuery):
+            vm.work(now_ms)
+            self.send(vm, sender, vm.shares.on_epoch_query(now_ms=now_ms))
+        else:
+            vm.shares.peer_applied(message, now_ms=now_ms)
+
+    def run(self, duration_ms, step_ms=10):
+        """Let everything work without faults."""
+        for _ in range(duration_ms // step_ms):
+            self.now_ms += step_ms
+            for vm in self.vm_by_id.values():
+                self.tick(vm)
+            for _ in range(ROUNDS):
+                self.deliver_all()
+            self.check()
+
+    def deliver_all(self):
+        """Deliver what is under way; messages to VMs that are gone are lost."""
+        messages, self.messages = self.messages, []
+        for sender, to, message in messages:
+            vm = self.vm_by_id.get(to)
+            if vm is not None and not vm.paused:
+                self.handle(vm, sender, message)
+                vm.work(self.now_ms)
+            elif vm is not None:
+                self.messages.append((sender, to, message))
+
+    def used(self, key):
+        return sum(one.in_use(key, self.now_ms) for one in self.vm_by_id.values())
+
+    def check(self):
+        for key, (units, _) in LIMITS.items():
+            assert self.used(key) <= units, key
+
+
+class ShareMachine(RuleBasedStateMachine):
+    """Drops, duplicates, delays, pauses, crashes, cuts and heals at random."""
+
+    vms = st.integers(0, VM_COUNT - 1).map(lambda index: f"vm{index}")
+
+    @initialize()
+    def begin(self):
+        self.fleet = Fleet()
+        self.fleet.append_epoch()
+        for vm in self.fleet.vm_by_id.values():
+            self.fleet.apply_epochs(vm)
+        self.fleet.run(1500, step_ms=50)
+
+    @rule(vm_id=vms, key=st.sampled_from(sorted(LIMITS)), wanted=st.integers(0, 8))
+    def want(self, vm_id, key, wanted):
+        vm = self.fleet.vm_by_id.get(vm_id)
+        if vm is not None:
+            vm.wanted[key] = wanted
+
+    @rule(step_ms=st.sampled_from([1, 15, 60, 250, 900]))
+    def advance(self, step_ms):
+        self.fleet.now_ms += step_ms
+        for vm in self.fleet.vm_by_id.values():
+            if not vm.paused:
+                self.fleet.tick(vm)
+
+    @precondition(lambda self: self.fleet.messages)
+    @rule(index=st.integers(0, 1000), keep=st.booleans())
+    def deliver(self, index, keep):
+        self.fleet.deliver(index, keep=keep)
+
+    @rule()
+    def deliver_all(self):
+        self.fleet.deliver_all()
+
+    @precondition(lambda self: self.fleet.messages)
+    @rule(index=st.integers(0, 1000))
+    def drop(self, index):
+        del self.fleet.messages[index % len(self.fleet.messages)]
+
+    @rule(vm_id=vms)
+    def pause_or_resume(self, vm_id):
+        vm = self.fleet.vm_by_id.get(vm_id)
+        if vm is not None:
+            vm.paused = not vm.paused
+
+    @rule(vm_id=vms)
+    def crash_or_start(self, vm_id):
+        if self.fleet.vm_by_id.pop(vm_id, None) is None:
+            self.fleet.start(vm_id)
+
+    @rule()
+    def append_epoch(self):
+        self.fleet.append_epoch()
+
+    @rule(vm_id=vms, count=st.sampled_from([1, 1, 1000]))
+    def apply_epochs(self, vm_id, count):
+        vm = self.fleet.vm_by_id.get(vm_id)
+        if vm is not None and not vm.paused:
+            self.fleet.apply_epochs(vm, count)
+
+    @rule(vm_id=vms)
+    def apply_latest_only(self, vm_id):
+        vm = self.fleet.vm_by_id.get(vm_id)
+        if vm is not None and not vm.paused:
+            vm.shares.apply_epoch(self.fleet.epochs[-1], now_ms=self.fleet.now_ms)
+
+    @invariant()
+    def sum_keeps_to_the_limit(self):
+        if hasattr(self, "fleet"):
+            self.fleet.check()
+
+
+def test_sum_never_exceeds_the_limit_under_faults():
+    is_long = bool(os.environ.get("FUZZ_LONG"))
+    run_state_machine_as_test(
+        ShareMachine,
+        settings=settings(
+            max_examples=2000 if is_long else 120,
+            stateful_step_count=120 if is_long else 60,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
+
+
+def quiet_fleet():
+    fleet = Fleet()
+    fleet.append_epoch()
+    for vm in fleet.vm_by_id.values():
+        fleet.apply_epochs(vm)
+    fleet.run(2000)
+    return fleet
+
+
+@pytest.mark.parametrize("key", sorted(LIMITS))
+@pytest.mark.parametrize("vm_id", ["vm0", "vm3"])
+def test_one_vm_can_use_the_whole_limit(key, vm_id):
+    fleet = quiet_fleet()
+    vm = fleet.vm_by_id[vm_id]
+    vm.wanted[key] = 50
+    fleet.run(2000)
+    assert vm.shares.usable(key, now_ms=fleet.now_ms) == LIMITS[key][0]
+
+
+@pytest.mark.parametrize("key", sorted(LIMITS))
+def test_need_moves_to_another_vm(key):
+    fleet = quiet_fleet()
+    for vm_id in ("vm0", "vm3", "vm1"):
+        for vm in fleet.vm_by_id.values():
+            vm.wanted[key] = 50 * (vm.holder.vm_id == vm_id)
+        fleet.run(4000)
+        vm = fleet.vm_by_id[vm_id]
+        assert vm.shares.usable(key, now_ms=fleet.now_ms) == LIMITS[key][0]
+
+
+def test_all_want_all_and_the_limit_is_used():
+    fleet = quiet_fleet()
+    for vm in fleet.vm_by_id.values():
+        vm.wanted = dict.fromkeys(LIMITS, 50)
+    fleet.run(2000)
+    assert {key: fleet.used(key) for key in LIMITS} == {
+        key: units for key, (units, _) in LIMITS.items()
+    }
+
+
+def test_cut_off_vm_keeps_its_share_and_others_do_not_take_it():
+    fleet = quiet_fleet()
+    fleet.vm_by_id["vm3"].wanted[RATE] = 1
+    base = fleet.epochs[-1].base_units(limit_key=RATE, units=7)
+    cut = fleet.vm_by_id.pop("vm3")
+    for vm in fleet.vm_by_id.values():
+        vm.wanted[RATE] = 7
+    fleet.run(3000)
+    kept = cut.shares.usable(RATE, now_ms=fleet.now_ms)
+    assert kept == base[cut.holder.holder_id]
+    assert fleet.used(RATE) + kept == 7
+
+
+def test_share_of_an_ended_holder_is_used_again():
+    fleet = quiet_fleet()
+    fleet.vm_by_id.pop("vm3")
+    fleet.append_epoch()
+    for vm in fleet.vm_by_id.values():
+        vm.wanted[RATE] = 7
+        fleet.apply_epochs(vm)
+    fleet.run(4000)
+    assert fleet.used(RATE) == 7
+
+
+@pytest.mark.parametrize("units", [0, 1, 2, 11, 12, 13, 1000])
+def test_base_adds_up_and_tells_the_same_singly(units):
+    holders = [
+        share_epoch.ShareHolder(vm_id=f"vm{n}", incarnation=1, zone=f"z{n % 3}")
+        for n in range(12)
+    ]
+    epoch = share_epoch.ShareEpoch(number=0).successor(added=holders, ended=())
+    base = epoch.base_units(limit_key="k", units=units)
+    assert sum(base.values()) == units
+    for one in holders:
+        single = epoch.base_of(one, limit_key="k", units=units)
+        assert single == base[one.holder_id]
