Take an endpoint's leaving back when it stays after all

Cause: leaving was a flag that only ever turned on, so that an endpoint that drained and stayed got no work for good; plain services were not asked at all. Change: what the VM list, the endpoint and peers say is merged by DrainState; plain services are asked for their health. Result: seen red with the flag (the endpoint stays drained), now green.

--- a/src/foxtailbank/backend.py
+++ b/src/foxtailbank/backend.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from foxtailbank.breaker import BreakerState, CircuitBreaker
+from foxtailbank.drain import DrainReport, DrainSource, DrainState
 from foxtailbank.endpoint import LoadReport, PlainService
 from foxtailbank.endpoint_view import EndpointView
 from foxtailbank.vm_list import Vm
@@ -54,8 +55,8 @@
         Requests of this VM there that are suspected of crashing endpoints.
     reserved : bool
         Whether it is kept free for a request that must run exclusively.
-    draining : bool
-        Whether anybody said that the endpoint is leaving.
+    drain : DrainState
+        Who said that the endpoint is leaving.
     listed : bool
         Whether the VM list still shows it.
     latest : TimedReport or None
@@ -70,7 +71,7 @@
         self.batch_in_flight = 0
         self.suspects_in_flight = 0
         self.reserved = False
-        self.draining = False
+        self.drain = DrainState()
         self.listed = True
         self.latest: TimedReport | None = None
 
@@ -95,7 +96,7 @@
             batch_in_flight=self.batch_in_flight,
             reported_load=self._load_of_others(),
             health=self.health(now_ms),
-            draining=self.draining,
+            draining=self.is_leaving(now_ms),
             suspect=self.suspects_in_flight > 0,
             reserved=self.reserved,
         )
@@ -110,6 +111,27 @@
         """
         return f"{self.vm.vm_id}@{wall_ms // DEATH_WINDOW_MS}"
 
+    def note_leaving(self, source: DrainSource, leaving: bool, now_ms: int) -> None:
+        """Note what a source says of the endpoint's leaving.
+
+        Parameters
+        ----------
+        source : DrainSource
+            Who says so.
+        leaving : bool
+            What it says.
+        now_ms : int
+            Present time in milliseconds.
+        """
+        report = DrainReport(
+            source=source, incarnation="", leaving=leaving, at_ms=now_ms
+        )
+        self.drain.on_report(self.vm.vm_id, report)
+
+    def is_leaving(self, now_ms: int) -> bool:
+        """Return whether the endpoint must get no new work."""
+        return self.drain.is_leaving(self.vm.vm_id, now_ms)
+
     def health(self, now_ms: int) -> BreakerState:
         """Return the state of the circuit breaker."""
         return self.breaker.state(now_ms)
@@ -122,8 +144,7 @@
             online_then=self.online_in_flight,
             batch_then=self.batch_in_flight,
         )
-        if report.draining:
-            self.draining = True
+        self.note_leaving(DrainSource.ENDPOINT, report.draining, now_ms)
 
     def _load_of_others(self) -> int:
         if self.latest is None:
--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -194,7 +194,7 @@
             batch = self._batch(backend)
             batch.chunks = [chunk for chunk in batch.chunks if not chunk.idle]
             self._read_ahead(batch)
-            if backend.draining or not self._has_room():
+            if backend.is_leaving(now_ms) or not self._has_room():
                 continue
             while batch.limit.startable(now_ms) > 0 and self._start_next(batch):
                 pass
--- a/src/foxtailbank/directory.py
+++ b/src/foxtailbank/directory.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from foxtailbank.backend import Backend
+from foxtailbank.drain import DrainSource
 from foxtailbank.endpoint import PlainService
 from foxtailbank.vm_list import Vm, VmRole, VmState
 
@@ -31,13 +32,15 @@
         self.entry_vms_by_id: dict[str, Vm] = {}
         self._by_pool: dict[str, tuple[Backend, ...]] = {}
 
-    def apply(self, vms: t.Sequence[Vm]) -> tuple[Backend, ...]:
+    def apply(self, vms: t.Sequence[Vm], now_ms: int) -> tuple[Backend, ...]:
         """Take a new reading of the VM list.
 
         Parameters
         ----------
         vms : sequence of Vm
             All listed VMs.
+        now_ms : int
+            Present time in milliseconds.
 
         Returns
         -------
@@ -55,7 +58,7 @@
             backend.listed = False
             del self.backends_by_id[backend.endpoint_id]
         for vm in listed.values():
-            self._apply_vm(vm)
+            self._apply_vm(vm, now_ms)
         self._index()
         return gone
 
@@ -67,14 +70,13 @@
         """Return the names of all models and services that are served."""
         return tuple(self._by_pool)
 
-    def _apply_vm(self, vm: Vm) -> None:
+    def _apply_vm(self, vm: Vm, now_ms: int) -> None:
         known = self.backends_by_id.get(vm.vm_id)
         if known is None or known.vm.address != vm.address:
             known = Backend(vm=vm, service=self._factory(vm))
             self.backends_by_id[vm.vm_id] = known
         known.vm = vm
-        if vm.state is VmState.LEAVING:
-            known.draining = True
+        known.note_leaving(DrainSource.VM_LIST, vm.state is VmState.LEAVING, now_ms)
 
     def _index(self) -> None:
         by_pool: dict[str, list[Backend]] = {}
--- a/src/foxtailbank/endpoint.py
+++ b/src/foxtailbank/endpoint.py
@@ -178,6 +178,18 @@
             The request may have run.
         """
 
+    @abc.abstractmethod
+    async def is_leaving(self) -> bool:
+        """Return whether the back end says that it is leaving.
+
+        Raises
+        ------
+        EndpointRefused
+            No connection could be made.
+        EndpointFailed
+            It gave no answer.
+        """
+
 
 class Endpoint(PlainService):
     """A model engine."""
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -22,6 +22,7 @@
 from foxtailbank.connector import Connector
 from foxtailbank.directory import Directory
 from foxtailbank.dispatcher import Dispatcher
+from foxtailbank.drain import DrainSource
 from foxtailbank.endpoint import Endpoint
 from foxtailbank.events import Event
 from foxtailbank.exceptions import EndpointFailed, EndpointRefused
@@ -317,7 +318,7 @@
 
     async def _read_vms(self) -> None:
         vms = await self._vm_list.read()
-        for backend in self.directory.apply(vms):
+        for backend in self.directory.apply(vms, self._clock.now_ms()):
             fields = LogFields(endpoint=backend.endpoint_id, reason="not_listed")
             self._logs.write(Event.ENDPOINT_LOST, fields=fields)
         self._peering.listed(vms)
@@ -327,6 +328,8 @@
             for backend in self.directory.backends_by_id.values():
                 if isinstance(backend.service, Endpoint):
                     tasks.start_soon(self._read_load, backend, backend.service)
+                else:
+                    tasks.start_soon(self._read_health, backend)
 
     async def _read_load(self, backend: Backend, endpoint: Endpoint) -> None:
         try:
@@ -341,6 +344,18 @@
         backend.take_report(report, self._clock.now_ms())
         self._runner.on_report(backend)
 
+    async def _read_health(self, backend: Backend) -> None:
+        try:
+            leaving = await backend.service.is_leaving()
+        except EndpointRefused:
+            backend.breaker.on_death(self._clock.now_ms())
+            return
+        except EndpointFailed:
+            backend.breaker.on_failure(self._clock.now_ms())
+            return
+        backend.breaker.on_success()
+        backend.note_leaving(DrainSource.ENDPOINT, leaving, self._clock.now_ms())
+
     async def _refresh(self) -> None:
         if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
             self._runner.place(self._placement.placements_by_pool)
--- a/src/foxtailbank/fleet_placement.py
+++ b/src/foxtailbank/fleet_placement.py
@@ -75,4 +75,7 @@
 
 
 def _is_live(backend: Backend, now_ms: int) -> bool:
-    return not backend.draining and backend.health(now_ms) is not BreakerState.OPEN
+    return (
+        not backend.is_leaving(now_ms)
+        and backend.health(now_ms) is not BreakerState.OPEN
+    )
--- a/src/foxtailbank/http_service.py
+++ b/src/foxtailbank/http_service.py
@@ -12,6 +12,8 @@
 REQUEST_ID_HEADER = "x-request-id"
 RESUME_HEADER = "x-resume-at"
 UNAVAILABLE = 503
+HEALTH_PATH = "/healthz"
+HEALTH_TIMEOUT_MS = 2_000
 RETRY_AFTER_MS = 1_000
 
 
@@ -94,6 +96,13 @@
                 )
             yield answer
 
+    async def is_leaving(self) -> bool:
+        """Return whether the back end says that it is leaving."""
+        answer = await self._channel.request(
+            "GET", HEALTH_PATH, timeout_ms=HEALTH_TIMEOUT_MS
+        )
+        return answer.status == UNAVAILABLE
+
     async def _open(
         self, stack: contextlib.AsyncExitStack, call: EndpointCall
     ) -> OpenAnswer:
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,57 @@
+import pytest
+
+from foxtailbank.backend import Backend
+from foxtailbank.drain import DrainSource
+from foxtailbank.endpoint import LoadReport
+from foxtailbank.vm_list import Vm, VmRole
+
+
+def make_backend():
+    vm = Vm(vm_id="e1", role=VmRole.ENGINE, zone="a", address="127.0.0.1:1", pool="m")
+    return Backend(vm=vm, service=None)
+
+
+def report(*, running=0, waiting=0, draining=False):
+    return LoadReport(
+        age_ms=0,
+        running=running,
+        waiting=waiting,
+        max_running=8,
+        step_ms=20.0,
+        draining=draining,
+    )
+
+
+LEAVING = [
+    # what the VM list, the endpoint and a peer say, and whether it gets work
+    ((False, False, False), True),
+    ((True, False, False), False),
+    ((False, True, False), False),
+    ((False, False, True), False),
+    ((True, True, True), False),
+]
+
+
+@pytest.mark.parametrize("said, gets_work", LEAVING)
+def test_any_source_is_enough(said, gets_work):
+    backend = make_backend()
+    sources = (DrainSource.VM_LIST, DrainSource.ENDPOINT, DrainSource.PEER)
+    for source, leaving in zip(sources, said, strict=True):
+        backend.note_leaving(source, leaving, 0)
+    assert backend.view(0).draining is not gets_work
+
+
+def test_an_endpoint_that_stays_after_all_gets_work_again():
+    backend = make_backend()
+    backend.take_report(report(draining=True), 0)
+    assert backend.view(1).draining
+    backend.take_report(report(draining=False), 2)
+    assert not backend.view(3).draining
+
+
+def test_load_of_others_leaves_out_own_requests():
+    backend = make_backend()
+    backend.online_in_flight = 2
+    backend.batch_in_flight = 3
+    backend.take_report(report(running=7, waiting=1), 0)
+    assert backend.view(0).reported_load == 3
