--- a/src/foxtailbank_bench/policy_replay.py
+++ b/src/foxtailbank_bench/policy_replay.py
@@ -28,7 +28,7 @@
     batch_tokens: int
     online_tokens: int
     preempted_p100_ms: float
-    cancelled: int
+    cancelled_on_dispatch: int
     resumed_tokens: int
 
 
@@ -81,7 +81,7 @@
         self._stepping = False
         self._step_ms = model.base_ms
         self._tokens = {True: 0, False: 0}
-        self._cancelled = 0
+        self._cancelled_on_dispatch = 0
         self._preempted_ms = 0.0
         self._ttft = HdrHistogram(1, _HISTOGRAM_MAX_US, 3)
         self._gap = HdrHistogram(1, _HISTOGRAM_MAX_US, 3)
@@ -105,7 +105,7 @@
             batch_tokens=self._tokens[False],
             online_tokens=self._tokens[True],
             preempted_p100_ms=self._preempted_ms,
-            cancelled=self._cancelled,
+            cancelled_on_dispatch=self._cancelled_on_dispatch,
             resumed_tokens=self._resumed_tokens,
         )
 
@@ -130,15 +130,16 @@
         actions = self._limit.on_online_dispatch(int(now_ms))
         self._cancel(now_ms, sum(action.count for action in actions), arrived_ms)
 
-    def _cancel(self, now_ms: float, count: int, since_ms: float) -> None:
+    def _cancel(self, now_ms: float, count: int, since_ms: float | None) -> None:
         views = [stream.view(n) for n, stream in enumerate(self._batch)]
         chosen = self._preemption.choose(views, count)
         for victim in [self._batch[int(view.stream_id)] for view in chosen]:
             self._batch.remove(victim)
-            self._cancelled += 1
+            self._cancelled_on_dispatch += since_ms is not None
             arrives_ms = now_ms + self._model.network_ms
             self._at(arrives_ms, functools.partial(self._drop, victim))
-            self._preempted_ms = max(self._preempted_ms, arrives_ms - since_ms)
+            if since_ms is not None:
+                self._preempted_ms = max(self._preempted_ms, arrives_ms - since_ms)
 
     def _drop(self, victim: ReplayStream, now_ms: float) -> None:
         if victim.left == 0:
@@ -239,4 +240,4 @@
         if self._limit is None:
             return
         actions = self._limit.on_load_report(report, int(now_ms))
-        self._cancel(now_ms, sum(action.count for action in actions), now_ms)
+        self._cancel(now_ms, sum(action.count for action in actions), None)
