--- /dev/null
+++ b/src/foxtailbank/entry_vm.py
@@ -0,0 +1,382 @@
+"""One entry VM: its state, its periodic work and its HTTP application."""
+
+import functools
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+
+from foxtailbank import peer_messages as pm
+from foxtailbank.admin_api import AdminApi
+from foxtailbank.admin_guard import AdminGuard
+from foxtailbank.admission import Admission
+from foxtailbank.app import App
+from foxtailbank.backend import Backend
+from foxtailbank.batch_api import BatchApi
+from foxtailbank.batch_runner import BatchRunner
+from foxtailbank.burn import BurnRecorder
+from foxtailbank.catalogue_records import STREAM as CATALOGUE
+from foxtailbank.catalogue_service import CatalogueService
+from foxtailbank.clock import Clock
+from foxtailbank.connector import Connector
+from foxtailbank.directory import Directory
+from foxtailbank.dispatcher import Dispatcher
+from foxtailbank.endpoint import Endpoint
+from foxtailbank.events import Event
+from foxtailbank.exceptions import EndpointFailed, EndpointRefused
+from foxtailbank.fleet_api import FleetApi
+from foxtailbank.fleet_observer import FleetObserver
+from foxtailbank.fleet_placement import FleetPlacement
+from foxtailbank.health_api import HealthApi
+from foxtailbank.heartbeat_writer import OwnState
+from foxtailbank.http_log import HttpLogService
+from foxtailbank.http_vm_list import HttpVmList
+from foxtailbank.keyed_calls import KeyedCalls
+from foxtailbank.ledger_service import LedgerService
+from foxtailbank.log_service import LogService
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.lost_claimants import LostClaimants
+from foxtailbank.membership_actions import MemberDead, MemberJoined, MembershipAction
+from foxtailbank.metrics import Metrics
+from foxtailbank.models_api import ModelsApi
+from foxtailbank.online import OnlineHandler
+from foxtailbank.outcomes import Outcomes
+from foxtailbank.ownership import Candidate, owner_of
+from foxtailbank.peer_sync import PeerSync
+from foxtailbank.peering import Peering
+from foxtailbank.quarantine import Quarantine
+from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
+from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
+from foxtailbank.retention_keeper import PERIOD_MS as KEEP_PERIOD_MS
+from foxtailbank.retention_keeper import RetentionKeeper
+from foxtailbank.retry_budget import RetryBudget
+from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
+from foxtailbank.secret_file import read_secret
+from foxtailbank.settings import Settings
+from foxtailbank.tasks import every
+
+PLACEMENT_PERIOD_MS = 250
+QUARANTINE_PERIOD_MS = 5_000
+
+
+class EntryVm:
+    """Wires the decisions of one entry VM to its sockets.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    clock : Clock
+        Source of time.
+    logs : Logs
+        The VM's log lines.
+    rng : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(
+        self, *, settings: Settings, clock: Clock, logs: Logs, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._logs = logs
+        self._rng = rng
+        started_ms = clock.wall_ms()
+        self.incarnation = f"{settings.vm.id}@{started_ms}"
+        log = HttpLogService(
+            address=settings.platform.log_address,
+            timeout_ms=settings.timing.log_append_timeout_ms,
+        )
+        self._vm_list = HttpVmList(address=settings.platform.vm_list_address)
+        self.directory = Directory(
+            factory=Connector(timing=settings.timing, logs=logs).connect
+        )
+        self._placement = FleetPlacement(directory=self.directory)
+        self._admission = Admission()
+        self._quarantine = Quarantine(quarantine_ttl_ms=settings.timing.quarantine_ms)
+        self._catalogue = CatalogueService(
+            log=log,
+            clock=clock,
+            rng=rng,
+            incarnation=self.incarnation,
+            timing=settings.timing,
+            admission=self._admission,
+            logs=logs,
+        )
+        self._ledger = LedgerService(
+            log=log,
+            clock=clock,
+            rng=rng,
+            incarnation=self.incarnation,
+            timing=settings.timing,
+        )
+        self._peering = Peering(
+            settings=settings,
+            clock=clock,
+            rng=rng,
+            secret=read_secret(settings.peers.secret_file),
+            started_ms=started_ms,
+            on_change=self._on_member,
+        )
+        self._metrics = Metrics()
+        self._burn = BurnRecorder(vm=settings.vm.id, zone=settings.vm.zone)
+        self._exchange = QuarantineExchange(
+            clock=clock, quarantine=self._quarantine, peering=self._peering, logs=logs
+        )
+        self._sync = PeerSync(
+            clock=clock,
+            rng=rng,
+            peering=self._peering,
+            streams=(
+                CatalogueStream(service=self._catalogue),
+                LedgerStream(service=self._ledger),
+            ),
+        )
+        self._observer = self._make_observer()
+        self._keeper = self._make_keeper(log)
+        self._dispatcher = self._make_dispatcher()
+        self._runner = self._make_runner()
+        self._observer.runner = self._runner
+        self._handle_peers()
+        self.online = self._make_online()
+        self.health = HealthApi(is_ready=self.is_ready, metrics=self._metrics)
+        self.app = self._make_app()
+
+    def _make_keeper(self, log: LogService) -> RetentionKeeper:
+        lost = LostClaimants(
+            clock=self._clock, incarnation_of=self._peering.incarnation_of
+        )
+        return RetentionKeeper(
+            clock=self._clock,
+            retention_ms=self._settings.timing.log_retention_ms,
+            log=log,
+            service=self._ledger,
+            catalogue=self._catalogue,
+            logs=self._logs,
+            owns=self._owns,
+            is_lost=lost.is_lost,
+        )
+
+    def _owns(self, duty: str) -> bool:
+        """Return whether this VM has a duty that one VM does for the fleet."""
+        live = [
+            Candidate(candidate_id=one.vm_id, zone=one.zone)
+            for one in self._peering.live()
+        ]
+        owner = owner_of(duty, live)
+        own = self._settings.vm.id
+        return isinstance(owner, Candidate) and owner.candidate_id == own
+
+    def _make_observer(self) -> FleetObserver:
+        return FleetObserver(
+            clock=self._clock,
+            vm_id=self._settings.vm.id,
+            placement=self._placement,
+            peering=self._peering,
+            quarantine=self._quarantine,
+            exchange=self._exchange,
+            logs=self._logs,
+        )
+
+    def _make_dispatcher(self) -> Dispatcher:
+        least_loaded = LeastLoadedRouter(rng=self._rng)
+        return Dispatcher(
+            clock=self._clock,
+            zone=self._settings.vm.zone,
+            directory=self.directory,
+            router=PrefixAffinityRouter(fallback=least_loaded),
+            quarantine=self._quarantine,
+            retry_budget=RetryBudget(),
+            observer=self._observer,
+        )
+
+    def _make_runner(self) -> BatchRunner:
+        limits = self._settings.limits
+        return BatchRunner(
+            clock=self._clock,
+            vm_id=self._settings.vm.id,
+            catalogue=self._catalogue.catalogue,
+            directory=self.directory,
+            dispatcher=self._dispatcher,
+            service=self._ledger,
+            logs=self._logs,
+            may_start=self._may_start_batch,
+            max_buffer_bytes=limits.result_buffer_bytes,
+            max_in_flight=limits.batch_in_flight,
+        )
+
+    def _make_online(self) -> OnlineHandler:
+        keyed_calls = KeyedCalls(
+            clock=self._clock, service=self._ledger, dispatch=self._dispatcher.run
+        )
+        return OnlineHandler(
+            clock=self._clock,
+            settings=self._settings,
+            catalogue=self._catalogue.catalogue,
+            admission=self._admission,
+            dispatcher=self._dispatcher,
+            keyed_calls=keyed_calls,
+            outcomes=Outcomes(
+                clock=self._clock,
+                logs=self._logs,
+                metrics=self._metrics,
+                burn=self._burn,
+            ),
+        )
+
+    def _make_app(self) -> App:
+        catalogue = self._catalogue.catalogue
+        key = read_secret(self._settings.admin.key_file).decode()
+        guard = AdminGuard(key=key)
+        admin = AdminApi(
+            clock=self._clock,
+            guard=guard,
+            catalogue=catalogue,
+            writer=self._catalogue.writer,
+        )
+        fleet = FleetApi(
+            clock=self._clock,
+            guard=guard,
+            catalogue=catalogue,
+            directory=self.directory,
+            service=self._ledger,
+            quarantine=self._quarantine,
+            exchange=self._exchange,
+            peering=self._peering,
+            burn=self._burn,
+        )
+        self._peering.handlers.on_request(pm.Report, fleet.answer_report)
+        models = ModelsApi(catalogue=catalogue)
+        batches = BatchApi(
+            clock=self._clock,
+            catalogue=catalogue,
+            service=self._ledger,
+            logs=self._logs,
+            on_cancelled=self._tell_cancelled,
+        )
+        routes = [
+            *self.health.routes(),
+            *models.routes(),
+            *batches.routes(),
+            *admin.routes(),
+            *fleet.routes(),
+        ]
+        return App(online=self.online, routes=routes)
+
+    def _handle_peers(self) -> None:
+        handlers = self._peering.handlers
+        handlers.on_notice(pm.OnlineDispatched, self._on_online_dispatched)
+        handlers.on_notice(pm.CancelNotice, self._on_cancel_notice)
+        handlers.on_notice(pm.Report, self._on_report)
+
+    def is_ready(self) -> bool:
+        """Return whether this VM has what it needs to serve."""
+        tailer = self._catalogue.tailer
+        has_catalogue = (
+            tailer.fresh_at_ms is not None or CATALOGUE in self._sync.synced_names
+        )
+        return has_catalogue and bool(self.directory.backends_by_id)
+
+    async def run(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start the periodic work.
+
+        Parameters
+        ----------
+        tasks : TaskGroup
+            Runs the work until it is cancelled.
+        """
+        timing = self._settings.timing
+        self._catalogue.start(tasks)
+        self._ledger.start(tasks)
+        tasks.start_soon(self._peering.run)
+        tasks.start_soon(self._runner.run)
+        tasks.start_soon(self._sync.run)
+        self._every(tasks, timing.vm_list_period_ms, self._read_vms, "vm_list")
+        self._every(tasks, timing.load_period_ms, self._read_loads, "load")
+        self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
+        self._every(tasks, KEEP_PERIOD_MS, self._keeper.run_once, "retention")
+        self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
+
+    async def hand_over(self) -> None:
+        """Record finished batch work and leave the fleet, before the end."""
+        await self._peering.leave()
+        await self._runner.stop()
+
+    def _every(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        period_ms: int,
+        work: t.Callable[[], t.Awaitable[None]],
+        name: str,
+    ) -> None:
+        run = functools.partial(
+            every, period_ms=period_ms, work=work, name=name, logs=self._logs
+        )
+        tasks.start_soon(run)
+
+    async def _read_vms(self) -> None:
+        vms = await self._vm_list.read()
+        for backend in self.directory.apply(vms):
+            fields = LogFields(endpoint=backend.endpoint_id, reason="not_listed")
+            self._logs.write(Event.ENDPOINT_LOST, fields=fields)
+        self._peering.listed(vms)
+
+    async def _read_loads(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for backend in self.directory.backends_by_id.values():
+                if isinstance(backend.service, Endpoint):
+                    tasks.start_soon(self._read_load, backend, backend.service)
+
+    async def _read_load(self, backend: Backend, endpoint: Endpoint) -> None:
+        try:
+            report = await endpoint.load()
+        except EndpointRefused:
+            backend.breaker.on_death(self._clock.now_ms())
+            return
+        except EndpointFailed:
+            backend.breaker.on_failure(self._clock.now_ms())
+            return
+        backend.breaker.on_success()
+        backend.take_report(report, self._clock.now_ms())
+        self._runner.on_report(backend)
+
+    async def _refresh(self) -> None:
+        if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
+            self._runner.place(self._placement.placements_by_pool)
+        state = OwnState(
+            catalogue_offset=self._catalogue.catalogue.applied_offset,
+            ledger_offset=self._ledger.ledger.next_offset - 1,
+        )
+        self._peering.set_own_state(state)
+
+    async def _spread_marks(self) -> None:
+        self._exchange.spread_all()
+
+    def _may_start_batch(self) -> bool:
+        bound_ms = self._settings.timing.batch_view_ms
+        age_ms = self._ledger.tailer.age_ms()
+        if age_ms is not None and age_ms <= bound_ms:
+            return True
+        return self._peering.has_contact_with_all(within_ms=bound_ms)
+
+    def _tell_cancelled(self, job_id: str) -> None:
+        self._peering.tell_all(pm.CancelNotice(job_id=job_id))
+
+    def _on_online_dispatched(self, peer_id: str, notice: pm.OnlineDispatched) -> None:
+        self._runner.on_online(notice.endpoint_id, notice.count)
+
+    def _on_cancel_notice(self, peer_id: str, notice: pm.CancelNotice) -> None:
+        self._runner.hold_job(notice.job_id)
+
+    def _on_report(self, peer_id: str, report: pm.Report) -> None:
+        if report.name == REPORT_NAME:
+            self._exchange.received(report.content)
+
+    def _on_member(self, action: MembershipAction) -> None:
+        if isinstance(action, MemberJoined):
+            fields = LogFields(peer=action.record.vm_id)
+            self._logs.write(Event.PEER_JOINED, fields=fields)
+        elif isinstance(action, MemberDead):
+            fields = LogFields(peer=action.record.vm_id)
+            self._logs.write(Event.PEER_LOST, fields=fields)
