--- a/src/foxtailbank/shares.py
+++ b/src/foxtailbank/shares.py
@@ -137,7 +137,6 @@
             self._wait_for_loans(now_ms)
         if epoch.number > self.epoch.number + 1:
             self._unknown_before = epoch.number - 1
-            self._add(share_epoch.ShareEpoch(number=epoch.number - 1))
             self._wait_for_loans(now_ms)
         self._add(epoch)
         self._refresh(now_ms)
