--- a/src/foxtailbank/membership.py
+++ b/src/foxtailbank/membership.py
@@ -11,7 +11,7 @@
     heartbeat_writer,
     member_table,
     probe_targets,
-    probes,
+    prober,
     replay_guard,
     view_sync,
     vm_list,
@@ -60,7 +60,6 @@
         self._facts = facts.FactTable()
         self._offsets = applied_offsets.AppliedOffsets()
         self._guard = replay_guard.ReplayGuard()
-        self._probes = probes.ProbeTable()
         self._targets = probe_targets.ProbeTargets(table=self._table, rng=rng)
         self._contacts = zone_contacts.ZoneContacts()
         self._writer = heartbeat_writer.HeartbeatWriter(
@@ -71,6 +70,13 @@
             config=self._config,
             now_ms=now_ms,
         )
+        self._prober = prober.Prober(
+            table=self._table,
+            targets=self._targets,
+            writer=self._writer,
+            contacts=self._contacts,
+            config=self._config,
+        )
         self._sync = view_sync.ViewSync(
             table=self._table,
             writer=self._writer,
@@ -175,7 +181,7 @@
     def next_due_ms(self) -> int:
         """Return when `tick` is to be called next."""
         due_ms = [self._next_probe_ms, *self._suspect_until_by_vm_id.values()]
-        probe_ms = self._probes.next_due_ms()
+        probe_ms = self._prober.next_due_ms()
         return min(due_ms if probe_ms is None else [*due_ms, probe_ms])
 
     def tick(self, *, now_ms: int) -> Actions:
@@ -196,8 +202,9 @@
         if gap_ms > PAUSE_PERIODS * self._config.period_ms:
             self._forgive_pause(now_ms)
         done: list[actions.MembershipAction] = []
-        for probe in self._probes.due(now_ms=now_ms):
-            done += self._probe_unanswered(probe, now_ms)
+        done += self._prober.follow_up(now_ms=now_ms)
+        for suspect in self._prober.suspects(now_ms=now_ms):
+            done += self._declare(suspect, pm.MemberStatus.SUSPECT, now_ms)
         done += self._end_suspicions(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + self._config.period_ms
@@ -205,7 +212,7 @@
         return tuple(done)
 
     def _forgive_pause(self, now_ms: int) -> None:
-        self._probes.clear()
+        self._prober.clear()
         until_ms = now_ms + self._config.suspicion_ms
         for vm_id in self._suspect_until_by_vm_id:
             self._suspect_until_by_vm_id[vm_id] = until_ms
@@ -222,7 +229,7 @@
             targets += self._targets.pick(zone, 1)
         for target in targets:
             if target is not None:
-                done += self._probe(target, now_ms)
+                done += self._prober.probe(target, now_ms=now_ms)
         return tuple(done)
 
     def _reachability(self, now_ms: int) -> Actions:
@@ -270,51 +277,6 @@
         if record.status is pm.MemberStatus.DEAD:
             self.seed(address=record.address, vm_id=record.vm_id, zone=record.zone)
 
-    def _probe(self, target: pm.MemberRecord, now_ms: int) -> Actions:
-        probe = probes.Probe(
-            target=target,
-            sent_ms=now_ms,
-            due_ms=now_ms + self._config.ack_timeout_ms,
-        )
-        known = self._table.find(target.vm_id)
-        is_accused = known is not None and known.status is not pm.MemberStatus.ALIVE
-        updates = (known,) if known is not None and is_accused else ()
-        sent = self._writer.write(
-            target, pm.HeartbeatKind.PING, now_ms=now_ms, updates=updates
-        )
-        if sent:
-            self._probes.add(probe, sequence=self._writer.sequence)
-        return sent
-
-    def _probe_unanswered(self, probe: probes.Probe, now_ms: int) -> Actions:
-        target = self._table.find(probe.target.vm_id)
-        is_judged = (
-            probe.relay_for is None
-            and target is not None
-            and target.zone == self.own.zone
-            and self._table.is_live(target.vm_id)
-        )
-        if target is None or not is_judged:
-            self._probes.close(probe)
-            return ()
-        if probe.is_indirect:
-            self._probes.close(probe)
-            return self._declare(target, pm.MemberStatus.SUSPECT, now_ms)
-        probe.is_indirect = True
-        probe.due_ms = now_ms + self._config.indirect_timeout_ms
-        sent: list[actions.MembershipAction] = []
-        helpers = self._targets.pick(
-            self.own.zone, self._config.indirect_count, apart_from=target.vm_id
-        )
-        for helper in helpers:
-            asked = self._writer.write(
-                helper, pm.HeartbeatKind.PING_REQUEST, now_ms=now_ms, subject=target
-            )
-            if asked:
-                self._probes.add(probe, sequence=self._writer.sequence)
-            sent += asked
-        return tuple(sent)
-
     def received(self, heartbeat: pm.Heartbeat, *, now_ms: int) -> Actions:
         """Take in an authentic datagram.
 
@@ -343,7 +305,7 @@
         if verdict is replay_guard.Verdict.REPLAYED:
             return ()
         if verdict is replay_guard.Verdict.OLD_INCARNATION:
-            return self._answer(heartbeat, now_ms)
+            return self._prober.answer(heartbeat, now_ms=now_ms)
         done = [*self._take_in(heartbeat, now_ms)]
         done += self._HANDLER_BY_KIND[heartbeat.kind](self, heartbeat, now_ms)
         if heartbeat.kind is not pm.HeartbeatKind.VIEW_PART:
@@ -380,39 +342,13 @@
             self._offsets.note(fact.subject, fact.version - 1)
 
     def _on_ping(self, heartbeat: pm.Heartbeat, now_ms: int) -> Actions:
-        return self._answer(heartbeat, now_ms)
+        return self._prober.answer(heartbeat, now_ms=now_ms)
 
     def _on_ack(self, heartbeat: pm.Heartbeat, now_ms: int) -> Actions:
-        probe = self._probes.find(heartbeat.echo)
-        if probe is None or heartbeat.recipient_incarnation != self.own.incarnation:
-            return ()
-        sender = heartbeat.sender
-        proved = heartbeat.subject or sender
-        if probe.target.vm_id not in ("", proved.vm_id):
-            return ()
-        self._probes.close(probe)
-        self._contacts.note(sender.zone, at_ms=probe.sent_ms)
-        if sender.zone == self.own.zone:
-            self._contacts.note_ages(heartbeat.contacts, asked_ms=probe.sent_ms)
-        if probe.relay_for is not None:
-            return self._answer(probe.relay_for, now_ms, subject=sender)
-        return ()
+        return self._prober.on_ack(heartbeat, now_ms=now_ms)
 
     def _on_ping_request(self, heartbeat: pm.Heartbeat, now_ms: int) -> Actions:
-        if heartbeat.subject is None:
-            return ()
-        sent = self._writer.write(
-            heartbeat.subject, pm.HeartbeatKind.PING, now_ms=now_ms
-        )
-        if sent:
-            probe = probes.Probe(
-                target=heartbeat.subject,
-                sent_ms=now_ms,
-                due_ms=now_ms + self._config.indirect_timeout_ms,
-                relay_for=heartbeat,
-            )
-            self._probes.add(probe, sequence=self._writer.sequence)
-        return sent
+        return self._prober.on_ping_request(heartbeat, now_ms=now_ms)
 
     def _on_view_request(self, heartbeat: pm.Heartbeat, now_ms: int) -> Actions:
         return self._sync.answer(heartbeat, now_ms=now_ms)
@@ -420,31 +356,6 @@
     def _on_view_part(self, heartbeat: pm.Heartbeat, now_ms: int) -> Actions:
         return self._sync.ask_next(heartbeat, now_ms=now_ms)
 
-    def _answer(
-        self,
-        heartbeat: pm.Heartbeat,
-        now_ms: int,
-        subject: pm.MemberRecord | None = None,
-    ) -> Actions:
-        known = self._table.find(heartbeat.sender.vm_id)
-        is_accused = known is not None and known != heartbeat.sender
-        is_near = heartbeat.sender.zone == self.own.zone
-        return self._writer.write(
-            heartbeat.sender,
-            pm.HeartbeatKind.ACK,
-            now_ms=now_ms,
-            is_urgent=True,
-            echo=heartbeat.sequence,
-            recipient_incarnation=heartbeat.sender.incarnation,
-            updates=(known,) if known is not None and is_accused else (),
-            contacts=self._contact_ages(now_ms) if is_near else (),
-            subject=subject,
-        )
-
-    def _contact_ages(self, now_ms: int) -> tuple[pm.ZoneAge, ...]:
-        bound_ms = self.view.unreachable_ms
-        return self._contacts.ages(within_ms=bound_ms, now_ms=now_ms)
-
     _HANDLER_BY_KIND: t.ClassVar[
         dict[pm.HeartbeatKind, t.Callable[[t.Any, pm.Heartbeat, int], Actions]]
     ] = {
--- /dev/null
+++ b/src/foxtailbank/prober.py
@@ -0,0 +1,187 @@
+"""Probes of other VMs, direct and through others."""
+
+from foxtailbank import (
+    heartbeat_writer,
+    member_table,
+    probe_targets,
+    probes,
+    zone_contacts,
+)
+from foxtailbank import membership_actions as actions
+from foxtailbank import membership_config as config_module
+from foxtailbank import peer_messages as pm
+
+Actions = tuple[actions.MembershipAction, ...]
+
+
+class Prober:
+    """Asks VMs for signs of life and answers those that ask.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Known VMs.
+    targets : ProbeTargets
+        Choice of VMs.
+    writer : HeartbeatWriter
+        Makes the datagrams.
+    contacts : ZoneContacts
+        Told of each contact.
+    config : MembershipConfig
+        Times and bounds.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: member_table.MemberTable,
+        targets: probe_targets.ProbeTargets,
+        writer: heartbeat_writer.HeartbeatWriter,
+        contacts: zone_contacts.ZoneContacts,
+        config: config_module.MembershipConfig,
+    ) -> None:
+        self._table = table
+        self._targets = targets
+        self._writer = writer
+        self._contacts = contacts
+        self._config = config
+        self._probes = probes.ProbeTable()
+
+    def next_due_ms(self) -> int | None:
+        """Return when `follow_up` is to be called next; None if not at all."""
+        return self._probes.next_due_ms()
+
+    def clear(self) -> None:
+        """Forget all open probes."""
+        self._probes.clear()
+
+    def probe(self, target: pm.MemberRecord, *, now_ms: int) -> Actions:
+        """Ask a VM for a sign of life."""
+        known = self._table.find(target.vm_id)
+        is_accused = known is not None and known.status is not pm.MemberStatus.ALIVE
+        sent = self._writer.write(
+            target,
+            pm.HeartbeatKind.PING,
+            now_ms=now_ms,
+            updates=(known,) if known is not None and is_accused else (),
+        )
+        if sent:
+            probe = probes.Probe(
+                target=target,
+                sent_ms=now_ms,
+                due_ms=now_ms + self._config.ack_timeout_ms,
+            )
+            self._probes.add(probe, sequence=self._writer.sequence)
+        return sent
+
+    def follow_up(self, *, now_ms: int) -> Actions:
+        """Ask other VMs to probe those of this zone that did not answer."""
+        sent: list[actions.MembershipAction] = []
+        for probe in self._probes.due(now_ms=now_ms):
+            if not self._is_judged(probe):
+                self._probes.close(probe)
+            elif not probe.is_indirect:
+                sent += self._probe_indirectly(probe, now_ms)
+        return tuple(sent)
+
+    def suspects(self, *, now_ms: int) -> tuple[pm.MemberRecord, ...]:
+        """Return VMs that did not answer through other VMs either."""
+        found: list[pm.MemberRecord] = []
+        for probe in self._probes.due(now_ms=now_ms):
+            record = self._table.find(probe.target.vm_id)
+            self._probes.close(probe)
+            if record is not None:
+                found.append(record)
+        return tuple(found)
+
+    def on_ack(self, heartbeat: pm.Heartbeat, *, now_ms: int) -> Actions:
+        """Take in an answer."""
+        probe = self._probes.find(heartbeat.echo)
+        own = self._table.own
+        if probe is None or heartbeat.recipient_incarnation != own.incarnation:
+            return ()
+        sender = heartbeat.sender
+        proved = heartbeat.subject or sender
+        if probe.target.vm_id not in ("", proved.vm_id):
+            return ()
+        self._probes.close(probe)
+        self._contacts.note(sender.zone, at_ms=probe.sent_ms)
+        if sender.zone == own.zone:
+            self._contacts.note_ages(heartbeat.contacts, asked_ms=probe.sent_ms)
+        if probe.relay_for is not None:
+            return self.answer(probe.relay_for, now_ms=now_ms, subject=sender)
+        return ()
+
+    def on_ping_request(self, heartbeat: pm.Heartbeat, *, now_ms: int) -> Actions:
+        """Probe a VM for another one."""
+        if heartbeat.subject is None:
+            return ()
+        sent = self._writer.write(
+            heartbeat.subject, pm.HeartbeatKind.PING, now_ms=now_ms
+        )
+        if sent:
+            probe = probes.Probe(
+                target=heartbeat.subject,
+                sent_ms=now_ms,
+                due_ms=now_ms + self._config.indirect_timeout_ms,
+                relay_for=heartbeat,
+            )
+            self._probes.add(probe, sequence=self._writer.sequence)
+        return sent
+
+    def answer(
+        self,
+        heartbeat: pm.Heartbeat,
+        *,
+        now_ms: int,
+        subject: pm.MemberRecord | None = None,
+    ) -> Actions:
+        """Acknowledge a datagram, and tell its sender what is said of it."""
+        sender = heartbeat.sender
+        known = self._table.find(sender.vm_id)
+        is_accused = known is not None and known != sender
+        is_near = sender.zone == self._table.own.zone
+        return self._writer.write(
+            sender,
+            pm.HeartbeatKind.ACK,
+            now_ms=now_ms,
+            is_urgent=True,
+            echo=heartbeat.sequence,
+            recipient_incarnation=sender.incarnation,
+            updates=(known,) if known is not None and is_accused else (),
+            contacts=self._contact_ages(now_ms) if is_near else (),
+            subject=subject,
+        )
+
+    def _is_judged(self, probe: probes.Probe) -> bool:
+        target = self._table.find(probe.target.vm_id)
+        return (
+            probe.relay_for is None
+            and target is not None
+            and target.zone == self._table.own.zone
+            and self._table.is_live(target.vm_id)
+        )
+
+    def _probe_indirectly(self, probe: probes.Probe, now_ms: int) -> Actions:
+        probe.is_indirect = True
+        probe.due_ms = now_ms + self._config.indirect_timeout_ms
+        target = self._table.find(probe.target.vm_id)
+        helpers = self._targets.pick(
+            self._table.own.zone,
+            self._config.indirect_count,
+            apart_from=probe.target.vm_id,
+        )
+        sent: list[actions.MembershipAction] = []
+        for helper in helpers:
+            asked = self._writer.write(
+                helper, pm.HeartbeatKind.PING_REQUEST, now_ms=now_ms, subject=target
+            )
+            if asked:
+                self._probes.add(probe, sequence=self._writer.sequence)
+            sent += asked
+        return tuple(sent)
+
+    def _contact_ages(self, now_ms: int) -> tuple[pm.ZoneAge, ...]:
+        other_count = max(0, len(self._table.view_by_zone) - 1)
+        bound_ms = self._config.unreachable_ms(other_count)
+        return self._contacts.ages(within_ms=bound_ms, now_ms=now_ms)
