Test membership under loss, pauses, cuts and restarts

Cause: the protocol's rules need faults that exercise each of them. Change: states are fed each other's messages in a bounded loop.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,20 +1,212 @@
+import dataclasses
+import itertools
+
 import pytest
 
+from foxtailbank import heartbeat_writer
 from foxtailbank import membership_actions as actions
+from foxtailbank import membership_config as mc
+from foxtailbank import peer_messages as pm
 from membership_net import Net, fleet
 
 
-@pytest.mark.parametrize("zones,per_zone,loss", [(3, 1, 0.0), (3, 4, 0.2), (5, 3, 0.1)])
-def test_views_converge(zones, per_zone, loss):
-    net = Net(fleet(zones, per_zone), loss=loss)
+@pytest.fixture
+def net():
+    net = Net(fleet(3, 4))
+    assert net.run(60_000, until=net.agreed)
+    net.events.clear()
+    return net
+
+
+def told(net, kind):
+    return [(vm, one) for _, vm, one in net.events if isinstance(one, kind)]
+
+
+@pytest.mark.parametrize(
+    "zones,per_zone,loss,seeds",
+    [(3, 1, 0.0, None), (3, 4, 0.2, None), (5, 3, 0.1, None), (3, 4, 0.1, 1)],
+)
+def test_views_converge(zones, per_zone, loss, seeds):
+    net = Net(fleet(zones, per_zone), loss=loss, seeds=seeds)
     assert net.run(90_000, until=net.agreed)
 
 
-def test_death_is_detected_and_told_to_all():
-    net = Net(fleet(3, 4))
-    assert net.run(60_000, until=net.agreed)
+@pytest.mark.parametrize("vm_id", ["vm-0-0", "vm-1-3", "vm-2-2"])
+def test_death_is_detected_and_told_to_all(net, vm_id):
+    net.stop(vm_id)
+    assert net.run(20_000, until=net.agreed)
+    dead = told(net, actions.MemberDead)
+    assert sorted(vm for vm, _ in dead) == sorted(net.state_by_vm_id)
+    assert {one.record.vm_id for _, one in dead} == {vm_id}
+
+
+def test_leaving_is_told_without_suspicion(net):
+    net.do("vm-1-0", net.state_by_vm_id["vm-1-0"].leave(now_ms=net.now_ms))
+    net.run(200)
     net.stop("vm-1-0")
+    assert net.run(20_000, until=net.agreed)
+    assert len(told(net, actions.MemberLeft)) == 11
+    assert not told(net, actions.MemberDead)
+
+
+def test_short_pause_is_refuted(net):
+    net.paused.add("vm-1-0")
+    suspected = lambda: bool(told(net, actions.MemberSuspected))  # noqa: E731
+    assert net.run(10_000, until=suspected)
+    net.paused.clear()
+    net.run(15_000)
+    assert not told(net, actions.MemberDead)
+    assert net.agreed()
+
+
+def test_paused_vm_accuses_nobody_and_returns(net):
+    net.paused.add("vm-1-0")
+    net.run(30_000)
     net.events.clear()
+    net.paused.clear()
+    assert net.run(30_000, until=net.agreed)
+    assert not told(net, actions.MemberDead)
+    assert not [vm for vm, _ in told(net, actions.MemberSuspected) if vm == "vm-1-0"]
+
+
+def test_lost_links_between_two_vms_kill_neither(net):
+    net.cut = lambda sender, recipient: {sender, recipient} == {"vm-1-0", "vm-1-1"}
+    net.run(60_000)
+    assert not told(net, actions.MemberDead)
+
+
+@pytest.mark.parametrize("incarnation", [2, 1, 0], ids=["later", "same", "earlier"])
+def test_restarted_vm_is_a_new_incarnation(net, incarnation):
+    net.stop("vm-1-0")
+    net.run(2000)
+    old = net.state_by_vm_id["vm-1-1"].view.members("zone-1")[0].incarnation
+    state = net.start("vm-1-0", incarnation=incarnation, contacts=["vm-1-1"])
+    assert net.run(40_000, until=net.agreed)
+    if incarnation != 1:
+        assert state.own.incarnation > old
+    for one in net.state_by_vm_id.values():
+        found = [two.vm_id for two in one.view.members("zone-1")]
+        assert found.count("vm-1-0") == 1
+
+
+def test_cut_off_zone_is_told_apart_from_dead_vms(net):
+    net.cut = lambda sender, recipient: (
+        (net.zone_by_vm_id[sender] == "zone-0")
+        != (net.zone_by_vm_id[recipient] == "zone-0")
+    )
+    net.run(20_000)
+    inside, outside = net.state_by_vm_id["vm-0-0"], net.state_by_vm_id["vm-1-0"]
+    now_ms = net.now_ms
+    assert not told(net, actions.MemberDead)
+    assert inside.view.reachable_zones(now_ms=now_ms) == {"zone-0"}
+    assert outside.view.reachable_zones(now_ms=now_ms) == {"zone-1", "zone-2"}
+    assert len(outside.view.members("zone-0")) == 4
+    assert outside.view.live(now_ms=now_ms, zone="zone-0") == ()
+    assert not outside.view.has_contact_with_all(within_ms=6000, now_ms=now_ms)
+    net.cut = lambda sender, recipient: False
     assert net.run(20_000, until=net.agreed)
-    dead = [vm for _, vm, one in net.events if isinstance(one, actions.MemberDead)]
-    assert sorted(dead) == sorted(net.state_by_vm_id)
+    assert outside.view.has_contact_with_all(within_ms=6000, now_ms=net.now_ms)
+
+
+def test_changes_during_a_cut_are_known_after_it(net):
+    net.cut = lambda sender, recipient: (
+        (net.zone_by_vm_id[sender] == "zone-0")
+        != (net.zone_by_vm_id[recipient] == "zone-0")
+    )
+    net.stop("vm-0-1")
+    net.stop("vm-1-1")
+    net.run(200_000)
+    net.cut = lambda sender, recipient: False
+    assert net.run(60_000, until=net.agreed)
+
+
+def test_cut_within_a_zone_heals(net):
+    net.cut = lambda sender, recipient: (sender == "vm-1-0") != (recipient == "vm-1-0")
+    net.run(200_000)
+    assert told(net, actions.MemberDead)
+    net.cut = lambda sender, recipient: False
+    assert net.run(60_000, until=net.agreed)
+
+
+def test_unlisted_vms_of_a_cut_off_zone_are_dead(net):
+    for vm_id in list(net.state_by_vm_id):
+        if vm_id.startswith("vm-0"):
+            net.stop(vm_id)
+    net.run(20_000)
+    state = net.state_by_vm_id["vm-1-0"]
+    assert len(state.view.members("zone-0")) == 4
+    net.list_vms("vm-1-0", list(net.state_by_vm_id))
+    assert state.view.members("zone-0") == ()
+
+
+def test_buffered_answers_are_no_contact_after_a_pause(net):
+    state = net.state_by_vm_id["vm-1-0"]
+    net.run(200)
+    net.paused.add("vm-1-0")
+    net.cut = lambda sender, recipient: sender == "vm-1-0"
+    net.run(60_000)
+    net.paused.clear()
+    net.run(100)
+    assert state.view.reachable_zones(now_ms=net.now_ms) == {"zone-1"}
+
+
+def test_replayed_datagram_is_ignored(net):
+    state = net.state_by_vm_id["vm-1-0"]
+    sent = []
+    for one in itertools.count():
+        done = net.state_by_vm_id["vm-1-1"].tick(now_ms=net.now_ms + 1000 * one)
+        sent += [a for a in done if isinstance(a, actions.SendHeartbeat)]
+        if any(one.to == "vm-1-0:1" for one in sent) or one > 20:
+            break
+    heartbeat = next(one.payload for one in sent if one.to == "vm-1-0:1")
+    assert state.received(heartbeat, now_ms=net.now_ms)
+    assert not state.received(heartbeat, now_ms=net.now_ms)
+    other = dataclasses.replace(heartbeat, recipient="vm-1-2", sequence=10**6)
+    assert not state.received(other, now_ms=net.now_ms)
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_fact_reaches_all_and_later_joiners_until_it_ends(net, loss):
+    net.loss = loss
+    fact = pm.Fact(
+        kind=pm.FactKind.QUARANTINE, subject="fp", version=1, remaining_ms=60_000
+    )
+    net.state_by_vm_id["vm-0-0"].spread(fact, now_ms=net.now_ms)
+
+    def holders():
+        return [
+            vm_id
+            for vm_id, state in net.state_by_vm_id.items()
+            if state.view.facts(pm.FactKind.QUARANTINE, now_ms=net.now_ms)
+        ]
+
+    assert net.run(20_000, until=lambda: len(holders()) == 12)
+    net.stop("vm-2-0")
+    net.start("vm-2-0", incarnation=2, contacts=["vm-2-1"])
+    assert net.run(30_000, until=lambda: len(holders()) == 12)
+    net.run(62_000)
+    assert holders() == []
+
+
+def test_applied_offsets_are_summed_up_by_zone(net):
+    for index, (vm_id, state) in enumerate(net.state_by_vm_id.items()):
+        offset = 5 if vm_id == "vm-1-2" else 9 + index
+        own = heartbeat_writer.OwnState(catalogue_offset=offset)
+        state.set_own_state(own, now_ms=net.now_ms)
+    view = net.state_by_vm_id["vm-0-0"].view
+    expected = {"zone-0": 9, "zone-1": 5, "zone-2": 17}
+    assert net.run(20_000, until=lambda: view.catalogue_offset_by_zone() == expected)
+
+
+@pytest.mark.parametrize("zones,per_zone", [(3, 4), (8, 6)])
+def test_sent_bytes_keep_to_the_budget_under_churn(zones, per_zone):
+    net = Net(fleet(zones, per_zone))
+    net.encode = True
+    for step in range(6):
+        net.run(5000)
+        net.stop(f"vm-1-{step % per_zone}")
+        net.start(f"vm-1-{step % per_zone}", incarnation=10 + step)
+        net.list_vms(f"vm-1-{step % per_zone}")
+    budget = mc.MembershipConfig().budget_bytes_per_s
+    bound = budget * net.now_ms / 1000 + 2 * budget
+    assert max(net.sent_bytes_by_vm_id.values()) <= bound
