Test peer frames and links under faults

Cause: frames come from the network and links break or stall. Change: tables of tampered, replayed, truncated, oversized and newer messages; a relay stalls or breaks open connections.

--- a/src/foxtailbank/peer_client.py
+++ b/src/foxtailbank/peer_client.py
@@ -117,7 +117,12 @@
         """
         self._channel(vm_id).notify(message)
 
-    async def drop(self, vm_id: str) -> None:
+    def connection_count(self, vm_id: str) -> int:
+        """Return how many connections to a VM were opened so far."""
+        channel = self._channel_by_vm_id.get(vm_id)
+        return channel.connection_count if channel is not None else 0
+
+    def drop(self, vm_id: str) -> None:
         """Close the connection to a VM that ended."""
         channel = self._channel_by_vm_id.pop(vm_id, None)
         if channel is not None:
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -1,8 +1,10 @@
 import dataclasses
+import importlib.resources
 
+import capnp
 import pytest
 
-from foxtailbank import log_service, peer_codec
+from foxtailbank import exceptions, log_service, peer_codec
 from foxtailbank import peer_messages as pm
 
 SECRET = b"k" * 32
@@ -68,3 +70,192 @@
 
 def test_every_kind_is_in_the_table():
     assert {type(one) for one in MESSAGES} == set(peer_codec.KIND_BY_TYPE)
+
+
+def link(secret=SECRET, nonces=(b"c" * 16, b"s" * 16)):
+    key = peer_codec.session_key(
+        secret=secret, client_nonce=nonces[0], server_nonce=nonces[1]
+    )
+    return (
+        peer_codec.FrameSealer(key=key, direction=b"c"),
+        peer_codec.FrameOpener(key=key, direction=b"c"),
+    )
+
+
+def frame_body(sealer, message=MESSAGES[0]):
+    frame = sealer.seal(peer_codec.Envelope(message=message))
+    header = frame[: peer_codec.LENGTH.size]
+    body = frame[peer_codec.LENGTH.size :]
+    assert peer_codec.frame_length(header) == len(body)
+    return body
+
+
+def flip(data, index):
+    changed = bytearray(data)
+    changed[index] ^= 1
+    return bytes(changed)
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda one: type(one).__name__)
+def test_frame_is_opened_in_order(message):
+    sealer, opener = link()
+    for _ in range(2):
+        assert opener.open(frame_body(sealer, message)).message == message
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda body: flip(body, 0),
+        lambda body: flip(body, peer_codec.MAC_BYTES),
+        lambda body: flip(body, -1),
+        lambda body: body[:-1],
+        lambda body: body + b"\0",
+        lambda body: body[: peer_codec.MAC_BYTES - 1],
+        lambda body: b"",
+    ],
+    ids=["mac", "first", "last", "truncated", "longer", "no-content", "empty"],
+)
+def test_tampered_frame_is_rejected(change):
+    sealer, opener = link()
+    with pytest.raises(exceptions.FrameInvalid):
+        opener.open(change(frame_body(sealer)))
+
+
+def test_replayed_or_skipped_frame_is_rejected():
+    sealer, opener = link()
+    first = frame_body(sealer)
+    opener.open(first)
+    with pytest.raises(exceptions.FrameInvalid):
+        opener.open(first)
+    sealer, opener = link()
+    frame_body(sealer)
+    with pytest.raises(exceptions.FrameInvalid):
+        opener.open(frame_body(sealer))
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"secret": b"w" * 32},
+        {"nonces": (b"x" * 16, b"s" * 16)},
+        {"nonces": (b"c" * 16, b"x" * 16)},
+    ],
+    ids=["secret", "client-nonce", "server-nonce"],
+)
+def test_frame_of_another_connection_is_rejected(other):
+    sealer, _ = link()
+    _, opener = link(**other)
+    with pytest.raises(exceptions.FrameInvalid):
+        opener.open(frame_body(sealer))
+
+
+def test_frame_of_the_other_direction_is_rejected():
+    sealer, _ = link()
+    key = peer_codec.session_key(
+        secret=SECRET, client_nonce=b"c" * 16, server_nonce=b"s" * 16
+    )
+    opener = peer_codec.FrameOpener(key=key, direction=b"s")
+    with pytest.raises(exceptions.FrameInvalid):
+        opener.open(frame_body(sealer))
+
+
+@pytest.mark.parametrize(
+    "length,error",
+    [
+        (peer_codec.MAX_FRAME_BYTES + 1, exceptions.FrameTooLarge),
+        ((1 << 32) - 1, exceptions.FrameTooLarge),
+        (peer_codec.MAC_BYTES - 1, exceptions.FrameInvalid),
+    ],
+)
+def test_length_outside_its_bounds_is_rejected(length, error):
+    with pytest.raises(error):
+        peer_codec.frame_length(peer_codec.LENGTH.pack(length))
+
+
+def test_oversized_message_is_not_sealed_and_the_link_goes_on():
+    sealer, opener = link()
+    content = bytes(range(256)) * (peer_codec.MAX_FRAME_BYTES // 256)
+    with pytest.raises(exceptions.FrameTooLarge):
+        frame_body(sealer, pm.Report(name="r", content=content))
+    assert opener.open(frame_body(sealer)).message == MESSAGES[0]
+
+
+def test_old_schema_version_is_unsupported_and_names_the_request():
+    envelope = peer_codec.Envelope(message=pm.Ping(), correlation=4)
+    data = peer_codec.encode(envelope, schema=peer_codec.MIN_SCHEMA_VERSION - 1)
+    with pytest.raises(peer_codec.UnsupportedMessage) as caught:
+        peer_codec.decode(data)
+    assert (caught.value.correlation, caught.value.is_reply) == (4, False)
+
+
+def test_newer_schema_version_with_a_known_kind_is_read():
+    envelope = peer_codec.Envelope(message=pm.CancelNotice(job_id="j"), correlation=4)
+    data = peer_codec.encode(envelope, schema=peer_codec.SCHEMA_VERSION + 1)
+    assert peer_codec.decode(data) == envelope
+
+
+@pytest.fixture(scope="module")
+def later_schema(tmp_path_factory):
+    """Return the schema as a later version may extend it."""
+    text = (importlib.resources.files("foxtailbank") / "peer.capnp").read_text()
+    text = text.replace("@0xb5a1c7d2e93f4068", "@0xb5a1c7d2e93f4069")
+    text = text.replace("    report @22", "    later @26 :Ping;\n    report @22")
+    text = text.replace("jobId @0 :Text;", "jobId @0 :Text; reason @1 :Text;")
+    path = tmp_path_factory.mktemp("schema") / "later.capnp"
+    path.write_text(text)
+    return capnp.load(str(path))
+
+
+def test_unknown_kind_is_unsupported_and_names_the_request(later_schema):
+    builder = later_schema.Envelope.new_message()
+    builder.schemaVersion = peer_codec.SCHEMA_VERSION + 1
+    builder.correlation = 6
+    builder.init("later")
+    with pytest.raises(peer_codec.UnsupportedMessage) as caught:
+        peer_codec.decode(builder.to_bytes_packed())
+    assert caught.value.correlation == 6
+
+
+def test_added_field_of_a_later_version_is_ignored(later_schema):
+    builder = later_schema.Envelope.new_message()
+    builder.schemaVersion = peer_codec.SCHEMA_VERSION + 1
+    notice = builder.init("cancelNotice")
+    notice.jobId = "j"
+    notice.reason = "withdrawn"
+    message = peer_codec.decode(builder.to_bytes_packed()).message
+    assert message == pm.CancelNotice(job_id="j")
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff" * 40, b"\x01"], ids=repr)
+def test_bytes_that_are_no_message_are_rejected(data):
+    with pytest.raises((exceptions.FrameInvalid, peer_codec.UnsupportedMessage)):
+        peer_codec.decode(data)
+
+
+HEARTBEAT = next(one for one in MESSAGES if isinstance(one, pm.Heartbeat))
+
+
+@pytest.mark.parametrize(
+    "change,error",
+    [
+        (lambda one: flip(one, 0), exceptions.FrameInvalid),
+        (lambda one: flip(one, -1), exceptions.FrameInvalid),
+        (lambda one: one[:20], exceptions.FrameInvalid),
+        (lambda one: b"", exceptions.FrameInvalid),
+        (lambda one: one + b"\0" * 1400, exceptions.FrameTooLarge),
+    ],
+    ids=["mac", "content", "truncated", "empty", "oversized"],
+)
+def test_tampered_datagram_is_rejected(change, error):
+    datagram = peer_codec.seal_datagram(HEARTBEAT, secret=SECRET)
+    assert peer_codec.open_datagram(datagram, secret=SECRET) == HEARTBEAT
+    with pytest.raises(error):
+        peer_codec.open_datagram(change(datagram), secret=SECRET)
+
+
+def test_oversized_heartbeat_is_not_sealed():
+    updates = tuple(dataclasses.replace(OWN, vm_id=f"vm-{n}-{n**9}") for n in range(80))
+    heartbeat = dataclasses.replace(HEARTBEAT, updates=updates)
+    with pytest.raises(exceptions.FrameTooLarge):
+        peer_codec.seal_datagram(heartbeat, secret=SECRET)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -3,7 +3,16 @@
 import anyio
 import pytest
 
-from foxtailbank import clock, exceptions, peer_client, peer_handler, peer_server
+from foxtailbank import (
+    clock,
+    exceptions,
+    peer_channel,
+    peer_client,
+    peer_codec,
+    peer_handler,
+    peer_link,
+    peer_server,
+)
 from foxtailbank import peer_messages as pm
 
 SECRET = b"k" * 32
@@ -110,3 +119,186 @@
             await client.request("b", pm.Report(name="r", content=b""), timeout_ms=2000)
         assert server.rejected_count >= 1
     assert handler.notices == []
+
+
+REPORT = pm.Report(name="r", content=b"x")
+FAST = peer_channel.ChannelConfig(
+    ping_ms=40, stalled_ms=200, backoff_ms=10, max_backoff_ms=50
+)
+
+
+class Relay:
+    """Passes bytes on; connections that are open may be made to stall."""
+
+    def __init__(self, address):
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.stalled_until = 0
+        self.count = 0
+        self.streams = []
+
+    async def serve(self, stream):
+        self.count += 1
+        number = self.count
+        target = await anyio.connect_tcp(self.host, self.port)
+        self.streams += [stream, target]
+        async with stream, target, anyio.create_task_group() as tasks:
+            tasks.start_soon(self.copy, number, stream, target)
+            tasks.start_soon(self.copy, number, target, stream)
+
+    async def copy(self, number, source, target):
+        with contextlib.suppress(*peer_link.BROKEN_ERRORS):
+            async for data in source:
+                if number > self.stalled_until:
+                    await target.send(data)
+        with contextlib.suppress(*peer_link.BROKEN_ERRORS):
+            await target.send_eof()
+
+    async def break_all(self):
+        for stream in self.streams:
+            await anyio.aclose_forcefully(stream)
+
+
+@contextlib.asynccontextmanager
+async def relay_to(address):
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    relay = Relay(address)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, relay.serve)
+        yield relay, f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+
+
+async def ask_until_answered(client):
+    with anyio.fail_after(WAIT_MS / 1000):
+        while True:
+            try:
+                return await client.request("b", REPORT, timeout_ms=WAIT_MS)
+            except exceptions.PeerUnreachable:
+                await anyio.sleep(0.01)
+
+
+@pytest.mark.anyio
+async def test_stalled_connection_is_replaced():
+    async with (
+        serve(Recorder()) as (address, _),
+        relay_to(address) as (relay, relayed),
+        client_to(relayed, config=FAST) as client,
+    ):
+        assert await client.request("b", REPORT, timeout_ms=WAIT_MS) == REPORT
+        relay.stalled_until = relay.count
+        with pytest.raises(exceptions.PeerUnreachable):
+            await client.request("b", REPORT, timeout_ms=WAIT_MS)
+        assert await ask_until_answered(client) == REPORT
+        assert relay.count > relay.stalled_until
+
+
+@pytest.mark.anyio
+async def test_broken_connection_fails_requests_and_is_renewed():
+    async with (
+        serve(Recorder()) as (address, _),
+        relay_to(address) as (relay, relayed),
+        client_to(relayed, config=FAST) as client,
+    ):
+        assert await client.request("b", REPORT, timeout_ms=WAIT_MS) == REPORT
+        await relay.break_all()
+        assert await ask_until_answered(client) == REPORT
+
+
+@pytest.mark.anyio
+async def test_slow_answer_ends_at_the_deadline_and_the_link_goes_on():
+    class Slow(Recorder):
+        async def request(self, peer_id, message):
+            if isinstance(message, pm.CancelNotice):
+                await anyio.sleep_forever()
+            return message
+
+    async with (
+        serve(Slow()) as (address, _),
+        client_to(address, config=FAST) as client,
+    ):
+        with pytest.raises(exceptions.PeerTimeout):
+            await client.request("b", pm.CancelNotice(job_id="j"), timeout_ms=600)
+        assert await client.request("b", REPORT, timeout_ms=WAIT_MS) == REPORT
+        assert client.connection_count("b") == 1
+
+
+@pytest.mark.anyio
+async def test_full_queue_is_refused_with_a_type():
+    config = peer_channel.ChannelConfig(max_waiting=3)
+    async with client_to("127.0.0.1:1", config=config) as client:
+        for _ in range(3):
+            client.notify("b", REPORT)
+        with pytest.raises(exceptions.PeerQueueFull):
+            client.notify("b", REPORT)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "vm_id,message,error",
+    [
+        ("unknown", REPORT, exceptions.PeerUnreachable),
+        ("b", pm.Report(name="r", content=b"x" * 2**21), exceptions.FrameTooLarge),
+    ],
+    ids=["address", "size"],
+)
+async def test_what_cannot_be_sent_is_refused_at_once(vm_id, message, error):
+    async with client_to("127.0.0.1:1") as client:
+        with pytest.raises(error):
+            client.notify(vm_id, message)
+
+
+@pytest.mark.anyio
+async def test_answer_that_is_too_large_becomes_a_refusal():
+    class Large(Recorder):
+        async def request(self, peer_id, message):
+            return pm.Report(name="r", content=bytes(range(1, 256)) * 2**13)
+
+    async with serve(Large()) as (address, _), client_to(address) as client:
+        with pytest.raises(exceptions.PeerRefused):
+            await client.request("b", REPORT, timeout_ms=WAIT_MS)
+
+
+@pytest.mark.anyio
+async def test_another_vm_at_the_address_is_not_talked_to():
+    handler = Recorder()
+    async with (
+        serve(handler, vm_id="c") as (address, _),
+        client_to(address, config=FAST) as client,
+    ):
+        with pytest.raises(exceptions.PeerUnreachable):
+            await client.request("b", REPORT, timeout_ms=WAIT_MS)
+    assert handler.notices == []
+
+
+@pytest.mark.anyio
+async def test_client_that_sends_garbage_harms_no_one_else():
+    async with serve(Recorder()) as (address, server), client_to(address) as client:
+        host, _, port = address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b"\xff" * 200)
+            with contextlib.suppress(*peer_link.BROKEN_ERRORS):
+                for _ in range(100):
+                    await stream.receive()
+        assert await client.request("b", REPORT, timeout_ms=WAIT_MS) == REPORT
+        assert server.rejected_count == 1
+
+
+@pytest.mark.anyio
+async def test_kind_of_a_later_version_is_answered_as_unsupported(monkeypatch):
+    def decode_none(data):
+        envelope = decode(data)
+        if isinstance(envelope.message, pm.CancelNotice):
+            raise peer_codec.UnsupportedMessage(
+                correlation=envelope.correlation, is_reply=envelope.is_reply
+            )
+        return envelope
+
+    decode = peer_codec.decode
+    monkeypatch.setattr(peer_codec, "decode", decode_none)
+    async with serve(Recorder()) as (address, _), client_to(address) as client:
+        with pytest.raises(exceptions.MessageUnsupported):
+            notice = pm.CancelNotice(job_id="j")
+            await client.request("b", notice, timeout_ms=WAIT_MS)
+        assert await client.request("b", REPORT, timeout_ms=WAIT_MS) == REPORT
