--- a/src/foxtailbank_bench/launcher.py
+++ b/src/foxtailbank_bench/launcher.py
@@ -139,12 +139,19 @@
         """
         ends = time.monotonic() + timeout_s
         while not condition():
-            self._check_alive()
+            self.check_alive()
             if time.monotonic() > ends:
                 raise LaunchFailed(f"waited {timeout_s} s in vain: {condition}")
             time.sleep(POLL_S)
 
-    def _check_alive(self) -> None:
+    def check_alive(self) -> None:
+        """Check that no program has failed.
+
+        Raises
+        ------
+        LaunchFailed
+            One ended with an error and is not tolerated.
+        """
         for program in self.programs_by_name.values():
             code = program.process.poll()
             if code and code > 0 and program.name not in self.tolerated:
