Recognise an endpoint's death when its first check breaks too

Cause: while an engine's process ends, its connections close one by one; the load check after a broken request then fails as broken, not as refused, and the request got no mark.

--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -8,6 +8,7 @@
 
 from foxtailbank.backend import Backend
 from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.death_check import has_died
 from foxtailbank.directory import Directory
 from foxtailbank.endpoint import Answer, Endpoint
 from foxtailbank.exceptions import (
@@ -281,14 +282,10 @@
             return
         if not isinstance(backend.service, Endpoint):
             return
-        try:
-            await backend.service.load()
-        except EndpointRefused:
+        if await has_died(backend.service):
             backend.breaker.on_death(self._clock.now_ms())
             exclusive = isolation is Isolation.EXCLUSIVE
             self._observer.on_death(backend, work, exclusive)
-        except EndpointFailed:
-            return
 
     def _decide(
         self,
