Ask endpoints for their load at a bounded rate

Cause: every VM asked every endpoint four times a second: 23,600 polls a second on each VM with 5,900 workers, where 20 cost about 2% of a core (1.1 ms a plain call). Ways weighed: asking only own endpoints (deaths elsewhere seen late), a fixed rate shared by age and ownership (chosen).

--- a/src/foxtailbank/endpoint_watch.py
+++ b/src/foxtailbank/endpoint_watch.py
@@ -10,10 +10,14 @@
 from foxtailbank.endpoint import Endpoint
 from foxtailbank.events import Event
 from foxtailbank.exceptions import EndpointFailed, EndpointRefused
+from foxtailbank.fleet_placement import FleetPlacement
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.peering import Peering
+from foxtailbank.poll_turns import PollTurns
 from foxtailbank.vm_list import VmList
 
+POLLS_PER_TURN = 5
+
 
 class EndpointWatch:
     """Keeps the directory and its backends up to date.
@@ -30,6 +34,10 @@
         Gets the entry VMs of the list.
     runner : BatchRunner
         Gets load reports.
+    placement : FleetPlacement
+        Tells which endpoints this VM drives batch work on.
+    vm_id : str
+        This VM.
     logs : Logs
         Takes a line for each endpoint that is gone.
     """
@@ -42,8 +50,13 @@
         vm_list: VmList,
         peering: Peering,
         runner: BatchRunner,
+        placement: FleetPlacement,
+        vm_id: str,
         logs: Logs,
     ) -> None:
+        self._placement = placement
+        self._vm_id = vm_id
+        self._turns = PollTurns(polls_per_turn=POLLS_PER_TURN)
         self._clock = clock
         self._directory = directory
         self._vm_list = vm_list
@@ -51,6 +64,10 @@
         self._runner = runner
         self._logs = logs
 
+    def _is_owned(self, endpoint_id: str) -> bool:
+        backend = self._directory.backends_by_id[endpoint_id]
+        return self._placement.owner_of(backend) == self._vm_id
+
     async def read_vms(self) -> None:
         """Read the platform's list.
 
@@ -66,9 +83,13 @@
         self._peering.listed(vms)
 
     async def read_loads(self) -> None:
-        """Ask every endpoint for its load or health."""
+        """Ask the endpoints whose turn it is for their load or health."""
+        turn = self._turns.next_turn(
+            self._directory.backends_by_id, owned=self._is_owned
+        )
         async with anyio.create_task_group() as tasks:
-            for backend in self._directory.backends_by_id.values():
+            for endpoint_id in turn:
+                backend = self._directory.backends_by_id[endpoint_id]
                 if isinstance(backend.service, Endpoint):
                     tasks.start_soon(self._read_load, backend, backend.service)
                 else:
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -142,6 +142,8 @@
             vm_list=HttpVmList(address=settings.platform.vm_list_address),
             peering=self._peering,
             runner=self._runner,
+            placement=self._placement,
+            vm_id=settings.vm.id,
             logs=logs,
         )
         self._handle_peers()
