Let a halted tailer go on once a peer's state covers the record

Change: run() waits while halted; restored() lifts the halt if the state covers the record. A log that lost records (LogRewound) stays halted.

--- a/src/foxtailbank/log_tailer.py
+++ b/src/foxtailbank/log_tailer.py
@@ -47,7 +47,7 @@
         Name of the stream.
     apply : callable
         Takes each record once, in order of offset. If it raises
-        `UnsupportedRecord`, the tailer stops before that record for good.
+        `UnsupportedRecord`, the tailer halts before that record.
     resync : callable
         Called with the next offset wanted when records are missing: replaces
         the state by a snapshot's and returns the offset to go on from. Raises
@@ -101,6 +101,7 @@
         self._probed_end = 0
         self._probed_at_ms: int | None = None
         self._bounds_checked = False
+        self._resumed = anyio.Event()
         self._backoff = Backoff(
             first_ms=backoff_first_ms, max_ms=backoff_max_ms, rng=rng
         )
@@ -138,13 +139,29 @@
         return self._apply_all(records)
 
     def restored(self, next_offset: int) -> None:
-        """Go on from an offset, since the state was taken from a peer."""
+        """Go on from an offset, since the state was taken from a peer.
+
+        A tailer that halted before a record that it cannot apply goes on if
+        the state covers that record.
+
+        Parameters
+        ----------
+        next_offset : int
+            Offset after the last record that the state covers.
+        """
+        covers_more = next_offset > self.next_offset
+        if covers_more and isinstance(self.halted_by, UnsupportedRecord):
+            self.halted_by = None
+            self._resumed.set()
+            self._resumed = anyio.Event()
         self.next_offset = max(self.next_offset, next_offset)
         self.resyncing = False
 
     async def run(self) -> None:
-        """Follow the stream until cancelled or halted."""
-        while self.halted_by is None:
+        """Follow the stream until cancelled; while halted, wait."""
+        while True:
+            if self.halted_by is not None:
+                await self._resumed.wait()
             try:
                 await self.poll()
                 self._backoff.reset()
