Split message modules and keep values of later versions apart

Change: share messages and the kind table have modules of their own; a record with an unknown value is left out, the rest is read.

--- a/src/foxtailbank/peer_codec.py
+++ b/src/foxtailbank/peer_codec.py
@@ -1,5 +1,6 @@
 """Encoding and authentication of messages between entry VMs."""
 
+import contextlib
 import dataclasses
 import enum
 import hashlib
@@ -11,7 +12,7 @@
 
 import capnp
 
-from foxtailbank import exceptions, log_service
+from foxtailbank import exceptions, log_service, peer_kinds
 from foxtailbank import peer_messages as pm
 
 SCHEMA_VERSION = 1
@@ -26,33 +27,6 @@
 SESSION_LABEL = b"foxtailbank peer session 1"
 DATAGRAM_LABEL = b"foxtailbank peer datagram 1"
 
-KIND_BY_TYPE: dict[type[pm.PeerMessage], str] = {
-    pm.Hello: "hello",
-    pm.Ping: "ping",
-    pm.Done: "done",
-    pm.Unsupported: "unsupported",
-    pm.Refused: "refused",
-    pm.Heartbeat: "heartbeat",
-    pm.CatalogueRecords: "catalogueRecords",
-    pm.LedgerRecords: "ledgerRecords",
-    pm.RecordsRequest: "recordsRequest",
-    pm.SnapshotRequest: "snapshotRequest",
-    pm.SnapshotPart: "snapshotPart",
-    pm.OnlineDispatched: "onlineDispatched",
-    pm.QuarantineMark: "quarantineMark",
-    pm.DrainNotice: "drainNotice",
-    pm.ShareRequest: "shareRequest",
-    pm.ShareGrant: "shareGrant",
-    pm.CancelNotice: "cancelNotice",
-    pm.PayloadRequest: "payloadRequest",
-    pm.Payload: "payload",
-    pm.Report: "report",
-    pm.ShareReturn: "shareReturn",
-    pm.ShareEpochQuery: "shareEpochQuery",
-    pm.ShareEpochApplied: "shareEpochApplied",
-}
-TYPE_BY_KIND = {kind: message_type for message_type, kind in KIND_BY_TYPE.items()}
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Envelope:
@@ -145,7 +119,7 @@
 
 _FIELDS_BY_TYPE: dict[t.Any, tuple[_Field, ...]] = {
     record_type: _fields_of(record_type)
-    for record_type in (*KIND_BY_TYPE, *_RECORD_TYPES)
+    for record_type in (*peer_kinds.KIND_BY_TYPE, *_RECORD_TYPES)
 }
 
 
@@ -169,7 +143,7 @@
     builder.correlation = envelope.correlation
     builder.isReply = envelope.is_reply
     message = envelope.message
-    _write(message, builder.init(KIND_BY_TYPE[type(message)]))
+    _write(message, builder.init(peer_kinds.KIND_BY_TYPE[type(message)]))
     return t.cast(bytes, builder.to_bytes_packed())
 
 
@@ -207,7 +181,7 @@
     except capnp.KjException as error:
         raise UnsupportedMessage(correlation=correlation, is_reply=is_reply) from error
     try:
-        message = _read(TYPE_BY_KIND[kind], getattr(reader, kind))
+        message = _read(peer_kinds.TYPE_BY_KIND[kind], getattr(reader, kind))
     except (capnp.KjException, ValueError) as error:
         raise exceptions.FrameInvalid(detail="malformed message") from error
     return Envelope(message=message, correlation=correlation, is_reply=is_reply)
@@ -237,8 +211,8 @@
     values: dict[str, t.Any] = {}
     for field in _FIELDS_BY_TYPE[record_type]:
         if field.kind is tuple:
-            values[field.name] = tuple(
-                _read(field.item, one) for one in getattr(reader, field.wire_name)
+            values[field.name] = _read_list(
+                field.item, getattr(reader, field.wire_name)
             )
         elif field.kind in _FIELDS_BY_TYPE:
             present = reader._has(field.wire_name)
@@ -252,6 +226,15 @@
     return record_type(**values)
 
 
+def _read_list(record_type: t.Any, readers: t.Any) -> tuple[t.Any, ...]:
+    records: list[t.Any] = []
+    for reader in readers:
+        # A value that a later version added concerns only its own record.
+        with contextlib.suppress(ValueError):
+            records.append(_read(record_type, reader))
+    return tuple(records)
+
+
 def session_key(*, secret: bytes, client_nonce: bytes, server_nonce: bytes) -> bytes:
     """Return the key of one connection, bound to both sides' challenges."""
     content = SESSION_LABEL + client_nonce + server_nonce
--- a/src/foxtailbank/share_limit.py
+++ b/src/foxtailbank/share_limit.py
@@ -3,8 +3,7 @@
 import dataclasses
 import itertools
 
-from foxtailbank import peer_messages as pm
-from foxtailbank import share_epoch, share_loans
+from foxtailbank import share_epoch, share_loans, share_messages
 
 RENEW_FRACTION = 2
 
@@ -30,7 +29,7 @@
     """Send a request for units to a VM."""
 
     to: str
-    message: pm.ShareRequest
+    message: share_messages.ShareRequest
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,7 +37,7 @@
     """Send borrowed units back to a VM."""
 
     to: str
-    message: pm.ShareReturn
+    message: share_messages.ShareReturn
 
 
 LimitAction = AskForUnits | ReturnUnits
@@ -196,14 +195,14 @@
         self._asked_by_attempt[attempt] = _Asked(
             vm_id=vm_id, loan_id=loan_id, sent_ms=now_ms
         )
-        request = pm.ShareRequest(
+        request = share_messages.ShareRequest(
             limit_key=self.limit_key, loan_id=loan_id, units=units, attempt=attempt
         )
         return AskForUnits(to=vm_id, message=request)
 
     def on_request(
-        self, peer_id: str, request: pm.ShareRequest, *, now_ms: int
-    ) -> pm.ShareGrant:
+        self, peer_id: str, request: share_messages.ShareRequest, *, now_ms: int
+    ) -> share_messages.ShareGrant:
         """Lend units, or prolong a loan, if there are any to spare.
 
         Parameters
@@ -229,7 +228,7 @@
             self._lend(peer_id, request.loan_id, units, now_ms)
         elif loan is None:
             self._denied = (peer_id, now_ms)
-        return pm.ShareGrant(
+        return share_messages.ShareGrant(
             limit_key=self.limit_key,
             loan_id=request.loan_id,
             units=units,
@@ -256,7 +255,9 @@
         is_recent = now_ms - denied_ms <= self._config.loan_ms
         return is_recent and denied_id not in ("", loan.peer_id)
 
-    def on_grant(self, peer_id: str, grant: pm.ShareGrant, *, now_ms: int) -> bool:
+    def on_grant(
+        self, peer_id: str, grant: share_messages.ShareGrant, *, now_ms: int
+    ) -> bool:
         """Take in borrowed units and return whether they count."""
         asked = self._asked_by_attempt.pop(grant.attempt, None)
         if asked is None or (asked.vm_id, asked.loan_id) != (peer_id, grant.loan_id):
@@ -274,7 +275,7 @@
         self._lender_cursor -= 1
         return True
 
-    def on_return(self, peer_id: str, message: pm.ShareReturn) -> None:
+    def on_return(self, peer_id: str, message: share_messages.ShareReturn) -> None:
         """Take back lent units."""
         loan = self._lent.close(message.loan_id)
         if loan is not None and loan.peer_id != peer_id:
@@ -293,7 +294,9 @@
             spare -= loan.units if is_active else 0
             self._borrowed.close(loan.loan_id)
             self._forget_attempts(loan.loan_id)
-            message = pm.ShareReturn(limit_key=self.limit_key, loan_id=loan.loan_id)
+            message = share_messages.ShareReturn(
+                limit_key=self.limit_key, loan_id=loan.loan_id
+            )
             returned.append(ReturnUnits(to=loan.peer_id, message=message))
         return tuple(returned)
 
--- a/src/foxtailbank/shares.py
+++ b/src/foxtailbank/shares.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-from foxtailbank import peer_messages as pm
-from foxtailbank import share_epoch, share_limit, share_loans
+from foxtailbank import share_epoch, share_limit, share_loans, share_messages
 
 QUERY_INTERVAL_MS = 1000
 MAX_QUERIES = 8
@@ -14,7 +13,7 @@
     """Ask a VM whether it keeps to its shares of an epoch."""
 
     to: str
-    message: pm.ShareEpochQuery
+    message: share_messages.ShareEpochQuery
 
 
 ShareAction = share_limit.LimitAction | AskForEpoch
@@ -146,27 +145,29 @@
         for limit in self._limit_by_key.values():
             limit.add_epoch(epoch)
 
-    def peer_applied(self, message: pm.ShareEpochApplied, *, now_ms: int) -> None:
+    def peer_applied(
+        self, message: share_messages.ShareEpochApplied, *, now_ms: int
+    ) -> None:
         """Take in what epoch another holder keeps to."""
         known = self._applied_by_holder_id.get(message.holder_id, 0)
         self._applied_by_holder_id[message.holder_id] = max(known, message.epoch)
         self._refresh(now_ms)
 
-    def on_epoch_query(self, *, now_ms: int) -> pm.ShareEpochApplied:
+    def on_epoch_query(self, *, now_ms: int) -> share_messages.ShareEpochApplied:
         """Return the latest epoch whose shares this VM keeps to."""
         if all(one.is_within(now_ms=now_ms) for one in self._limit_by_key.values()):
             self._kept_epoch = self.epoch.number
-        return pm.ShareEpochApplied(
+        return share_messages.ShareEpochApplied(
             holder_id=self._holder.holder_id, epoch=self._kept_epoch
         )
 
     def on_request(
-        self, peer_id: str, message: pm.ShareRequest, *, now_ms: int
-    ) -> pm.ShareGrant:
+        self, peer_id: str, message: share_messages.ShareRequest, *, now_ms: int
+    ) -> share_messages.ShareGrant:
         """Lend units, if there are any to spare; see `ShareLimit.on_request`."""
         limit = self._limit_by_key.get(message.limit_key)
         if limit is None:
-            return pm.ShareGrant(
+            return share_messages.ShareGrant(
                 limit_key=message.limit_key,
                 loan_id=message.loan_id,
                 units=0,
@@ -175,12 +176,14 @@
             )
         return limit.on_request(peer_id, message, now_ms=now_ms)
 
-    def on_grant(self, peer_id: str, message: pm.ShareGrant, *, now_ms: int) -> bool:
+    def on_grant(
+        self, peer_id: str, message: share_messages.ShareGrant, *, now_ms: int
+    ) -> bool:
         """Take in borrowed units and return whether they count."""
         limit = self._limit_by_key.get(message.limit_key)
         return limit is not None and limit.on_grant(peer_id, message, now_ms=now_ms)
 
-    def on_return(self, peer_id: str, message: pm.ShareReturn) -> None:
+    def on_return(self, peer_id: str, message: share_messages.ShareReturn) -> None:
         """Take back lent units."""
         limit = self._limit_by_key.get(message.limit_key)
         if limit is not None:
@@ -233,5 +236,5 @@
         start = self._query_cursor % len(lagging)
         self._query_cursor += MAX_QUERIES
         asked = (lagging[start:] + lagging[:start])[:MAX_QUERIES]
-        query = pm.ShareEpochQuery(epoch=self.epoch.number)
+        query = share_messages.ShareEpochQuery(epoch=self.epoch.number)
         return tuple(AskForEpoch(to=one.vm_id, message=query) for one in asked)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -243,3 +243,25 @@
         net.list_vms(f"vm-1-{step % 4}")
     bound = budget * net.now_ms / 1000 + 2 * budget
     assert max(net.sent_bytes_by_vm_id.values()) <= bound
+
+
+def test_suspicion_does_not_run_out_while_this_vm_is_paused():
+    first, second = membership_of("a", "zone-a"), membership_of("b", "zone-a")
+    second.seed(address="a:1")
+    ping = heartbeats(second.tick(now_ms=0), pm.HeartbeatKind.PING)[0]
+    first.received(ping, now_ms=0)
+    accusation = dataclasses.replace(second.own, status=pm.MemberStatus.SUSPECT)
+    third = pm.MemberRecord(vm_id="c", zone="zone-a", address="c:1", incarnation=1)
+    heartbeat = dataclasses.replace(ping, sender=third, updates=(accusation,))
+    first.received(heartbeat, now_ms=100)
+    suspicion_ms = mc.MembershipConfig().suspicion_ms
+    assert suspicion_ms > 1000
+
+    def dead(now_ms):
+        done = first.tick(now_ms=now_ms)
+        return [one for one in done if isinstance(one, actions.MemberDead)]
+
+    assert not dead(60_000)
+    for now_ms in range(60_500, 60_000 + suspicion_ms, 500):
+        assert not dead(now_ms)
+    assert dead(60_000 + suspicion_ms)
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -4,7 +4,13 @@
 import capnp
 import pytest
 
-from foxtailbank import exceptions, log_service, peer_codec
+from foxtailbank import (
+    exceptions,
+    log_service,
+    peer_codec,
+    peer_kinds,
+    share_messages,
+)
 from foxtailbank import peer_messages as pm
 
 SECRET = b"k" * 32
@@ -50,11 +56,11 @@
     pm.OnlineDispatched(endpoint_id="wordsmith-1", count=2),
     pm.QuarantineMark(fingerprint="f", remaining_ms=100, reason="crash"),
     pm.DrainNotice(endpoint_id="wordsmith-1", remaining_ms=100),
-    pm.ShareRequest(limit_key="owner/x", loan_id="l", units=5),
-    pm.ShareGrant(limit_key="owner/x", loan_id="l", units=5, loan_ms=9),
-    pm.ShareReturn(limit_key="owner/x", loan_id="l"),
-    pm.ShareEpochQuery(epoch=3),
-    pm.ShareEpochApplied(holder_id="vm/1", epoch=3),
+    share_messages.ShareRequest(limit_key="owner/x", loan_id="l", units=5),
+    share_messages.ShareGrant(limit_key="owner/x", loan_id="l", units=5, loan_ms=9),
+    share_messages.ShareReturn(limit_key="owner/x", loan_id="l"),
+    share_messages.ShareEpochQuery(epoch=3),
+    share_messages.ShareEpochApplied(holder_id="vm/1", epoch=3),
     pm.CancelNotice(job_id="job"),
     pm.PayloadRequest(offset=3, first_byte=10, max_bytes=20),
     pm.Payload(offset=3, first_byte=10, total_bytes=30, is_found=True, content=b"p"),
@@ -69,7 +75,7 @@
 
 
 def test_every_kind_is_in_the_table():
-    assert {type(one) for one in MESSAGES} == set(peer_codec.KIND_BY_TYPE)
+    assert {type(one) for one in MESSAGES} == set(peer_kinds.KIND_BY_TYPE)
 
 
 def link(secret=SECRET, nonces=(b"c" * 16, b"s" * 16)):
@@ -227,6 +233,18 @@
     assert message == pm.CancelNotice(job_id="j")
 
 
+def test_fact_kind_of_a_later_version_is_left_out(later_schema):
+    builder = later_schema.Envelope.new_message()
+    builder.schemaVersion = peer_codec.SCHEMA_VERSION + 1
+    heartbeat = builder.init("heartbeat")
+    facts = heartbeat.init("facts", 2)
+    facts[0].kind = 200
+    facts[1].kind = int(pm.FactKind.QUARANTINE)
+    facts[1].subject = "f"
+    message = peer_codec.decode(builder.to_bytes_packed()).message
+    assert [one.subject for one in message.facts] == ["f"]
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff" * 40, b"\x01"], ids=repr)
 def test_bytes_that_are_no_message_are_rejected(data):
     with pytest.raises((exceptions.FrameInvalid, peer_codec.UnsupportedMessage)):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -12,8 +12,7 @@
     run_state_machine_as_test,
 )
 
-from foxtailbank import peer_messages as pm
-from foxtailbank import share_epoch, share_limit, shares
+from foxtailbank import share_epoch, share_limit, share_messages, shares
 
 RATE = "owner/rate"
 SLOTS = "owner/slots"
@@ -106,15 +105,15 @@
 
     def handle(self, vm, sender, message):
         now_ms = self.now_ms
-        if isinstance(message, pm.ShareRequest):
+        if isinstance(message, share_messages.ShareRequest):
             vm.work(now_ms)
             answer = vm.shares.on_request(sender, message, now_ms=now_ms)
             self.send(vm, sender, answer)
-        elif isinstance(message, pm.ShareGrant):
+        elif isinstance(message, share_messages.ShareGrant):
             vm.shares.on_grant(sender, message, now_ms=now_ms)
-        elif isinstance(message, pm.ShareReturn):
+        elif isinstance(message, share_messages.ShareReturn):
             vm.shares.on_return(sender, message)
-        elif isinstance(message, pm.ShareEpochQuery):
+        elif isinstance(message, share_messages.ShareEpochQuery):
             vm.work(now_ms)
             self.send(vm, sender, vm.shares.on_epoch_query(now_ms=now_ms))
         else:
@@ -387,7 +386,7 @@
     state.set_limit(limit_key=RATE, units=1200)
     state.apply_epoch(first.successor(added=holders, ended=()), now_ms=0)
     for one in holders[1:count]:
-        applied = pm.ShareEpochApplied(holder_id=one.holder_id, epoch=5)
+        applied = share_messages.ShareEpochApplied(holder_id=one.holder_id, epoch=5)
         state.peer_applied(applied, now_ms=10_000)
     state.tick(now_ms=10_000)
     expected = 100 if count == 12 else 0
