--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -10,6 +10,7 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.directory import Directory
 from foxtailbank.endpoint import Answer, Endpoint
+from foxtailbank.endpoint_view import EndpointView
 from foxtailbank.exceptions import (
     DeadlineExceeded,
     EndpointFailed,
@@ -32,6 +33,8 @@
 MAX_ATTEMPTS = 4
 NO_ENDPOINT_RETRY_MS = 1_000
 FAILED_RETRY_MS = 500
+SUSPECT_WAIT_MS = 30_000
+SUSPECT_POLL_MS = 20
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -68,6 +71,7 @@
     resume_at: int
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
+    waits_until_ms: int | None = None
 
     @property
     def ran(self) -> Ran:
@@ -164,6 +168,10 @@
             isolation = self._isolation(work, progress)
             backend = on or self._choose(work, progress, isolation)
             on = None
+            if backend is None:
+                await anyio.sleep(SUSPECT_POLL_MS / MS_PER_S)
+                continue
+            progress.waits_until_ms = None
             try:
                 before = progress.may_have_run
                 progress.may_have_run = True
@@ -186,7 +194,20 @@
             raise refusal
         return verdict.isolation
 
-    def _choose(self, work: Work, progress: _Progress, isolation: Isolation) -> Backend:
+    def _choose(
+        self, work: Work, progress: _Progress, isolation: Isolation
+    ) -> Backend | None:
+        """Return the endpoint for an attempt; None if a suspect waits its turn."""
+        chosen = self._route(work, progress, isolation)
+        if isinstance(chosen, Missing):
+            if self._awaits_turn(work, progress, isolation):
+                return None
+            raise self._no_endpoint(work, progress, chosen)
+        return self._directory.backends_by_id[chosen.endpoint_id]
+
+    def _route(
+        self, work: Work, progress: _Progress, isolation: Isolation
+    ) -> EndpointView | Missing:
         now_ms = self._clock.now_ms()
         backends = self._directory.pool(work.entry.pool)
         request = RouteRequest(
@@ -196,10 +217,21 @@
             isolation=isolation,
         )
         views = [backend.view(now_ms) for backend in backends]
-        chosen = self._router.choose(request, views, now_ms)
-        if isinstance(chosen, Missing):
-            raise self._no_endpoint(work, progress, chosen)
-        return self._directory.backends_by_id[chosen.endpoint_id]
+        return self._router.choose(request, views, now_ms)
+
+    def _awaits_turn(
+        self, work: Work, progress: _Progress, isolation: Isolation
+    ) -> bool:
+        # Streams that were in flight when an endpoint died may outnumber the
+        # endpoints that are left, of which each takes one suspect at a time.
+        if work.batch or isolation is not Isolation.SOLE_SUSPECT:
+            return False
+        if isinstance(self._route(work, progress, Isolation.NONE), Missing):
+            return False
+        now_ms = self._clock.now_ms()
+        if progress.waits_until_ms is None:
+            progress.waits_until_ms = now_ms + SUSPECT_WAIT_MS
+        return now_ms < progress.waits_until_ms
 
     def _no_endpoint(
         self, work: Work, progress: _Progress, reason: Missing
--- /dev/null
+++ b/tests/test_proofs_batch.py
@@ -0,0 +1,137 @@
+"""Batch jobs under faults: each item ends exactly once."""
+
+import concurrent.futures
+
+import pytest
+
+from fleet_process import Fleet, running_fleet, slow_endpoints
+
+ITEMS = 120
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    directory = tmp_path_factory.mktemp("fleet")
+    with running_fleet(directory, endpoints=slow_endpoints(count=2)) as launcher:
+        yield Fleet(launcher)
+
+
+def test_job_of_a_vm_killed_after_acknowledging_ends_on_the_others(fleet):
+    accepted = fleet.submit(1, count=ITEMS, key="killed-after-202")
+    fleet.kill(fleet.name(1))
+    assert accepted.status_code == 202
+    job_id = accepted.json()["id"]
+    again = fleet.submit(2, count=ITEMS, key="killed-after-202")
+    assert (again.status_code, again.json()["id"]) == (202, job_id)
+    for vm in (0, 2):
+        fleet.wait_job(vm, job_id)
+    lines = fleet.assert_each_item_once(0, job_id, ITEMS)
+    assert fleet.results(2, job_id) == lines
+    fleet.restart(1)
+    fleet.wait_job(1, job_id)
+    assert fleet.results(1, job_id) == lines
+    assert fleet.submit(1, count=ITEMS, key="killed-after-202").json()["id"] == job_id
+
+
+def test_streams_and_items_survive_the_death_of_their_engine(fleet):
+    tokens = 120
+    wholes = [fleet.whole(0, f"Stream {i}", tokens=tokens) for i in range(6)]
+    job_id = fleet.submit(0, count=ITEMS).json()["id"]
+    fleet.wait(lambda: fleet.reached(job_id))
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        streams = [
+            pool.submit(
+                fleet.stream,
+                index % 3,
+                f"Stream {index}",
+                tokens=tokens,
+                request_id=f"death-{index}",
+            )
+            for index in range(6)
+        ]
+        fleet.wait(lambda: len(fleet.reached("death-")) == 6)
+        lost = fleet.reached(job_id)[0]["endpoint"]
+        assert lost in {entry["endpoint"] for entry in fleet.reached("death-")}
+        fleet.launcher.tolerated = (lost,)
+        fleet.kill(lost)
+        assert [stream.result() for stream in streams] == wholes
+    resumed = [e for e in fleet.reached("death-") if e["resume_at"]]
+    assert resumed
+    fleet.wait_job(0, job_id)
+    fleet.assert_each_item_once(0, job_id, ITEMS)
+    port = int(fleet.launcher.address(lost).rpartition(":")[2])
+    spec = next(s for s in fleet.launcher.deployment.endpoints if s.name == lost)
+    fleet.launcher.start_endpoint(spec, port=port)
+
+
+def test_running_work_goes_on_through_an_outage_of_the_log(fleet):
+    job_id = fleet.submit(0, count=ITEMS, tokens=40).json()["id"]
+    fleet.wait(lambda: fleet.reached(job_id))
+    booked = len(fleet.bookings())
+    fleet.platform(log="down")
+    seen = len(fleet.reached(job_id))
+    for vm in range(3):
+        assert fleet.complete(vm, "Online without a log").status_code == 200
+        url = fleet.url(vm, "/v1/services/contracts/contracts/17")
+        assert fleet.client.get(url).status_code == 200
+    refused = [fleet.book(vm, {"n": vm}, key=f"down-{vm}") for vm in range(3)]
+    refused += [fleet.submit(vm, count=2) for vm in range(3)]
+    for answer in refused:
+        error = answer.json()["error"]
+        assert answer.status_code == 503, error
+        assert error["ran"] == "no", error
+        assert error["retry_after_ms"] > 0, error
+    assert len(fleet.bookings()) == booked
+    fleet.wait(lambda: len(fleet.reached(job_id)) > seen)
+    fleet.platform(log="up", lose_answers=5)
+    fleet.wait_job(0, job_id)
+    for vm in range(3):
+        fleet.wait_job(vm, job_id)
+        fleet.assert_each_item_once(vm, job_id, ITEMS)
+
+
+def test_slow_log_delays_jobs_and_not_callers(fleet):
+    fleet.platform(log="slow", delay_ms=300)
+    try:
+        job_id = fleet.submit(0, count=20).json()["id"]
+        for vm in range(3):
+            assert fleet.complete(vm, "Online beside a slow log").status_code == 200
+        fleet.wait_job(2, job_id)
+        fleet.assert_each_item_once(2, job_id, 20)
+    finally:
+        fleet.platform(log="up")
+
+
+def test_cancelled_job_starts_nothing_more_and_says_so(fleet):
+    count = 400
+    job_id = fleet.submit(0, count=count, tokens=60).json()["id"]
+    fleet.wait(lambda: len(fleet.reached(job_id)) >= 4)
+    assert fleet.cancel(1, job_id)["status"] == "cancelled"
+    for vm in range(3):
+        fleet.wait_job(vm, job_id, "cancelled")
+    reached = len(fleet.reached(job_id))
+    assert reached < count
+    # Whatever could still start would start before a whole later job has ended.
+    later = fleet.submit(2, count=40).json()["id"]
+    fleet.wait_job(2, later)
+    assert len(fleet.reached(job_id)) == reached
+    lines = fleet.results(2, job_id)
+    assert len({line["custom_id"] for line in lines}) == len(lines) == count
+    cancelled = [line for line in lines if line["error"]]
+    assert {line["error"]["code"] for line in cancelled} == {"item_cancelled"}
+    assert all(fleet.results(vm, job_id) == lines for vm in (0, 1))
+
+
+def test_cancellation_racing_with_results_has_one_outcome_everywhere(fleet):
+    count = 8
+    for turn in range(6):
+        job_id = fleet.submit(turn % 3, count=count, tokens=2 + turn).json()["id"]
+        fleet.cancel((turn + 1) % 3, job_id)
+        statuses = set()
+        for vm in range(3):
+            fleet.wait(lambda vm=vm: fleet.job(vm, job_id)["status"] != "running")
+            statuses.add(fleet.job(vm, job_id)["status"])
+        assert len(statuses) == 1
+        seen = [fleet.results(vm, job_id) for vm in range(3)]
+        assert seen[0] == seen[1] == seen[2]
+        assert len({line["custom_id"] for line in seen[0]}) == len(seen[0]) == count
