--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -14,6 +14,7 @@
     job,
     ranges,
     release,
+    release_items,
     results,
 )
 
@@ -100,6 +101,26 @@
                 "JobFinished",
             ],
         ),
+        (
+            [BILLED, claim((0, 3)), release_items((0, 2)), claim((0, 4), claimant="b")],
+            ["JobAdded", "ItemsClaimWon", "ItemsReleasedEvent", "ItemsClaimWon"],
+        ),
+        (
+            [BILLED, claim((0, 3)), release_items((0, 2)), results((0, 3))],
+            ["JobAdded", "ItemsClaimWon", "ItemsReleasedEvent", "ResultsApplied"],
+        ),
+        (
+            [BILLED, claim((0, 2)), release_items((0, 2), claimant="b")],
+            ["JobAdded", "ItemsClaimWon", REASON.NOTHING_NEW],
+        ),
+        (
+            [BILLED, claim((0, 2)), release_items((0, 2)), results((0, 2))],
+            ["JobAdded", "ItemsClaimWon", "ItemsReleasedEvent", REASON.NOTHING_NEW],
+        ),
+        (
+            [BILLED, claim((0, 2)), results((0, 2)), release_items((0, 2))],
+            ["JobAdded", "ItemsClaimWon", "ResultsApplied", REASON.NOTHING_NEW],
+        ),
         ([call(), call("b")], ["CallClaimWon", "CallClaimLost"]),
         ([call(), call()], ["CallClaimWon", "CallClaimLost"]),
         ([call(), call("b", "x")], ["CallClaimWon", "CallConflict"]),
@@ -219,6 +240,42 @@
     assert names[-1] is REASON.JOB_ENDED
 
 
+@pytest.mark.parametrize(
+    "entry",
+    [
+        job("j3"),
+        results((1, 1)),
+        complete(at=500),
+        records.JobRetired(job_id="ended", manifest_offset=500),
+        records.PayloadMoved(job_id="j1", moves=(records.PayloadMove(100, 500),)),
+        records.ManifestMoved(
+            job_id="retired", from_offset=150, to_offset=601, oldest_offset=500
+        ),
+        records.CallPayloadMoved(
+            owner="mwangaza", key="k2", from_offset=120, to_offset=500
+        ),
+    ],
+)
+@pytest.mark.parametrize("raised", [False, True])
+def test_payload_below_the_floor_is_not_referred_to(entry, raised):
+    """A VM that was paused since it wrote the payload comes too late."""
+    ledger, _ = replay(
+        job(),
+        job("ended"),
+        cancel("ended"),
+        job("retired"),
+        results((0, 4), job_id="retired"),
+        records.JobRetired(job_id="retired", manifest_offset=150),
+        call(),
+        call(key="k2"),
+        complete(key="k2", at=120),
+        records.PayloadFloorRaised(before_offset=501 if raised else 1),
+        records.PayloadFloorRaised(before_offset=1),
+    )
+    _, names = replay(entry, ledger=ledger)
+    assert (names == [REASON.PAYLOAD_EXPIRED]) is raised
+
+
 def test_fencing_numbers_grow():
     def take(holder):
         return records.FenceTaken(scope="e1", holder=holder, lease_ms=5)
