--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -137,11 +137,11 @@
             By model or service.
         """
         self._source.place(placements_by_pool, self._service.ledger)
-        for batch in self._batches_by_endpoint.values():
+        for endpoint_id, batch in self._batches_by_endpoint.items():
             for chunk in batch.chunks:
                 job = self._service.ledger.jobs_by_id.get(chunk.job_id)
-                if job is None or not self._source.is_own(chunk.key, job):
-                    chunk.pending.clear()
+                if job is None or not self._source.is_on(endpoint_id, chunk.key, job):
+                    chunk.withdraw()
 
     def hold_job(self, job_id: str) -> None:
         """Stop a job whose cancellation another VM has seen on the ledger."""
--- a/src/foxtailbank/breaker.py
+++ b/src/foxtailbank/breaker.py
@@ -92,12 +92,16 @@
             self._on_failed_probe(now_ms)
 
     def _on_failed_probe(self, now_ms: int) -> None:
-        if self._probe_started_ms is None:
+        # A failed health check stands for a failed probe.
+        if self._probe_started_ms is None and now_ms < self._probe_due_ms():
             return
         self._probe_started_ms = None
         self._opened_at_ms = now_ms
         self._open_ms = min(self._open_max_ms, self._open_ms * 2)
 
+    def _probe_due_ms(self) -> int:
+        return (self._opened_at_ms or 0) + self._open_ms
+
     def _probe_pending(self, now_ms: int) -> bool:
         if self._probe_started_ms is None:
             return False
--- a/src/foxtailbank/chunk_source.py
+++ b/src/foxtailbank/chunk_source.py
@@ -80,11 +80,11 @@
         chunks = self._chunks_by_endpoint.setdefault(endpoint_id, {})
         chunks.setdefault(job_id, collections.deque()).appendleft(index)
 
-    def is_own(self, key: ChunkKey, job: JobState) -> bool:
-        """Return whether a chunk is placed on an endpoint of this VM."""
+    def is_on(self, endpoint_id: str, key: ChunkKey, job: JobState) -> bool:
+        """Return whether this VM has a chunk placed on an endpoint."""
         placement = self._placement(job)
-        return placement is not None and bool(
-            self._own_endpoint(placement, chunk_name(*key))
+        return placement is not None and (
+            self._own_endpoint(placement, chunk_name(*key)) == endpoint_id
         )
 
     def _placement(self, job: JobState) -> Placement | None:
--- a/src/foxtailbank/fleet_placement.py
+++ b/src/foxtailbank/fleet_placement.py
@@ -6,6 +6,7 @@
 from foxtailbank.backend import Backend
 from foxtailbank.breaker import BreakerState
 from foxtailbank.directory import Directory
+from foxtailbank.endpoint import Endpoint
 from foxtailbank.ownership import Candidate, Placement
 from foxtailbank.sentinels import Missing
 
@@ -75,4 +76,8 @@
 
 
 def _is_live(backend: Backend, now_ms: int) -> bool:
-    return not backend.draining and backend.health(now_ms) is not BreakerState.OPEN
+    health = backend.health(now_ms)
+    if isinstance(backend.service, Endpoint):
+        # Load reports close the circuit; batch work need not probe.
+        return not backend.draining and health is BreakerState.CLOSED
+    return not backend.draining and health is not BreakerState.OPEN
--- a/src/foxtailbank/open_chunk.py
+++ b/src/foxtailbank/open_chunk.py
@@ -78,6 +78,7 @@
         self._results_by_position: dict[int, bytes] = {}
         self._failed: set[int] = set()
         self._recording = 0
+        self._withdrawn = False
         self.buffered_bytes = 0
 
     @property
@@ -111,7 +112,13 @@
         self.running.discard(position)
         if partial is not None and partial.next_index:
             self.partial_by_position[position] = partial
-        self.pending.appendleft(position)
+        if not self._withdrawn:
+            self.pending.appendleft(position)
+
+    def withdraw(self) -> None:
+        """Run nothing more of it here: it was placed elsewhere."""
+        self._withdrawn = True
+        self.pending.clear()
 
     def drop(self, bitmap: int) -> None:
         """Forget items that ended elsewhere."""
--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -188,6 +188,10 @@
     def wait_job(self, vm, job_id, status="finished"):
         self.wait(lambda: self.job(vm, job_id)["status"] == status)
 
+    def ended_status(self, vm, job_id):
+        self.wait(lambda: self.job(vm, job_id)["status"] in ("finished", "cancelled"))
+        return self.job(vm, job_id)["status"]
+
     def results(self, vm, job_id):
         url = self.url(vm, f"/v1/batches/{job_id}/results")
         return [json.loads(line) for line in self.client.get(url).text.splitlines()]
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -24,3 +24,11 @@
     for now_ms in range(0, 100, 10):
         breaker.on_failure(now_ms)
     assert breaker.state(100) is BreakerState.HALF_OPEN
+
+
+def test_failed_health_check_when_a_probe_is_due_keeps_the_circuit_open():
+    breaker = CircuitBreaker(open_ms=100)
+    breaker.on_death(0)
+    breaker.on_death(100)
+    assert breaker.state(299) is BreakerState.OPEN
+    assert breaker.state(300) is BreakerState.HALF_OPEN
--- a/tests/test_proofs_batch.py
+++ b/tests/test_proofs_batch.py
@@ -129,8 +129,7 @@
         fleet.cancel((turn + 1) % 3, job_id)
         statuses = set()
         for vm in range(3):
-            fleet.wait(lambda vm=vm: fleet.job(vm, job_id)["status"] != "running")
-            statuses.add(fleet.job(vm, job_id)["status"])
+            statuses.add(fleet.ended_status(vm, job_id))
         assert len(statuses) == 1
         seen = [fleet.results(vm, job_id) for vm in range(3)]
         assert seen[0] == seen[1] == seen[2]
