--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -179,7 +179,7 @@
         if batch is None or backend.latest is None:
             return
         now_ms = self._clock.now_ms()
-        actions = batch.limit.on_load_report(backend.latest.report, now_ms)
+        actions = batch.limit.on_load_report(backend.latest, now_ms)
         self._preempt(batch, actions)
 
     def _preempt(self, batch: EndpointBatch, actions: tuple[t.Any, ...]) -> None:
@@ -194,7 +194,7 @@
             batch = self._batch(backend)
             batch.chunks = [chunk for chunk in batch.chunks if not chunk.idle]
             self._read_ahead(batch)
-            if backend.draining or not self._has_room():
+            if backend.is_leaving(now_ms) or not self._has_room():
                 continue
             while batch.limit.startable(now_ms) > 0 and self._start_next(batch):
                 pass
--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -8,6 +8,7 @@
 
 from foxtailbank.backend import Backend
 from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.death_check import has_died
 from foxtailbank.directory import Directory
 from foxtailbank.endpoint import Answer, Endpoint
 from foxtailbank.endpoint_view import EndpointView
@@ -71,8 +72,17 @@
     resume_at: int
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
+    stalled: frozenset[str] = frozenset()
     waits_until_ms: int | None = None
 
+    def note_failure(self, endpoint_id: str, failure: FoxtailbankError) -> None:
+        """Rule out an endpoint; one that stalled is tried on a new connection."""
+        first_stall = endpoint_id not in self.stalled
+        if isinstance(failure, EndpointStalled) and first_stall:
+            self.stalled |= {endpoint_id}
+        else:
+            self.tried |= {endpoint_id}
+
     @property
     def ran(self) -> Ran:
         """Whether the work may have run."""
@@ -182,7 +192,7 @@
                 progress.may_have_run = before or failure.ran is Ran.UNKNOWN
                 self._note_failure(backend, failure)
                 await self._check_death(work, backend, failure, isolation)
-                progress.tried |= {backend.endpoint_id}
+                progress.note_failure(backend.endpoint_id, failure)
                 self._decide(work, progress, failure, may_retry)
                 self._observer.on_resumed(backend, work, failure.code)
 
@@ -313,14 +323,10 @@
             return
         if not isinstance(backend.service, Endpoint):
             return
-        try:
-            await backend.service.load()
-        except EndpointRefused:
+        if await has_died(backend.service):
             backend.breaker.on_death(self._clock.now_ms())
             exclusive = isolation is Isolation.EXCLUSIVE
             self._observer.on_death(backend, work, exclusive)
-        except EndpointFailed:
-            return
 
     def _decide(
         self,
--- a/src/foxtailbank/fleet_placement.py
+++ b/src/foxtailbank/fleet_placement.py
@@ -79,5 +79,7 @@
     health = backend.health(now_ms)
     if isinstance(backend.service, Endpoint):
         # Load reports close the circuit; batch work need not probe.
-        return not backend.draining and health is BreakerState.CLOSED
-    return not backend.draining and health is not BreakerState.OPEN
+        is_usable = health is BreakerState.CLOSED
+    else:
+        is_usable = health is not BreakerState.OPEN
+    return is_usable and not backend.is_leaving(now_ms)
--- a/tests/test_proofs_partition.py
+++ b/tests/test_proofs_partition.py
@@ -20,6 +20,7 @@
 TIMING = (
     ("drain_notice_ms", 200),
     ("batch_view_ms", 2_000),
+    ("first_chunk_timeout_ms", 4_000),
     ("log_append_timeout_ms", 10_000),
 )
 
@@ -101,6 +102,7 @@
     cut(fleet, 2, "platform")
     assert put(fleet, 0, "followed", 50, 0).status_code == 200
     fleet.wait(lambda: limit_of(fleet, 2, "followed") == 50)
+    fleet.wait(lambda: limit_of(fleet, 1, "followed") == 50)
     assert put(fleet, 1, "followed", 60, 1).status_code == 200
     fleet.wait(lambda: limit_of(fleet, 2, "followed") == 60)
     assert put(fleet, 0, "followed", 70, 1).status_code == 409
@@ -196,6 +198,8 @@
     def claims():
         return httpx.get(url).json()["end"]
 
+    # Peers would pass the record on, so they are out of reach as well.
+    cut(fleet, 0, *others_of(fleet, 0))
     link = f"{fleet.name(0)}>platform"
     fleet.launcher.faults("relay", link=link, delay_ms=600)
     with concurrent.futures.ThreadPoolExecutor() as pool:
