--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -11,6 +11,7 @@
 from foxtailbank.death_check import has_died
 from foxtailbank.directory import Directory
 from foxtailbank.endpoint import Answer, Endpoint
+from foxtailbank.endpoint_view import EndpointView
 from foxtailbank.exceptions import (
     DeadlineExceeded,
     EndpointFailed,
@@ -33,6 +34,8 @@
 MAX_ATTEMPTS = 4
 NO_ENDPOINT_RETRY_MS = 1_000
 FAILED_RETRY_MS = 500
+SUSPECT_WAIT_MS = 30_000
+SUSPECT_POLL_MS = 20
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -69,6 +72,16 @@
     resume_at: int
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
+    stalled: frozenset[str] = frozenset()
+    waits_until_ms: int | None = None
+
+    def note_failure(self, endpoint_id: str, failure: FoxtailbankError) -> None:
+        """Rule out an endpoint; one that stalled is tried on a new connection."""
+        first_stall = endpoint_id not in self.stalled
+        if isinstance(failure, EndpointStalled) and first_stall:
+            self.stalled |= {endpoint_id}
+        else:
+            self.tried |= {endpoint_id}
 
     @property
     def ran(self) -> Ran:
@@ -165,6 +178,10 @@
             isolation = self._isolation(work, progress)
             backend = on or self._choose(work, progress, isolation)
             on = None
+            if backend is None:
+                await anyio.sleep(SUSPECT_POLL_MS / MS_PER_S)
+                continue
+            progress.waits_until_ms = None
             try:
                 before = progress.may_have_run
                 progress.may_have_run = True
@@ -175,7 +192,7 @@
                 progress.may_have_run = before or failure.ran is Ran.UNKNOWN
                 self._note_failure(backend, failure)
                 await self._check_death(work, backend, failure, isolation)
-                progress.tried |= {backend.endpoint_id}
+                progress.note_failure(backend.endpoint_id, failure)
                 self._decide(work, progress, failure, may_retry)
                 self._observer.on_resumed(backend, work, failure.code)
 
@@ -187,7 +204,20 @@
             raise refusal
         return verdict.isolation
 
-    def _choose(self, work: Work, progress: _Progress, isolation: Isolation) -> Backend:
+    def _choose(
+        self, work: Work, progress: _Progress, isolation: Isolation
+    ) -> Backend | None:
+        """Return the endpoint for an attempt; None if a suspect waits its turn."""
+        chosen = self._route(work, progress, isolation)
+        if isinstance(chosen, Missing):
+            if self._awaits_turn(work, progress, isolation):
+                return None
+            raise self._no_endpoint(work, progress, chosen)
+        return self._directory.backends_by_id[chosen.endpoint_id]
+
+    def _route(
+        self, work: Work, progress: _Progress, isolation: Isolation
+    ) -> EndpointView | Missing:
         now_ms = self._clock.now_ms()
         backends = self._directory.pool(work.entry.pool)
         request = RouteRequest(
@@ -197,10 +227,21 @@
             isolation=isolation,
         )
         views = [backend.view(now_ms) for backend in backends]
-        chosen = self._router.choose(request, views, now_ms)
-        if isinstance(chosen, Missing):
-            raise self._no_endpoint(work, progress, chosen)
-        return self._directory.backends_by_id[chosen.endpoint_id]
+        return self._router.choose(request, views, now_ms)
+
+    def _awaits_turn(
+        self, work: Work, progress: _Progress, isolation: Isolation
+    ) -> bool:
+        # Streams that were in flight when an endpoint died may outnumber the
+        # endpoints that are left, of which each takes one suspect at a time.
+        if work.batch or isolation is not Isolation.SOLE_SUSPECT:
+            return False
+        if isinstance(self._route(work, progress, Isolation.NONE), Missing):
+            return False
+        now_ms = self._clock.now_ms()
+        if progress.waits_until_ms is None:
+            progress.waits_until_ms = now_ms + SUSPECT_WAIT_MS
+        return now_ms < progress.waits_until_ms
 
     def _no_endpoint(
         self, work: Work, progress: _Progress, reason: Missing
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -54,6 +54,7 @@
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
 from foxtailbank.tasks import every
+from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
 
 PLACEMENT_PERIOD_MS = 250
 QUARANTINE_PERIOD_MS = 5_000
@@ -117,6 +118,10 @@
             started_ms=started_ms,
             on_change=self._on_member,
         )
+        self._vm_list = PeerVmList(
+            platform=HttpVmList(address=settings.platform.vm_list_address),
+            peering=self._peering,
+        )
         self._metrics = Metrics()
         self._burn = BurnRecorder(vm=settings.vm.id, zone=settings.vm.zone)
         self._exchange = QuarantineExchange(
@@ -259,7 +264,7 @@
             peering=self._peering,
             burn=self._burn,
         )
-        self._peering.handlers.on_request(pm.Report, fleet.answer_report)
+        self._answer_burn = fleet.answer_report
         models = ModelsApi(catalogue=catalogue)
         batches = BatchApi(
             clock=self._clock,
@@ -279,6 +284,7 @@
 
     def _handle_peers(self) -> None:
         handlers = self._peering.handlers
+        handlers.on_request(pm.Report, self._answer_report)
         handlers.on_notice(pm.OnlineDispatched, self._on_online_dispatched)
         handlers.on_notice(pm.CancelNotice, self._on_cancel_notice)
         handlers.on_notice(pm.Report, self._on_report)
@@ -361,6 +367,11 @@
     def _tell_cancelled(self, job_id: str) -> None:
         self._peering.tell_all(pm.CancelNotice(job_id=job_id))
 
+    async def _answer_report(self, peer_id: str, request: pm.Report) -> pm.Report:
+        if request.name == VM_LIST_REPORT:
+            return self._vm_list.answer(request.name)
+        return await self._answer_burn(peer_id, request)
+
     def _on_online_dispatched(self, peer_id: str, notice: pm.OnlineDispatched) -> None:
         self._runner.on_online(notice.endpoint_id, notice.count)
 
