Keep suspects apart by agreement, and go on after a refusal for free

Cause: (1) after a death every request that was in flight there is suspect, and ran apart on each VM without regard to the others, or got no endpoint at all while batch work kept all of them busy; (2) calls that a leaving endpoint did not admit used up the retry budget: 5 of 12 concurrent calls got 503; (3) the overload check added counts of other VMs that lag by a second.

--- a/src/foxtailbank/backend.py
+++ b/src/foxtailbank/backend.py
@@ -29,6 +29,8 @@
         Batch streams of this VM that run there.
     suspects_in_flight : int
         Requests of this VM there that are suspected of crashing endpoints.
+    suspect_elsewhere : bool
+        Whether one runs there by agreement between the VMs.
     reserved : bool
         Whether it is kept free for a request that must run exclusively.
     drain : DrainState
@@ -46,6 +48,7 @@
         self.online_in_flight = 0
         self.batch_in_flight = 0
         self.suspects_in_flight = 0
+        self.suspect_elsewhere = False
         self.reserved = False
         self.drain = DrainState()
         self.listed = True
@@ -73,7 +76,7 @@
             reported_load=self._queue_length(),
             health=self.health(now_ms),
             draining=self.is_leaving(now_ms),
-            suspect=self.suspects_in_flight > 0,
+            suspect=self.suspects_in_flight > 0 or self.suspect_elsewhere,
             reserved=self.reserved,
         )
 
--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -11,7 +11,6 @@
 from foxtailbank.death_check import has_died
 from foxtailbank.directory import Directory
 from foxtailbank.endpoint import Answer, Endpoint
-from foxtailbank.endpoint_view import EndpointView
 from foxtailbank.exceptions import (
     DeadlineExceeded,
     EndpointFailed,
@@ -28,14 +27,13 @@
 from foxtailbank.routing import Router, RouteRequest
 from foxtailbank.sentinels import Missing
 from foxtailbank.sink import Sink
-from foxtailbank.sse import EventTail
+from foxtailbank.sse import EVENT_END, EventTail
+from foxtailbank.suspect_gate import Place, SuspectGate
 from foxtailbank.work import Work
 
 MAX_ATTEMPTS = 4
 NO_ENDPOINT_RETRY_MS = 1_000
 FAILED_RETRY_MS = 500
-SUSPECT_WAIT_MS = 30_000
-SUSPECT_POLL_MS = 20
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -61,6 +59,10 @@
     def on_complete(self, backend: Backend, work: Work) -> None:
         """Note that work has its whole answer."""
 
+    def on_progress(self, work: Work, new_tokens: int) -> bool:
+        """Note how far a suspect got; return whether it is cleared."""
+        return False
+
     def on_resumed(self, backend: Backend, work: Work, reason: str) -> None:
         """Note that work goes on after an attempt that failed there."""
 
@@ -73,7 +75,6 @@
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
     stalled: frozenset[str] = frozenset()
-    waits_until_ms: int | None = None
 
     def note_failure(self, endpoint_id: str, failure: FoxtailbankError) -> None:
         """Rule out an endpoint; one that stalled is tried on a new connection."""
@@ -106,6 +107,8 @@
         Requests that took down endpoints.
     retry_budget : RetryBudget
         Bound on retries.
+    gate : SuspectGate
+        Keeps suspect requests apart.
     observer : DispatchObserver
         Is told of dispatches.
     """
@@ -119,6 +122,7 @@
         router: Router,
         quarantine: Quarantine,
         retry_budget: RetryBudget,
+        gate: SuspectGate,
         observer: DispatchObserver,
     ) -> None:
         self._clock = clock
@@ -127,6 +131,7 @@
         self._router = router
         self._quarantine = quarantine
         self._retry_budget = retry_budget
+        self._gate = gate
         self._observer = observer
 
     async def run(
@@ -172,76 +177,45 @@
         on: Backend | None,
         may_retry: bool,
     ) -> None:
-        if on is not None and self._is_suspect(work):
-            on = None
         while True:
-            isolation = self._isolation(work, progress)
-            backend = on or self._choose(work, progress, isolation)
+            place = await self._place(work, progress, on)
             on = None
-            if backend is None:
-                await anyio.sleep(SUSPECT_POLL_MS / MS_PER_S)
-                continue
-            progress.waits_until_ms = None
+            backend = place.backend
             try:
                 before = progress.may_have_run
                 progress.may_have_run = True
-                await self._attempt(work, sink, progress, backend)
+                await self._attempt(work, sink, progress, place)
                 self._observer.on_complete(backend, work)
                 return
             except (EndpointFailed, EndpointRefused) as failure:
                 progress.may_have_run = before or failure.ran is Ran.UNKNOWN
                 self._note_failure(backend, failure)
-                await self._check_death(work, backend, failure, isolation)
+                await self._check_death(work, place, failure)
                 progress.note_failure(backend.endpoint_id, failure)
                 self._decide(work, progress, failure, may_retry)
                 self._observer.on_resumed(backend, work, failure.code)
+            finally:
+                self._gate.leave(place)
 
-    def _isolation(self, work: Work, progress: _Progress) -> Isolation:
-        verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
-        if verdict.isolation is Isolation.REFUSED:
-            refusal = verdict.error()
-            refusal.ran = progress.ran
-            raise refusal
-        return verdict.isolation
-
-    def _choose(
-        self, work: Work, progress: _Progress, isolation: Isolation
-    ) -> Backend | None:
-        """Return the endpoint for an attempt; None if a suspect waits its turn."""
-        chosen = self._route(work, progress, isolation)
-        if isinstance(chosen, Missing):
-            if self._awaits_turn(work, progress, isolation):
-                return None
-            raise self._no_endpoint(work, progress, chosen)
-        return self._directory.backends_by_id[chosen.endpoint_id]
+    async def _place(
+        self, work: Work, progress: _Progress, on: Backend | None
+    ) -> Place:
+        if self._is_suspect(work):
+            return await self._gate.enter(work, progress.tried, progress.ran)
+        return Place(backend=on or self._choose(work, progress), reservation=None)
 
-    def _route(
-        self, work: Work, progress: _Progress, isolation: Isolation
-    ) -> EndpointView | Missing:
+    def _choose(self, work: Work, progress: _Progress) -> Backend:
         now_ms = self._clock.now_ms()
-        backends = self._directory.pool(work.entry.pool)
         request = RouteRequest(
             zone=self._zone,
             prefix_digest=work.prefix_digest,
             tried=progress.tried,
-            isolation=isolation,
         )
-        views = [backend.view(now_ms) for backend in backends]
-        return self._router.choose(request, views, now_ms)
-
-    def _awaits_turn(
-        self, work: Work, progress: _Progress, isolation: Isolation
-    ) -> bool:
-        # Streams that were in flight when an endpoint died may outnumber the
-        # endpoints that are left, of which each takes one suspect at a time.
-        if work.batch or isolation is not Isolation.SOLE_SUSPECT:
-            return False
-        if isinstance(self._route(work, progress, Isolation.NONE), Missing):
-            return False
-        now_ms = self._clock.now_ms()
-        if progress.waits_until_ms is None:
-            progress.waits_until_ms = now_ms + SUSPECT_WAIT_MS
-        return now_ms < progress.waits_until_ms
+        views = [b.view(now_ms) for b in self._directory.pool(work.entry.pool)]
+        chosen = self._router.choose(request, views, now_ms)
+        if isinstance(chosen, Missing):
+            raise self._no_endpoint(work, progress, chosen)
+        return self._directory.backends_by_id[chosen.endpoint_id]
 
     def _no_endpoint(
         self, work: Work, progress: _Progress, reason: Missing
@@ -253,15 +227,16 @@
         )
 
     async def _attempt(
-        self, work: Work, sink: Sink, progress: _Progress, backend: Backend
+        self, work: Work, sink: Sink, progress: _Progress, place: Place
     ) -> None:
+        backend = place.backend
         with self._counted(work, backend):
             started_ms = self._clock.now_ms()
             async with backend.service.open(
                 work.call(resume_at=progress.resume_at)
             ) as answer:
                 if work.streamed and answer.status < FIRST_ERROR_STATUS:
-                    await self._relay(work, sink, progress, backend, answer, started_ms)
+                    await self._relay(work, sink, progress, place, answer, started_ms)
                 else:
                     await self._relay_whole(work, sink, backend, answer)
         backend.breaker.on_success()
@@ -283,10 +258,13 @@
         work: Work,
         sink: Sink,
         progress: _Progress,
-        backend: Backend,
+        place: Place,
         answer: Answer,
         started_ms: int,
     ) -> None:
+        backend = place.backend
+        suspect = place.reservation is not None
+        new_tokens = 0
         tail = EventTail()
         last_ms = 0
         try:
@@ -303,11 +281,21 @@
                 if not sink.started:
                     await sink.start(status=answer.status, headers=answer.headers)
                 await sink.write(events)
+                if suspect:
+                    new_tokens += events.count(EVENT_END)
+                    suspect = not self._is_cleared(work, place, new_tokens)
         finally:
             progress.resume_at = tail.next_index(progress.resume_at)
         if not tail.done:
             raise EndpointFailed(detail=f"{backend.endpoint_id} ended a stream early")
 
+    def _is_cleared(self, work: Work, place: Place, new_tokens: int) -> bool:
+        """Free the endpoint for others once a suspect went on well."""
+        if not self._observer.on_progress(work, new_tokens):
+            return False
+        self._gate.leave(place)
+        return True
+
     def _note_failure(self, backend: Backend, failure: FoxtailbankError) -> None:
         if not isinstance(failure, EndpointStalled):
             backend.breaker.on_failure(self._clock.now_ms())
@@ -315,18 +303,17 @@
     async def _check_death(
         self,
         work: Work,
-        backend: Backend,
+        place: Place,
         failure: FoxtailbankError,
-        isolation: Isolation,
     ) -> None:
+        backend = place.backend
         if isinstance(failure, EndpointStalled | EndpointRefused):
             return
         if not isinstance(backend.service, Endpoint):
             return
         if await has_died(backend.service):
             backend.breaker.on_death(self._clock.now_ms())
-            exclusive = isolation is Isolation.EXCLUSIVE
-            self._observer.on_death(backend, work, exclusive)
+            self._observer.on_death(backend, work, place.exclusive)
 
     def _decide(
         self,
@@ -341,7 +328,9 @@
             ) from failure
         now_ms = self._clock.now_ms()
         exhausted = not may_retry or len(progress.tried) >= MAX_ATTEMPTS
-        if exhausted or not self._retry_budget.try_retry(now_ms):
+        # A refusal puts no load on an endpoint, so that it costs no budget.
+        is_free = isinstance(failure, EndpointRefused)
+        if exhausted or not (is_free or self._retry_budget.try_retry(now_ms)):
             failure.ran = progress.ran
             failure.retry_after_ms = failure.retry_after_ms or FAILED_RETRY_MS
             raise failure
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -53,6 +53,7 @@
 from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
+from foxtailbank.suspect_gate import SuspectGate
 from foxtailbank.tasks import every
 from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
 
@@ -138,6 +139,17 @@
         )
         self._observer = self._make_observer()
         self._keeper = self._make_keeper(log)
+        least_loaded = LeastLoadedRouter(rng=rng)
+        self._router = PrefixAffinityRouter(fallback=least_loaded)
+        self._gate = SuspectGate(
+            clock=clock,
+            vm_id=settings.vm.id,
+            zone=settings.vm.zone,
+            directory=self.directory,
+            router=self._router,
+            quarantine=self._quarantine,
+            peering=self._peering,
+        )
         self._dispatcher = self._make_dispatcher()
         self._runner = self._make_runner()
         self._observer.runner = self._runner
@@ -193,14 +205,14 @@
         )
 
     def _make_dispatcher(self) -> Dispatcher:
-        least_loaded = LeastLoadedRouter(rng=self._rng)
         return Dispatcher(
             clock=self._clock,
             zone=self._settings.vm.zone,
             directory=self.directory,
-            router=PrefixAffinityRouter(fallback=least_loaded),
+            router=self._router,
             quarantine=self._quarantine,
             retry_budget=RetryBudget(),
+            gate=self._gate,
             observer=self._observer,
         )
 
@@ -335,6 +347,7 @@
         tasks.start_soon(run)
 
     async def _refresh(self) -> None:
+        self._gate.acknowledge()
         if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
             self._runner.place(self._placement.placements_by_pool)
         state = OwnState(
@@ -381,6 +394,8 @@
     def _on_report(self, peer_id: str, report: pm.Report) -> None:
         if report.name == REPORT_NAME:
             self._exchange.received(report.content)
+        else:
+            self._gate.take(report)
 
     def _on_member(self, action: MembershipAction) -> None:
         if isinstance(action, MemberJoined):
--- a/src/foxtailbank/fleet_observer.py
+++ b/src/foxtailbank/fleet_observer.py
@@ -90,6 +90,16 @@
         if marks:
             self._exchange.spread(marks)
 
+    def on_progress(self, work: Work, new_tokens: int) -> bool:
+        """Clear a suspect that went on well beyond where it was at the death."""
+        marks = self._quarantine.on_progress(
+            work.fingerprint,
+            tokens_beyond=new_tokens,
+            now_ms=self._clock.wall_ms(),
+        )
+        self._exchange.spread(marks)
+        return bool(marks)
+
     def on_resumed(self, backend: Backend, work: Work, reason: str) -> None:
         """Write a line."""
         fields = LogFields(
--- a/src/foxtailbank/overload_guard.py
+++ b/src/foxtailbank/overload_guard.py
@@ -53,6 +53,9 @@
             return 0
         control = self._control(work.entry.pool)
         load = self._load(work.entry.pool)
+        if not load.places:
+            # The router tells better why there is no endpoint.
+            return 0
         refusal = control.check(
             load,
             first_token_ms=work.entry.objective.ttft_ms,
@@ -89,7 +92,8 @@
     def _load(self, pool: str) -> PoolLoad:
         now_ms = self._clock.now_ms()
         places = 0
-        in_flight = self._online_elsewhere(pool)
+        in_flight = 0
+        waiting = 0
         for backend in self._directory.pool(pool):
             view = backend.view(now_ms)
             if view.draining or view.health is not BreakerState.CLOSED:
@@ -97,4 +101,8 @@
             in_flight += view.online_in_flight
             latest = backend.latest
             places += latest.max_running if latest else FIRST_PLACES
+            waiting += latest.waiting if latest else 0
+        if waiting:
+            # Counts of other VMs lag; they are used only where engines queue.
+            in_flight += self._online_elsewhere(pool)
         return PoolLoad(places=places, in_flight=in_flight)
--- a/src/foxtailbank/sse.py
+++ b/src/foxtailbank/sse.py
@@ -7,6 +7,7 @@
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
 DONE_EVENT = b"data: [DONE]\n\n"
+CANCELLED = b'"finish_reason":"cancelled"'
 
 
 class Delta(msgspec.Struct, frozen=True):
@@ -100,7 +101,8 @@
         self._rest = data[end:]
         self._last = whole
         if whole.endswith(DONE_EVENT):
-            self.done = True
+            # An engine closes a stream that somebody cancelled in due form.
+            self.done = CANCELLED not in whole
         return whole
 
     def drop_partial(self) -> None:
--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import signal
@@ -18,18 +19,23 @@
 ADMIN = {"authorization": f"Bearer {ADMIN_KEY}"}
 LONG_S = float(os.environ.get("PROOF_LIMIT_S", "60"))
 ZONES = ("zone-a", "zone-b")
+PORTS_PER_PROCESS = 128
+_slots = itertools.count()
 
 
 def free_ports(count):
     """Ports that were free a moment ago, as a consecutive run."""
     # Each process has a range of its own, so that two test runs don't collide.
-    base = 20_000 + os.getpid() % 600 * 16
-    for first in range(base, base + 16, count):
+    base = 20_000 + os.getpid() % 90 * PORTS_PER_PROCESS
+    for _ in range(PORTS_PER_PROCESS // count):
+        first = base + next(_slots) * count % PORTS_PER_PROCESS
         with contextlib.ExitStack() as stack:
             try:
                 for port in range(first, first + count):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         sock = stack.enter_context(socket.socket(type=kind))
+                        # Connections of an earlier fleet may still linger.
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                         sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
--- /dev/null
+++ b/tests/test_overload_guard.py
@@ -0,0 +1,96 @@
+import dataclasses
+
+import pytest
+
+from foxtailbank.clock import ManualClock
+from foxtailbank.directory import Directory
+from foxtailbank.endpoint import LoadReport
+from foxtailbank.entry import Entry, Kind, WorkClass
+from foxtailbank.exceptions import Overloaded, Ran
+from foxtailbank.overload_guard import OverloadGuard
+from foxtailbank.quarantine import Fingerprint
+from foxtailbank.vm_list import Vm, VmRole
+from foxtailbank.work import Work
+
+ENTRY = Entry(
+    name="tributes",
+    owner="mwangaza",
+    work_class=WorkClass.ONLINE,
+    kind=Kind.ENGINE,
+    pool="wordsmith",
+    key_hashes=(),
+    model="wordsmith",
+)
+WORK = Work(
+    request_id="r",
+    entry=ENTRY,
+    method="POST",
+    path="/v1/completions",
+    headers=(),
+    body=b"",
+    streamed=True,
+    batch=False,
+    idempotent=True,
+    fingerprint=Fingerprint(owner="mwangaza", digest="d"),
+    prefix_digest=0,
+    tokens=8,
+    deadline_at_ms=60_000,
+)
+CASES = [
+    # own in flight, waiting at the engine, in flight elsewhere, refused
+    (0, 0, 0, False),
+    (7, 0, 0, False),
+    (7, 0, 100, False),
+    (20, 0, 0, True),
+    (7, 4, 100, True),
+]
+
+
+def make_guard(*, own, waiting, elsewhere, reports=True):
+    directory = Directory(factory=lambda vm: None)
+    vm = Vm(
+        vm_id="e", role=VmRole.ENGINE, zone="a", address="127.0.0.1:1", pool="wordsmith"
+    )
+    directory.apply([vm], 0)
+    backend = directory.backends_by_id["e"]
+    backend.online_in_flight = own
+    if reports:
+        report = LoadReport(
+            age_ms=0,
+            running=8,
+            waiting=waiting,
+            max_running=8,
+            step_ms=20.0,
+            draining=False,
+        )
+        backend.take_report(report, 0)
+    guard = OverloadGuard(
+        clock=ManualClock(),
+        directory=directory,
+        online_elsewhere=lambda pool: elsewhere,
+    )
+    return guard, backend
+
+
+@pytest.mark.parametrize("own, waiting, elsewhere, refused", CASES)
+def test_a_call_is_refused_only_when_engines_are_full(own, waiting, elsewhere, refused):
+    guard, _ = make_guard(own=own, waiting=waiting, elsewhere=elsewhere)
+    if not refused:
+        assert guard.check(WORK) >= 0
+        return
+    with pytest.raises(Overloaded) as caught:
+        guard.check(WORK)
+    assert caught.value.ran is Ran.NO
+    assert caught.value.retry_after_ms > 0
+
+
+def test_services_are_not_judged_by_streams():
+    guard, _ = make_guard(own=100, waiting=9, elsewhere=100)
+    entry = dataclasses.replace(ENTRY, kind=Kind.SERVICE)
+    assert guard.check(dataclasses.replace(WORK, entry=entry)) == 0
+
+
+def test_without_live_endpoints_the_router_decides():
+    guard, backend = make_guard(own=0, waiting=0, elsewhere=0)
+    backend.breaker.on_death(0)
+    assert guard.check(WORK) == 0
