Keep half of the byte budget for probes and views

Change: piggybacked content only uses the upper half of the bucket; two zone contacts a period instead of three; budget 2800 bytes a second.

--- a/src/foxtailbank/heartbeat_writer.py
+++ b/src/foxtailbank/heartbeat_writer.py
@@ -9,12 +9,13 @@
 from foxtailbank import peer_messages as pm
 
 UDP_HEADER_BYTES = 28
-BASE_BYTES = 150
+BASE_BYTES = 100
 DIGEST_BYTES = 32
 LOAD_BYTES = 14
 AGE_BYTES = 14
 REPAIR_FACTS = 4
 MAX_LOADS = 8
+RESERVE_FRACTION = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -71,6 +72,7 @@
         self._budget = byte_budget.ByteBudget(
             bytes_per_s=config.budget_bytes_per_s, now_ms=now_ms
         )
+        self._reserve_bytes = config.budget_bytes_per_s // RESERVE_FRACTION
         self._digest_cursor = 0
         self._facts_hash_by_vm_id: dict[str, int] = {}
         self.own_state = OwnState()
@@ -120,7 +122,7 @@
             return ()
         room_bytes = min(
             self._config.datagram_bytes - bare_bytes,
-            self._budget.available_bytes(now_ms=now_ms),
+            self._budget.available_bytes(now_ms=now_ms) - self._reserve_bytes,
         )
         full = self._fill(bare, to, room_bytes, now_ms)
         self._budget.spend(
--- a/src/foxtailbank/membership_config.py
+++ b/src/foxtailbank/membership_config.py
@@ -38,7 +38,7 @@
     zone_unreachable_ms: int = 5000
     unreachable_per_zone_ms: int = 600
     view_interval_ms: int = 2000
-    budget_bytes_per_s: int = 2500
+    budget_bytes_per_s: int = 2800
     datagram_bytes: int = 480
 
     def unreachable_ms(self, other_zone_count: int) -> int:
--- a/src/foxtailbank/probe_targets.py
+++ b/src/foxtailbank/probe_targets.py
@@ -6,7 +6,7 @@
 from foxtailbank import member_table
 from foxtailbank import peer_messages as pm
 
-MAX_ZONE_PROBES = 3
+MAX_ZONE_PROBES = 2
 
 
 class ProbeTargets:
