Prepare candidates once for many keys

Change: hashes are seeded by the candidate, equal weights compare hashes without a logarithm, candidates are prepared per zone.

--- a/src/foxtailbank/ownership.py
+++ b/src/foxtailbank/ownership.py
@@ -1,6 +1,7 @@
 """Weighted rendezvous hashing: who owns what, agreed without messages."""
 
 import dataclasses
+import functools
 import math
 import typing as t
 
@@ -9,6 +10,7 @@
 from foxtailbank import sentinels
 
 HASH_RANGE = 1 << 64
+MAX_SEEDS = 16_384
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -47,13 +49,18 @@
     """
     if candidate.weight <= 0:
         return 0.0
-    name = f"{candidate.candidate_id}\0{key}".encode()
-    fraction = (xxhash.xxh3_64_intdigest(name) + 0.5) / HASH_RANGE
+    digest = xxhash.xxh3_64_intdigest(key.encode(), _seed(candidate.candidate_id))
+    fraction = (digest + 0.5) / HASH_RANGE
     if fraction >= 1.0:
         return math.inf
     return -candidate.weight / math.log(fraction)
 
 
+@functools.lru_cache(maxsize=MAX_SEEDS)
+def _seed(candidate_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(candidate_id.encode())
+
+
 def owner_of(key: str, members: t.Iterable[Candidate]) -> Candidate | sentinels.Missing:
     """Return the owner of a key.
 
@@ -101,6 +108,32 @@
     return tuple(member for _, _, member in scored[:n])
 
 
+class CandidateSet:
+    """Candidates prepared for many keys; agrees with `owner_of`.
+
+    Parameters
+    ----------
+    members : iterable of Candidate
+        Possible owners, in any order.
+    """
+
+    def __init__(self, members: t.Iterable[Candidate]) -> None:
+        self.members = tuple(one for one in members if one.weight > 0)
+        self._has_equal_weights = len({one.weight for one in self.members}) <= 1
+        self._member_by_seed = {_seed(one.candidate_id): one for one in self.members}
+
+    def owner_of(self, key: str) -> Candidate | sentinels.Missing:
+        """Return the owner of a key; see `owner_of`."""
+        if not self.members:
+            return sentinels.NOT_FOUND
+        if not self._has_equal_weights:
+            return owner_of(key, self.members)
+        data = key.encode()
+        digest = xxhash.xxh3_64_intdigest
+        best = max(self._member_by_seed, key=lambda seed: digest(data, seed))
+        return self._member_by_seed[best]
+
+
 class Placement:
     """Where chunks run and which VM drives each endpoint.
 
@@ -120,22 +153,22 @@
     ) -> None:
         self._endpoints_by_zone = _by_zone(endpoints)
         self._vms_by_zone = _by_zone(vms)
-        self._all_vms = tuple(
-            vm for zone in sorted(self._vms_by_zone) for vm in self._vms_by_zone[zone]
+        self._all_vms = CandidateSet(
+            vm for one in self._vms_by_zone.values() for vm in one.members
         )
-        self._zones = tuple(
+        self._zones = CandidateSet(
             Candidate(
                 candidate_id=zone,
                 zone=zone,
-                weight=sum(max(0.0, one.weight) for one in members),
+                weight=sum(one.weight for one in candidates.members),
             )
-            for zone, members in sorted(self._endpoints_by_zone.items())
+            for zone, candidates in self._endpoints_by_zone.items()
         )
         self._owner_by_endpoint: dict[str, Candidate | sentinels.Missing] = {}
 
     def zone_of_chunk(self, chunk_key: str) -> str | sentinels.Missing:
         """Return the availability zone that a chunk runs in."""
-        zone = owner_of(chunk_key, self._zones)
+        zone = self._zones.owner_of(chunk_key)
         return zone.zone if isinstance(zone, Candidate) else zone
 
     def endpoint_of_chunk(self, chunk_key: str) -> Candidate | sentinels.Missing:
@@ -154,7 +187,7 @@
         zone = self.zone_of_chunk(chunk_key)
         if isinstance(zone, sentinels.Missing):
             return zone
-        return owner_of(chunk_key, self._endpoints_by_zone[zone])
+        return self._endpoints_by_zone[zone].owner_of(chunk_key)
 
     def owner_of_endpoint(self, endpoint: Candidate) -> Candidate | sentinels.Missing:
         """Return the VM that drives batch work on an endpoint.
@@ -173,7 +206,7 @@
         name = endpoint.candidate_id
         if name not in self._owner_by_endpoint:
             vms = self._vms_by_zone.get(endpoint.zone) or self._all_vms
-            self._owner_by_endpoint[name] = owner_of(name, vms)
+            self._owner_by_endpoint[name] = vms.owner_of(name)
         return self._owner_by_endpoint[name]
 
     def owner_of_chunk(self, chunk_key: str) -> Candidate | sentinels.Missing:
@@ -208,12 +241,9 @@
     return moved / len(keys) if keys else 0.0
 
 
-def _by_zone(candidates: t.Iterable[Candidate]) -> dict[str, tuple[Candidate, ...]]:
+def _by_zone(candidates: t.Iterable[Candidate]) -> dict[str, CandidateSet]:
     members_by_zone: dict[str, list[Candidate]] = {}
     for candidate in candidates:
         if candidate.weight > 0:
             members_by_zone.setdefault(candidate.zone, []).append(candidate)
-    return {
-        zone: tuple(sorted(members, key=lambda one: one.candidate_id))
-        for zone, members in members_by_zone.items()
-    }
+    return {zone: CandidateSet(members) for zone, members in members_by_zone.items()}
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -87,3 +87,14 @@
     )
     lost = sum(before.endpoint_of_chunk(key) == endpoints[0] for key in KEYS)
     assert lost <= moved <= 2 * lost
+
+
+@pytest.mark.parametrize("weights", [(1.0,), (2.0, 3.0)], ids=["equal", "mixed"])
+def test_prepared_candidates_agree(weights):
+    members = [
+        ownership.Candidate(candidate_id=f"c{n}", weight=weights[n % len(weights)])
+        for n in range(9)
+    ]
+    prepared = ownership.CandidateSet(members[::-1])
+    for key in KEYS[:500]:
+        assert prepared.owner_of(key) == ownership.owner_of(key, members)
