--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -265,3 +265,10 @@
     for now_ms in range(60_500, 60_000 + suspicion_ms, 500):
         assert not dead(now_ms)
     assert dead(60_000 + suspicion_ms)
+
+
+def test_fleet_that_starts_at_once_settles_without_false_deaths():
+    net = Net(fleet(16, 6))
+    net.run(55_000)
+    assert net.agreed()
+    assert not told(net, actions.MemberDead)
