--- /dev/null
+++ b/src/foxtailbank/ledger_image.py
@@ -0,0 +1,143 @@
+"""Copies of parts of the ledger's state, in the form that snapshots hold."""
+
+import array
+import sys
+
+import msgspec
+
+from foxtailbank.records import JobAccepted, Snapshot
+
+
+def bytes_of_array(values: array.array) -> bytes:
+    """Return an array's values as little-endian bytes."""
+    if sys.byteorder == "big":
+        values = values[:]
+        values.byteswap()
+    return values.tobytes()
+
+
+def array_of_bytes(typecode: str, data: bytes) -> array.array:
+    """Return the array whose values stand in little-endian bytes."""
+    values = array.array(typecode)
+    values.frombytes(data)
+    if sys.byteorder == "big":
+        values.byteswap()
+    return values
+
+
+def bytes_of_bitmap(bitmap: int) -> bytes:
+    """Return a bitmap as little-endian bytes."""
+    return bitmap.to_bytes((bitmap.bit_length() + 7) // 8, "little")
+
+
+def bitmap_of_bytes(data: bytes) -> int:
+    """Return the bitmap that stands in little-endian bytes."""
+    return int.from_bytes(data, "little")
+
+
+class PartialImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A chunk that several records have a part in.
+
+    Bitmaps are little-endian bytes.
+    """
+
+    chunk: int
+    done: bytes
+    unknown: bytes
+    claimed: list[tuple[str, bytes]]
+    won: list[tuple[int, bytes]]
+
+
+class JobImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A job that has not been retired.
+
+    Attributes
+    ----------
+    accepted : JobAccepted
+        As recorded, but without its chunks.
+    input_offsets, whole_results : bytes
+        Little-endian, 8 bytes a chunk.
+    counts : bytes
+        Little-endian, 2 bytes a chunk.
+    """
+
+    accepted: JobAccepted
+    accepted_offset: int
+    status: str
+    ended_count: int
+    failed_count: int
+    input_offsets: bytes
+    counts: bytes
+    whole_results: bytes
+    partials: list[PartialImage]
+
+
+class RetiredImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A job that has been retired."""
+
+    job_id: str
+    owner: str
+    entry: str
+    key: str
+    digest: str
+    status: str
+    item_count: int
+    failed_count: int
+    manifest_offset: int
+    accepted_offset: int
+    oldest_offset: int
+
+
+class CallImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A keyed call."""
+
+    owner: str
+    key: str
+    digest: str
+    claimant: str
+    claimed_offset: int
+    at_ms: int
+    status: int
+    payload_offset: int
+
+
+class FenceImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Who may give orders in a scope."""
+
+    scope: str
+    holder: str
+    number: int
+    lease_ms: int
+
+
+class HeadImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What there is only one of.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset after the last record applied.
+    sequences : list of (str, int)
+        Last sequence by incarnation, least recently seen first.
+    job_count, retired_count, call_count : int
+        Numbers of images that follow.
+    """
+
+    next_offset: int
+    sequences: list[tuple[str, int]]
+    fences: list[FenceImage]
+    snapshot: Snapshot | None
+    payload_floor: int
+    job_count: int
+    retired_count: int
+    call_count: int
+
+
+class PartImage(msgspec.Struct, kw_only=True, array_like=True):
+    """One part of a snapshot."""
+
+    schema: int
+    head: HeadImage | None = None
+    jobs: list[JobImage] = []
+    retired: list[RetiredImage] = []
+    calls: list[CallImage] = []
