Choose policies in the settings, for experiments

Weighed: a module path in the settings (anything could be loaded) and environment variables (not checked with the rest); a section of fixed choices is checked by foxtailbank check. Change: section [policy] with router, batch_limit, static_batch_streams and yield_notice; defaults are what the daemon did before.

--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -6,7 +6,6 @@
 import anyio
 import anyio.abc
 
-from foxtailbank.adaptive_batch_limit import AdaptiveBatchLimit
 from foxtailbank.backend import Backend
 from foxtailbank.batch_limit import BatchLimit
 from foxtailbank.batch_order import BatchOrder, ChunkView
@@ -19,7 +18,6 @@
 from foxtailbank.entry import Entry
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError, LogUnavailable
-from foxtailbank.gap_objective import RelativeGapObjective
 from foxtailbank.item_runner import ItemRunner
 from foxtailbank.job_state import JobState
 from foxtailbank.ledger import Ledger
@@ -36,15 +34,14 @@
 from foxtailbank.open_chunk import OpenChunk
 from foxtailbank.ownership import Placement
 from foxtailbank.payload import PayloadKind
+from foxtailbank.policies import LimitFactory
 from foxtailbank.preemption import LeastWaste
 from foxtailbank.records import Envelope
 from foxtailbank.result_recorder import ResultRecorder
 from foxtailbank.sentinels import Missing
-from foxtailbank.step_model import StepModel
 
 PUMP_MS = 10
 READ_AHEAD_ITEMS = 64
-FIRST_MAX_RUNNING = 8
 ITEM_TOKENS = 128
 FIRST_RATE_TOKENS_PER_S = 1_000.0
 
@@ -71,6 +68,8 @@
     may_start : callable
         Whether new items may start; False while a cancellation could have been
         accepted unseen.
+    make_limit : callable
+        Makes the batch limit of an endpoint.
     max_buffer_bytes : int
         Bound on results that wait to be recorded.
     max_in_flight : int
@@ -88,6 +87,7 @@
         service: LedgerService,
         logs: Logs,
         may_start: t.Callable[[], bool],
+        make_limit: LimitFactory,
         max_buffer_bytes: int,
         max_in_flight: int,
     ) -> None:
@@ -98,6 +98,7 @@
         self._service = service
         self._logs = logs
         self._may_start = may_start
+        self._make_limit = make_limit
         self._max_buffer_bytes = max_buffer_bytes
         self._max_in_flight = max_in_flight
         self._source = ChunkSource(vm_id=vm_id, catalogue=catalogue)
@@ -218,12 +219,9 @@
     def _batch(self, backend: Backend) -> EndpointBatch:
         batch = self._batches_by_endpoint.get(backend.endpoint_id)
         if batch is None or batch.backend is not backend:
-            limit = AdaptiveBatchLimit(
-                max_running=FIRST_MAX_RUNNING,
-                objective=RelativeGapObjective(),
-                model=StepModel(),
+            batch = EndpointBatch(
+                backend=backend, limit=self._make_limit(), preemption=LeastWaste()
             )
-            batch = EndpointBatch(backend=backend, limit=limit, preemption=LeastWaste())
             self._batches_by_endpoint[backend.endpoint_id] = batch
         return batch
 
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -42,11 +42,11 @@
 from foxtailbank.outcomes import Outcomes
 from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
+from foxtailbank.policies import make_batch_limit, make_router
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
 from foxtailbank.retry_budget import RetryBudget
-from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
 from foxtailbank.tasks import every
@@ -146,15 +146,15 @@
             quarantine=self._quarantine,
             exchange=self._exchange,
             logs=self._logs,
+            yield_notice=self._settings.policy.yield_notice,
         )
 
     def _make_dispatcher(self) -> Dispatcher:
-        least_loaded = LeastLoadedRouter(rng=self._rng)
         return Dispatcher(
             clock=self._clock,
             zone=self._settings.vm.zone,
             directory=self.directory,
-            router=PrefixAffinityRouter(fallback=least_loaded),
+            router=make_router(self._settings.policy, rng=self._rng),
             quarantine=self._quarantine,
             retry_budget=RetryBudget(),
             observer=self._observer,
@@ -171,6 +171,7 @@
             service=self._ledger,
             logs=self._logs,
             may_start=self._may_start_batch,
+            make_limit=functools.partial(make_batch_limit, self._settings.policy),
             max_buffer_bytes=limits.result_buffer_bytes,
             max_in_flight=limits.batch_in_flight,
         )
--- a/src/foxtailbank/fleet_observer.py
+++ b/src/foxtailbank/fleet_observer.py
@@ -33,6 +33,8 @@
         Passes its marks on.
     logs : Logs
         Takes a line for each resumption.
+    yield_notice : bool
+        Whether batch owners are told of online requests.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         quarantine: Quarantine,
         exchange: QuarantineExchange,
         logs: Logs,
+        yield_notice: bool = True,
     ) -> None:
         self._clock = clock
         self._vm_id = vm_id
@@ -53,6 +56,7 @@
         self._quarantine = quarantine
         self._exchange = exchange
         self._logs = logs
+        self._yield_notice = yield_notice
         self.runner: BatchRunner | None = None
 
     def on_dispatch(self, backend: Backend, work: Work) -> None:
@@ -101,6 +105,8 @@
         self._logs.write(Event.STREAM_RESUMED, fields=fields)
 
     def _tell_owner(self, backend: Backend, change: int) -> None:
+        if not self._yield_notice:
+            return
         owner = self._placement.owner_of(backend)
         if owner == self._vm_id and self.runner is not None:
             self.runner.on_online(backend.endpoint_id, change)
--- a/src/foxtailbank/settings.py
+++ b/src/foxtailbank/settings.py
@@ -14,6 +14,7 @@
     LogsSection,
     PeersSection,
     PlatformSection,
+    PolicySection,
     TimingSection,
     VmSection,
 )
@@ -39,6 +40,8 @@
         The daemon's log lines.
     timing : TimingSection
         Periods and time limits.
+    policy : PolicySection
+        Policies, for experiments.
     """
 
     vm: VmSection
@@ -48,6 +51,7 @@
     limits: LimitsSection = dataclasses.field(default_factory=LimitsSection)
     logs: LogsSection = dataclasses.field(default_factory=LogsSection)
     timing: TimingSection = dataclasses.field(default_factory=TimingSection)
+    policy: PolicySection = dataclasses.field(default_factory=PolicySection)
 
 
 def load_settings(path: str | pathlib.Path) -> Settings:
--- a/src/foxtailbank/settings_sections.py
+++ b/src/foxtailbank/settings_sections.py
@@ -195,3 +195,41 @@
     drain_timeout_ms: Milliseconds = 60_000
     keep_alive_ms: Milliseconds = 75_000
     batch_view_ms: Milliseconds = 5_000
+
+
+class RouterChoice(enum.Enum):
+    """How online requests find an endpoint."""
+
+    AFFINITY = "affinity"
+    LEAST_LOADED = "least_loaded"
+    FIFO = "fifo"
+
+
+class BatchLimitChoice(enum.Enum):
+    """How many batch streams an endpoint may hold."""
+
+    ADAPTIVE = "adaptive"
+    STATIC = "static"
+    UNLIMITED = "unlimited"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PolicySection:
+    """Policies; all but the defaults are baselines of experiments.
+
+    Attributes
+    ----------
+    router : RouterChoice
+        How online requests find an endpoint.
+    batch_limit : BatchLimitChoice
+        How many batch streams an endpoint may hold.
+    static_batch_streams : int
+        That number with the static limit.
+    yield_notice : bool
+        Whether batch owners are told of each online request.
+    """
+
+    router: RouterChoice = RouterChoice.AFFINITY
+    batch_limit: BatchLimitChoice = BatchLimitChoice.ADAPTIVE
+    static_batch_streams: Count = 8
+    yield_notice: bool = True
--- a/src/foxtailbank_bench/deployment.py
+++ b/src/foxtailbank_bench/deployment.py
@@ -70,12 +70,15 @@
         Endpoint VMs.
     timing : tuple of (str, int)
         Settings of the section ``timing`` that differ from the defaults.
+    policy : tuple of (str, str, int or bool)
+        Settings of the section ``policy`` that differ from the defaults.
     """
 
     zones: tuple[str, ...]
     entries: tuple[EntrySpec, ...]
     endpoints: tuple[EndpointSpec, ...]
     timing: tuple[tuple[str, int], ...] = ()
+    policy: tuple[tuple[str, str | int | bool], ...] = ()
 
 
 def entry_specs(
--- a/src/foxtailbank_bench/settings_text.py
+++ b/src/foxtailbank_bench/settings_text.py
@@ -37,5 +37,7 @@
         'key_file = "admin.key"',
         "[timing]",
         *(f"{name} = {value}" for name, value in deployment.timing),
+        "[policy]",
+        *(f"{name} = {json.dumps(value)}" for name, value in deployment.policy),
     ]
     return "\n".join(lines) + "\n"
