--- a/src/foxtailbank_bench/fleet_client.py
+++ b/src/foxtailbank_bench/fleet_client.py
@@ -155,8 +155,10 @@
         return msgspec.json.decode(answer.content, type=JobStatus)
 
 
-def completion_item(custom_id: str, *, prompt: str, max_tokens: int) -> bytes:
+def completion_item(
+    custom_id: str, *, prompt: str, max_tokens: int, model: str = "wordsmith"
+) -> bytes:
     """Return an input line of a batch job."""
-    body = {"model": "wordsmith", "prompt": prompt, "max_tokens": max_tokens}
+    body = {"model": model, "prompt": prompt, "max_tokens": max_tokens}
     item = {"custom_id": custom_id, "url": "/v1/completions", "body": body}
     return json.dumps(item).encode()
--- /dev/null
+++ b/src/foxtailbank_bench/policy_run.py
@@ -0,0 +1,236 @@
+"""All phases of an experiment on one fleet with one policy."""
+
+import datetime
+import json
+import pathlib
+import subprocess
+import sys
+import time
+import typing as t
+
+import msgspec
+
+from foxtailbank.entry import key_hash
+from foxtailbank.events import Event
+from foxtailbank_bench.demo_catalogue import CALLER_KEY
+from foxtailbank_bench.fleet_client import FleetClient, completion_item
+from foxtailbank_bench.launcher import Launcher
+from foxtailbank_bench.load import LoadJob, LoadResult
+from foxtailbank_bench.ports import free_ports
+from foxtailbank_bench.scenario import MS_PER_S, NamedPolicy, Scenario
+
+WARM_UP_S = 4.0
+YIELD_WINDOW_MS = 500
+LOAD_TIMEOUT_S = 120.0
+NO_LIMIT_PER_S = 100_000
+DEADLINE_MS = 3_600_000
+
+
+class Durations(msgspec.Struct, frozen=True, kw_only=True):
+    """Length of each phase, in seconds."""
+
+    online_s: float
+    batch_s: float
+    both_s: float
+
+
+class BothPhase(msgspec.Struct, frozen=True, kw_only=True):
+    """Online load over a batch backlog.
+
+    Attributes
+    ----------
+    online : LoadResult
+        What callers saw.
+    batch_tokens_per_s : float
+        Tokens of items that were completed.
+    yield_ms : tuple of int
+        For each burst, time until the last batch stream that it displaced was cut
+        off, in milliseconds; bursts that displaced none are left out.
+    """
+
+    online: LoadResult
+    batch_tokens_per_s: float
+    yield_ms: tuple[int, ...]
+
+
+class PolicyResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Results of one policy.
+
+    Attributes
+    ----------
+    policy : str
+        Name.
+    alone : tuple of LoadResult
+        Online load without batch work, for each seed.
+    batch_alone_tokens_per_s : float
+        Batch work without online load.
+    both : tuple of BothPhase
+        Both, for each seed.
+    """
+
+    policy: str
+    alone: tuple[LoadResult, ...]
+    batch_alone_tokens_per_s: float
+    both: tuple[BothPhase, ...]
+
+
+class PolicyRun:
+    """One fleet under one policy.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        Deployment and load.
+    policy : NamedPolicy
+        Policy of the daemons.
+    directory : pathlib.Path
+        Where settings and outputs are written.
+    durations : Durations
+        Length of the phases.
+    seeds : sequence of int
+        Seeds of the online load.
+    """
+
+    def __init__(
+        self,
+        *,
+        scenario: Scenario,
+        policy: NamedPolicy,
+        directory: pathlib.Path,
+        durations: Durations,
+        seeds: t.Sequence[int],
+    ) -> None:
+        self._scenario = scenario
+        self._policy = policy
+        self._durations = durations
+        self._seeds = seeds
+        deployment = scenario.deployment(
+            first_port=free_ports(2 * scenario.entry_vms), policy=policy.settings
+        )
+        self._launcher = Launcher(deployment=deployment, directory=directory)
+        self._client = FleetClient(launcher=self._launcher)
+
+    def run(self) -> PolicyResult:
+        """Start the fleet, run all phases and stop it."""
+        try:
+            self._launcher.start()
+            for name, entry in self._entries().items():
+                self._client.edit(name, entry)
+            return self._phases()
+        finally:
+            self._client.close()
+            self._launcher.stop()
+
+    def _phases(self) -> PolicyResult:
+        self._load(1, seed=0)
+        alone = [self._load(self._durations.online_s, seed=s) for s in self._seeds]
+        job_id = self._submit()
+        time.sleep(WARM_UP_S)
+        before = self._completed(job_id)
+        started_s = time.monotonic()
+        time.sleep(self._durations.batch_s)
+        rate = self._rate(job_id, before, started_s)
+        both = [self._both(job_id, seed) for seed in self._seeds]
+        return PolicyResult(
+            policy=self._policy.name,
+            alone=tuple(alone),
+            batch_alone_tokens_per_s=rate,
+            both=tuple(both),
+        )
+
+    def _both(self, job_id: str, seed: int) -> BothPhase:
+        before = self._completed(job_id)
+        started_s = time.monotonic()
+        online = self._load(self._durations.both_s, seed=seed)
+        return BothPhase(
+            online=online,
+            batch_tokens_per_s=self._rate(job_id, before, started_s),
+            yield_ms=self._yield_ms(online.bursts_wall_ms),
+        )
+
+    def _load(self, duration_s: float, *, seed: int) -> LoadResult:
+        job = LoadJob(
+            addresses=self._client.addresses,
+            key=CALLER_KEY,
+            model=self._scenario.model,
+            load=self._scenario.online,
+            duration_s=duration_s,
+            seed=seed,
+        )
+        done = subprocess.run(
+            [sys.executable, "-m", "foxtailbank_bench.load"],
+            input=msgspec.json.encode(job),
+            stdout=subprocess.PIPE,
+            timeout=LOAD_TIMEOUT_S,
+            check=True,
+        )
+        return msgspec.json.decode(done.stdout, type=LoadResult)
+
+    def _submit(self) -> str:
+        batch = self._scenario.batch
+        lines = [
+            completion_item(
+                f"item-{number}",
+                prompt=f"Notice number {number}",
+                max_tokens=batch.tokens,
+                model=self._scenario.model,
+            )
+            for number in range(batch.items)
+        ]
+        return self._client.submit(
+            self._client.addresses[0], entry="backlog", lines=lines
+        )
+
+    def _completed(self, job_id: str) -> int:
+        status = self._client.status(self._client.addresses[0], job_id)
+        if not status.counts.pending:
+            raise RuntimeError("the backlog was too small for the experiment")
+        return status.counts.completed
+
+    def _rate(self, job_id: str, before: int, started_s: float) -> float:
+        items = self._completed(job_id) - before
+        return items * self._scenario.batch.tokens / (time.monotonic() - started_s)
+
+    def _yield_ms(self, bursts_wall_ms: t.Sequence[int]) -> tuple[int, ...]:
+        times_ms = sorted(self._preemptions_ms())
+        waits = []
+        for burst_ms in bursts_wall_ms:
+            within = [
+                at_ms - burst_ms
+                for at_ms in times_ms
+                if 0 <= at_ms - burst_ms <= YIELD_WINDOW_MS
+            ]
+            if within:
+                waits.append(max(within))
+        return tuple(waits)
+
+    def _preemptions_ms(self) -> t.Iterator[int]:
+        for spec in self._launcher.deployment.entries:
+            output = self._launcher.programs_by_name[spec.name].output
+            for line in output.read_text().splitlines():
+                if f'"{Event.BATCH_PREEMPTED.value}"' in line:
+                    yield _wall_ms(json.loads(line)["time"])
+
+    def _entries(self) -> dict[str, dict[str, t.Any]]:
+        common = {
+            "owner": self._scenario.name,
+            "key_hashes": [key_hash(CALLER_KEY)],
+            "kind": "engine",
+            "pool": self._scenario.model,
+            "model": self._scenario.model,
+        }
+        limits = {
+            "requests_per_s": NO_LIMIT_PER_S,
+            "concurrency": NO_LIMIT_PER_S,
+            "tokens_per_s": NO_LIMIT_PER_S * 10,
+        }
+        backlog = limits | {"deadline_ms": DEADLINE_MS}
+        return {
+            "online": {**common, "work_class": "online", "limits": limits},
+            "backlog": {**common, "work_class": "batch", "limits": backlog},
+        }
+
+
+def _wall_ms(text: str) -> int:
+    moment = datetime.datetime.fromisoformat(text)
+    return round(moment.timestamp() * MS_PER_S)
