Vary the lengths of batch answers in experiments

Cause: answers of equal length ended in waves that were longer than half the window, so that the share of batch depended on where the window began.

--- a/src/foxtailbank_bench/policy_run.py
+++ b/src/foxtailbank_bench/policy_run.py
@@ -167,15 +167,16 @@
         return msgspec.json.decode(done.stdout, type=LoadResult)
 
     def _submit(self) -> str:
-        batch = self._scenario.batch
+        # Answers of equal length would end in waves.
+        tokens = self._scenario.batch.item_tokens()
         lines = [
             completion_item(
                 f"item-{number}",
                 prompt=f"Notice number {number}",
-                max_tokens=batch.tokens,
+                max_tokens=count,
                 model=self._scenario.model,
             )
-            for number in range(batch.items)
+            for number, count in enumerate(tokens)
         ]
         return self._client.submit(
             self._client.addresses[0], entry="backlog", lines=lines
--- a/src/foxtailbank_bench/scenario.py
+++ b/src/foxtailbank_bench/scenario.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import random
 
 import msgspec
 
@@ -13,6 +14,7 @@
 )
 
 MS_PER_S = 1_000
+LENGTH_SEED = 7
 Policy = tuple[tuple[str, str | int | bool], ...]
 
 
@@ -70,12 +72,18 @@
     items : int
         Items of the job.
     tokens : int
-        Tokens of each answer.
+        Mean tokens of an answer; they vary from half of it to three halves.
     """
 
     items: int
     tokens: int
 
+    def item_tokens(self) -> tuple[int, ...]:
+        """Return the tokens of each item."""
+        rng = random.Random(LENGTH_SEED)
+        half = self.tokens // 2
+        return tuple(rng.randint(half, 3 * half) for _ in range(self.items))
+
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A deployment and its load."""
