--- a/src/foxtailbank/backend.py
+++ b/src/foxtailbank/backend.py
@@ -1,8 +1,7 @@
 """One endpoint of the fleet with what this VM knows of it."""
 
-import dataclasses
-
 from foxtailbank.breaker import BreakerState, CircuitBreaker
+from foxtailbank.drain import DrainReport, DrainSource, DrainState
 from foxtailbank.endpoint import LoadReport, PlainService
 from foxtailbank.endpoint_view import EndpointView
 from foxtailbank.vm_list import Vm
@@ -10,28 +9,6 @@
 DEATH_WINDOW_MS = 10_000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class TimedReport:
-    """A load report and when it came.
-
-    Attributes
-    ----------
-    report : LoadReport
-        What the endpoint said.
-    at_ms : int
-        When this VM read it, in milliseconds.
-    online_then : int
-        Online requests of this VM on the endpoint at that time.
-    batch_then : int
-        Batch streams of this VM on the endpoint at that time.
-    """
-
-    report: LoadReport
-    at_ms: int
-    online_then: int
-    batch_then: int
-
-
 class Backend:
     """An endpoint VM, the connection to it and this VM's own counts.
 
@@ -54,11 +31,11 @@
         Requests of this VM there that are suspected of crashing endpoints.
     reserved : bool
         Whether it is kept free for a request that must run exclusively.
-    draining : bool
-        Whether anybody said that the endpoint is leaving.
+    drain : DrainState
+        Who said that the endpoint is leaving.
     listed : bool
         Whether the VM list still shows it.
-    latest : TimedReport or None
+    latest : LoadReport or None
         Latest load report; None before the first.
     """
 
@@ -70,9 +47,9 @@
         self.batch_in_flight = 0
         self.suspects_in_flight = 0
         self.reserved = False
-        self.draining = False
+        self.drain = DrainState()
         self.listed = True
-        self.latest: TimedReport | None = None
+        self.latest: LoadReport | None = None
 
     @property
     def endpoint_id(self) -> str:
@@ -93,9 +70,9 @@
             pool=self.vm.pool,
             online_in_flight=self.online_in_flight,
             batch_in_flight=self.batch_in_flight,
-            reported_load=self._load_of_others(),
+            reported_load=self._queue_length(),
             health=self.health(now_ms),
-            draining=self.draining,
+            draining=self.is_leaving(now_ms),
             suspect=self.suspects_in_flight > 0,
             reserved=self.reserved,
         )
@@ -110,24 +87,37 @@
         """
         return f"{self.vm.vm_id}@{wall_ms // DEATH_WINDOW_MS}"
 
+    def note_leaving(self, source: DrainSource, leaving: bool, now_ms: int) -> None:
+        """Note what a source says of the endpoint's leaving.
+
+        Parameters
+        ----------
+        source : DrainSource
+            Who says so.
+        leaving : bool
+            What it says.
+        now_ms : int
+            Present time in milliseconds.
+        """
+        report = DrainReport(
+            source=source, incarnation="", leaving=leaving, at_ms=now_ms
+        )
+        self.drain.on_report(self.vm.vm_id, report)
+
+    def is_leaving(self, now_ms: int) -> bool:
+        """Return whether the endpoint must get no new work."""
+        return self.drain.is_leaving(self.vm.vm_id, now_ms)
+
     def health(self, now_ms: int) -> BreakerState:
         """Return the state of the circuit breaker."""
         return self.breaker.state(now_ms)
 
     def take_report(self, report: LoadReport, now_ms: int) -> None:
-        """Keep a load report together with the own counts at its time."""
-        self.latest = TimedReport(
-            report=report,
-            at_ms=now_ms,
-            online_then=self.online_in_flight,
-            batch_then=self.batch_in_flight,
-        )
-        if report.draining:
-            self.draining = True
-
-    def _load_of_others(self) -> int:
-        if self.latest is None:
-            return 0
-        own = self.latest.online_then + self.latest.batch_then
-        reported = self.latest.report.running + self.latest.report.waiting
-        return max(0, reported - own)
+        """Keep a load report."""
+        self.latest = report
+        self.note_leaving(DrainSource.ENDPOINT, report.draining, now_ms)
+
+    def _queue_length(self) -> int:
+        # Running streams may be batch work that another VM drives and that yields;
+        # only a queue tells of online load beyond the own counts.
+        return self.latest.waiting if self.latest else 0
--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -138,11 +138,11 @@
             By model or service.
         """
         self._source.place(placements_by_pool, self._service.ledger)
-        for batch in self._batches_by_endpoint.values():
+        for endpoint_id, batch in self._batches_by_endpoint.items():
             for chunk in batch.chunks:
                 job = self._service.ledger.jobs_by_id.get(chunk.job_id)
-                if job is None or not self._source.is_own(chunk.key, job):
-                    chunk.pending.clear()
+                if job is None or not self._source.is_on(endpoint_id, chunk.key, job):
+                    chunk.withdraw()
 
     def hold_job(self, job_id: str) -> None:
         """Stop a job whose cancellation another VM has seen on the ledger."""
@@ -180,7 +180,7 @@
         if batch is None or backend.latest is None:
             return
         now_ms = self._clock.now_ms()
-        actions = batch.limit.on_load_report(backend.latest.report, now_ms)
+        actions = batch.limit.on_load_report(backend.latest, now_ms)
         self._preempt(batch, actions)
 
     def _preempt(self, batch: EndpointBatch, actions: tuple[t.Any, ...]) -> None:
@@ -195,7 +195,7 @@
             batch = self._batch(backend)
             batch.chunks = [chunk for chunk in batch.chunks if not chunk.idle]
             self._read_ahead(batch)
-            if backend.draining or not self._has_room():
+            if backend.is_leaving(now_ms) or not self._has_room():
                 continue
             while batch.limit.startable(now_ms) > 0 and self._start_next(batch):
                 pass
--- /dev/null
+++ b/src/foxtailbank/endpoint_watch.py
@@ -0,0 +1,121 @@
+"""Reads the VM list and what endpoints say of themselves."""
+
+import anyio
+
+from foxtailbank.backend import Backend
+from foxtailbank.batch_runner import BatchRunner
+from foxtailbank.clock import Clock
+from foxtailbank.directory import Directory
+from foxtailbank.drain import DrainSource
+from foxtailbank.endpoint import Endpoint
+from foxtailbank.events import Event
+from foxtailbank.exceptions import EndpointFailed, EndpointRefused
+from foxtailbank.fleet_placement import FleetPlacement
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.peering import Peering
+from foxtailbank.poll_turns import PollTurns
+from foxtailbank.vm_list import VmList
+
+POLLS_PER_TURN = 5
+
+
+class EndpointWatch:
+    """Keeps the directory and its backends up to date.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    directory : Directory
+        Known endpoints.
+    vm_list : VmList
+        The platform's list.
+    peering : Peering
+        Gets the entry VMs of the list.
+    runner : BatchRunner
+        Gets load reports.
+    placement : FleetPlacement
+        Tells which endpoints this VM drives batch work on.
+    vm_id : str
+        This VM.
+    logs : Logs
+        Takes a line for each endpoint that is gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        directory: Directory,
+        vm_list: VmList,
+        peering: Peering,
+        runner: BatchRunner,
+        placement: FleetPlacement,
+        vm_id: str,
+        logs: Logs,
+    ) -> None:
+        self._placement = placement
+        self._vm_id = vm_id
+        self._turns = PollTurns(polls_per_turn=POLLS_PER_TURN)
+        self._clock = clock
+        self._directory = directory
+        self._vm_list = vm_list
+        self._peering = peering
+        self._runner = runner
+        self._logs = logs
+
+    def _is_owned(self, endpoint_id: str) -> bool:
+        backend = self._directory.backends_by_id[endpoint_id]
+        return self._placement.owner_of(backend) == self._vm_id
+
+    async def read_vms(self) -> None:
+        """Read the platform's list.
+
+        Raises
+        ------
+        PlatformUnavailable
+            The platform gave no answer; the last list stays in use.
+        """
+        vms = await self._vm_list.read()
+        for backend in self._directory.apply(vms, self._clock.now_ms()):
+            fields = LogFields(endpoint=backend.endpoint_id, reason="not_listed")
+            self._logs.write(Event.ENDPOINT_LOST, fields=fields)
+        self._peering.listed(vms)
+
+    async def read_loads(self) -> None:
+        """Ask the endpoints whose turn it is for their load or health."""
+        turn = self._turns.next_turn(
+            self._directory.backends_by_id, owned=self._is_owned
+        )
+        async with anyio.create_task_group() as tasks:
+            for endpoint_id in turn:
+                backend = self._directory.backends_by_id[endpoint_id]
+                if isinstance(backend.service, Endpoint):
+                    tasks.start_soon(self._read_load, backend, backend.service)
+                else:
+                    tasks.start_soon(self._read_health, backend)
+
+    async def _read_load(self, backend: Backend, endpoint: Endpoint) -> None:
+        try:
+            report = await endpoint.load()
+        except EndpointRefused:
+            backend.breaker.on_death(self._clock.now_ms())
+            return
+        except EndpointFailed:
+            backend.breaker.on_failure(self._clock.now_ms())
+            return
+        backend.breaker.on_success()
+        backend.take_report(report, self._clock.now_ms())
+        self._runner.on_report(backend)
+
+    async def _read_health(self, backend: Backend) -> None:
+        try:
+            leaving = await backend.service.is_leaving()
+        except EndpointRefused:
+            backend.breaker.on_death(self._clock.now_ms())
+            return
+        except EndpointFailed:
+            backend.breaker.on_failure(self._clock.now_ms())
+            return
+        backend.breaker.on_success()
+        backend.note_leaving(DrainSource.ENDPOINT, leaving, self._clock.now_ms())
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -12,7 +12,6 @@
 from foxtailbank.admin_guard import AdminGuard
 from foxtailbank.admission import Admission
 from foxtailbank.app import App
-from foxtailbank.backend import Backend
 from foxtailbank.batch_api import BatchApi
 from foxtailbank.batch_runner import BatchRunner
 from foxtailbank.burn import BurnRecorder
@@ -22,9 +21,8 @@
 from foxtailbank.connector import Connector
 from foxtailbank.directory import Directory
 from foxtailbank.dispatcher import Dispatcher
-from foxtailbank.endpoint import Endpoint
+from foxtailbank.endpoint_watch import EndpointWatch
 from foxtailbank.events import Event
-from foxtailbank.exceptions import EndpointFailed, EndpointRefused
 from foxtailbank.fleet_api import FleetApi
 from foxtailbank.fleet_observer import FleetObserver
 from foxtailbank.fleet_placement import FleetPlacement
@@ -34,22 +32,29 @@
 from foxtailbank.http_vm_list import HttpVmList
 from foxtailbank.keyed_calls import KeyedCalls
 from foxtailbank.ledger_service import LedgerService
+from foxtailbank.log_service import LogService
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.lost_claimants import LostClaimants
 from foxtailbank.membership_actions import MemberDead, MemberJoined, MembershipAction
 from foxtailbank.metrics import Metrics
 from foxtailbank.models_api import ModelsApi
 from foxtailbank.online import OnlineHandler
 from foxtailbank.outcomes import Outcomes
+from foxtailbank.overload_guard import OverloadGuard
+from foxtailbank.ownership import Candidate, owner_of
 from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
 from foxtailbank.policies import make_batch_limit, make_router
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
+from foxtailbank.retention_keeper import PERIOD_MS as KEEP_PERIOD_MS
+from foxtailbank.retention_keeper import RetentionKeeper
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
 from foxtailbank.tasks import every
+from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
 
 PLACEMENT_PERIOD_MS = 250
 QUARANTINE_PERIOD_MS = 5_000
@@ -83,7 +88,6 @@
             address=settings.platform.log_address,
             timeout_ms=settings.timing.log_append_timeout_ms,
         )
-        self._vm_list = HttpVmList(address=settings.platform.vm_list_address)
         self.directory = Directory(
             factory=Connector(timing=settings.timing, logs=logs).connect
         )
@@ -114,6 +118,10 @@
             started_ms=started_ms,
             on_change=self._on_member,
         )
+        self._vm_list = PeerVmList(
+            platform=HttpVmList(address=settings.platform.vm_list_address),
+            peering=self._peering,
+        )
         self._metrics = Metrics()
         self._burn = BurnRecorder(vm=settings.vm.id, zone=settings.vm.zone)
         self._exchange = QuarantineExchange(
@@ -129,14 +137,50 @@
             ),
         )
         self._observer = self._make_observer()
+        self._keeper = self._make_keeper(log)
         self._dispatcher = self._make_dispatcher()
         self._runner = self._make_runner()
         self._observer.runner = self._runner
+        self._watch = EndpointWatch(
+            clock=clock,
+            directory=self.directory,
+            vm_list=HttpVmList(address=settings.platform.vm_list_address),
+            peering=self._peering,
+            runner=self._runner,
+            placement=self._placement,
+            vm_id=settings.vm.id,
+            logs=logs,
+        )
         self._handle_peers()
         self.online = self._make_online()
         self.health = HealthApi(is_ready=self.is_ready, metrics=self._metrics)
         self.app = self._make_app()
 
+    def _make_keeper(self, log: LogService) -> RetentionKeeper:
+        lost = LostClaimants(
+            clock=self._clock, incarnation_of=self._peering.incarnation_of
+        )
+        return RetentionKeeper(
+            clock=self._clock,
+            retention_ms=self._settings.timing.log_retention_ms,
+            log=log,
+            service=self._ledger,
+            catalogue=self._catalogue,
+            logs=self._logs,
+            owns=self._owns,
+            is_lost=lost.is_lost,
+        )
+
+    def _owns(self, duty: str) -> bool:
+        """Return whether this VM has a duty that one VM does for the fleet."""
+        live = [
+            Candidate(candidate_id=one.vm_id, zone=one.zone)
+            for one in self._peering.live()
+        ]
+        owner = owner_of(duty, live)
+        own = self._settings.vm.id
+        return isinstance(owner, Candidate) and owner.candidate_id == own
+
     def _make_observer(self) -> FleetObserver:
         return FleetObserver(
             clock=self._clock,
@@ -187,6 +231,11 @@
             admission=self._admission,
             dispatcher=self._dispatcher,
             keyed_calls=keyed_calls,
+            overload=OverloadGuard(
+                clock=self._clock,
+                directory=self.directory,
+                online_elsewhere=self._peering.online_elsewhere,
+            ),
             outcomes=Outcomes(
                 clock=self._clock,
                 logs=self._logs,
@@ -216,7 +265,7 @@
             peering=self._peering,
             burn=self._burn,
         )
-        self._peering.handlers.on_request(pm.Report, fleet.answer_report)
+        self._answer_burn = fleet.answer_report
         models = ModelsApi(catalogue=catalogue)
         batches = BatchApi(
             clock=self._clock,
@@ -236,6 +285,7 @@
 
     def _handle_peers(self) -> None:
         handlers = self._peering.handlers
+        handlers.on_request(pm.Report, self._answer_report)
         handlers.on_notice(pm.OnlineDispatched, self._on_online_dispatched)
         handlers.on_notice(pm.CancelNotice, self._on_cancel_notice)
         handlers.on_notice(pm.Report, self._on_report)
@@ -262,9 +312,10 @@
         tasks.start_soon(self._peering.run)
         tasks.start_soon(self._runner.run)
         tasks.start_soon(self._sync.run)
-        self._every(tasks, timing.vm_list_period_ms, self._read_vms, "vm_list")
-        self._every(tasks, timing.load_period_ms, self._read_loads, "load")
+        self._every(tasks, timing.vm_list_period_ms, self._watch.read_vms, "vm_list")
+        self._every(tasks, timing.load_period_ms, self._watch.read_loads, "load")
         self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
+        self._every(tasks, KEEP_PERIOD_MS, self._keeper.run_once, "retention")
         self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
 
     async def hand_over(self) -> None:
@@ -279,44 +330,31 @@
         work: t.Callable[[], t.Awaitable[None]],
         name: str,
     ) -> None:
-        run = functools.partial(every, period_ms=period_ms, work=work, name=name)
+        run = functools.partial(
+            every, period_ms=period_ms, work=work, name=name, logs=self._logs
+        )
         tasks.start_soon(run)
 
-    async def _read_vms(self) -> None:
-        vms = await self._vm_list.read()
-        for backend in self.directory.apply(vms):
-            fields = LogFields(endpoint=backend.endpoint_id, reason="not_listed")
-            self._logs.write(Event.ENDPOINT_LOST, fields=fields)
-        self._peering.listed(vms)
-
-    async def _read_loads(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            for backend in self.directory.backends_by_id.values():
-                if isinstance(backend.service, Endpoint):
-                    tasks.start_soon(self._read_load, backend, backend.service)
-
-    async def _read_load(self, backend: Backend, endpoint: Endpoint) -> None:
-        try:
-            report = await endpoint.load()
-        except EndpointRefused:
-            backend.breaker.on_death(self._clock.now_ms())
-            return
-        except EndpointFailed:
-            backend.breaker.on_failure(self._clock.now_ms())
-            return
-        backend.breaker.on_success()
-        backend.take_report(report, self._clock.now_ms())
-        self._runner.on_report(backend)
-
     async def _refresh(self) -> None:
         if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
             self._runner.place(self._placement.placements_by_pool)
         state = OwnState(
+            loads=self._loads(),
             catalogue_offset=self._catalogue.catalogue.applied_offset,
             ledger_offset=self._ledger.ledger.next_offset - 1,
         )
         self._peering.set_own_state(state)
 
+    def _loads(self) -> tuple[pm.PoolLoad, ...]:
+        return tuple(
+            pm.PoolLoad(
+                pool=pool,
+                in_flight=sum(b.online_in_flight for b in self.directory.pool(pool)),
+                capacity=len(self.directory.pool(pool)),
+            )
+            for pool in self.directory.pools()
+        )
+
     async def _spread_marks(self) -> None:
         self._exchange.spread_all()
 
@@ -330,6 +368,11 @@
     def _tell_cancelled(self, job_id: str) -> None:
         self._peering.tell_all(pm.CancelNotice(job_id=job_id))
 
+    async def _answer_report(self, peer_id: str, request: pm.Report) -> pm.Report:
+        if request.name == VM_LIST_REPORT:
+            return self._vm_list.answer(request.name)
+        return await self._answer_burn(peer_id, request)
+
     def _on_online_dispatched(self, peer_id: str, notice: pm.OnlineDispatched) -> None:
         self._runner.on_online(notice.endpoint_id, notice.count)
 
--- a/src/foxtailbank/peer_messages.py
+++ b/src/foxtailbank/peer_messages.py
@@ -318,26 +318,6 @@
     remaining_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ShareRequest(PeerMessage):
-    """Asks a peer for units of a limit."""
-
-    limit_key: str
-    epoch: int
-    request_id: int
-    units: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ShareGrant(PeerMessage):
-    """Transfers units of a limit; zero units if the peer has none to spare."""
-
-    limit_key: str
-    epoch: int
-    transfer_id: str
-    units: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CancelNotice(PeerMessage):
     """Tells that a job's cancellation is on the ledger."""
--- a/src/foxtailbank/records.py
+++ b/src/foxtailbank/records.py
@@ -108,6 +108,15 @@
     claimant: str
 
 
+class ItemsReleased(Entry, frozen=True, kw_only=True):
+    """The claimant proved that these items did not run."""
+
+    job_id: str
+    chunk: int
+    items: tuple[ItemRange, ...]
+    claimant: str
+
+
 class ClaimsAbandoned(Entry, frozen=True, kw_only=True):
     """Items that a lost claimant held end as failures of unknown outcome."""
 
@@ -256,6 +265,16 @@
     before_offset: int
 
 
+class PayloadFloorRaised(Entry, frozen=True, kw_only=True):
+    """Payload records before an offset may soon be lost.
+
+    Entries recorded later refer to none of them: what a VM wrote before a long
+    pause can no longer become a result that nobody can read.
+    """
+
+    before_offset: int
+
+
 class Snapshot(Entry, frozen=True, kw_only=True):
     """The ledger's state up to an offset lies in the payload stream.
 
@@ -278,6 +297,7 @@
     JobAccepted
     | JobCancelled
     | ItemsClaimed
+    | ItemsReleased
     | ClaimsAbandoned
     | ChunkResults
     | JobRetired
@@ -289,6 +309,7 @@
     | CallPayloadMoved
     | FenceTaken
     | HistoryExpired
+    | PayloadFloorRaised
     | Snapshot
 )
 
