Record the results of a chunk that is open twice

Cause: while a chunk moves from a lost endpoint to another of the same VM it is open twice; offers were kept by the chunk's name, so the second replaced the first and 16 finished items of a demo run were not recorded in the 20 s that it waited, and the job did not end. Change: offers are kept by the open chunk itself.

--- a/src/foxtailbank/result_recorder.py
+++ b/src/foxtailbank/result_recorder.py
@@ -30,13 +30,14 @@
 
     def __init__(self, *, service: LedgerService) -> None:
         self._service = service
-        self._chunks_by_key: dict[tuple[str, int], OpenChunk] = {}
+        # A chunk may be open twice while it moves between endpoints.
+        self._offered: set[OpenChunk] = set()
         self._drained = anyio.Event()
         self.buffered_bytes = 0
 
     def offer(self, chunk: OpenChunk) -> None:
         """Note that a chunk may have results; a drained one is recorded at once."""
-        self._chunks_by_key[chunk.key] = chunk
+        self._offered.add(chunk)
         if chunk.drained:
             self._drained.set()
 
@@ -50,8 +51,8 @@
 
     async def flush(self) -> None:
         """Record all results that are ready."""
-        chunks = list(self._chunks_by_key.values())
-        self._chunks_by_key = {}
+        chunks = self._offered
+        self._offered = set()
         async with anyio.create_task_group() as tasks:
             for chunk in chunks:
                 finished = chunk.take_results()
