--- a/src/foxtailbank_bench/launcher.py
+++ b/src/foxtailbank_bench/launcher.py
@@ -110,6 +110,12 @@
         self._run(spec.name, module, *arguments)
         self._wait_listening(spec.name)
 
+    def start_program(self, name: str, module: str, *arguments: str) -> str:
+        """Start another program that announces its address; return the address."""
+        self._run(name, module, *arguments)
+        self._wait_listening(name)
+        return self.address(name)
+
     def start_entry(self, spec: EntrySpec) -> None:
         """Start an entry VM."""
         file = self.directory / f"{spec.name}.toml"
