--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -44,13 +44,13 @@
 from foxtailbank.ownership import Candidate, owner_of
 from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
+from foxtailbank.policies import make_batch_limit, make_router
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
 from foxtailbank.retention_keeper import PERIOD_MS as KEEP_PERIOD_MS
 from foxtailbank.retention_keeper import RetentionKeeper
 from foxtailbank.retry_budget import RetryBudget
-from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
 from foxtailbank.suspect_gate import SuspectGate
@@ -139,8 +139,7 @@
         )
         self._observer = self._make_observer()
         self._keeper = self._make_keeper(log)
-        least_loaded = LeastLoadedRouter(rng=rng)
-        self._router = PrefixAffinityRouter(fallback=least_loaded)
+        self._router = make_router(settings.policy, rng=rng)
         self._gate = SuspectGate(
             clock=clock,
             vm_id=settings.vm.id,
@@ -202,6 +201,7 @@
             quarantine=self._quarantine,
             exchange=self._exchange,
             logs=self._logs,
+            yield_notice=self._settings.policy.yield_notice,
         )
 
     def _make_dispatcher(self) -> Dispatcher:
@@ -227,6 +227,7 @@
             service=self._ledger,
             logs=self._logs,
             may_start=self._may_start_batch,
+            make_limit=functools.partial(make_batch_limit, self._settings.policy),
             max_buffer_bytes=limits.result_buffer_bytes,
             max_in_flight=limits.batch_in_flight,
         )
