--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -144,7 +144,7 @@
         self._watch = EndpointWatch(
             clock=clock,
             directory=self.directory,
-            vm_list=HttpVmList(address=settings.platform.vm_list_address),
+            vm_list=self._vm_list,
             peering=self._peering,
             runner=self._runner,
             logs=logs,
--- a/tests/test_proofs_partition.py
+++ b/tests/test_proofs_partition.py
@@ -100,12 +100,12 @@
 
 def test_vm_cut_off_from_the_platform_follows_edits_through_its_peers(fleet):
     cut(fleet, 2, "platform")
-    assert put(fleet, 0, "followed", 50, 0).status_code == 200
+    first = put(fleet, 0, "followed", 50, 0).json()["version"]
     fleet.wait(lambda: limit_of(fleet, 2, "followed") == 50)
     fleet.wait(lambda: limit_of(fleet, 1, "followed") == 50)
-    assert put(fleet, 1, "followed", 60, 1).status_code == 200
+    assert put(fleet, 1, "followed", 60, first).status_code == 200
     fleet.wait(lambda: limit_of(fleet, 2, "followed") == 60)
-    assert put(fleet, 0, "followed", 70, 1).status_code == 409
+    assert put(fleet, 0, "followed", 70, first).status_code == 409
     fleet.launcher.faults("relay", mode="pass")
     fleet.kill(fleet.name(2))
     fleet.restart(2)
