Let work wait its turn after the death of its endpoint

An engine was killed (SIGKILL) with six online streams and a batch in flight, on a fleet with one engine left. The streams on the dead engine ended with `no_endpoint: no_idle_endpoint`, since all were suspects and an endpoint takes one suspect at a time; the batch's suspects went the same way. A caller with half an answer got a typed error though a live engine stood by.

Ruled out: to let suspects share (a crash-inducing request would take down the last engine with all of them). Change: work that has begun, and batch items, wait up to 30 s for an endpoint that is only taken by the isolation; the time waited goes into the quarantine's verdict. A fresh online request is still refused at once.

test_streams_and_items_survive_the_death_of_their_engine: failed before, with MAX_ATTEMPTS = 1 as well; green now. test_crash_inducing, test_routing, test_quarantine: 44 passed. test_proofs_pairs: 3 passed.

--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -73,7 +73,7 @@
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
     stalled: frozenset[str] = frozenset()
-    waits_until_ms: int | None = None
+    waits_since_ms: int | None = None
 
     def note_failure(self, endpoint_id: str, failure: FoxtailbankError) -> None:
         """Rule out an endpoint; one that stalled is tried on a new connection."""
@@ -181,7 +181,7 @@
             if backend is None:
                 await anyio.sleep(SUSPECT_POLL_MS / MS_PER_S)
                 continue
-            progress.waits_until_ms = None
+            progress.waits_since_ms = None
             try:
                 before = progress.may_have_run
                 progress.may_have_run = True
@@ -197,7 +197,12 @@
                 self._observer.on_resumed(backend, work, failure.code)
 
     def _isolation(self, work: Work, progress: _Progress) -> Isolation:
-        verdict = self._quarantine.verdict(work.fingerprint, self._clock.wall_ms())
+        waited_ms = 0
+        if progress.waits_since_ms is not None:
+            waited_ms = self._clock.now_ms() - progress.waits_since_ms
+        verdict = self._quarantine.verdict(
+            work.fingerprint, self._clock.wall_ms(), waited_ms=waited_ms
+        )
         if verdict.isolation is Isolation.REFUSED:
             refusal = verdict.error()
             refusal.ran = progress.ran
@@ -232,16 +237,17 @@
     def _awaits_turn(
         self, work: Work, progress: _Progress, isolation: Isolation
     ) -> bool:
-        # Streams that were in flight when an endpoint died may outnumber the
-        # endpoints that are left, of which each takes one suspect at a time.
-        if work.batch or isolation is not Isolation.SOLE_SUSPECT:
+        # What was in flight when an endpoint died may be more than the endpoints
+        # that are left, which each take one suspect at a time.
+        is_suspect = isolation is not Isolation.NONE
+        if not is_suspect or not (work.batch or progress.may_have_run):
             return False
         if isinstance(self._route(work, progress, Isolation.NONE), Missing):
             return False
         now_ms = self._clock.now_ms()
-        if progress.waits_until_ms is None:
-            progress.waits_until_ms = now_ms + SUSPECT_WAIT_MS
-        return now_ms < progress.waits_until_ms
+        if progress.waits_since_ms is None:
+            progress.waits_since_ms = now_ms
+        return now_ms - progress.waits_since_ms < SUSPECT_WAIT_MS
 
     def _no_endpoint(
         self, work: Work, progress: _Progress, reason: Missing
--- /dev/null
+++ b/tests/test_proofs_pairs.py
@@ -0,0 +1,82 @@
+"""Two faults together."""
+
+import concurrent.futures
+
+import pytest
+
+from fleet_process import Fleet, running_fleet, slow_endpoints
+
+ITEMS = 60
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    directory = tmp_path_factory.mktemp("fleet")
+    with running_fleet(directory, endpoints=slow_endpoints()) as launcher:
+        yield Fleet(launcher)
+
+
+def assert_whole(fleet, job_id):
+    for vm in range(3):
+        fleet.wait_job(vm, job_id)
+    lines = [fleet.assert_each_item_once(vm, job_id, ITEMS) for vm in range(3)]
+    assert lines[0] == lines[1] == lines[2]
+
+
+def test_lost_append_answer_followed_by_the_death_of_the_vm(fleet):
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        fleet.platform(log="slow", delay_ms=200, lose_answers=1)
+        sent = pool.submit(fleet.submit, 0, count=ITEMS, key="lost-and-dead")
+        fleet.wait(lambda: sent.done() or lost(fleet))
+        fleet.kill(fleet.name(0))
+        fleet.platform(log="up", lose_answers=0)
+    # Whether or not the job took effect, a resend gives one job.
+    ids = {
+        fleet.submit(vm, count=ITEMS, key="lost-and-dead").json()["id"]
+        for vm in (1, 2, 1)
+    }
+    assert len(ids) == 1
+    fleet.restart(0)
+    assert_whole(fleet, ids.pop())
+
+
+def lost(fleet):
+    url = f"http://{fleet.launcher.address('platform')}/control/faults"
+    return fleet.client.post(url, json={}).json()["lose_answers"] == 0
+
+
+def test_vm_killed_while_another_is_frozen(fleet):
+    job_id = fleet.submit(0, count=ITEMS, key="frozen").json()["id"]
+    fleet.wait(lambda: fleet.reached(job_id))
+    fleet.freeze(1)
+    try:
+        fleet.kill(fleet.name(0))
+        fleet.wait_job(2, job_id)
+        assert fleet.complete(2, "Last one standing").status_code == 200
+    finally:
+        fleet.wake(1)
+    fleet.restart(0)
+    assert_whole(fleet, job_id)
+    assert fleet.submit(1, count=ITEMS, key="frozen").json()["id"] == job_id
+
+
+def test_engine_killed_while_the_log_is_down(fleet):
+    job_id = fleet.submit(0, count=ITEMS).json()["id"]
+    fleet.wait(lambda: fleet.reached(job_id))
+    whole = fleet.whole(0, "No log", tokens=60)
+    fleet.platform(log="down")
+    lost_engine = fleet.reached(job_id)[0]["endpoint"]
+    fleet.launcher.tolerated = (lost_engine,)
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        streams = [
+            pool.submit(
+                fleet.stream, vm, "No log", tokens=60, request_id=f"no-log-{vm}"
+            )
+            for vm in range(3)
+        ]
+        fleet.wait(lambda: len(fleet.reached("no-log-")) >= 3)
+        fleet.kill(lost_engine)
+        assert [stream.result() for stream in streams] == [whole] * 3
+    assert fleet.submit(1, count=1).json()["error"]["ran"] == "no"
+    fleet.platform(log="up", lose_answers=3)
+    assert_whole(fleet, job_id)
