--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -44,16 +44,18 @@
 from foxtailbank.ownership import Candidate, owner_of
 from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
+from foxtailbank.policies import make_batch_limit, make_router
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
 from foxtailbank.retention_keeper import PERIOD_MS as KEEP_PERIOD_MS
 from foxtailbank.retention_keeper import RetentionKeeper
 from foxtailbank.retry_budget import RetryBudget
-from foxtailbank.routing import LeastLoadedRouter, PrefixAffinityRouter
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
+from foxtailbank.suspect_gate import SuspectGate
 from foxtailbank.tasks import every
+from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
 
 PLACEMENT_PERIOD_MS = 250
 QUARANTINE_PERIOD_MS = 5_000
@@ -117,6 +119,10 @@
             started_ms=started_ms,
             on_change=self._on_member,
         )
+        self._vm_list = PeerVmList(
+            platform=HttpVmList(address=settings.platform.vm_list_address),
+            peering=self._peering,
+        )
         self._metrics = Metrics()
         self._burn = BurnRecorder(vm=settings.vm.id, zone=settings.vm.zone)
         self._exchange = QuarantineExchange(
@@ -133,13 +139,23 @@
         )
         self._observer = self._make_observer()
         self._keeper = self._make_keeper(log)
+        self._router = make_router(settings.policy, rng=rng)
+        self._gate = SuspectGate(
+            clock=clock,
+            vm_id=settings.vm.id,
+            zone=settings.vm.zone,
+            directory=self.directory,
+            router=self._router,
+            quarantine=self._quarantine,
+            peering=self._peering,
+        )
         self._dispatcher = self._make_dispatcher()
         self._runner = self._make_runner()
         self._observer.runner = self._runner
         self._watch = EndpointWatch(
             clock=clock,
             directory=self.directory,
-            vm_list=HttpVmList(address=settings.platform.vm_list_address),
+            vm_list=self._vm_list,
             peering=self._peering,
             runner=self._runner,
             placement=self._placement,
@@ -185,17 +201,18 @@
             quarantine=self._quarantine,
             exchange=self._exchange,
             logs=self._logs,
+            yield_notice=self._settings.policy.yield_notice,
         )
 
     def _make_dispatcher(self) -> Dispatcher:
-        least_loaded = LeastLoadedRouter(rng=self._rng)
         return Dispatcher(
             clock=self._clock,
             zone=self._settings.vm.zone,
             directory=self.directory,
-            router=PrefixAffinityRouter(fallback=least_loaded),
+            router=self._router,
             quarantine=self._quarantine,
             retry_budget=RetryBudget(),
+            gate=self._gate,
             observer=self._observer,
         )
 
@@ -210,6 +227,7 @@
             service=self._ledger,
             logs=self._logs,
             may_start=self._may_start_batch,
+            make_limit=functools.partial(make_batch_limit, self._settings.policy),
             max_buffer_bytes=limits.result_buffer_bytes,
             max_in_flight=limits.batch_in_flight,
         )
@@ -259,7 +277,7 @@
             peering=self._peering,
             burn=self._burn,
         )
-        self._peering.handlers.on_request(pm.Report, fleet.answer_report)
+        self._answer_burn = fleet.answer_report
         models = ModelsApi(catalogue=catalogue)
         batches = BatchApi(
             clock=self._clock,
@@ -279,6 +297,7 @@
 
     def _handle_peers(self) -> None:
         handlers = self._peering.handlers
+        handlers.on_request(pm.Report, self._answer_report)
         handlers.on_notice(pm.OnlineDispatched, self._on_online_dispatched)
         handlers.on_notice(pm.CancelNotice, self._on_cancel_notice)
         handlers.on_notice(pm.Report, self._on_report)
@@ -329,6 +348,7 @@
         tasks.start_soon(run)
 
     async def _refresh(self) -> None:
+        self._gate.acknowledge()
         if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
             self._runner.place(self._placement.placements_by_pool)
         state = OwnState(
@@ -361,6 +381,11 @@
     def _tell_cancelled(self, job_id: str) -> None:
         self._peering.tell_all(pm.CancelNotice(job_id=job_id))
 
+    async def _answer_report(self, peer_id: str, request: pm.Report) -> pm.Report:
+        if request.name == VM_LIST_REPORT:
+            return self._vm_list.answer(request.name)
+        return await self._answer_burn(peer_id, request)
+
     def _on_online_dispatched(self, peer_id: str, notice: pm.OnlineDispatched) -> None:
         self._runner.on_online(notice.endpoint_id, notice.count)
 
@@ -370,6 +395,8 @@
     def _on_report(self, peer_id: str, report: pm.Report) -> None:
         if report.name == REPORT_NAME:
             self._exchange.received(report.content)
+        else:
+            self._gate.take(report)
 
     def _on_member(self, action: MembershipAction) -> None:
         if isinstance(action, MemberJoined):
--- a/src/foxtailbank/fleet_observer.py
+++ b/src/foxtailbank/fleet_observer.py
@@ -33,6 +33,8 @@
         Passes its marks on.
     logs : Logs
         Takes a line for each resumption.
+    yield_notice : bool
+        Whether batch owners are told of online requests.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         quarantine: Quarantine,
         exchange: QuarantineExchange,
         logs: Logs,
+        yield_notice: bool = True,
     ) -> None:
         self._clock = clock
         self._vm_id = vm_id
@@ -53,6 +56,7 @@
         self._quarantine = quarantine
         self._exchange = exchange
         self._logs = logs
+        self._yield_notice = yield_notice
         self.runner: BatchRunner | None = None
 
     def on_dispatch(self, backend: Backend, work: Work) -> None:
@@ -90,6 +94,16 @@
         if marks:
             self._exchange.spread(marks)
 
+    def on_progress(self, work: Work, new_tokens: int) -> bool:
+        """Clear a suspect that went on well beyond where it was at the death."""
+        marks = self._quarantine.on_progress(
+            work.fingerprint,
+            tokens_beyond=new_tokens,
+            now_ms=self._clock.wall_ms(),
+        )
+        self._exchange.spread(marks)
+        return bool(marks)
+
     def on_resumed(self, backend: Backend, work: Work, reason: str) -> None:
         """Write a line."""
         fields = LogFields(
@@ -101,6 +115,8 @@
         self._logs.write(Event.STREAM_RESUMED, fields=fields)
 
     def _tell_owner(self, backend: Backend, change: int) -> None:
+        if not self._yield_notice:
+            return
         owner = self._placement.owner_of(backend)
         if owner == self._vm_id and self.runner is not None:
             self.runner.on_online(backend.endpoint_id, change)
