--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -1,5 +1,6 @@
 """Runs batch work on the endpoints whose batch owner this VM is."""
 
+import itertools
 import secrets
 import typing as t
 
@@ -19,6 +20,7 @@
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError, LogUnavailable
 from foxtailbank.item_runner import ItemRunner
+from foxtailbank.item_set import positions_of, ranges_of
 from foxtailbank.job_state import JobState
 from foxtailbank.ledger import Ledger
 from foxtailbank.ledger_events import (
@@ -41,6 +43,7 @@
 from foxtailbank.sentinels import Missing
 
 PUMP_MS = 10
+CLAIM_ITEMS = 16
 READ_AHEAD_ITEMS = 64
 ITEM_TOKENS = 128
 FIRST_RATE_TOKENS_PER_S = 1_000.0
@@ -127,7 +130,19 @@
         for batch in self._batches_by_endpoint.values():
             for item in batch.active_by_id.values():
                 item.scope.cancel()
+        self._release_claims()
         await self._recorder.drain()
+        await self._service.writer.drain()
+
+    def _release_claims(self) -> None:
+        for batch in self._batches_by_endpoint.values():
+            for chunk in batch.chunks:
+                job = self._service.ledger.jobs_by_id.get(chunk.job_id)
+                if job is None or job.idempotent or not chunk.pending:
+                    continue
+                items = ranges_of(sum(1 << position for position in chunk.pending))
+                self._items.release(self._service, chunk.job_id, chunk.index, items)
+                chunk.pending.clear()
 
     def place(self, placements_by_pool: dict[str, Placement]) -> None:
         """Take a new view of live endpoints and VMs.
@@ -256,6 +271,7 @@
             chunk = await self._read_chunk(key)
             if chunk is not None:
                 batch.chunks.append(chunk)
+                self._keep_unclaimed(batch, chunk)
         except LogUnavailable:
             self._source.put_back(batch.backend.endpoint_id, key)
             await anyio.sleep(1)
@@ -284,8 +300,21 @@
             open_bitmap=open_bitmap,
         )
 
+    def _keep_unclaimed(self, batch: EndpointBatch, chunk: OpenChunk) -> None:
+        """Put a chunk back whose items are claimed in groups, for the next group."""
+        job = self._service.ledger.jobs_by_id.get(chunk.job_id)
+        if job is None or job.idempotent or job.ended:
+            return
+        if job.open(chunk.index):
+            self._source.put_back(batch.backend.endpoint_id, chunk.key)
+
     async def _claim(self, job: JobState, index: int, bitmap: int) -> int:
-        return await self._items.claim(self._service, job.job_id, index, bitmap)
+        group = 0
+        for position in itertools.islice(positions_of(bitmap), CLAIM_ITEMS):
+            group |= 1 << position
+        if not group:
+            return 0
+        return await self._items.claim(self._service, job.job_id, index, group)
 
     def _start_next(self, batch: EndpointBatch) -> bool:
         waiting = {chunk.key: chunk for chunk in batch.chunks if chunk.pending}
--- a/src/foxtailbank/batch_submission.py
+++ b/src/foxtailbank/batch_submission.py
@@ -100,7 +100,7 @@
             owner=self._entry.owner,
             entry=self._entry.name,
             key=self._key,
-            digest=summary.digest,
+            digest=self._digest(summary.digest),
             deadline_ms=self._deadline_ms,
             item_count=summary.item_count,
             chunks=tuple(self._chunks),
@@ -108,9 +108,13 @@
             at_ms=self._clock.wall_ms(),
         )
         if known:
-            return self._compare(known, summary.digest)
+            return self._compare(known, self._digest(summary.digest))
         return self._verdict(await self._service.append(accepted))
 
+    def _digest(self, content_digest: str) -> str:
+        # The same content under another entry is another job.
+        return f"{self._entry.name}:{content_digest}"
+
     def _known_job(self) -> str:
         if not self._key:
             return ""
--- a/src/foxtailbank/daemon.py
+++ b/src/foxtailbank/daemon.py
@@ -58,7 +58,8 @@
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         await vm.run(tasks)
-        tasks.start_soon(_watch_signals, vm, settings, stop, logs)
+        handed_over = anyio.Event()
+        tasks.start_soon(_watch_signals, vm, settings, stop, handed_over, logs)
         # The server's own task group can leave its task marked as cancelled, so
         # that it gets a task of its own.
         async with anyio.create_task_group() as server:
@@ -67,13 +68,18 @@
                 await serve(vm.app, sock=sock, settings=settings, stop=stop)
 
             server.start_soon(_serve)
+        await handed_over.wait()
         tasks.cancel_scope.cancel()
     logs.write(Event.VM_STOPPED)
     return 0
 
 
 async def _watch_signals(
-    vm: EntryVm, settings: Settings, stop: anyio.Event, logs: Logs
+    vm: EntryVm,
+    settings: Settings,
+    stop: anyio.Event,
+    handed_over: anyio.Event,
+    logs: Logs,
 ) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
@@ -82,8 +88,11 @@
             vm.health.stopping = True
             logs.write(Event.VM_DRAINING)
             await anyio.sleep(settings.timing.drain_notice_ms / MS_PER_S)
-            await vm.hand_over()
             stop.set()
+            # The log may be down: what can't be recorded runs again elsewhere.
+            with anyio.move_on_after(settings.timing.hand_over_ms / MS_PER_S):
+                await vm.hand_over()
+            handed_over.set()
 
 
 if __name__ == "__main__":
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -17,7 +17,7 @@
 from foxtailbank.burn import BurnRecorder
 from foxtailbank.catalogue_records import STREAM as CATALOGUE
 from foxtailbank.catalogue_service import CatalogueService
-from foxtailbank.clock import Clock
+from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.connector import Connector
 from foxtailbank.directory import Directory
 from foxtailbank.dispatcher import Dispatcher
@@ -58,6 +58,7 @@
 from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
 
 PLACEMENT_PERIOD_MS = 250
+LEDGER_APPENDS_PER_S = 200
 QUARANTINE_PERIOD_MS = 5_000
 
 
@@ -305,6 +306,8 @@
     def is_ready(self) -> bool:
         """Return whether this VM has what it needs to serve."""
         tailer = self._catalogue.tailer
+        if tailer.halted_by is not None or self._ledger.tailer.halted_by is not None:
+            return False
         has_catalogue = (
             tailer.fresh_at_ms is not None or CATALOGUE in self._sync.synced_names
         )
@@ -351,6 +354,9 @@
         self._gate.acknowledge()
         if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
             self._runner.place(self._placement.placements_by_pool)
+        self._ledger.writer.min_interval_ms = (
+            MS_PER_S * len(self._peering.live()) // LEDGER_APPENDS_PER_S
+        )
         state = OwnState(
             loads=self._loads(),
             catalogue_offset=self._catalogue.catalogue.applied_offset,
--- a/src/foxtailbank/item_runner.py
+++ b/src/foxtailbank/item_runner.py
@@ -19,12 +19,12 @@
     OutcomeUnknown,
     Ran,
 )
-from foxtailbank.item_set import bitmap_of, ranges_of
+from foxtailbank.item_set import ItemRange, bitmap_of, ranges_of
 from foxtailbank.job_input import parse_item
-from foxtailbank.ledger_events import ItemsClaimWon
+from foxtailbank.ledger_events import ItemsClaimWon, LedgerEvent
 from foxtailbank.ledger_service import LedgerService
 from foxtailbank.open_chunk import OpenChunk
-from foxtailbank.records import ItemsClaimed
+from foxtailbank.records import ItemsClaimed, ItemsReleased
 from foxtailbank.results import failure_line
 from foxtailbank.work import Work
 
@@ -61,22 +61,45 @@
         Raises
         ------
         LogUnavailable
-            No verdict came in time; claims that take effect later are not used.
+            No verdict came in time; claims that take effect later are given back.
         """
-        events = await service.append(
-            ItemsClaimed(
-                job_id=job_id,
-                chunk=chunk,
-                items=ranges_of(bitmap),
-                claimant=service.incarnation,
-            )
+        claim = ItemsClaimed(
+            job_id=job_id,
+            chunk=chunk,
+            items=ranges_of(bitmap),
+            claimant=service.incarnation,
         )
+
+        def release_late(events: tuple[LedgerEvent, ...]) -> None:
+            for event in events:
+                if isinstance(event, ItemsClaimWon):
+                    self.release(service, job_id, chunk, event.items)
+
+        events = await service.append(claim, on_late=release_late)
         won = 0
         for event in events:
             if isinstance(event, ItemsClaimWon):
                 won |= bitmap_of(event.items, size=bitmap.bit_length()) or 0
         return won
 
+    def release(
+        self,
+        service: LedgerService,
+        job_id: str,
+        chunk: int,
+        items: tuple[ItemRange, ...],
+    ) -> None:
+        """Give claimed items back that did not run."""
+        service.writer.submit(
+            ItemsReleased(
+                job_id=job_id,
+                chunk=chunk,
+                items=items,
+                claimant=service.incarnation,
+            ),
+            urgent=True,
+        )
+
     async def run(
         self,
         *,
--- a/src/foxtailbank/keyed_calls.py
+++ b/src/foxtailbank/keyed_calls.py
@@ -205,8 +205,9 @@
             return
 
     async def _replay(self, key: CallKey, sink: Sink) -> None:
-        call = self._service.ledger.calls.calls_by_key[key.owner, key.key]
-        if not call.completed:
+        calls_by_key = self._service.ledger.calls.calls_by_key
+        call = calls_by_key.get((key.owner, key.key))
+        if call is None or not call.completed:
             raise OutcomeUnknown(
                 detail="the call was claimed before and has no recorded answer",
                 retry_after_ms=RETRY_AFTER_MS,
--- a/src/foxtailbank/result_recorder.py
+++ b/src/foxtailbank/result_recorder.py
@@ -74,7 +74,7 @@
             items=finished.items,
             payload_offset=offset,
             failed=finished.failed,
-            claimant=self._service.incarnation,
+            claimant=self._claimant(chunk),
         )
         while True:
             try:
@@ -102,6 +102,12 @@
             except LogUnavailable:
                 continue
 
+    def _claimant(self, chunk: OpenChunk) -> str:
+        # Only claimed items need it; ledger bytes are read by every VM.
+        job = self._service.ledger.jobs_by_id.get(chunk.job_id)
+        is_claimed = job is not None and not job.idempotent
+        return self._service.incarnation if is_claimed else ""
+
     def _is_repeatable(
         self, chunk: OpenChunk, finished: FinishedItems, failure: LogUnavailable
     ) -> bool:
--- a/src/foxtailbank/retention_keeper.py
+++ b/src/foxtailbank/retention_keeper.py
@@ -13,12 +13,13 @@
 from foxtailbank.log_service import LogService
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.manifest import Manifest, decode_manifest, manifest_of
-from foxtailbank.payload import PayloadKind
+from foxtailbank.payload import PayloadInvalid, PayloadKind
 from foxtailbank.records import (
     CallPayloadMoved,
     ClaimsAbandoned,
     JobRetired,
     ManifestMoved,
+    PayloadFloorRaised,
     PayloadMove,
     PayloadMoved,
 )
@@ -31,6 +32,7 @@
     RetentionView,
     RetireJob,
     WriteSnapshot,
+    floor_action,
     renewal_actions,
     snapshot_action,
 )
@@ -101,6 +103,13 @@
         """
         ledger_view = await self._look(LEDGER_STREAM)
         payload_view = await self._look(PAYLOAD_STREAM)
+        floor = floor_action(
+            ledger=self._service.ledger, payload_view=payload_view, owns=self._owns
+        )
+        if floor is not None:
+            await self._service.append(
+                PayloadFloorRaised(before_offset=floor.before_offset)
+            )
         snapshot = snapshot_action(
             ledger=self._service.ledger,
             ledger_view=ledger_view,
@@ -112,7 +121,7 @@
             await self._do(snapshot)
         for action in self._due(payload_view):
             await self._try(action)
-        self._abandon_lost_claims()
+        await self._abandon_lost_claims()
         if self._owns(CATALOGUE_DUTY):
             await self._catalogue.keep()
 
@@ -137,7 +146,7 @@
     async def _try(self, action: RetentionAction) -> None:
         try:
             await self._do(action)
-        except OffsetExpired as failure:
+        except (OffsetExpired, PayloadInvalid) as failure:
             # What is lost must not keep the rest from being renewed.
             fields = LogFields(reason=failure.detail)
             self._logs.write(Event.PAYLOAD_LOST, level=LogLevel.ERROR, fields=fields)
@@ -212,14 +221,15 @@
             job_id=manifest.job_id,
         )
 
-    def _abandon_lost_claims(self) -> None:
+    async def _abandon_lost_claims(self) -> None:
+        entries: list[ClaimsAbandoned] = []
         for job in self._service.ledger.jobs_by_id.values():
             if job.ended or job.idempotent or not self._owns(job.job_id):
                 continue
             for index in job.partial_chunks():
                 for claimant, bitmap in job.claimed_by_claimant(index).items():
                     if self._is_lost(claimant):
-                        self._service.writer.submit(
+                        entries.append(
                             ClaimsAbandoned(
                                 job_id=job.job_id,
                                 chunk=index,
@@ -227,3 +237,6 @@
                                 claimant=claimant,
                             )
                         )
+        # Waiting for each keeps an outage from queueing the same entries again.
+        for entry in entries:
+            await self._service.append(entry)
--- a/src/foxtailbank/settings_sections.py
+++ b/src/foxtailbank/settings_sections.py
@@ -174,6 +174,8 @@
         How long a crash-inducing request stays refused.
     drain_notice_ms : int
         Time between reporting not ready and closing the listeners.
+    hand_over_ms : int
+        Longest wait for batch results to be recorded at a planned stop.
     drain_timeout_ms : int
         Longest wait for requests in flight at a planned stop.
     keep_alive_ms : int
@@ -195,6 +197,7 @@
     lease_ms: Milliseconds = 5_000
     quarantine_ms: Milliseconds = 600_000
     drain_notice_ms: Milliseconds = 2_000
+    hand_over_ms: Milliseconds = 10_000
     drain_timeout_ms: Milliseconds = 60_000
     keep_alive_ms: Milliseconds = 75_000
     batch_view_ms: Milliseconds = 5_000
