Make an idle VM's cost follow what it owns, not the fleet

Cause: every 10 ms a VM looked at every endpoint for batch work, four times a second it sorted all of them for polling and looked for suspects on all. Ways weighed: longer periods alone (batch starts late), looking at owned endpoints only and doing nothing without work (chosen). What still grows is the reading of the VM list and the look at each endpoint's health once a second.

--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -43,6 +43,7 @@
 from foxtailbank.sentinels import Missing
 
 PUMP_MS = 10
+IDLE_PUMP_MS = 100
 CLAIM_ITEMS = 16
 READ_AHEAD_ITEMS = 64
 ITEM_TOKENS = 128
@@ -111,6 +112,7 @@
         self._batches_by_endpoint: dict[str, EndpointBatch] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._stopping = False
+        self._owned_ids: frozenset[str] = frozenset()
         service.replay.listen(self._on_record)
         service.replay.listen_for_replacement(self._on_replacement)
 
@@ -122,7 +124,8 @@
             while True:
                 if not self._stopping:
                     self._pump()
-                await anyio.sleep(PUMP_MS / MS_PER_S)
+                pause_ms = PUMP_MS if self._has_work() else IDLE_PUMP_MS
+                await anyio.sleep(pause_ms / MS_PER_S)
 
     async def stop(self) -> None:
         """Start nothing new, keep what is done, hand the rest over."""
@@ -144,14 +147,23 @@
                 self._items.release(self._service, chunk.job_id, chunk.index, items)
                 chunk.pending.clear()
 
-    def place(self, placements_by_pool: dict[str, Placement]) -> None:
+    def place(
+        self, placements_by_pool: dict[str, Placement], owned_ids: frozenset[str]
+    ) -> None:
         """Take a new view of live endpoints and VMs.
 
         Parameters
         ----------
         placements_by_pool : dict of str to Placement
             By model or service.
+        owned_ids : frozenset of str
+            Endpoints that this VM drives batch work on.
         """
+        self._owned_ids = owned_ids
+        for endpoint_id, batch in list(self._batches_by_endpoint.items()):
+            is_done = not batch.chunks and not batch.active_by_id
+            if is_done and not batch.loading and endpoint_id not in owned_ids:
+                del self._batches_by_endpoint[endpoint_id]
         self._source.place(placements_by_pool, self._service.ledger)
         for endpoint_id, batch in self._batches_by_endpoint.items():
             for chunk in batch.chunks:
@@ -206,15 +218,26 @@
 
     def _pump(self) -> None:
         now_ms = self._clock.now_ms()
-        for backend in list(self._directory.backends_by_id.values()):
+        for endpoint_id in self._owned_ids:
+            backend = self._directory.backends_by_id.get(endpoint_id)
+            if backend is None:
+                continue
             batch = self._batch(backend)
-            batch.chunks = [chunk for chunk in batch.chunks if not chunk.idle]
             self._read_ahead(batch)
+            if not batch.chunks:
+                continue
+            batch.chunks = [chunk for chunk in batch.chunks if not chunk.idle]
             if backend.is_leaving(now_ms) or not self._has_room():
                 continue
             while batch.limit.startable(now_ms) > 0 and self._start_next(batch):
                 pass
 
+    def _has_work(self) -> bool:
+        return any(
+            batch.chunks or batch.loading or batch.active_by_id
+            for batch in self._batches_by_endpoint.values()
+        )
+
     def _has_room(self) -> bool:
         in_flight = sum(len(b.active_by_id) for b in self._batches_by_endpoint.values())
         return (
--- a/src/foxtailbank/endpoint_watch.py
+++ b/src/foxtailbank/endpoint_watch.py
@@ -36,8 +36,6 @@
         Gets load reports.
     placement : FleetPlacement
         Tells which endpoints this VM drives batch work on.
-    vm_id : str
-        This VM.
     logs : Logs
         Takes a line for each endpoint that is gone.
     """
@@ -51,11 +49,9 @@
         peering: Peering,
         runner: BatchRunner,
         placement: FleetPlacement,
-        vm_id: str,
         logs: Logs,
     ) -> None:
         self._placement = placement
-        self._vm_id = vm_id
         self._turns = PollTurns(polls_per_turn=POLLS_PER_TURN)
         self._clock = clock
         self._directory = directory
@@ -64,10 +60,6 @@
         self._runner = runner
         self._logs = logs
 
-    def _is_owned(self, endpoint_id: str) -> bool:
-        backend = self._directory.backends_by_id[endpoint_id]
-        return self._placement.owner_of(backend) == self._vm_id
-
     async def read_vms(self) -> None:
         """Read the platform's list.
 
@@ -80,16 +72,18 @@
         for backend in self._directory.apply(vms, self._clock.now_ms()):
             fields = LogFields(endpoint=backend.endpoint_id, reason="not_listed")
             self._logs.write(Event.ENDPOINT_LOST, fields=fields)
+        self._turns.set_endpoints(
+            self._directory.backends_by_id, owned=self._placement.owned_ids
+        )
         self._peering.listed(vms)
 
     async def read_loads(self) -> None:
         """Ask the endpoints whose turn it is for their load or health."""
-        turn = self._turns.next_turn(
-            self._directory.backends_by_id, owned=self._is_owned
-        )
         async with anyio.create_task_group() as tasks:
-            for endpoint_id in turn:
-                backend = self._directory.backends_by_id[endpoint_id]
+            for endpoint_id in self._turns.next_turn():
+                backend = self._directory.backends_by_id.get(endpoint_id)
+                if backend is None:
+                    continue
                 if isinstance(backend.service, Endpoint):
                     tasks.start_soon(self._read_load, backend, backend.service)
                 else:
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -57,7 +57,8 @@
 from foxtailbank.tasks import every
 from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
 
-PLACEMENT_PERIOD_MS = 250
+PLACEMENT_PERIOD_MS = 1_000
+GATE_PERIOD_MS = 50
 LEDGER_APPENDS_PER_S = 200
 QUARANTINE_PERIOD_MS = 5_000
 
@@ -93,7 +94,7 @@
         self.directory = Directory(
             factory=Connector(timing=settings.timing, logs=logs).connect
         )
-        self._placement = FleetPlacement(directory=self.directory)
+        self._placement = FleetPlacement(directory=self.directory, vm_id=settings.vm.id)
         self._admission = Admission()
         self._quarantine = Quarantine(quarantine_ttl_ms=settings.timing.quarantine_ms)
         self._catalogue = CatalogueService(
@@ -160,7 +161,6 @@
             peering=self._peering,
             runner=self._runner,
             placement=self._placement,
-            vm_id=settings.vm.id,
             logs=logs,
         )
         self._handle_peers()
@@ -330,6 +330,7 @@
         self._every(tasks, timing.vm_list_period_ms, self._watch.read_vms, "vm_list")
         self._every(tasks, timing.load_period_ms, self._watch.read_loads, "load")
         self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
+        self._every(tasks, GATE_PERIOD_MS, self._acknowledge, "suspects")
         self._every(tasks, KEEP_PERIOD_MS, self._keeper.run_once, "retention")
         self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
 
@@ -350,10 +351,14 @@
         )
         tasks.start_soon(run)
 
-    async def _refresh(self) -> None:
+    async def _acknowledge(self) -> None:
         self._gate.acknowledge()
+
+    async def _refresh(self) -> None:
         if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
-            self._runner.place(self._placement.placements_by_pool)
+            self._runner.place(
+                self._placement.placements_by_pool, self._placement.owned_ids
+            )
         self._ledger.writer.min_interval_ms = (
             MS_PER_S * len(self._peering.live()) // LEDGER_APPENDS_PER_S
         )
--- a/src/foxtailbank/fleet_placement.py
+++ b/src/foxtailbank/fleet_placement.py
@@ -20,17 +20,23 @@
     ----------
     directory : Directory
         Known endpoints.
+    vm_id : str
+        This VM.
 
     Attributes
     ----------
     placements_by_pool : dict of str to Placement
         Present placement of each model or service.
+    owned_ids : frozenset of str
+        Endpoints that this VM drives batch work on.
     """
 
-    def __init__(self, *, directory: Directory) -> None:
+    def __init__(self, *, directory: Directory, vm_id: str) -> None:
         self._directory = directory
+        self._vm_id = vm_id
         self._seen: tuple[t.Any, ...] = ()
         self.placements_by_pool: dict[str, Placement] = {}
+        self.owned_ids: frozenset[str] = frozenset()
 
     def refresh(self, members: t.Iterable[pm.MemberRecord], now_ms: int) -> bool:
         """Look at the live views; return whether the placement changed.
@@ -59,6 +65,11 @@
             pool: Placement(endpoints=endpoints, vms=vms)
             for pool, endpoints in endpoints_by_pool.items()
         }
+        self.owned_ids = frozenset(
+            endpoint_id
+            for endpoint_id, backend in self._directory.backends_by_id.items()
+            if self.owner_of(backend) == self._vm_id
+        )
         return True
 
     def owner_of(self, backend: Backend) -> str:
--- a/src/foxtailbank/poll_turns.py
+++ b/src/foxtailbank/poll_turns.py
@@ -1,15 +1,14 @@
 """Which endpoints are asked next, at a bounded rate."""
 
+import collections
 import typing as t
 
-OWNED_WEIGHT = 4
-
 
 class PollTurns:
     """Spreads a fixed number of polls a turn over all endpoints.
 
-    Endpoints that this VM drives batch work on come up more often than others, so
-    that the cost of polling does not grow with the fleet.
+    Endpoints that this VM drives batch work on take all polls of a turn but one,
+    all others share the last, so that the cost does not grow with the fleet.
 
     Parameters
     ----------
@@ -19,35 +18,41 @@
 
     def __init__(self, *, polls_per_turn: int) -> None:
         self._polls_per_turn = polls_per_turn
-        self._turn = 0
-        self._polled_by_id: dict[str, int] = {}
+        self._owned: collections.deque[str] = collections.deque()
+        self._others: collections.deque[str] = collections.deque()
 
-    def next_turn(
-        self, endpoint_ids: t.Iterable[str], *, owned: t.Callable[[str], bool]
-    ) -> tuple[str, ...]:
-        """Return the endpoints to ask now.
+    def set_endpoints(
+        self, endpoint_ids: t.Iterable[str], *, owned: t.Container[str]
+    ) -> None:
+        """Take the known endpoints; those known before keep their turn.
 
         Parameters
         ----------
         endpoint_ids : iterable of str
             Known endpoints.
-        owned : callable
-            Whether this VM drives batch work on an endpoint.
-
-        Returns
-        -------
-        tuple of str
-            Those that have waited longest for their weight.
+        owned : container of str
+            Those that this VM drives batch work on.
         """
-        self._turn += 1
-        ids = sorted(endpoint_ids)
-        self._polled_by_id = {one: self._polled_by_id.get(one, 0) for one in ids}
-        weights = {one: OWNED_WEIGHT if owned(one) else 1 for one in ids}
-        due = sorted(
-            ids,
-            key=lambda one: (self._polled_by_id[one] - self._turn) * weights[one],
+        ids = set(endpoint_ids)
+        known = [*self._owned, *self._others]
+        order = [one for one in known if one in ids]
+        order += sorted(ids.difference(known))
+        self._owned = collections.deque(one for one in order if one in owned)
+        self._others = collections.deque(one for one in order if one not in owned)
+
+    def next_turn(self) -> tuple[str, ...]:
+        """Return the endpoints to ask now."""
+        count = self._polls_per_turn
+        for_others = max(1, count - len(self._owned))
+        from_others = min(for_others, len(self._others))
+        from_owned = min(count - from_others, len(self._owned))
+        return (
+            *_rotated(self._owned, from_owned),
+            *_rotated(self._others, from_others),
         )
-        chosen = tuple(due[: self._polls_per_turn])
-        for one in chosen:
-            self._polled_by_id[one] = self._turn
-        return chosen
+
+
+def _rotated(waiting: collections.deque[str], count: int) -> list[str]:
+    chosen = [waiting[index] for index in range(count)]
+    waiting.rotate(-count)
+    return chosen
--- a/src/foxtailbank/suspect_gate.py
+++ b/src/foxtailbank/suspect_gate.py
@@ -86,6 +86,7 @@
         self._quarantine = quarantine
         self._peering = peering
         self._runs = SuspectRuns(vm_id=vm_id)
+        self._was_busy = False
 
     async def enter(self, work: Work, tried: frozenset[str], ran: Ran) -> Place:
         """Wait until a suspect request may run, for a bounded time.
@@ -159,6 +160,9 @@
 
     def acknowledge(self) -> None:
         """Mark reserved endpoints and agree to what can be agreed to now."""
+        if self._runs.is_idle and not self._was_busy:
+            return
+        self._was_busy = not self._runs.is_idle
         now_ms = self._clock.now_ms()
         in_flight_by_id = {}
         for backend in self._directory.backends_by_id.values():
--- a/src/foxtailbank/suspect_run.py
+++ b/src/foxtailbank/suspect_run.py
@@ -93,6 +93,11 @@
         self._own_by_fingerprint: dict[Fingerprint, _Own] = {}
         self._foreign_by_key: dict[tuple[str, int], _Foreign] = {}
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no reservation is known."""
+        return not self._own_by_fingerprint and not self._foreign_by_key
+
     def announce(
         self,
         *,
