Tell of a retired job only the items that ended

Cause: a retired job was described as if all its items had ended, so that a cancelled job of 400 items with few done was told as completed once it was retired; the demo saw results that seemed to be added after a cancellation. Weighed: to read the manifest for the counts, a read for each status call.

--- a/src/foxtailbank/job_view.py
+++ b/src/foxtailbank/job_view.py
@@ -60,10 +60,7 @@
     now_ms : int
         Civil time in milliseconds.
     """
-    if isinstance(job, RetiredJob):
-        ended = job.item_count
-    else:
-        ended = job.ended_count
+    ended = job.ended_count
     counts = JobCounts(
         total=job.item_count,
         completed=ended - job.failed_count,
--- a/src/foxtailbank/ledger_image.py
+++ b/src/foxtailbank/ledger_image.py
@@ -86,6 +86,7 @@
     manifest_offset: int
     accepted_offset: int
     oldest_offset: int
+    ended_count: int | None = None
 
 
 class CallImage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/foxtailbank/retired_job.py
+++ b/src/foxtailbank/retired_job.py
@@ -17,6 +17,8 @@
         Offset of the record that accepted the job.
     oldest_offset : int
         Lowest offset of a payload record that the manifest names.
+    ended_count : int
+        Items that ended before the job did.
     """
 
     job_id: str
@@ -30,6 +32,7 @@
     manifest_offset: int
     accepted_offset: int
     oldest_offset: int
+    ended_count: int
 
 
 def retire(job: JobState, manifest_offset: int) -> RetiredJob:
@@ -46,4 +49,5 @@
         manifest_offset=manifest_offset,
         accepted_offset=job.accepted_offset,
         oldest_offset=min(job.retained_offsets(), default=manifest_offset),
+        ended_count=job.ended_count,
     )
--- a/src/foxtailbank/snapshot.py
+++ b/src/foxtailbank/snapshot.py
@@ -206,6 +206,8 @@
     def _take_retired(self, image: RetiredImage) -> None:
         fields = msgspec.structs.asdict(image)
         fields["status"] = JobStatus(image.status)
+        if image.ended_count is None:
+            fields["ended_count"] = image.item_count
         job = RetiredJob(**fields)
         self._ledger.jobs.retired_by_id[job.job_id] = job
         self._take_key(job)
@@ -282,6 +284,7 @@
         manifest_offset=job.manifest_offset,
         accepted_offset=job.accepted_offset,
         oldest_offset=job.oldest_offset,
+        ended_count=job.ended_count,
     )
 
 
--- /dev/null
+++ b/tests/test_job_view.py
@@ -0,0 +1,35 @@
+import pytest
+
+from foxtailbank.job_state import JobStatus
+from foxtailbank.job_view import JobCounts, view_of
+from foxtailbank.retired_job import RetiredJob
+
+
+@pytest.mark.parametrize(
+    ("status", "ended", "completed", "pending"),
+    [
+        (JobStatus.FINISHED, 400, 398, 0),
+        (JobStatus.CANCELLED, 12, 10, 388),
+    ],
+)
+def test_retired_jobs_tell_what_ended_before_they_did(
+    status, ended, completed, pending
+):
+    job = RetiredJob(
+        job_id="job",
+        owner="o",
+        entry="notices",
+        key="",
+        digest="d",
+        status=status,
+        item_count=400,
+        failed_count=2,
+        manifest_offset=1,
+        accepted_offset=0,
+        oldest_offset=1,
+        ended_count=ended,
+    )
+    counts = view_of(job, now_ms=0).counts
+    assert counts == JobCounts(
+        total=400, completed=completed, failed=2, pending=pending
+    )
