Hold an entry's limits for the sum over all entry VMs

Cause: each VM admitted up to the whole limit, so that a fleet of three let three times the limit through.

--- a/src/foxtailbank/admission.py
+++ b/src/foxtailbank/admission.py
@@ -7,6 +7,7 @@
 from foxtailbank.token_bucket import Take, TokenBucket
 
 FIRST_HOLD_MS = 1000
+CLOSED_RETRY_MS = 100
 _HOLD_WEIGHT = 8
 
 
@@ -26,6 +27,8 @@
         Tokens at once.
     concurrency : int
         Requests in flight; 0 for no limit.
+    closed : bool
+        Whether nothing of the limit belongs to this VM.
     """
 
     requests_milli_per_s: int
@@ -33,6 +36,7 @@
     tokens_milli_per_s: int = 0
     tokens_burst: int = 1
     concurrency: int = 0
+    closed: bool = False
 
 
 class LimitKind(enum.Enum):
@@ -131,6 +135,8 @@
 
     def refusal(self, key: str, tokens: int, now_ms: int) -> Refusal | None:
         waits = {LimitKind.REQUESTS: self.requests.wait_ms(1, now_ms)}
+        if self.share.closed:
+            waits[LimitKind.CONCURRENCY] = CLOSED_RETRY_MS
         if self.tokens is not None:
             waits[LimitKind.TOKENS] = self.tokens.wait_ms(tokens, now_ms)
         if self.share.concurrency and self.in_flight >= self.share.concurrency:
--- a/src/foxtailbank/catalogue_service.py
+++ b/src/foxtailbank/catalogue_service.py
@@ -20,7 +20,7 @@
 from foxtailbank.clock import Clock
 from foxtailbank.entry import Entry
 from foxtailbank.events import Event
-from foxtailbank.limit_shares import share_of
+from foxtailbank.limit_shares import LimitShares
 from foxtailbank.log_service import LogRecord, LogService
 from foxtailbank.log_tailer import LogTailer, ResyncFailed
 from foxtailbank.logs import LogFields, Logs
@@ -48,6 +48,8 @@
         Time limits.
     admission : Admission
         Gets the limits of changed entries.
+    shares : LimitShares
+        Gives this VM's part of each limit.
     logs : Logs
         Takes a line for each change.
 
@@ -72,12 +74,14 @@
         incarnation: str,
         timing: TimingSection,
         admission: Admission,
+        shares: LimitShares,
         logs: Logs,
     ) -> None:
         self._log = log
         self._clock = clock
         self._snapshot_age = SnapshotAge(offset=-1, seen_ms=clock.now_ms())
         self._admission = admission
+        self._shares = shares
         self._logs = logs
         self.catalogue = Catalogue()
         self.cache = RecordCache()
@@ -180,9 +184,21 @@
         if entry is None:
             self._admission.remove(key)
         else:
-            share = share_of(entry.limits)
+            share = self._shares.share_of(entry)
             self._admission.set_share(key, share, self._clock.now_ms())
 
+    def set_vms(self, zones_by_id: dict[str, str]) -> None:
+        """Split all limits anew if the known entry VMs changed.
+
+        Parameters
+        ----------
+        zones_by_id : dict of str to str
+            Availability zone of each entry VM that is listed or known.
+        """
+        if self._shares.set_vms(zones_by_id):
+            for name, entry in self.catalogue.entries_by_name.items():
+                self._set_limits(name, entry)
+
     def _note(self, event: CatalogueEvent) -> None:
         if not isinstance(event, EntryChanged):
             return
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -32,6 +32,7 @@
 from foxtailbank.http_vm_list import HttpVmList
 from foxtailbank.keyed_calls import KeyedCalls
 from foxtailbank.ledger_service import LedgerService
+from foxtailbank.limit_shares import LimitShares
 from foxtailbank.log_service import LogService
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.lost_claimants import LostClaimants
@@ -104,6 +105,7 @@
             incarnation=self.incarnation,
             timing=settings.timing,
             admission=self._admission,
+            shares=LimitShares(vm_id=settings.vm.id, zone=settings.vm.zone),
             logs=logs,
         )
         self._ledger = LedgerService(
@@ -359,6 +361,11 @@
             self._runner.place(
                 self._placement.placements_by_pool, self._placement.owned_ids
             )
+        listed = self.directory.entry_vms_by_id.values()
+        known = self._peering.membership.view.members()
+        self._catalogue.set_vms(
+            {vm.vm_id: vm.zone for vm in listed} | {m.vm_id: m.zone for m in known}
+        )
         self._ledger.writer.min_interval_ms = (
             MS_PER_S * len(self._peering.live()) // LEDGER_APPENDS_PER_S
         )
