--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -1,6 +1,5 @@
 """Runs batch work on the endpoints whose batch owner this VM is."""
 
-import itertools
 import secrets
 import typing as t
 
@@ -11,6 +10,7 @@
 from foxtailbank.batch_limit import BatchLimit
 from foxtailbank.batch_order import BatchOrder, ChunkView
 from foxtailbank.catalogue import Catalogue
+from foxtailbank.chunk_loader import ChunkLoader
 from foxtailbank.chunk_source import ChunkKey, ChunkSource
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.directory import Directory
@@ -18,10 +18,9 @@
 from foxtailbank.endpoint_batch import EndpointBatch
 from foxtailbank.entry import Entry
 from foxtailbank.events import Event
-from foxtailbank.exceptions import FoxtailbankError, LogUnavailable
+from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.item_runner import ItemRunner
-from foxtailbank.item_set import positions_of, ranges_of
-from foxtailbank.job_state import JobState
+from foxtailbank.item_set import ranges_of
 from foxtailbank.ledger import Ledger
 from foxtailbank.ledger_events import (
     ItemsEnded,
@@ -35,16 +34,14 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.open_chunk import OpenChunk
 from foxtailbank.ownership import Placement
-from foxtailbank.payload import PayloadKind
 from foxtailbank.policies import LimitFactory
-from foxtailbank.preemption import LeastWaste
+from foxtailbank.preemption import LeastProgress
 from foxtailbank.records import Envelope
 from foxtailbank.result_recorder import ResultRecorder
 from foxtailbank.sentinels import Missing
 
 PUMP_MS = 10
 IDLE_PUMP_MS = 100
-CLAIM_ITEMS = 16
 READ_AHEAD_ITEMS = 64
 ITEM_TOKENS = 128
 FIRST_RATE_TOKENS_PER_S = 1_000.0
@@ -108,6 +105,9 @@
         self._source = ChunkSource(vm_id=vm_id, catalogue=catalogue)
         self._order = BatchOrder(tokens_per_s=FIRST_RATE_TOKENS_PER_S)
         self._items = ItemRunner(clock=clock, dispatcher=dispatcher, order=self._order)
+        self._loader = ChunkLoader(
+            service=service, source=self._source, items=self._items
+        )
         self._recorder = ResultRecorder(service=service)
         self._batches_by_endpoint: dict[str, EndpointBatch] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -258,7 +258,7 @@
         batch = self._batches_by_endpoint.get(backend.endpoint_id)
         if batch is None or batch.backend is not backend:
             batch = EndpointBatch(
-                backend=backend, limit=self._make_limit(), preemption=LeastWaste()
+                backend=backend, limit=self._make_limit(), preemption=LeastProgress()
             )
             self._batches_by_endpoint[backend.endpoint_id] = batch
         return batch
@@ -275,7 +275,7 @@
         key = (chosen.job_id, chosen.chunk)
         self._source.take(endpoint_id, key)
         batch.loading = True
-        self._tasks.start_soon(self._load, batch, key)
+        self._tasks.start_soon(self._loader.load, batch, key)
 
     def _view(self, key: ChunkKey) -> ChunkView | None:
         job = self._service.ledger.jobs_by_id.get(key[0])
@@ -289,56 +289,6 @@
             job_tokens_left=(job.item_count - job.ended_count) * ITEM_TOKENS,
         )
 
-    async def _load(self, batch: EndpointBatch, key: ChunkKey) -> None:
-        try:
-            chunk = await self._read_chunk(key)
-            if chunk is not None:
-                batch.chunks.append(chunk)
-                self._keep_unclaimed(batch, chunk)
-        except LogUnavailable:
-            self._source.put_back(batch.backend.endpoint_id, key)
-            await anyio.sleep(1)
-        finally:
-            batch.loading = False
-
-    async def _read_chunk(self, key: ChunkKey) -> OpenChunk | None:
-        job_id, index = key
-        job = self._service.ledger.jobs_by_id.get(job_id)
-        if job is None or job.ended or job.chunk_ended(index):
-            return None
-        payload = await self._service.payloads.read(
-            offset=job.chunk(index).payload_offset,
-            kind=PayloadKind.INPUT,
-            job_id=job_id,
-            part=index,
-        )
-        open_bitmap = job.open(index)
-        if not job.idempotent:
-            open_bitmap = await self._claim(job, index, open_bitmap)
-        return OpenChunk(
-            job_id=job_id,
-            index=index,
-            owner=job.owner,
-            lines=payload.body.split(b"\n"),
-            open_bitmap=open_bitmap,
-        )
-
-    def _keep_unclaimed(self, batch: EndpointBatch, chunk: OpenChunk) -> None:
-        """Put a chunk back whose items are claimed in groups, for the next group."""
-        job = self._service.ledger.jobs_by_id.get(chunk.job_id)
-        if job is None or job.idempotent or job.ended:
-            return
-        if job.open(chunk.index):
-            self._source.put_back(batch.backend.endpoint_id, chunk.key)
-
-    async def _claim(self, job: JobState, index: int, bitmap: int) -> int:
-        group = 0
-        for position in itertools.islice(positions_of(bitmap), CLAIM_ITEMS):
-            group |= 1 << position
-        if not group:
-            return 0
-        return await self._items.claim(self._service, job.job_id, index, group)
-
     def _start_next(self, batch: EndpointBatch) -> bool:
         waiting = {chunk.key: chunk for chunk in batch.chunks if chunk.pending}
         views = [self._view(key) for key in waiting]
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -17,7 +17,7 @@
 from foxtailbank.burn import BurnRecorder
 from foxtailbank.catalogue_records import STREAM as CATALOGUE
 from foxtailbank.catalogue_service import CatalogueService
-from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.clock import Clock
 from foxtailbank.connector import Connector
 from foxtailbank.directory import Directory
 from foxtailbank.dispatcher import Dispatcher
@@ -26,8 +26,8 @@
 from foxtailbank.fleet_api import FleetApi
 from foxtailbank.fleet_observer import FleetObserver
 from foxtailbank.fleet_placement import FleetPlacement
+from foxtailbank.fleet_refresher import FleetRefresher
 from foxtailbank.health_api import HealthApi
-from foxtailbank.heartbeat_writer import OwnState
 from foxtailbank.http_log import HttpLogService
 from foxtailbank.http_vm_list import HttpVmList
 from foxtailbank.keyed_calls import KeyedCalls
@@ -60,7 +60,6 @@
 
 PLACEMENT_PERIOD_MS = 1_000
 GATE_PERIOD_MS = 50
-LEDGER_APPENDS_PER_S = 200
 QUARANTINE_PERIOD_MS = 5_000
 
 
@@ -156,6 +155,15 @@
         self._dispatcher = self._make_dispatcher()
         self._runner = self._make_runner()
         self._observer.runner = self._runner
+        self._refresher = FleetRefresher(
+            clock=clock,
+            directory=self.directory,
+            placement=self._placement,
+            peering=self._peering,
+            catalogue=self._catalogue,
+            ledger=self._ledger,
+            runner=self._runner,
+        )
         self._watch = EndpointWatch(
             clock=clock,
             directory=self.directory,
@@ -260,15 +268,9 @@
         )
 
     def _make_app(self) -> App:
-        catalogue = self._catalogue.catalogue
         key = read_secret(self._settings.admin.key_file).decode()
         guard = AdminGuard(key=key)
-        admin = AdminApi(
-            clock=self._clock,
-            guard=guard,
-            catalogue=catalogue,
-            writer=self._catalogue.writer,
-        )
+        catalogue = self._catalogue.catalogue
         fleet = FleetApi(
             clock=self._clock,
             guard=guard,
@@ -281,7 +283,6 @@
             burn=self._burn,
         )
         self._answer_burn = fleet.answer_report
-        models = ModelsApi(catalogue=catalogue)
         batches = BatchApi(
             clock=self._clock,
             catalogue=catalogue,
@@ -289,13 +290,14 @@
             logs=self._logs,
             on_cancelled=self._tell_cancelled,
         )
-        routes = [
-            *self.health.routes(),
-            *models.routes(),
-            *batches.routes(),
-            *admin.routes(),
-            *fleet.routes(),
-        ]
+        admin = AdminApi(
+            clock=self._clock,
+            guard=guard,
+            catalogue=catalogue,
+            writer=self._catalogue.writer,
+        )
+        apis = (self.health, ModelsApi(catalogue=catalogue), batches, admin, fleet)
+        routes = [route for api in apis for route in api.routes()]
         return App(online=self.online, routes=routes)
 
     def _handle_peers(self) -> None:
@@ -331,7 +333,7 @@
         tasks.start_soon(self._sync.run)
         self._every(tasks, timing.vm_list_period_ms, self._watch.read_vms, "vm_list")
         self._every(tasks, timing.load_period_ms, self._watch.read_loads, "load")
-        self._every(tasks, PLACEMENT_PERIOD_MS, self._refresh, "placement")
+        self._every(tasks, PLACEMENT_PERIOD_MS, self._refresher.refresh, "placement")
         self._every(tasks, GATE_PERIOD_MS, self._acknowledge, "suspects")
         self._every(tasks, KEEP_PERIOD_MS, self._keeper.run_once, "retention")
         self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
@@ -356,36 +358,6 @@
     async def _acknowledge(self) -> None:
         self._gate.acknowledge()
 
-    async def _refresh(self) -> None:
-        if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
-            self._runner.place(
-                self._placement.placements_by_pool, self._placement.owned_ids
-            )
-        listed = self.directory.entry_vms_by_id.values()
-        known = self._peering.membership.view.members()
-        self._catalogue.set_vms(
-            {vm.vm_id: vm.zone for vm in listed} | {m.vm_id: m.zone for m in known}
-        )
-        self._ledger.writer.min_interval_ms = (
-            MS_PER_S * len(self._peering.live()) // LEDGER_APPENDS_PER_S
-        )
-        state = OwnState(
-            loads=self._loads(),
-            catalogue_offset=self._catalogue.catalogue.applied_offset,
-            ledger_offset=self._ledger.ledger.next_offset - 1,
-        )
-        self._peering.set_own_state(state)
-
-    def _loads(self) -> tuple[pm.PoolLoad, ...]:
-        return tuple(
-            pm.PoolLoad(
-                pool=pool,
-                in_flight=sum(b.online_in_flight for b in self.directory.pool(pool)),
-                capacity=len(self.directory.pool(pool)),
-            )
-            for pool in self.directory.pools()
-        )
-
     async def _spread_marks(self) -> None:
         self._exchange.spread_all()
 
--- /dev/null
+++ b/src/foxtailbank/fleet_refresher.py
@@ -0,0 +1,85 @@
+"""Passes what is known of the fleet on to the parts that go by it."""
+
+from foxtailbank import peer_messages as pm
+from foxtailbank.batch_runner import BatchRunner
+from foxtailbank.catalogue_service import CatalogueService
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.directory import Directory
+from foxtailbank.fleet_placement import FleetPlacement
+from foxtailbank.heartbeat_writer import OwnState
+from foxtailbank.ledger_service import LedgerService
+from foxtailbank.peering import Peering
+
+LEDGER_APPENDS_PER_S = 200
+
+
+class FleetRefresher:
+    """Keeps placement, limits, append rate and heartbeats up to date.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    directory : Directory
+        Known endpoints and listed entry VMs.
+    placement : FleetPlacement
+        Which VM drives batch work on which endpoint.
+    peering : Peering
+        Live entry VMs.
+    catalogue : CatalogueService
+        Splits limits over the known VMs.
+    ledger : LedgerService
+        Paces its appends by the number of live VMs.
+    runner : BatchRunner
+        Gets a changed placement.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        directory: Directory,
+        placement: FleetPlacement,
+        peering: Peering,
+        catalogue: CatalogueService,
+        ledger: LedgerService,
+        runner: BatchRunner,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._placement = placement
+        self._peering = peering
+        self._catalogue = catalogue
+        self._ledger = ledger
+        self._runner = runner
+
+    async def refresh(self) -> None:
+        """Look at the fleet once."""
+        if self._placement.refresh(self._peering.live(), self._clock.now_ms()):
+            self._runner.place(
+                self._placement.placements_by_pool, self._placement.owned_ids
+            )
+        listed = self._directory.entry_vms_by_id.values()
+        known = self._peering.membership.view.members()
+        self._catalogue.set_vms(
+            {vm.vm_id: vm.zone for vm in listed} | {m.vm_id: m.zone for m in known}
+        )
+        self._ledger.writer.min_interval_ms = (
+            MS_PER_S * len(self._peering.live()) // LEDGER_APPENDS_PER_S
+        )
+        state = OwnState(
+            loads=self._loads(),
+            catalogue_offset=self._catalogue.catalogue.applied_offset,
+            ledger_offset=self._ledger.ledger.next_offset - 1,
+        )
+        self._peering.set_own_state(state)
+
+    def _loads(self) -> tuple[pm.PoolLoad, ...]:
+        return tuple(
+            pm.PoolLoad(
+                pool=pool,
+                in_flight=sum(b.online_in_flight for b in self._directory.pool(pool)),
+                capacity=len(self._directory.pool(pool)),
+            )
+            for pool in self._directory.pools()
+        )
--- a/src/foxtailbank/records.py
+++ b/src/foxtailbank/records.py
@@ -4,25 +4,12 @@
 
 import msgspec
 
-from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.item_set import ItemRange
+from foxtailbank.record_failures import MalformedRecord, UnsupportedRecord
 
 SCHEMA = 1
 
 
-class UnsupportedRecord(FoxtailbankError):
-    """The record needs a newer version of the system; replay stops before it."""
-
-    code = "unsupported_record"
-    status = 503
-
-
-class MalformedRecord(FoxtailbankError):
-    """The record has no readable envelope; every version leaves it out."""
-
-    code = "malformed_record"
-
-
 class Entry(
     msgspec.Struct,
     frozen=True,
--- a/src/foxtailbank/settings_sections.py
+++ b/src/foxtailbank/settings_sections.py
@@ -193,7 +193,7 @@
     connect_timeout_ms: Milliseconds = 500
     first_chunk_timeout_ms: Milliseconds = 10_000
     chunk_timeout_ms: Milliseconds = 2_000
-    load_period_ms: Milliseconds = 250
+    load_period_ms: Milliseconds = 500
     lease_ms: Milliseconds = 5_000
     quarantine_ms: Milliseconds = 600_000
     drain_notice_ms: Milliseconds = 2_000
