Hold batch items to their entry's limits, and count them in the burn report

Cause: limits of a batch entry were checked nowhere, so that a job ran with as many items at once as the endpoints took; the report showed no events of batch entries. Change: an item starts only within this VM's part of the entry's limits, and its entry waits for as long as admission says; each item that ends counts as good or bad. Job events of the runner have a module of their own. Tokens a second of batch entries are not charged yet.

--- a/src/foxtailbank/batch_runner.py
+++ b/src/foxtailbank/batch_runner.py
@@ -6,9 +6,13 @@
 import anyio
 import anyio.abc
 
+from foxtailbank.admission import Admit
 from foxtailbank.backend import Backend
+from foxtailbank.batch_admission import BatchAdmission
 from foxtailbank.batch_limit import BatchLimit
 from foxtailbank.batch_order import BatchOrder, ChunkView
+from foxtailbank.burn import BurnRecorder
+from foxtailbank.burn_judge import judge_item
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.chunk_loader import ChunkLoader
 from foxtailbank.chunk_source import ChunkKey, ChunkSource
@@ -21,22 +25,13 @@
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.item_runner import ItemRunner
 from foxtailbank.item_set import ranges_of
-from foxtailbank.ledger import Ledger
-from foxtailbank.ledger_events import (
-    ItemsEnded,
-    JobAdded,
-    JobCancelledEvent,
-    JobFinished,
-    LedgerEvent,
-    ResultsApplied,
-)
+from foxtailbank.job_follower import JobFollower
 from foxtailbank.ledger_service import LedgerService
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.open_chunk import OpenChunk
 from foxtailbank.ownership import Placement
 from foxtailbank.policies import LimitFactory
 from foxtailbank.preemption import LeastProgress
-from foxtailbank.records import Envelope
 from foxtailbank.result_recorder import ResultRecorder
 from foxtailbank.sentinels import Missing
 
@@ -66,6 +61,10 @@
         Jobs and their payloads.
     logs : Logs
         Takes a line for each preemption and finished job.
+    admission : BatchAdmission
+        Limits of entries.
+    burn : BurnRecorder
+        Counts items by their outcome.
     may_start : callable
         Whether new items may start; False while a cancellation could have been
         accepted unseen.
@@ -87,6 +86,8 @@
         dispatcher: Dispatcher,
         service: LedgerService,
         logs: Logs,
+        admission: BatchAdmission,
+        burn: BurnRecorder,
         may_start: t.Callable[[], bool],
         make_limit: LimitFactory,
         max_buffer_bytes: int,
@@ -98,6 +99,8 @@
         self._directory = directory
         self._service = service
         self._logs = logs
+        self._admission = admission
+        self._burn = burn
         self._may_start = may_start
         self._make_limit = make_limit
         self._max_buffer_bytes = max_buffer_bytes
@@ -113,8 +116,12 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._stopping = False
         self._owned_ids: frozenset[str] = frozenset()
-        service.replay.listen(self._on_record)
-        service.replay.listen_for_replacement(self._on_replacement)
+        self._jobs = JobFollower(
+            source=self._source,
+            service=service,
+            logs=logs,
+            batches_by_endpoint=self._batches_by_endpoint,
+        )
 
     async def run(self) -> None:
         """Run items until cancelled."""
@@ -173,9 +180,7 @@
 
     def hold_job(self, job_id: str) -> None:
         """Stop a job whose cancellation another VM has seen on the ledger."""
-        self._source.forget(job_id)
-        for batch in self._batches_by_endpoint.values():
-            batch.cancel_job(job_id)
+        self._jobs.hold_job(job_id)
 
     def limit_of(self, endpoint_id: str) -> BatchLimit | None:
         """Return the batch limit of an endpoint that this VM drives."""
@@ -279,7 +284,7 @@
 
     def _view(self, key: ChunkKey) -> ChunkView | None:
         job = self._service.ledger.jobs_by_id.get(key[0])
-        if job is None or job.ended:
+        if job is None or job.ended or self._admission.is_held(job.entry):
             return None
         return ChunkView(
             job_id=job.job_id,
@@ -303,15 +308,49 @@
         if isinstance(entry, Missing):
             chunk.pending.clear()
             return True
+        admit = self._admission.enter(entry)
+        if admit is None:
+            return True
         position = chunk.pending.popleft()
         chunk.running.add(position)
         batch.limit.on_batch_start(self._clock.now_ms())
         request_id = f"{chunk.job_id}-{secrets.token_hex(6)}"
         self._tasks.start_soon(
-            self._run_item, batch, chunk, position, entry, job.deadline_ms, request_id
+            self._run_admitted,
+            admit,
+            batch,
+            chunk,
+            position,
+            entry,
+            job.deadline_ms,
+            request_id,
         )
         return True
 
+    async def _run_admitted(
+        self,
+        admit: Admit,
+        batch: EndpointBatch,
+        chunk: OpenChunk,
+        position: int,
+        entry: Entry,
+        deadline_ms: int,
+        request_id: str,
+    ) -> None:
+        try:
+            await self._run_item(batch, chunk, position, entry, deadline_ms, request_id)
+        finally:
+            self._admission.leave(admit)
+        if chunk.has_result(position):
+            now_ms = self._clock.wall_ms()
+            verdict = judge_item(
+                finished_ms=now_ms,
+                deadline_ms=deadline_ms,
+                failure="item_failed" if chunk.has_failed(position) else "",
+            )
+            self._burn.add(entry=entry.name, verdict=verdict, now_ms=now_ms)
+        self._recorder.offer(chunk)
+
     async def _run_item(
         self,
         batch: EndpointBatch,
@@ -338,46 +377,3 @@
             # A preempted stream was taken off the limit when it was chosen.
             if not preempted:
                 batch.limit.on_batch_end(self._clock.now_ms())
-        self._recorder.offer(chunk)
-
-    def _on_record(self, envelope: Envelope, events: tuple[LedgerEvent, ...]) -> None:
-        for event in events:
-            if isinstance(event, JobAdded):
-                self._source.add(self._service.ledger.jobs_by_id[event.job_id])
-            elif isinstance(event, JobCancelledEvent | JobFinished):
-                self._end_job(event.job_id)
-            elif isinstance(event, ResultsApplied | ItemsEnded):
-                self._drop_ended(event)
-
-    def _end_job(self, job_id: str) -> None:
-        self._source.forget(job_id)
-        for batch in self._batches_by_endpoint.values():
-            batch.cancel_job(job_id)
-        job = self._service.ledger.jobs_by_id.get(job_id)
-        if job is not None:
-            fields = LogFields(
-                job_id=job_id,
-                owner=job.owner,
-                entry=job.entry,
-                reason=job.status.value,
-                count=job.item_count,
-            )
-            self._logs.write(Event.JOB_FINISHED, fields=fields)
-
-    def _drop_ended(self, event: ResultsApplied | ItemsEnded) -> None:
-        key = (event.job_id, event.chunk)
-        for batch in self._batches_by_endpoint.values():
-            for chunk in batch.chunks:
-                if chunk.key == key:
-                    ended = self._service.ledger.jobs_by_id[event.job_id]
-                    chunk.drop(ended.done(event.chunk))
-
-    def _on_replacement(self, ledger: Ledger) -> None:
-        for batch in self._batches_by_endpoint.values():
-            for chunk in list(batch.chunks):
-                job = ledger.jobs_by_id.get(chunk.job_id)
-                if job is None or job.ended:
-                    batch.cancel_job(chunk.job_id)
-                else:
-                    chunk.drop(job.done(chunk.index))
-        self._source.place(self._source.placements_by_pool, ledger)
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -12,6 +12,7 @@
 from foxtailbank.admin_guard import AdminGuard
 from foxtailbank.admission import Admission
 from foxtailbank.app import App
+from foxtailbank.batch_admission import BatchAdmission
 from foxtailbank.batch_api import BatchApi
 from foxtailbank.batch_runner import BatchRunner
 from foxtailbank.burn import BurnRecorder
@@ -237,6 +238,8 @@
             dispatcher=self._dispatcher,
             service=self._ledger,
             logs=self._logs,
+            admission=BatchAdmission(clock=self._clock, admission=self._admission),
+            burn=self._burn,
             may_start=self._may_start_batch,
             make_limit=functools.partial(make_batch_limit, self._settings.policy),
             max_buffer_bytes=limits.result_buffer_bytes,
--- a/src/foxtailbank/open_chunk.py
+++ b/src/foxtailbank/open_chunk.py
@@ -107,6 +107,14 @@
             self._failed.add(position)
         return len(line)
 
+    def has_result(self, position: int) -> bool:
+        """Return whether an item's line waits to be recorded."""
+        return position in self._results_by_position
+
+    def has_failed(self, position: int) -> bool:
+        """Return whether an item ended as a failure."""
+        return position in self._failed
+
     def give_back(self, position: int, partial: CompletionCollector | None) -> None:
         """Put an item that was cut off back, with the output it has so far."""
         self.running.discard(position)
--- /dev/null
+++ b/tests/test_batch_admission.py
@@ -0,0 +1,53 @@
+import pytest
+
+from foxtailbank.admission import Admission
+from foxtailbank.batch_admission import BatchAdmission
+from foxtailbank.clock import ManualClock
+from foxtailbank.entry import Entry, EntryLimits, Kind, WorkClass
+from foxtailbank.limit_shares import LimitShares
+
+
+def make(limits):
+    entry = Entry(
+        name="notices",
+        owner="mwangaza",
+        work_class=WorkClass.BATCH,
+        kind=Kind.ENGINE,
+        pool="wordsmith",
+        key_hashes=(),
+        limits=limits,
+    )
+    clock = ManualClock()
+    admission = Admission()
+    share = LimitShares(vm_id="a", zone="z").share_of(entry)
+    admission.set_share("entry:notices", share, clock.now_ms())
+    return entry, clock, BatchAdmission(clock=clock, admission=admission)
+
+
+CASES = [
+    # limits, items that start at once, items that start a second later as well
+    (EntryLimits(concurrency=3, requests_per_s=100.0), 3, 0),
+    (EntryLimits(concurrency=100, requests_per_s=2.0), 2, 2),
+]
+
+
+@pytest.mark.parametrize("limits, at_once, later", CASES)
+def test_items_start_within_the_limits_of_their_entry(limits, at_once, later):
+    entry, clock, admission = make(limits)
+    started = [admission.enter(entry) for _ in range(10)]
+    assert sum(one is not None for one in started) == at_once
+    assert admission.is_held("notices")
+    assert not admission.is_held("others")
+    clock.advance(1_000)
+    assert not admission.is_held("notices")
+    started = [admission.enter(entry) for _ in range(10)]
+    assert sum(one is not None for one in started) == later
+
+
+def test_an_item_that_ended_makes_room():
+    entry, clock, admission = make(EntryLimits(concurrency=1))
+    first = admission.enter(entry)
+    assert admission.enter(entry) is None
+    admission.leave(first)
+    clock.advance(60_000)
+    assert admission.enter(entry) is not None
