--- a/src/foxtailbank/catalogue_service.py
+++ b/src/foxtailbank/catalogue_service.py
@@ -7,7 +7,7 @@
 
 from foxtailbank.admission import Admission
 from foxtailbank.catalogue import Catalogue
-from foxtailbank.catalogue_events import CatalogueEvent, EntryChanged
+from foxtailbank.catalogue_events import CatalogueEvent, EditConflict, EntryChanged
 from foxtailbank.catalogue_records import (
     STREAM,
     CatalogueSnapshot,
@@ -200,6 +200,9 @@
                 self._set_limits(name, entry)
 
     def _note(self, event: CatalogueEvent) -> None:
+        if isinstance(event, EditConflict):
+            fields = LogFields(entry=event.name, reason=event.reason.value)
+            self._logs.write(Event.EDIT_CONFLICT, fields=fields)
         if not isinstance(event, EntryChanged):
             return
         self._set_limits(event.name, event.entry)
--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -44,23 +44,27 @@
 from foxtailbank.outcomes import Outcomes
 from foxtailbank.overload_guard import OverloadGuard
 from foxtailbank.ownership import Candidate, owner_of
+from foxtailbank.peer_notices import PeerNotices
 from foxtailbank.peer_sync import PeerSync
 from foxtailbank.peering import Peering
 from foxtailbank.policies import make_batch_limit, make_router
 from foxtailbank.quarantine import Quarantine
-from foxtailbank.quarantine_exchange import REPORT_NAME, QuarantineExchange
+from foxtailbank.quarantine_exchange import QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
 from foxtailbank.retention_keeper import PERIOD_MS as KEEP_PERIOD_MS
 from foxtailbank.retention_keeper import RetentionKeeper
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.secret_file import read_secret
 from foxtailbank.settings import Settings
+from foxtailbank.state_log import StateLog
 from foxtailbank.suspect_gate import SuspectGate
 from foxtailbank.tasks import every
 from foxtailbank.vm_list_exchange import VM_LIST_REPORT, PeerVmList
+from foxtailbank.vm_states import vm_states
 
 PLACEMENT_PERIOD_MS = 1_000
 GATE_PERIOD_MS = 50
+STATE_PERIOD_MS = 500
 QUARANTINE_PERIOD_MS = 5_000
 
 
@@ -306,9 +310,10 @@
     def _handle_peers(self) -> None:
         handlers = self._peering.handlers
         handlers.on_request(pm.Report, self._answer_report)
-        handlers.on_notice(pm.OnlineDispatched, self._on_online_dispatched)
-        handlers.on_notice(pm.CancelNotice, self._on_cancel_notice)
-        handlers.on_notice(pm.Report, self._on_report)
+        notices = PeerNotices(
+            runner=self._runner, exchange=self._exchange, gate=self._gate
+        )
+        notices.register(handlers)
 
     def is_ready(self) -> bool:
         """Return whether this VM has what it needs to serve."""
@@ -337,10 +342,19 @@
         self._every(tasks, timing.vm_list_period_ms, self._watch.read_vms, "vm_list")
         self._every(tasks, timing.load_period_ms, self._watch.read_loads, "load")
         self._every(tasks, PLACEMENT_PERIOD_MS, self._refresher.refresh, "placement")
+        self._every(tasks, STATE_PERIOD_MS, self._state_log().look, "state")
         self._every(tasks, GATE_PERIOD_MS, self._acknowledge, "suspects")
         self._every(tasks, KEEP_PERIOD_MS, self._keeper.run_once, "retention")
         self._every(tasks, QUARANTINE_PERIOD_MS, self._spread_marks, "quarantine")
 
+    def _state_log(self) -> StateLog:
+        states = vm_states(
+            is_ready=self.is_ready,
+            may_start_batch=self._may_start_batch,
+            tailers=(self._catalogue.tailer, self._ledger.tailer),
+        )
+        return StateLog(logs=self._logs, states=states)
+
     async def hand_over(self) -> None:
         """Record finished batch work and leave the fleet, before the end."""
         await self._peering.leave()
@@ -379,22 +393,8 @@
             return self._vm_list.answer(request.name)
         return await self._answer_burn(peer_id, request)
 
-    def _on_online_dispatched(self, peer_id: str, notice: pm.OnlineDispatched) -> None:
-        self._runner.on_online(notice.endpoint_id, notice.count)
-
-    def _on_cancel_notice(self, peer_id: str, notice: pm.CancelNotice) -> None:
-        self._runner.hold_job(notice.job_id)
-
-    def _on_report(self, peer_id: str, report: pm.Report) -> None:
-        if report.name == REPORT_NAME:
-            self._exchange.received(report.content)
-        else:
-            self._gate.take(report)
-
     def _on_member(self, action: MembershipAction) -> None:
-        if isinstance(action, MemberJoined):
-            fields = LogFields(peer=action.record.vm_id)
-            self._logs.write(Event.PEER_JOINED, fields=fields)
-        elif isinstance(action, MemberDead):
-            fields = LogFields(peer=action.record.vm_id)
-            self._logs.write(Event.PEER_LOST, fields=fields)
+        if isinstance(action, MemberJoined | MemberDead):
+            joined = isinstance(action, MemberJoined)
+            event = Event.PEER_JOINED if joined else Event.PEER_LOST
+            self._logs.write(event, fields=LogFields(peer=action.record.vm_id))
--- /dev/null
+++ b/src/foxtailbank/vm_states.py
@@ -0,0 +1,46 @@
+"""States of an entry VM that the log lines tell of."""
+
+import typing as t
+
+from foxtailbank.events import Event
+from foxtailbank.log_tailer import LogTailer
+from foxtailbank.settings_sections import LogLevel
+from foxtailbank.state_log import WatchedState
+
+LOG_LOST_MS = 3_000
+
+
+def vm_states(
+    *,
+    is_ready: t.Callable[[], bool],
+    may_start_batch: t.Callable[[], bool],
+    tailers: tuple[LogTailer, ...],
+) -> tuple[WatchedState, ...]:
+    """Return the states to look at.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Whether the VM has what it needs to serve.
+    may_start_batch : callable
+        Whether batch items may start.
+    tailers : tuple of LogTailer
+        Readers of the log's streams.
+    """
+
+    def is_log_lost() -> bool:
+        ages_ms = [tailer.age_ms() for tailer in tailers]
+        return any(age_ms is not None and age_ms > LOG_LOST_MS for age_ms in ages_ms)
+
+    def is_blocked() -> bool:
+        return any(tailer.halted_by is not None for tailer in tailers)
+
+    def is_paused() -> bool:
+        return not may_start_batch()
+
+    return (
+        WatchedState(is_ready, Event.VM_READY, level=LogLevel.INFO),
+        WatchedState(is_log_lost, Event.LOG_LOST, Event.LOG_RESTORED),
+        WatchedState(is_blocked, Event.REPLAY_BLOCKED, level=LogLevel.ERROR),
+        WatchedState(is_paused, Event.BATCH_PAUSED, Event.BATCH_RESUMED),
+    )
--- /dev/null
+++ b/tests/test_state_log.py
@@ -0,0 +1,30 @@
+import io
+import json
+
+import pytest
+
+from foxtailbank.events import Event
+from foxtailbank.logs import Logs
+from foxtailbank.state_log import StateLog, WatchedState
+
+CASES = [
+    ([False, False], []),
+    ([True, True], ["log_lost"]),
+    ([True, False, False, True], ["log_lost", "log_restored", "log_lost"]),
+]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("readings, expected", CASES)
+async def test_a_state_is_told_once_when_it_changes(readings, expected):
+    output = io.StringIO()
+    logs = Logs(vm="a", zone="z", stream=output)
+    left = iter(readings)
+    state = WatchedState(
+        is_on=lambda: next(left), begins=Event.LOG_LOST, ends=Event.LOG_RESTORED
+    )
+    log = StateLog(logs=logs, states=(state,))
+    for _ in readings:
+        await log.look()
+    lines = [json.loads(line) for line in output.getvalue().splitlines()]
+    assert [line["event"] for line in lines] == expected
