--- a/src/foxtailbank/ledger_resync.py
+++ b/src/foxtailbank/ledger_resync.py
@@ -3,7 +3,7 @@
 import abc
 import typing as t
 
-from foxtailbank.exceptions import LogUnavailable
+from foxtailbank.exceptions import LogUnavailable, OffsetExpired
 from foxtailbank.ledger import Ledger
 from foxtailbank.ledger_replay import LedgerReplay
 from foxtailbank.log_tailer import ResyncFailed
@@ -81,7 +81,7 @@
         for source in self._sources:
             try:
                 ledger = await source.fetch(next_offset=next_offset)
-            except (ResyncFailed, LogUnavailable, TimeoutError):
+            except (ResyncFailed, LogUnavailable, OffsetExpired, TimeoutError):
                 continue
             if ledger.next_offset >= next_offset:
                 self._replay.replace(ledger)
--- a/src/foxtailbank/log_tailer.py
+++ b/src/foxtailbank/log_tailer.py
@@ -165,7 +165,7 @@
             try:
                 await self.poll()
                 self._backoff.reset()
-            except (LogUnavailable, ResyncFailed, TimeoutError):
+            except (LogUnavailable, OffsetExpired, ResyncFailed, TimeoutError):
                 self._bounds_checked = False
                 await anyio.sleep(self._backoff.next_ms() / MS_PER_S)
 
--- a/tests/test_result_recorder.py
+++ b/tests/test_result_recorder.py
@@ -20,6 +20,8 @@
 
     def __init__(self):
         self.entries = []
+        self.incarnation = "a@1"
+        self.ledger = types.SimpleNamespace(jobs_by_id={})
         self.bodies = []
         self.payloads = types.SimpleNamespace(append=self.append_payload)
         self.writer = types.SimpleNamespace(append=self.append_entry)
