--- a/tests/test_proofs_pairs.py
+++ b/tests/test_proofs_pairs.py
@@ -69,13 +69,13 @@
 
 
 def test_engine_killed_while_the_log_is_down(fleet):
-    whole = fleet.whole(0, "No log", tokens=60)
+    whole = fleet.whole(0, "No log", tokens=240)
     ids = start_jobs(fleet)
     fleet.platform(log="down")
     with concurrent.futures.ThreadPoolExecutor() as pool:
         streams = [
             pool.submit(
-                fleet.stream, vm, "No log", tokens=60, request_id=f"no-log-{vm}"
+                fleet.stream, vm, "No log", tokens=240, request_id=f"no-log-{vm}"
             )
             for vm in range(3)
         ]
