--- a/src/foxtailbank/catalogue_records.py
+++ b/src/foxtailbank/catalogue_records.py
@@ -176,9 +176,8 @@
     return envelope
 
 
-def is_snapshot(data: bytes) -> bool:
+def is_snapshot(record: CatalogueRecord) -> bool:
     """Return whether a record holds a snapshot."""
-    record = decode_envelope(data)
     return isinstance(record, CatalogueEnvelope) and any(
         isinstance(entry, CatalogueSnapshot) for entry in record.entries
     )
--- a/src/foxtailbank/catalogue_service.py
+++ b/src/foxtailbank/catalogue_service.py
@@ -102,9 +102,10 @@
 
     def apply(self, record: LogRecord) -> None:
         """Apply one record of the stream."""
-        events = self.catalogue.apply(record.offset, decode_envelope(record.data))
+        decoded = decode_envelope(record.data)
+        events = self.catalogue.apply(record.offset, decoded)
         self.cache.add(record)
-        if is_snapshot(record.data):
+        if is_snapshot(decoded):
             self._snapshot_age = SnapshotAge(
                 offset=record.offset, seen_ms=self._clock.now_ms()
             )
--- a/src/foxtailbank/exceptions.py
+++ b/src/foxtailbank/exceptions.py
@@ -204,14 +204,6 @@
     status = 499
 
 
-class BatchDisabled(FoxtailbankError):
-    """The entry's class does not take this kind of work."""
-
-    code = "wrong_class"
-    kind = "invalid_request_error"
-    status = 400
-
-
 class EndpointStalled(EndpointFailed):
     """An open connection to the endpoint stopped delivering bytes."""
 
--- a/src/foxtailbank/fleet_placement.py
+++ b/src/foxtailbank/fleet_placement.py
@@ -10,8 +10,6 @@
 from foxtailbank.ownership import Candidate, Placement
 from foxtailbank.sentinels import Missing
 
-FIRST_CAPACITY = 8
-
 
 class FleetPlacement:
     """Placement by pool, made anew when the live views change.
--- a/src/foxtailbank/online.py
+++ b/src/foxtailbank/online.py
@@ -11,7 +11,7 @@
 from foxtailbank.caller import authenticate, entry_by_name, entry_for_model
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.clock import Clock
-from foxtailbank.completion import CHAT_PATH, COMPLETIONS_PATH, parse_completion
+from foxtailbank.completion import parse_completion
 from foxtailbank.dispatcher import Dispatcher
 from foxtailbank.entry import Entry, Kind, WorkClass
 from foxtailbank.exceptions import (
@@ -266,6 +266,3 @@
     if only is None:
         return kept
     return tuple((name, value) for name, value in kept if name in only)
-
-
-PATHS = (COMPLETIONS_PATH, CHAT_PATH)
