--- /dev/null
+++ b/src/foxtailbank/fleet/load_exchange.py
@@ -0,0 +1,205 @@
+"""Sends and takes load reports over UDP."""
+
+import collections
+
+import anyio
+import anyio.abc
+
+from foxtailbank.address import Address, AddressInvalid, parse_address
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.events import Event
+from foxtailbank.exceptions import FoxtailbankError, FrameInvalid
+from foxtailbank.fleet import load_report
+from foxtailbank.fleet.crash_marks import CrashMark
+from foxtailbank.fleet.load_report import LoadReport
+from foxtailbank.fleet.load_table import PeerLoad
+from foxtailbank.fleet.peer_book import PeerBook
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.keyed_log import KeyedLog, KeyedRecord
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.settings_sections import LogLevel
+from foxtailbank.submissions.append_queue import AppendQueue
+
+IDLE_PERIOD_MS = 500
+MIN_GAP_MS = 12  # changes within it share a report
+GAP_PER_PEER_MS = 1.0  # so that a large fleet's reports stay a small part of a core
+ADDRESSES_FAST_MS = 1_000
+ADDRESSES_SLOW_MS = 20_000
+MARKS_KEPT = 16
+
+
+class LoadExchange:
+    """Keeps the load table in step with the other entry VMs.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    incarnation : int
+        This process.
+    address : str
+        IP number and port for the datagrams.
+    addresses : KeyedLog
+        Where each VM leaves its address.
+    appends : AppendQueue
+        Writes there.
+    peers : PeerBook
+        The other VMs.
+    fleet : FleetState
+        Loads and marks.
+    logs : Logs
+        Takes a line for each peer that joins or is lost.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        incarnation: int,
+        address: str,
+        addresses: KeyedLog,
+        appends: AppendQueue,
+        peers: PeerBook,
+        fleet: FleetState,
+        logs: Logs,
+        clock: Clock,
+    ) -> None:
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._address = parse_address(address)
+        self._addresses = addresses
+        self._appends = appends
+        self._peers = peers
+        self._fleet = fleet
+        self._logs = logs
+        self._clock = clock
+        self._sequence = 0
+        self._changed = anyio.Event()
+        self._marks: collections.deque[CrashMark] = collections.deque(maxlen=MARKS_KEPT)
+        self._known_alive: set[str] = set()
+        self.stopping = False
+        fleet.on_load_change(self.hurry)
+        fleet.on_new_mark(self._on_own_mark)
+
+    def hurry(self) -> None:
+        """Send a report soon."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Exchange reports until cancelled."""
+        socket = await anyio.create_udp_socket(
+            local_host=self._address.ip, local_port=self._address.port
+        )
+        async with socket, anyio.create_task_group() as group:
+            group.start_soon(self._receive, socket)
+            group.start_soon(self._learn_addresses)
+            await self._send(socket)
+
+    async def _send(self, socket: anyio.abc.UDPSocket) -> None:
+        while True:
+            now_ms = self._clock.now_ms()
+            self._changed = anyio.Event()
+            targets = self._peers.targets(now_ms)
+            datagram = load_report.encode(self._report())
+            for target in targets:
+                await self._send_one(socket, datagram, parse_address(target))
+            self._notice_lost(now_ms)
+            await anyio.sleep(
+                max(MIN_GAP_MS, GAP_PER_PEER_MS * len(targets)) / MS_PER_S
+            )
+            with anyio.move_on_after(IDLE_PERIOD_MS / MS_PER_S):
+                await self._changed.wait()
+
+    async def _send_one(
+        self, socket: anyio.abc.UDPSocket, datagram: bytes, to: Address
+    ) -> None:
+        try:
+            await socket.sendto(datagram, to.ip, to.port)
+        except OSError as error:
+            fields = LogFields(peer=f"{to.ip}:{to.port}", reason=repr(error))
+            self._logs.write(Event.PEER_REFUSED, level=LogLevel.DEBUG, fields=fields)
+
+    def _report(self) -> LoadReport:
+        self._sequence += 1
+        return LoadReport(
+            vm_id=self._vm_id,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            stopping=self.stopping,
+            load_by_worker=self._fleet.loads.own_by_worker(),
+            marks=tuple(self._marks),
+        )
+
+    async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
+        async for datagram, (ip, port) in socket:
+            try:
+                report = load_report.decode(datagram)
+            except FrameInvalid as failure:
+                fields = LogFields(peer=f"{ip}:{port}", reason=failure.detail)
+                self._logs.write(
+                    Event.PEER_REFUSED, level=LogLevel.WARNING, fields=fields
+                )
+                continue
+            self._take(report, f"{ip}:{port}")
+
+    def _take(self, report: LoadReport, address: str) -> None:
+        now_ms = self._clock.now_ms()
+        if not self._peers.on_report(report, address, now_ms):
+            return
+        if report.vm_id not in self._known_alive:
+            self._known_alive.add(report.vm_id)
+            fields = LogFields(peer=report.vm_id)
+            self._logs.write(Event.PEER_JOINED, fields=fields)
+            self.hurry()
+        load = PeerLoad(
+            vm_id=report.vm_id,
+            incarnation=report.incarnation,
+            load_by_worker=report.load_by_worker,
+        )
+        self._fleet.take_peer_load(load, now_ms)
+        for mark in report.marks:
+            self._fleet.marks.add(mark, now_ms)
+
+    def _notice_lost(self, now_ms: int) -> None:
+        self._fleet.loads.expire(now_ms)
+        alive = {peer.vm_id for peer in self._peers.alive(now_ms)}
+        for vm_id in self._known_alive - alive:
+            self._logs.write(Event.PEER_LOST, fields=LogFields(peer=vm_id))
+        self._known_alive &= alive
+
+    def _on_own_mark(self, mark: CrashMark) -> None:
+        self._marks.append(mark)
+        self.hurry()
+
+    async def _learn_addresses(self) -> None:
+        own = f"{self._address.ip}:{self._address.port}"
+        record = KeyedRecord(key=self._vm_id, value=own.encode())
+        self._appends.put((record,), urgent=False)
+        while True:
+            count = await self._read_addresses()
+            alive = len(self._peers.alive(self._clock.now_ms()))
+            all_known = count > 1 and alive >= count - 1
+            period_ms = ADDRESSES_SLOW_MS if all_known else ADDRESSES_FAST_MS
+            await anyio.sleep(period_ms / MS_PER_S)
+
+    async def _read_addresses(self) -> int:
+        now_ms = self._clock.now_ms()
+        try:
+            newest = await self._addresses.newest()
+        except FoxtailbankError as failure:
+            fields = LogFields(task="addresses", reason=failure.code)
+            self._logs.write(Event.TASK_FAILED, level=LogLevel.DEBUG, fields=fields)
+            return 0
+        for record in newest.records:
+            address = record.value.decode("ascii", "replace")
+            try:
+                parse_address(address)
+            except AddressInvalid as error:
+                fields = LogFields(peer=record.key, reason=str(error))
+                self._logs.write(Event.RECORD_SKIPPED, fields=fields)
+                continue
+            if self._peers.learn(record.key, address, now_ms):
+                self.hurry()
+        return len(newest.records)
--- /dev/null
+++ b/src/foxtailbank/fleet/load_table.py
@@ -0,0 +1,140 @@
+"""Requests in flight on each worker, of this VM and of the other entry VMs."""
+
+import collections
+import dataclasses
+import enum
+
+PEER_FRESH_MS = 1_500  # three missed reports of an idle VM
+
+
+class LoadKind(enum.Enum):
+    """Which requests are counted."""
+
+    ONLINE = "online"
+    BATCH = "batch"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkerLoad:
+    """Requests in flight on one worker.
+
+    Attributes
+    ----------
+    online, batch : int
+        Requests of each class.
+    """
+
+    online: int = 0
+    batch: int = 0
+
+    @property
+    def total(self) -> int:
+        """Requests of both classes."""
+        return self.online + self.batch
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerLoad:
+    """What one entry VM has in flight.
+
+    Attributes
+    ----------
+    vm_id : str
+        The VM.
+    incarnation : int
+        Its process.
+    load_by_worker : dict of str to WorkerLoad
+        Only workers with requests.
+    """
+
+    vm_id: str
+    incarnation: int
+    load_by_worker: dict[str, WorkerLoad]
+
+
+NO_LOAD = WorkerLoad()
+
+
+class LoadTable:
+    """Sums of requests in flight, from own counts and reports of peers."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, WorkerLoad] = {}
+        self._peer_by_vm: dict[str, PeerLoad] = {}
+        self._seen_ms_by_vm: dict[str, int] = {}
+        self._peer_sum: dict[str, WorkerLoad] = {}
+
+    def start(self, worker_id: str, kind: LoadKind) -> None:
+        """Count a request of this VM."""
+        self._add(worker_id, kind, 1)
+
+    def end(self, worker_id: str, kind: LoadKind) -> None:
+        """Take a request of this VM out of the count."""
+        self._add(worker_id, kind, -1)
+
+    def on_report(self, report: PeerLoad, now_ms: int) -> None:
+        """Take what another VM says it has in flight."""
+        self._peer_by_vm[report.vm_id] = report
+        self._seen_ms_by_vm[report.vm_id] = now_ms
+        self._sum_peers()
+
+    def expire(self, now_ms: int) -> tuple[str, ...]:
+        """Forget peers that fell silent and return their names."""
+        silent = tuple(
+            vm_id
+            for vm_id, seen_ms in self._seen_ms_by_vm.items()
+            if now_ms - seen_ms > PEER_FRESH_MS
+        )
+        for vm_id in silent:
+            del self._seen_ms_by_vm[vm_id]
+            del self._peer_by_vm[vm_id]
+        if silent:
+            self._sum_peers()
+        return silent
+
+    def own(self, worker_id: str) -> WorkerLoad:
+        """Return what this VM has in flight on a worker."""
+        return self._own.get(worker_id, NO_LOAD)
+
+    def own_by_worker(self) -> dict[str, WorkerLoad]:
+        """Return what this VM has in flight, without idle workers."""
+        return {key: load for key, load in self._own.items() if load.total}
+
+    def total(self, worker_id: str) -> WorkerLoad:
+        """Return what all VMs have in flight on a worker."""
+        own = self._own.get(worker_id, NO_LOAD)
+        peers = self._peer_sum.get(worker_id, NO_LOAD)
+        return WorkerLoad(
+            online=own.online + peers.online, batch=own.batch + peers.batch
+        )
+
+    def batch_by_peer(self, worker_id: str) -> dict[str, int]:
+        """Return the batch requests of each peer on a worker."""
+        return {
+            vm_id: peer.load_by_worker[worker_id].batch
+            for vm_id, peer in self._peer_by_vm.items()
+            if worker_id in peer.load_by_worker
+        }
+
+    def _add(self, worker_id: str, kind: LoadKind, by: int) -> None:
+        load = self._own.get(worker_id, NO_LOAD)
+        if kind is LoadKind.ONLINE:
+            load = dataclasses.replace(load, online=load.online + by)
+        else:
+            load = dataclasses.replace(load, batch=load.batch + by)
+        if load.total:
+            self._own[worker_id] = load
+        else:
+            self._own.pop(worker_id, None)
+
+    def _sum_peers(self) -> None:
+        online: collections.Counter[str] = collections.Counter()
+        batch: collections.Counter[str] = collections.Counter()
+        for peer in self._peer_by_vm.values():
+            for worker_id, load in peer.load_by_worker.items():
+                online[worker_id] += load.online
+                batch[worker_id] += load.batch
+        self._peer_sum = {
+            worker_id: WorkerLoad(online=online[worker_id], batch=batch[worker_id])
+            for worker_id in online.keys() | batch.keys()
+        }
--- /dev/null
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -0,0 +1,91 @@
+"""Entry VMs that this one exchanges reports with."""
+
+import dataclasses
+
+from foxtailbank.fleet.load_report import LoadReport
+
+ALIVE_MS = 1_500  # three missed reports of an idle VM
+SEND_MS = 15_000  # a VM that was replaced is forgotten after that
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Peer:
+    """What is known of another entry VM.
+
+    Attributes
+    ----------
+    vm_id : str
+        The VM.
+    address : str
+        Where its datagrams come from.
+    incarnation : int
+        Its process; 0 before its first report.
+    sequence : int
+        Its newest report.
+    heard_ms : int
+        When that came, or when the address was learnt.
+    stopping : bool
+        Whether it is about to end.
+    """
+
+    vm_id: str
+    address: str
+    incarnation: int = 0
+    sequence: int = 0
+    heard_ms: int
+    stopping: bool = False
+
+
+class PeerBook:
+    """Addresses from the store, and liveness from reports."""
+
+    def __init__(self, *, vm_id: str) -> None:
+        self._vm_id = vm_id
+        self._by_id: dict[str, Peer] = {}
+
+    def learn(self, vm_id: str, address: str, now_ms: int) -> bool:
+        """Take an address that the store has; true if it is new."""
+        if vm_id == self._vm_id:
+            return False
+        known = self._by_id.get(vm_id)
+        if known is not None and known.address == address:
+            return False
+        self._by_id[vm_id] = Peer(vm_id=vm_id, address=address, heard_ms=now_ms)
+        return True
+
+    def on_report(self, report: LoadReport, address: str, now_ms: int) -> bool:
+        """Take a report; false if it is an old one or this VM's own."""
+        if report.vm_id == self._vm_id:
+            return False
+        known = self._by_id.get(report.vm_id)
+        if known is not None:
+            newest = (known.incarnation, known.sequence)
+            if (report.incarnation, report.sequence) <= newest:
+                return False
+        self._by_id[report.vm_id] = Peer(
+            vm_id=report.vm_id,
+            address=address,
+            incarnation=report.incarnation,
+            sequence=report.sequence,
+            heard_ms=now_ms,
+            stopping=report.stopping,
+        )
+        return True
+
+    def targets(self, now_ms: int) -> tuple[str, ...]:
+        """Return the addresses that reports go to."""
+        return tuple(
+            peer.address
+            for peer in self._by_id.values()
+            if now_ms - peer.heard_ms < SEND_MS
+        )
+
+    def alive(self, now_ms: int) -> tuple[Peer, ...]:
+        """Return the peers that were heard of lately and go on."""
+        return tuple(
+            peer
+            for peer in self._by_id.values()
+            if peer.incarnation
+            and not peer.stopping
+            and now_ms - peer.heard_ms < ALIVE_MS
+        )
--- /dev/null
+++ b/src/foxtailbank/fleet/placement.py
@@ -0,0 +1,156 @@
+"""Which worker gets an online request, or why none does.
+
+Answers the pattern in which short waves of online requests meet long batch items on
+engines without priorities: a free place first, then a place that a batch item gives
+up, then a short queue, else a refusal at once.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+import xxhash
+
+from foxtailbank.fleet.load_table import LoadTable
+from foxtailbank.fleet.worker import Worker
+from foxtailbank.fleet.worker_health import WorkerHealth
+
+SAME_ZONE_BONUS = 0.15  # of a worker's places; bytes between zones cost
+AFFINITY_BONUS = 0.2  # of a worker's places; a known prefix saves its prefill
+
+
+class RefusalReason(enum.Enum):
+    """Why no worker gets the request."""
+
+    NO_WORKERS = "no_workers"
+    OVERLOADED = "overloaded"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """The request can't be served in time.
+
+    Attributes
+    ----------
+    reason : RefusalReason
+        Cause.
+    wait_ms : float
+        Expected wait for a place, in milliseconds.
+    """
+
+    reason: RefusalReason
+    wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """The worker that gets the request.
+
+    Attributes
+    ----------
+    worker : Worker
+        The worker.
+    wait_ms : float
+        Expected wait for a place there, in milliseconds.
+    """
+
+    worker: Worker
+    wait_ms: float = 0.0
+
+
+class Placement:
+    """Chooses workers for online requests.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this VM.
+    loads : LoadTable
+        Requests in flight.
+    health : WorkerHealth
+        Workers to avoid.
+    """
+
+    def __init__(self, *, zone: str, loads: LoadTable, health: WorkerHealth) -> None:
+        self._zone = zone
+        self._loads = loads
+        self._health = health
+
+    def choose(
+        self,
+        *,
+        workers: tuple[Worker, ...],
+        tried: t.Container[str],
+        affinity: str,
+        mean_ms: float,
+        patience_ms: float,
+        now_ms: int,
+    ) -> Choice | Refusal:
+        """Choose a worker.
+
+        Parameters
+        ----------
+        workers : tuple of Worker
+            Workers of the service.
+        tried : container of str
+            Ids that this request must not go to again.
+        affinity : str
+            Key of the prompt's shared prefix; empty without one.
+        mean_ms : float
+            Run time of a request, in milliseconds.
+        patience_ms : float
+            Longest wait for a place that is worth it, in milliseconds.
+        now_ms : int
+            Present time.
+        """
+        left = [worker for worker in workers if worker.worker_id not in tried]
+        if not left:
+            return Refusal(reason=RefusalReason.NO_WORKERS, wait_ms=mean_ms)
+        sound = [w for w in left if not self._health.avoided(w.worker_id, now_ms)]
+        # When all are avoided, the guess that they are down is worth less than a try.
+        candidates = sound or left
+        home = _affinity_home(candidates, affinity)
+        free = [w for w in candidates if self._has_place(w, now_ms)]
+        if free:
+            return Choice(worker=min(free, key=lambda w: self._cost(w, home)))
+        yielding = [w for w in candidates if self._batch_can_yield(w)]
+        if yielding:
+            return Choice(worker=min(yielding, key=lambda w: self._cost(w, home)))
+        best = min(candidates, key=lambda w: self._queue_ms(w, mean_ms))
+        wait_ms = self._queue_ms(best, mean_ms)
+        if wait_ms > patience_ms:
+            return Refusal(reason=RefusalReason.OVERLOADED, wait_ms=wait_ms)
+        return Choice(worker=best, wait_ms=wait_ms)
+
+    def _has_place(self, worker: Worker, now_ms: int) -> bool:
+        if self._health.full(worker.worker_id, now_ms):
+            return False
+        return self._loads.total(worker.worker_id).total < worker.slots
+
+    def _batch_can_yield(self, worker: Worker) -> bool:
+        load = self._loads.total(worker.worker_id)
+        return load.batch > 0 and load.online < worker.slots
+
+    def _cost(self, worker: Worker, home: str) -> float:
+        load = self._loads.total(worker.worker_id)
+        cost = load.online / worker.slots + 0.5 * load.batch / worker.slots
+        if worker.zone == self._zone:
+            cost -= SAME_ZONE_BONUS
+        if worker.worker_id == home:
+            cost -= AFFINITY_BONUS
+        return cost
+
+    def _queue_ms(self, worker: Worker, mean_ms: float) -> float:
+        load = self._loads.total(worker.worker_id)
+        ahead = load.total - worker.slots + 1
+        return max(0.0, ahead * mean_ms / worker.slots)
+
+
+def _affinity_home(workers: t.Sequence[Worker], affinity: str) -> str:
+    """Return the worker that a prefix belongs to, by rendezvous hashing."""
+    if not affinity:
+        return ""
+    return max(
+        (worker.worker_id for worker in workers),
+        key=lambda worker_id: xxhash.xxh64_intdigest(f"{affinity}/{worker_id}"),
+    )
--- /dev/null
+++ b/src/foxtailbank/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, and the way of an online request to a worker and back."""
--- /dev/null
+++ b/src/foxtailbank/forward/worker_client.py
@@ -0,0 +1,92 @@
+"""What the core asks of a connection to workers."""
+
+import abc
+import contextlib
+import typing as t
+
+from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward.call import Call
+from foxtailbank.headers import Headers
+
+
+class WorkerAnswer(abc.ABC):
+    """An answer whose head has arrived.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        Headers for the client, with the worker's proof of origin.
+    not_run : bool
+        Whether the worker states that it did not run the request.
+    misdirected : bool
+        Whether another worker has the address now.
+    """
+
+    status: int
+    headers: Headers
+    not_run: bool
+    misdirected: bool
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the worker answered with success."""
+        return 200 <= self.status < 300
+
+    @abc.abstractmethod
+    async def next_part(self, timeout_ms: float) -> bytes | None:
+        """Return the next piece of the body, or None at its proper end.
+
+        Raises
+        ------
+        ExchangeFailed
+            The answer broke off, was spoilt, or fell silent.
+        """
+
+
+class WorkerClient(abc.ABC):
+    """Sends requests to workers."""
+
+    @abc.abstractmethod
+    def exchange(
+        self,
+        worker: Worker,
+        call: Call,
+        *,
+        left_ms: int,
+        head_timeout_ms: float,
+        resume_after: str,
+    ) -> contextlib.AbstractAsyncContextManager[WorkerAnswer]:
+        """Send a request and give the answer once its head has arrived.
+
+        The connection is closed at once when the context is left before the end
+        of the answer, by which workers notice that nobody waits any more.
+
+        Parameters
+        ----------
+        worker : Worker
+            Where to.
+        call : Call
+            What to send.
+        left_ms : int
+            Time left for the run; 0 to state none.
+        head_timeout_ms : float
+            Bound on the wait for the head, in milliseconds.
+        resume_after : str
+            Id of the last event that is there already; empty for none.
+
+        Raises
+        ------
+        NotConnected
+            Nothing was sent.
+        ExchangeFailed
+            The request may have run.
+        """
+
+    async def forget(self, worker: Worker) -> None:
+        """Close what is kept open to a worker that is gone."""
+        return None
+
+
+AnswerContext: t.TypeAlias = contextlib.AbstractAsyncContextManager[WorkerAnswer]
--- /dev/null
+++ b/src/foxtailbank/http1/channel_pool.py
@@ -0,0 +1,87 @@
+"""Idle connections to servers, kept by address."""
+
+import collections
+
+from foxtailbank.clock import Clock
+from foxtailbank.http1.client_channel import ClientChannel
+
+MAX_IDLE_PER_ADDRESS = 16
+
+
+class ChannelPool:
+    """Connections between two requests.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    connect_ms : int
+        Bound on opening a connection, in milliseconds.
+    """
+
+    def __init__(self, *, clock: Clock, connect_ms: int) -> None:
+        self._clock = clock
+        self._connect_ms = connect_ms
+        self._idle_by_address: dict[str, list[ClientChannel]] = collections.defaultdict(
+            list
+        )
+        self._distrusted_before_ms = -1
+        self.opened = 0
+
+    async def take(self, address: str, *, fresh: bool = False) -> ClientChannel:
+        """Return an idle connection, or a new one.
+
+        Parameters
+        ----------
+        address : str
+            IP number and port.
+        fresh : bool
+            Whether the connection must be new.
+
+        Raises
+        ------
+        NotConnected
+            No connection could be made.
+        """
+        idle = self._idle_by_address[address]
+        while idle and not fresh:
+            channel = idle.pop()
+            if self._trusted(channel):
+                return channel
+            await channel.aclose()
+        self.opened += 1
+        return await ClientChannel.connect(
+            address=address, clock=self._clock, timeout_ms=self._connect_ms
+        )
+
+    async def give_back(self, address: str, channel: ClientChannel) -> None:
+        """Keep a connection for later if it is fit, else close it."""
+        idle = self._idle_by_address[address]
+        if channel.reusable() and len(idle) < MAX_IDLE_PER_ADDRESS:
+            channel.start_idle()
+            idle.append(channel)
+            return
+        await channel.aclose()
+
+    def distrust_open(self) -> None:
+        """Use no connection again that is open now.
+
+        One silent connection is a hint that something between the two ends forgot
+        about others too.
+        """
+        self._distrusted_before_ms = self._clock.now_ms()
+
+    async def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for channel in self._idle_by_address.pop(address, []):
+            await channel.aclose()
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for address in tuple(self._idle_by_address):
+            await self.drop(address)
+
+    def _trusted(self, channel: ClientChannel) -> bool:
+        if channel.opened_ms <= self._distrusted_before_ms:
+            return False
+        return channel.still_idle()
--- /dev/null
+++ b/src/foxtailbank/http1/client_channel.py
@@ -0,0 +1,248 @@
+"""One client connection that carries one request at a time."""
+
+import math
+import typing as t
+
+import anyio
+import anyio.abc
+import h11
+
+from foxtailbank.address import parse_address
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.headers import Headers, strip_hop_by_hop
+from foxtailbank.http1.failures import (
+    AnswerGarbled,
+    ConnectionBroken,
+    NotConnected,
+    ServerSilent,
+)
+from foxtailbank.http1.socket_options import detect_silence, has_pending_input
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+DEFAULT_IDLE_MS = 4_000  # below the idle timeout of common servers
+IDLE_SHARE = 0.8  # of the timeout that the server announces
+
+
+class Head:
+    """Status line and headers of an answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        All headers in the order of arrival, names in lower case.
+    """
+
+    def __init__(self, *, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+        self._value_by_name = dict(headers)
+
+    def get(self, name: str) -> str:
+        """Return a header's value, or an empty text; the name is in lower case."""
+        return self._value_by_name.get(name, "")
+
+    @property
+    def end_to_end(self) -> Headers:
+        """Headers that may travel on to the next connection."""
+        return strip_hop_by_hop(self.headers)
+
+
+class ClientChannel:
+    """Connection to a server.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        Connected stream.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, stream: anyio.abc.SocketStream, clock: Clock) -> None:
+        self._stream = stream
+        self._clock = clock
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._idle_ms = DEFAULT_IDLE_MS
+        self._idle_since_ms = clock.now_ms()
+        self._body_sent = True
+        self.opened_ms = clock.now_ms()
+
+    @classmethod
+    async def connect(
+        cls, *, address: str, clock: Clock, timeout_ms: int
+    ) -> "ClientChannel":
+        """Open a connection.
+
+        Parameters
+        ----------
+        address : str
+            IP number and port.
+        clock : Clock
+            Source of time.
+        timeout_ms : int
+            Bound on the wait, in milliseconds.
+
+        Raises
+        ------
+        NotConnected
+            The address refuses or does not answer.
+        """
+        parsed = parse_address(address)
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_S):
+                stream = await anyio.connect_tcp(parsed.ip, parsed.port)
+        except (OSError, TimeoutError) as error:
+            detail = f"no connection to {address}: {error!r}"
+            raise NotConnected(detail=detail) from error
+        try:
+            detect_silence(stream)
+        except OSError as error:
+            raise NotConnected(detail=f"{address} hung up: {error!r}") from error
+        return cls(stream=stream, clock=clock)
+
+    async def send(
+        self, *, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole request.
+
+        Parameters
+        ----------
+        method, target : str
+            Request line.
+        headers : tuple of (str, str)
+            Headers, with ``Host``; the length is added here.
+        body : bytes
+            Content.
+
+        Raises
+        ------
+        ConnectionBroken
+            The connection ended meanwhile.
+        """
+        self._body_sent = False
+        listed = [*headers]
+        if body or method not in ("GET", "DELETE", "HEAD"):
+            listed.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=listed)
+        parts = [self._http.send(request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        data = b"".join(part for part in parts if part)
+        try:
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise ConnectionBroken(detail=f"while sending: {error!r}") from error
+        self._body_sent = True
+
+    async def head(self, timeout_ms: float) -> Head:
+        """Wait for the answer's head.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Bound on the wait, in milliseconds.
+
+        Raises
+        ------
+        ServerSilent
+            Nothing came in time.
+        ConnectionBroken
+            The connection ended first.
+        AnswerGarbled
+            The bytes are no answer.
+        """
+        while True:
+            event = await self._next_event(timeout_ms)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                return self._head_of(event)
+            raise AnswerGarbled(detail="no status line")
+
+    async def next_part(self, timeout_ms: float) -> bytes | None:
+        """Return the next piece of the body, or None at its end.
+
+        Raises
+        ------
+        ServerSilent, ConnectionBroken, AnswerGarbled
+            As for `head`.
+        """
+        event = await self._next_event(timeout_ms)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionBroken(detail="ended within the body")
+
+    def reusable(self) -> bool:
+        """Return whether another request may follow on this connection."""
+        if not self._body_sent:
+            return False
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        return not self._http.trailing_data[0]
+
+    def start_idle(self) -> None:
+        """Make ready for the next request."""
+        self._http.start_next_cycle()
+        self._idle_since_ms = self._clock.now_ms()
+
+    def still_idle(self) -> bool:
+        """Return whether the server has neither closed nor sent anything."""
+        if self._clock.now_ms() - self._idle_since_ms > self._idle_ms:
+            return False
+        return not has_pending_input(self._stream)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        with anyio.CancelScope(shield=True):
+            await self._stream.aclose()
+
+    def _head_of(self, event: h11.Response) -> Head:
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers
+        )
+        head = Head(status=event.status_code, headers=headers)
+        self._idle_ms = _idle_limit_ms(head.get("keep-alive"))
+        return head
+
+    async def _next_event(self, timeout_ms: float) -> t.Any:
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._http.receive_data(await self._receive(timeout_ms))
+        except h11.RemoteProtocolError as error:
+            if "closed" in str(error).lower():
+                raise ConnectionBroken(detail=str(error)) from error
+            raise AnswerGarbled(detail=str(error)) from error
+
+    async def _receive(self, timeout_ms: float) -> bytes:
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_S):
+                return await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except TimeoutError as error:
+            raise ServerSilent(detail=f"nothing in {timeout_ms:.0f} ms") from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise ConnectionBroken(detail=repr(error)) from error
+
+
+def _idle_limit_ms(keep_alive: str) -> int:
+    """Return how long a connection may idle, from a ``Keep-Alive`` header."""
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return math.floor(int(value) * MS_PER_S * IDLE_SHARE)
+    return DEFAULT_IDLE_MS
--- /dev/null
+++ b/src/foxtailbank/http1/server_connection.py
@@ -0,0 +1,270 @@
+"""One client's connection to an entry VM."""
+
+import typing as t
+
+import anyio
+import anyio.abc
+import h11
+
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.headers import Headers
+from foxtailbank.http1.responder import Responder
+from foxtailbank.http1.server_limits import ServerLimits
+from foxtailbank.http1.server_request import ServerRequest
+
+READ_BYTES = 65_536
+Handler: t.TypeAlias = t.Callable[[ServerRequest, Responder], t.Awaitable[None]]
+
+
+class RequestRefused(FoxtailbankError):
+    """The bytes of a client can't be taken as a request.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer.
+    detail : str
+        What is wrong.
+    """
+
+    code = "request_refused"
+
+    def __init__(self, *, status: int, detail: str) -> None:
+        super().__init__(detail=detail)
+        self.status = status
+
+
+class ClientGone(FoxtailbankError):
+    """The client closed its connection."""
+
+    code = "client_gone"
+
+
+class ServerConnection:
+    """Reads requests from a client one after the other and writes the answers.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        Accepted connection.
+    handler : callable
+        Answers one request; cancelled when the client leaves.
+    limits : callable
+        Returns the bounds in force.
+    draining : callable
+        Returns whether the VM is stopping, so that answers ask for a close.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: anyio.abc.SocketStream,
+        handler: Handler,
+        limits: t.Callable[[], ServerLimits],
+        draining: t.Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._draining = draining
+        self._clock = clock
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().header_bytes
+        )
+        self._idle_scope: anyio.CancelScope | None = None
+        self.busy = False
+
+    async def serve(self) -> None:
+        """Serve until the connection ends."""
+        try:
+            while await self._serve_one():
+                self._http.start_next_cycle()
+        except (ClientGone, h11.LocalProtocolError):
+            return
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._stream.aclose()
+
+    def close_if_idle(self) -> None:
+        """Close between two requests; a request under way goes on."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    async def _serve_one(self) -> bool:
+        responder = _H11Responder(
+            http=self._http, stream=self._stream, draining=self._draining
+        )
+        try:
+            request = await self._read_request()
+        except RequestRefused as refusal:
+            headers = (("Connection", "close"),)
+            await responder.answer(status=refusal.status, headers=headers)
+            return False
+        if request is None:
+            return False
+        self.busy = True
+        try:
+            await self._handle(request, responder)
+        finally:
+            self.busy = False
+        return self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch, group.cancel_scope)
+            await self._handler(request, responder)
+            group.cancel_scope.cancel()
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        """Cancel the handler when the client leaves; keep what it sends ahead."""
+        ahead = 0
+        while ahead < READ_BYTES:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                scope.cancel()
+                return
+            ahead += len(data)
+            self._http.receive_data(data)
+
+    async def _read_request(self) -> ServerRequest | None:
+        head = await self._read_head()
+        if head is None:
+            return None
+        body = await self._read_body()
+        return ServerRequest(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            headers=_headers_of(head),
+            body=body,
+            arrived_ms=self._clock.now_ms(),
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        limits = self._limits()
+        event = self._next_event()
+        if event is h11.NEED_DATA and not self._http.trailing_data[0]:
+            if not await self._wait_idle(limits.idle_timeout_ms):
+                return None
+            event = self._next_event()
+        while event is h11.NEED_DATA:
+            await self._feed(limits.header_timeout_ms)
+            event = self._next_event()
+        return event if isinstance(event, h11.Request) else None
+
+    async def _wait_idle(self, timeout_ms: int) -> bool:
+        """Wait for the first bytes of a request; false if the wait is over."""
+        with anyio.move_on_after(timeout_ms / MS_PER_S) as scope:
+            self._idle_scope = scope
+            try:
+                self._http.receive_data(await self._stream.receive(READ_BYTES))
+            except anyio.EndOfStream:
+                return False
+            finally:
+                self._idle_scope = None
+            return True
+        return False
+
+    async def _read_body(self) -> bytes:
+        limits = self._limits()
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise RequestRefused(status=413, detail="body too large")
+                continue
+            if event is not h11.NEED_DATA:
+                raise ClientGone(detail="ended within a body")
+            if self._http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self._stream.send(self._http.send(go_on) or b"")
+            await self._feed(limits.header_timeout_ms)
+
+    def _next_event(self) -> t.Any:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.ERROR):
+                raise ClientGone(detail=str(error)) from error
+            status = error.error_status_hint
+            raise RequestRefused(status=status, detail=str(error)) from error
+
+    async def _feed(self, timeout_ms: int) -> None:
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_S):
+                self._http.receive_data(await self._stream.receive(READ_BYTES))
+        except TimeoutError as error:
+            raise RequestRefused(status=408, detail="header timeout") from error
+        except anyio.EndOfStream:
+            raise ClientGone(detail="ended within a request") from None
+
+
+class _H11Responder(Responder):
+    def __init__(
+        self,
+        *,
+        http: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        draining: t.Callable[[], bool],
+    ) -> None:
+        self._http = http
+        self._stream = stream
+        self._draining = draining
+        self._head = b""
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    async def start(
+        self, *, status: int, headers: Headers, length: int | None = None
+    ) -> None:
+        self._started = True
+        listed = [*headers]
+        if length is not None:
+            listed.append(("Content-Length", str(length)))
+        else:
+            listed.append(("Transfer-Encoding", "chunked"))
+        if self._draining():
+            listed.append(("Connection", "close"))
+        head = h11.Response(status_code=status, headers=listed)
+        # The head travels with the first piece, in one packet.
+        self._head = self._http.send(head) or b""
+        if length is None:
+            await self._flush(b"")
+
+    async def send(self, data: bytes) -> None:
+        await self._flush(self._http.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        await self._flush(self._http.send(h11.EndOfMessage()) or b"")
+
+    async def _flush(self, data: bytes) -> None:
+        joined = self._head + data
+        self._head = b""
+        if joined:
+            await self._stream.send(joined)
+
+
+def _headers_of(head: h11.Request) -> Headers:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -46,6 +46,10 @@
         HTTP status of the answer.
     duration_ms : int
         From the request's arrival to its outcome.
+    wait_ms : int
+        Expected wait or pause.
+    age_ms : int
+        Age of the information that decided.
     version : int
         Catalogue version.
     offset : int
@@ -64,6 +68,8 @@
     task: str = ""
     status: int | None = None
     duration_ms: int | None = None
+    wait_ms: int | None = None
+    age_ms: int | None = None
     version: int | None = None
     offset: int | None = None
     count: int | None = None
--- /dev/null
+++ b/src/foxtailbank/serving_vm.py
@@ -0,0 +1,253 @@
+"""An entry VM whose configuration, workers and state live in a platform's store."""
+
+import dataclasses
+import random
+
+import anyio
+
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.events import Event
+from foxtailbank.fleet.load_exchange import LoadExchange
+from foxtailbank.fleet.peer_book import PeerBook
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.forwarder import Forwarder
+from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.worker_client import WorkerClient
+from foxtailbank.keyed_log import KeyedLog
+from foxtailbank.log_follower import LogFollower
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.metrics import Gauge, Metrics
+from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.batch_room import BatchRoom
+from foxtailbank.submissions.book import SubmissionBook
+from foxtailbank.submissions.runner import Runner
+from foxtailbank.submissions.service import SubmissionService
+from foxtailbank.submissions.takeover import Takeover
+
+SUBMISSIONS_PAUSE_MS = 200
+EXPIRY_PERIOD_MS = 100
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VmIdentity:
+    """Who this process is.
+
+    Attributes
+    ----------
+    vm_id : str
+        Name of the VM.
+    zone : str
+        Its availability zone.
+    incarnation : int
+        Number of this process; rises with each start.
+    peer_address : str
+        IP number and port for datagrams of other entry VMs.
+    """
+
+    vm_id: str
+    zone: str
+    incarnation: int
+    peer_address: str
+
+    @property
+    def me(self) -> str:
+        """Name of this process in the log."""
+        return f"{self.vm_id}/{self.incarnation}"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreSizes:
+    """Bounds of the store.
+
+    Attributes
+    ----------
+    record_bytes, call_bytes : int
+        Largest record and largest append.
+    """
+
+    record_bytes: int
+    call_bytes: int
+
+
+class ServingVm:
+    """The parts of an entry VM, wired.
+
+    Parameters
+    ----------
+    identity : VmIdentity
+        Who this is.
+    client : WorkerClient
+        Connections to workers.
+    submissions : KeyedLog
+        Log of batch submissions.
+    addresses : KeyedLog
+        Addresses of the entry VMs.
+    sizes : StoreSizes
+        Bounds of the store.
+    clock : Clock
+        Source of time.
+    logs : Logs
+        Log lines.
+    metrics : Metrics
+        Counters and latencies.
+    rng : random.Random
+        Source of spread.
+
+    Attributes
+    ----------
+    routes : RouteTable
+        Routes in force; the platform's adapter fills it.
+    fleet : FleetState
+        Workers; the platform's adapter fills it.
+    forwarder : Forwarder
+        Serves online requests.
+    batch : SubmissionService
+        Serves batch submissions.
+    runner : Runner
+        Runs batch items.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: VmIdentity,
+        client: WorkerClient,
+        submissions: KeyedLog,
+        addresses: KeyedLog,
+        sizes: StoreSizes,
+        clock: Clock,
+        logs: Logs,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        me = identity.me
+        self._clock = clock
+        self._logs = logs
+        self.routes = RouteTable()
+        self.fleet = FleetState(
+            zone=identity.zone, routes=self.routes, logs=logs, clock=clock
+        )
+        self.forwarder = Forwarder(
+            client=client,
+            fleet=self.fleet,
+            clock=clock,
+            logs=logs,
+            metrics=metrics,
+            rng=rng,
+        )
+        book = SubmissionBook(logs=logs)
+        self._appends = AppendQueue(
+            log=submissions,
+            producer=me,
+            call_bytes=sizes.call_bytes,
+            logs=logs,
+            clock=clock,
+        )
+        self._address_appends = AppendQueue(
+            log=addresses,
+            producer=me,
+            call_bytes=sizes.call_bytes,
+            logs=logs,
+            clock=clock,
+        )
+        self._follower = LogFollower(
+            name="submissions",
+            log=submissions,
+            state=book,
+            pause_ms=SUBMISSIONS_PAUSE_MS,
+            logs=logs,
+            clock=clock,
+        )
+        peers = PeerBook(vm_id=identity.vm_id)
+        self._exchange = LoadExchange(
+            vm_id=identity.vm_id,
+            incarnation=identity.incarnation,
+            address=identity.peer_address,
+            addresses=addresses,
+            appends=self._address_appends,
+            peers=peers,
+            fleet=self.fleet,
+            logs=logs,
+            clock=clock,
+        )
+        self.batch = SubmissionService(
+            me=me,
+            book=book,
+            follower=self._follower,
+            appends=self._appends,
+            record_bytes=sizes.record_bytes,
+            clock=clock,
+        )
+        self.runner = Runner(
+            me=me,
+            book=book,
+            appends=self._appends,
+            client=client,
+            fleet=self.fleet,
+            room=BatchRoom(
+                vm_id=identity.vm_id,
+                zone=identity.zone,
+                loads=self.fleet.loads,
+                health=self.fleet.health,
+            ),
+            routes=self.routes,
+            clock=clock,
+            logs=logs,
+            metrics=metrics,
+            rng=rng,
+        )
+        self._takeover = Takeover(
+            vm_id=identity.vm_id,
+            me=me,
+            book=book,
+            appends=self._appends,
+            peers=peers,
+            logs=logs,
+            clock=clock,
+        )
+        self._read_gauges(metrics, peers)
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be taken."""
+        return self.routes.known and len(self.fleet.workers) > 0
+
+    async def run(self) -> None:
+        """Run everything but the interfaces until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follower.run)
+            group.start_soon(self._appends.run)
+            group.start_soon(self._address_appends.run)
+            group.start_soon(self._exchange.run)
+            group.start_soon(self.runner.run)
+            group.start_soon(self._takeover.run)
+            group.start_soon(self._expire)
+
+    def hand_over(self) -> None:
+        """Stop batch items so that other VMs go on with them."""
+        self._takeover.stopping = True
+        self.runner.stop_items()
+        self._exchange.stopping = True
+        self._exchange.hurry()
+
+    async def flush(self, timeout_ms: int) -> None:
+        """Wait until the results of ended items stand in the log."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        while not self._appends.is_empty and self._clock.now_ms() < deadline_ms:
+            await anyio.sleep(EXPIRY_PERIOD_MS / MS_PER_S)
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(EXPIRY_PERIOD_MS / MS_PER_S)
+            for worker_id in self.fleet.workers.expire(self._clock.now_ms()):
+                fields = LogFields(endpoint=worker_id, reason="entry lapsed")
+                self._logs.write(Event.ENDPOINT_LOST, fields=fields)
+
+    def _read_gauges(self, metrics: Metrics, peers: PeerBook) -> None:
+        metrics.read_gauge(Gauge.PEERS, lambda: len(peers.alive(self._clock.now_ms())))
+        metrics.read_gauge(Gauge.ENDPOINTS, lambda: len(self.fleet.workers))
+        metrics.read_gauge(Gauge.CATALOGUE_OFFSET, lambda: self.routes.version)
+        metrics.read_gauge(Gauge.LEDGER_OFFSET, lambda: self._follower.next_offset)
+        metrics.read_gauge(Gauge.LOG_AGE_MS, lambda: self._follower.age_ms)
+        metrics.read_gauge(Gauge.BATCH_IN_FLIGHT, lambda: self.runner.running_count)
+        metrics.read_gauge(Gauge.READY, lambda: float(self.ready))
--- /dev/null
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -0,0 +1,96 @@
+"""Which worker may take a batch item, and how many items must give way.
+
+Answers the pattern of online waves over a standing batch: items fill the places that
+online requests leave, and stop at once when more online requests come than there are
+free places. What an item has produced is kept, so that it goes on from there.
+"""
+
+import typing as t
+
+import xxhash
+
+from foxtailbank.fleet.load_table import LoadTable
+from foxtailbank.fleet.worker import Worker
+from foxtailbank.fleet.worker_health import WorkerHealth
+
+
+class BatchRoom:
+    """Decides about places for batch items.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    zone : str
+        Its availability zone.
+    loads : LoadTable
+        Requests in flight.
+    health : WorkerHealth
+        Workers to avoid.
+    """
+
+    def __init__(
+        self, *, vm_id: str, zone: str, loads: LoadTable, health: WorkerHealth
+    ) -> None:
+        self._vm_id = vm_id
+        self._zone = zone
+        self._loads = loads
+        self._health = health
+
+    def choose(
+        self, workers: tuple[Worker, ...], *, avoid: t.Container[str], now_ms: int
+    ) -> Worker | None:
+        """Return the worker with the most free places, or None if none is free.
+
+        Parameters
+        ----------
+        workers : tuple of Worker
+            Workers of the item's service.
+        avoid : container of str
+            Workers that failed this item.
+        now_ms : int
+            Present time.
+        """
+        open_workers = [w for w in workers if self._is_open(w, now_ms)]
+        if not open_workers:
+            return None
+        preferred = [w for w in open_workers if w.worker_id not in avoid]
+        return min(preferred or open_workers, key=self._cost)
+
+    def places_to_yield(self, worker: Worker) -> int:
+        """Return how many of this VM's items on a worker must stop now.
+
+        All VMs with items there share the excess in one order, so that together
+        they stop as many as needed.
+        """
+        load = self._loads.total(worker.worker_id)
+        own = self._loads.own(worker.worker_id).batch
+        if not own or not load.online:
+            return 0
+        excess = min(load.total - worker.slots, load.batch)
+        if excess <= 0:
+            return 0
+        batch_by_vm = self._loads.batch_by_peer(worker.worker_id)
+        batch_by_vm[self._vm_id] = own
+        for vm_id in sorted(batch_by_vm, key=lambda v: _turn(v, worker.worker_id)):
+            share = min(excess, batch_by_vm[vm_id])
+            if vm_id == self._vm_id:
+                return share
+            excess -= share
+        return 0
+
+    def _is_open(self, worker: Worker, now_ms: int) -> bool:
+        if self._health.avoided(worker.worker_id, now_ms):
+            return False
+        if self._health.full(worker.worker_id, now_ms):
+            return False
+        return self._loads.total(worker.worker_id).total < worker.slots
+
+    def _cost(self, worker: Worker) -> tuple[float, bool, str]:
+        load = self._loads.total(worker.worker_id)
+        is_far = worker.zone != self._zone
+        return (load.total / worker.slots, is_far, worker.worker_id)
+
+
+def _turn(vm_id: str, worker_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{vm_id}/{worker_id}")
--- /dev/null
+++ b/src/foxtailbank/submissions/book.py
@@ -0,0 +1,82 @@
+"""The ledger on this VM, kept in step with the log."""
+
+import typing as t
+
+from foxtailbank.events import Event
+from foxtailbank.keyed_log import KeyedRecord, LogSlice
+from foxtailbank.log_follower import LogState
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.settings_sections import LogLevel
+from foxtailbank.submissions.ledger import Effect, Ledger
+from foxtailbank.submissions.records import RecordUnreadable, decode
+
+_EVENT_BY_EFFECT = {
+    Effect.ACCEPTED: Event.SUBMISSION_ACCEPTED,
+    Effect.TOO_MANY_TOKENS: Event.SUBMISSION_REFUSED,
+    Effect.ENDED: Event.SUBMISSION_ENDED,
+    Effect.TAKEN: Event.SUBMISSION_TAKEN_OVER,
+}
+
+
+class SubmissionBook(LogState):
+    """Holds the ledger and tells when it has changed.
+
+    Parameters
+    ----------
+    logs : Logs
+        Takes a line for each change of a submission and each unreadable record.
+
+    Attributes
+    ----------
+    ledger : Ledger
+        All submissions as far as the log was read.
+    """
+
+    def __init__(self, *, logs: Logs) -> None:
+        self.ledger = Ledger()
+        self._logs = logs
+        self._listeners: list[t.Callable[[], None]] = []
+
+    def on_change(self, listener: t.Callable[[], None]) -> None:
+        """Call a function whenever records were taken."""
+        self._listeners.append(listener)
+
+    def restore(self, newest: LogSlice) -> None:
+        """Start anew from the newest record of each key."""
+        self.ledger = Ledger()
+        for record in newest.records:
+            self._apply(record, is_replay=True)
+        self._notify()
+
+    def advance(self, part: LogSlice) -> None:
+        """Take the records that follow."""
+        for record in part.records:
+            self._apply(record, is_replay=False)
+        self._notify()
+
+    def _apply(self, stored: KeyedRecord, *, is_replay: bool) -> None:
+        if not stored.value:
+            return  # the key was dropped when its submission had run out
+        try:
+            record = decode(stored.value)
+        except RecordUnreadable as failure:
+            fields = LogFields(
+                task="submissions", offset=stored.offset, reason=failure.detail
+            )
+            self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
+            return
+        effect = self.ledger.apply(record)
+        event = _EVENT_BY_EFFECT.get(effect)
+        if event is None or is_replay:
+            return
+        fields = LogFields(
+            job_id=record.submission_id,
+            offset=stored.offset,
+            owner=getattr(record, "owner", ""),
+            reason=effect.value,
+        )
+        self._logs.write(event, level=LogLevel.DEBUG, fields=fields)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/src/foxtailbank/submissions/ledger.py
@@ -0,0 +1,135 @@
+"""All submissions, folded from the log; the same on every VM."""
+
+import collections
+import enum
+
+from foxtailbank.submissions.records import (
+    AttemptFailed,
+    Ended,
+    Item,
+    Listed,
+    Part,
+    Record,
+    Submitted,
+    Taken,
+)
+from foxtailbank.submissions.submission import Submission
+
+
+class Effect(enum.Enum):
+    """What a record did."""
+
+    ACCEPTED = "accepted"
+    TOO_MANY_TOKENS = "too_many_tokens"
+    LISTED = "listed"
+    FAILED = "failed"
+    ENDED = "ended"
+    TAKEN = "taken"
+    NONE = "none"
+
+
+class Ledger:
+    """State of all submissions.
+
+    `apply` has no input but the record and the state before it, so that every
+    VM that replays the log comes to the same verdicts and positions.
+    """
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Submission] = {}
+        self._parts_by_attempt: dict[tuple[str, str], list[Item]] = {}
+        self._waiting_by_route: collections.Counter[str] = collections.Counter()
+
+    def get(self, submission_id: str) -> Submission | None:
+        """Return an accepted submission."""
+        return self._by_id.get(submission_id)
+
+    def all(self) -> tuple[Submission, ...]:
+        """Return all accepted submissions."""
+        return tuple(self._by_id.values())
+
+    def waiting_tokens(self, route: str) -> int:
+        """Return the tokens that wait under an entry."""
+        return self._waiting_by_route[route]
+
+    def forget(self, submission_id: str) -> None:
+        """Drop a submission that nobody may ask for any more."""
+        dropped = self._by_id.pop(submission_id, None)
+        if dropped is not None:
+            self._waiting_by_route[dropped.route] -= dropped.waiting_tokens
+
+    def apply(self, record: Record) -> Effect:
+        """Take the next record of the log."""
+        match record:
+            case Part():
+                attempt = (record.submission_id, record.attempt)
+                self._parts_by_attempt.setdefault(attempt, []).extend(record.items)
+                return Effect.NONE
+            case Submitted():
+                return self._submit(record)
+            case Listed():
+                return self._list(record)
+            case AttemptFailed():
+                return self._fail(record)
+            case Ended():
+                return self._end(record)
+            case Taken():
+                return self._take(record)
+
+    def _submit(self, record: Submitted) -> Effect:
+        attempt = (record.submission_id, record.attempt)
+        items = [*self._parts_by_attempt.pop(attempt, ()), *record.items]
+        if record.submission_id in self._by_id:
+            return Effect.NONE
+        tokens = sum(item.tokens for item in items)
+        waiting = self._waiting_by_route[record.route]
+        if record.waiting_limit and waiting + tokens > record.waiting_limit:
+            return Effect.TOO_MANY_TOKENS
+        self._waiting_by_route[record.route] += tokens
+        self._by_id[record.submission_id] = Submission(
+            submission_id=record.submission_id,
+            route=record.route,
+            host=record.host,
+            target=record.target,
+            arrived_wall_ms=record.arrived_wall_ms,
+            owner=record.owner,
+            items_by_id={item.item_id: item for item in items},
+        )
+        return Effect.ACCEPTED
+
+    def _list(self, record: Listed) -> Effect:
+        submission = self._by_id.get(record.submission_id)
+        if submission is None or record.item_id in submission.listed_ids:
+            return Effect.NONE
+        item = submission.items_by_id.get(record.item_id)
+        if item is None:
+            return Effect.NONE
+        submission.results.append(record)
+        submission.listed_ids.add(record.item_id)
+        if not submission.ended:
+            self._waiting_by_route[submission.route] -= item.tokens
+        return Effect.LISTED
+
+    def _fail(self, record: AttemptFailed) -> Effect:
+        submission = self._by_id.get(record.submission_id)
+        if submission is None:
+            return Effect.NONE
+        failures = submission.failures_by_id
+        failures[record.item_id] = failures.get(record.item_id, 0) + 1
+        return Effect.FAILED
+
+    def _end(self, record: Ended) -> Effect:
+        submission = self._by_id.get(record.submission_id)
+        if submission is None or submission.ended:
+            return Effect.NONE
+        self._waiting_by_route[submission.route] -= submission.waiting_tokens
+        submission.ended = True
+        return Effect.ENDED
+
+    def _take(self, record: Taken) -> Effect:
+        submission = self._by_id.get(record.submission_id)
+        if submission is None or record.generation != submission.generation + 1:
+            return Effect.NONE
+        submission.generation = record.generation
+        submission.owner = record.owner
+        return Effect.TAKEN
--- /dev/null
+++ b/src/foxtailbank/submissions/runner.py
@@ -0,0 +1,379 @@
+"""Runs the batch items that this VM owns."""
+
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.events import Event
+from foxtailbank.fleet.crash_marks import CrashMark, fingerprint_of
+from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward.call import Call
+from foxtailbank.forward.event_stream import parse_events
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.route import Route
+from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.worker_client import WorkerAnswer, WorkerClient
+from foxtailbank.http1.failures import (
+    ConnectionBroken,
+    ExchangeFailed,
+    NotConnected,
+    ServerSilent,
+)
+from foxtailbank.logs import LogFields, Logs
+from foxtailbank.metrics import Count, Metrics
+from foxtailbank.settings_sections import LogLevel
+from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.batch_room import BatchRoom
+from foxtailbank.submissions.book import SubmissionBook
+from foxtailbank.submissions.item_run import ItemRun
+from foxtailbank.submissions.records import AttemptFailed, Listed, encode
+
+HEAD_TIMEOUT_MS = 3_000  # a full worker may queue an item for some steps
+GAP_TIMEOUT_MS = 1_500
+RETRY_MS = 300
+YIELD_PAUSE_MS = 150  # an online wave lasts longer
+FULL_RETRY_MS = 100
+SPREAD_MS = 25  # VMs that see the same free place do not take it together
+TICK_MS = 250
+GIVE_UP_MARGIN_MS = 5_000  # clocks of VMs differ
+ROUTE_GONE_MS = 3_000  # a route that is missing so long is not just late
+STATUS_CANNOT_RUN = 422
+STATUS_FAILED = 500
+
+
+class Runner:
+    """Starts, yields, repeats and finishes items.
+
+    Parameters
+    ----------
+    me : str
+        This process, as ``vm/incarnation``.
+    book : SubmissionBook
+        The ledger.
+    appends : AppendQueue
+        Takes results.
+    client : WorkerClient
+        Connections to workers.
+    fleet : FleetState
+        Workers and loads.
+    room : BatchRoom
+        Decides about places.
+    routes : RouteTable
+        Routes in force.
+    clock, logs, metrics, rng
+        As elsewhere.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        book: SubmissionBook,
+        appends: AppendQueue,
+        client: WorkerClient,
+        fleet: FleetState,
+        room: BatchRoom,
+        routes: RouteTable,
+        clock: Clock,
+        logs: Logs,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._me = me
+        self._book = book
+        self._appends = appends
+        self._client = client
+        self._fleet = fleet
+        self._room = room
+        self._routes = routes
+        self._clock = clock
+        self._logs = logs
+        self._metrics = metrics
+        self._rng = rng
+        self._runs: dict[tuple[str, str], ItemRun] = {}
+        self._route_missing_ms: dict[str, int] = {}
+        self._wake = anyio.Event()
+        self._group: anyio.abc.TaskGroup | None = None
+        self.stopping = False
+        book.on_change(self._on_book_change)
+        fleet.on_load_change(self._on_load_change)
+        fleet.on_peer_load(self._on_load_change)
+
+    async def run(self) -> None:
+        """Run items until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                with anyio.move_on_after(TICK_MS / MS_PER_S):
+                    await self._wake.wait()
+                self._wake = anyio.Event()
+                await anyio.sleep(self._rng.uniform(0, SPREAD_MS) / MS_PER_S)
+                self._pump()
+
+    def stop_items(self) -> None:
+        """Stop all items for good, so that another VM can go on."""
+        self.stopping = True
+        for run in self._runs.values():
+            run.stop()
+
+    @property
+    def running_count(self) -> int:
+        """Items that workers have now."""
+        return sum(1 for run in self._runs.values() if run.is_running)
+
+    def _on_book_change(self) -> None:
+        self._adopt()
+        self._wake.set()
+
+    def _on_load_change(self) -> None:
+        self._yield_places()
+        if any(not run.is_running for run in self._runs.values()):
+            self._wake.set()
+
+    def _adopt(self) -> None:
+        """Bring the runs in line with the ledger."""
+        wanted: set[tuple[str, str]] = set()
+        for submission in self._book.ledger.all():
+            if submission.owner != self._me or submission.ended:
+                continue
+            for item in submission.waiting_items():
+                key = (submission.submission_id, item.item_id)
+                wanted.add(key)
+                if key not in self._runs:
+                    self._runs[key] = ItemRun(
+                        submission=submission,
+                        item=item,
+                        due_ms=self._due_ms(submission.host, submission),
+                    )
+                else:
+                    self._runs[key].submission = submission
+        for key in self._runs.keys() - wanted:
+            self._runs.pop(key).stop()
+
+    def _due_ms(self, host: str, submission: t.Any) -> int:
+        route = self._routes.find(host, submission.target)
+        span_ms = route.run_deadline_ms if route is not None else 0
+        age_ms = self._clock.wall_ms() - submission.arrived_wall_ms
+        return self._clock.now_ms() - age_ms + span_ms
+
+    def _pump(self) -> None:
+        if self.stopping or not self._appends.has_room:
+            return
+        now_ms = self._clock.now_ms()
+        waiting = [
+            run
+            for run in self._runs.values()
+            if not run.is_running and not run.is_done and run.not_before_ms <= now_ms
+        ]
+        if not waiting:
+            return
+        # Items that can't be in time any more come after those that can.
+        waiting.sort(key=lambda run: (run.due_ms < now_ms, run.due_ms))
+        for run in waiting:
+            if not self._start(run, now_ms):
+                break
+
+    def _start(self, run: ItemRun, now_ms: int) -> bool:
+        """Start an item if there is a place; false if none is free."""
+        route = self._routes.find(run.submission.host, run.item.target)
+        if route is None:
+            self._on_route_missing(run, now_ms)
+            return True
+        self._route_missing_ms.pop(run.submission.submission_id, None)
+        if self._given_up(run, route):
+            self._list(run, completed=False, reason="retention")
+            return True
+        fingerprint = self._fingerprint(run)
+        if self._fleet.marks.refused(fingerprint):
+            run.not_before_ms = now_ms + ROUTE_GONE_MS
+            return True
+        service = self._service(route)
+        workers = self._fleet.workers.usable(service)
+        worker = self._room.choose(workers, avoid=run.failed_on, now_ms=now_ms)
+        if worker is None:
+            return False
+        run.scope = anyio.CancelScope()
+        run.worker_id = worker.worker_id
+        run.tries += 1
+        self._fleet.loads.start(worker.worker_id, LoadKind.BATCH)
+        assert self._group is not None
+        self._group.start_soon(self._run, run, route, worker, fingerprint)
+        return True
+
+    def _service(self, route: Route) -> str:
+        weights = [backend.weight for backend in route.backends]
+        return self._rng.choices(route.backends, weights)[0].service
+
+    async def _run(
+        self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
+    ) -> None:
+        scope = run.scope
+        assert scope is not None
+        fields = LogFields(
+            job_id=run.submission.submission_id,
+            request_id=run.item.item_id,
+            endpoint=worker.worker_id,
+            count=run.tries,
+            reason=f"after event {run.cutter.last_id}" if run.texts else "",
+        )
+        self._logs.write(Event.ITEM_STARTED, level=LogLevel.DEBUG, fields=fields)
+        self._fleet.notify_load()
+        try:
+            with scope:
+                await self._exchange(run, route, worker, fingerprint)
+        finally:
+            run.scope = None
+            run.cutter.drop_rest()
+            self._fleet.end(worker.worker_id, LoadKind.BATCH)
+            self._wake.set()
+        if scope.cancelled_caught:
+            run.not_before_ms = self._clock.now_ms() + YIELD_PAUSE_MS
+
+    async def _exchange(
+        self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
+    ) -> None:
+        call = Call(
+            request_id=run.item.item_id,
+            method="POST",
+            target=run.item.target,
+            host=run.submission.host,
+            headers=run.item.headers,
+            body=run.item.body,
+            arrived_ms=self._clock.now_ms(),
+        )
+        try:
+            async with self._client.exchange(
+                worker,
+                call,
+                left_ms=0,
+                head_timeout_ms=HEAD_TIMEOUT_MS,
+                resume_after=run.cutter.last_id,
+            ) as answer:
+                await self._take(run, route, worker, answer)
+        except ExchangeFailed as failure:
+            self._on_failure(run, worker, fingerprint, failure)
+
+    async def _take(
+        self, run: ItemRun, route: Route, worker: Worker, answer: WorkerAnswer
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if answer.not_run:
+            if answer.misdirected:
+                self._fleet.on_misdirected(worker)
+            else:
+                self._fleet.health.on_full(worker.worker_id, now_ms)
+            run.not_before_ms = now_ms + FULL_RETRY_MS
+            return
+        if answer.is_success:
+            await self._collect(run, answer)
+            self._fleet.health.on_success(worker.worker_id)
+            self._list(run, completed=True, reason="")
+            return
+        if answer.status == STATUS_CANNOT_RUN:
+            self._list(run, completed=False, reason="cannot_run")
+            return
+        run.failed_on.add(worker.worker_id)
+        run.not_before_ms = now_ms + RETRY_MS
+        if answer.status == STATUS_FAILED:
+            self._on_attempt_failed(run, route)
+
+    async def _collect(self, run: ItemRun, answer: WorkerAnswer) -> None:
+        while (part := await answer.next_part(GAP_TIMEOUT_MS)) is not None:
+            whole = run.cutter.feed(part)
+            if whole:
+                run.texts.extend(event.data for event in parse_events(whole))
+        if not run.cutter.is_clean:
+            raise ConnectionBroken(detail="ended within an event")
+
+    def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
+        submission_id, item_id = run.key
+        record = AttemptFailed(submission_id=submission_id, item_id=item_id)
+        unique = f"{item_id}/{self._me}/{run.tries}"
+        self._appends.put((encode(record, unique=unique),), urgent=False)
+        failures = run.submission.failures_by_id.get(item_id, 0) + 1
+        self._metrics.count(Count.FAILED_ITEMS, entry=route.name)
+        if failures >= route.max_attempts:
+            self._list(run, completed=False, reason="attempts")
+
+    def _on_failure(
+        self, run: ItemRun, worker: Worker, fingerprint: int, failure: ExchangeFailed
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        run.failed_on.add(worker.worker_id)
+        run.not_before_ms = now_ms + RETRY_MS
+        if isinstance(failure, (NotConnected, ServerSilent)):
+            self._fleet.on_worker_failure(worker, failure, now_ms)
+        if isinstance(failure, ConnectionBroken):
+            mark = CrashMark(fingerprint=fingerprint, worker_id=worker.worker_id)
+            self._fleet.on_crash(mark, now_ms)
+        fields = LogFields(
+            job_id=run.submission.submission_id,
+            request_id=run.item.item_id,
+            endpoint=worker.worker_id,
+            reason=f"{failure.code}: {failure.detail}",
+            count=run.tries,
+        )
+        self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
+
+    def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
+        submission_id = run.submission.submission_id
+        since_ms = self._route_missing_ms.setdefault(submission_id, now_ms)
+        if self._routes.known and now_ms - since_ms > ROUTE_GONE_MS:
+            self._list(run, completed=False, reason="route_removed")
+        else:
+            run.not_before_ms = now_ms + RETRY_MS
+
+    def _given_up(self, run: ItemRun, route: Route) -> bool:
+        if not route.give_up_ms:
+            return False
+        age_ms = self._clock.wall_ms() - run.submission.arrived_wall_ms
+        return age_ms > route.give_up_ms + GIVE_UP_MARGIN_MS
+
+    def _list(self, run: ItemRun, *, completed: bool, reason: str) -> None:
+        run.is_done = True
+        submission_id, item_id = run.key
+        record = Listed(
+            submission_id=submission_id,
+            item_id=item_id,
+            completed=completed,
+            text="\n".join(run.texts) if completed else "",
+        )
+        stored = encode(record, unique=f"{item_id}/{self._me}")
+        self._appends.put((stored,), urgent=False)
+        self._metrics.count(Count.FINISHED_ITEMS, reason=reason)
+        fields = LogFields(
+            job_id=submission_id,
+            request_id=item_id,
+            endpoint=run.worker_id,
+            reason=reason or "completed",
+            count=run.tries,
+        )
+        self._logs.write(Event.ITEM_FINISHED, fields=fields)
+
+    def _yield_places(self) -> None:
+        by_worker: dict[str, list[ItemRun]] = {}
+        for run in self._runs.values():
+            if run.scope is not None and not run.scope.cancel_called:
+                by_worker.setdefault(run.worker_id, []).append(run)
+        for worker_id, runs in by_worker.items():
+            worker = self._fleet.workers.get(worker_id)
+            if worker is None:
+                continue
+            stopping = self._fleet.loads.own(worker_id).batch - len(runs)
+            count = self._room.places_to_yield(worker) - stopping
+            if count <= 0:
+                continue
+            # What is due last gives way first.
+            runs.sort(key=lambda run: -run.due_ms)
+            for run in runs[:count]:
+                self._metrics.count(Count.PREEMPTED_ITEMS)
+                run.stop()
+
+    def _fingerprint(self, run: ItemRun) -> int:
+        return fingerprint_of(
+            host=run.submission.host, target=run.item.target, body=run.item.body
+        )
--- a/src/foxtailbank/tasks.py
+++ b/src/foxtailbank/tasks.py
@@ -45,12 +45,21 @@
         except Exception as error:
             reason = type(error).__name__
             if reason != last_reason:
-                fields = LogFields(task=name, reason=_where(error))
+                fields = LogFields(task=name, reason=describe(error))
                 logs.write(Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields)
         last_reason = reason
         await anyio.sleep(period_ms / MS_PER_S)
 
 
-def _where(error: Exception) -> str:
+def describe(error: BaseException) -> str:
+    """Return an unexpected error with the place where it was raised.
+
+    Parameters
+    ----------
+    error : BaseException
+        The error; of a group, its first member is described.
+    """
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
     frame = traceback.extract_tb(error.__traceback__)[-1]
     return f"{error!r} at {frame.name}:{frame.lineno}"
