--- a/src/foxtailbank/fleet/load_exchange.py
+++ b/src/foxtailbank/fleet/load_exchange.py
@@ -148,7 +148,7 @@
         now_ms = self._clock.now_ms()
         if not self._peers.on_report(report, address, now_ms):
             return
-        if report.vm_id not in self._known_alive:
+        if report.vm_id not in self._known_alive and not report.stopping:
             self._known_alive.add(report.vm_id)
             fields = LogFields(peer=report.vm_id)
             self._logs.write(Event.PEER_JOINED, fields=fields)
--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -13,7 +13,7 @@
 from foxtailbank.settings_sections import LogLevel
 
 RETRY_MS = 200
-LONG_POLL_MS = 4_000
+LONG_POLL_MS = 800  # a poll that the store forgets delays its records no longer
 
 
 class LogState(abc.ABC):
