--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -267,6 +267,7 @@
             else:
                 self._fleet.health.on_full(worker.worker_id, now_ms)
             run.not_before_ms = now_ms + FULL_RETRY_MS
+            self._log_refusal(run, worker, answer)
             return
         if answer.is_success:
             await self._collect(run, answer)
@@ -281,6 +282,18 @@
         if answer.status == STATUS_FAILED:
             self._on_attempt_failed(run, route)
 
+    def _log_refusal(
+        self, run: ItemRun, worker: Worker, answer: WorkerAnswer
+    ) -> None:
+        fields = LogFields(
+            job_id=run.submission.submission_id,
+            request_id=run.item.item_id,
+            endpoint=worker.worker_id,
+            status=answer.status,
+            count=self._fleet.loads.total(worker.worker_id).total,
+        )
+        self._logs.write(Event.WORKER_REFUSED, fields=fields)
+
     async def _collect(self, run: ItemRun, answer: WorkerAnswer) -> None:
         while (part := await answer.next_part(GAP_TIMEOUT_MS)) is not None:
             whole = run.cutter.feed(part)
@@ -370,8 +383,19 @@
             # What is due last gives way first.
             runs.sort(key=lambda run: -run.due_ms)
             for run in runs[:count]:
-                self._metrics.count(Count.PREEMPTED_ITEMS)
-                run.stop()
+                self._yield(run, worker)
+
+    def _yield(self, run: ItemRun, worker: Worker) -> None:
+        load = self._fleet.loads.total(worker.worker_id)
+        self._metrics.count(Count.PREEMPTED_ITEMS)
+        fields = LogFields(
+            job_id=run.submission.submission_id,
+            request_id=run.item.item_id,
+            endpoint=worker.worker_id,
+            reason=f"{load.online} online, {load.batch} batch on {worker.slots}",
+        )
+        self._logs.write(Event.ITEM_YIELDED, fields=fields)
+        run.stop()
 
     def _fingerprint(self, run: ItemRun) -> int:
         return fingerprint_of(
