--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -14,6 +14,10 @@
 from foxtailbank.fleet.worker_health import WorkerHealth
 
 
+ONLINE_RESERVE = 1  # places a worker keeps for the next online request
+EXCESS_MS = 50  # a full worker ends some request within about that
+
+
 class BatchRoom:
     """Decides about places for batch items.
 
@@ -36,6 +40,12 @@
         self._zone = zone
         self._loads = loads
         self._health = health
+        self._excess_since_ms: dict[str, int] = {}
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether some worker has more requests than places."""
+        return bool(self._excess_since_ms)
 
     def choose(
         self, workers: tuple[Worker, ...], *, avoid: t.Container[str], now_ms: int
@@ -57,12 +67,21 @@
         preferred = [w for w in open_workers if w.worker_id not in avoid]
         return min(preferred or open_workers, key=self._cost)
 
-    def places_to_yield(self, worker: Worker) -> int:
+    def places_to_yield(self, worker: Worker, now_ms: int) -> int:
         """Return how many of this VM's items on a worker must stop now.
 
-        All VMs with items there share the excess in one order, so that together
-        they stop as many as needed.
+        An excess that the worker's own completions remove within `EXCESS_MS` stops
+        nothing. All VMs with items there share the rest in one order, so that
+        together they stop as many as needed.
         """
+        share = self._share_of_excess(worker)
+        if not share:
+            self._excess_since_ms.pop(worker.worker_id, None)
+            return 0
+        since_ms = self._excess_since_ms.setdefault(worker.worker_id, now_ms)
+        return share if now_ms - since_ms >= EXCESS_MS else 0
+
+    def _share_of_excess(self, worker: Worker) -> int:
         load = self._loads.total(worker.worker_id)
         own = self._loads.own(worker.worker_id).batch
         if not own or not load.online:
@@ -84,7 +103,8 @@
             return False
         if self._health.full(worker.worker_id, now_ms):
             return False
-        return self._loads.total(worker.worker_id).total < worker.slots
+        places = max(1, worker.slots - ONLINE_RESERVE)
+        return self._loads.total(worker.worker_id).total < places
 
     def _cost(self, worker: Worker) -> tuple[float, bool, str]:
         load = self._loads.total(worker.worker_id)
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -35,10 +35,11 @@
 HEAD_TIMEOUT_MS = 3_000  # a full worker may queue an item for some steps
 GAP_TIMEOUT_MS = 1_500
 RETRY_MS = 300
-YIELD_PAUSE_MS = 150  # an online wave lasts longer
+YIELD_PAUSE_MS = 300  # an online wave lasts longer
 FULL_RETRY_MS = 100
 SPREAD_MS = 25  # VMs that see the same free place do not take it together
 TICK_MS = 250
+EXCESS_TICK_MS = 15
 GIVE_UP_MARGIN_MS = 5_000  # clocks of VMs differ
 ROUTE_GONE_MS = 3_000  # a route that is missing so long is not just late
 STATUS_CANNOT_RUN = 422
@@ -108,9 +109,11 @@
         async with anyio.create_task_group() as group:
             self._group = group
             while True:
-                with anyio.move_on_after(TICK_MS / MS_PER_S):
+                tick_ms = EXCESS_TICK_MS if self._room.has_excess else TICK_MS
+                with anyio.move_on_after(tick_ms / MS_PER_S):
                     await self._wake.wait()
                 self._wake = anyio.Event()
+                self._yield_places()
                 await anyio.sleep(self._rng.uniform(0, SPREAD_MS) / MS_PER_S)
                 self._pump()
 
@@ -130,8 +133,7 @@
         self._wake.set()
 
     def _on_load_change(self) -> None:
-        self._yield_places()
-        if any(not run.is_running for run in self._runs.values()):
+        if self._runs:
             self._wake.set()
 
     def _adopt(self) -> None:
@@ -368,6 +370,7 @@
         self._logs.write(Event.ITEM_FINISHED, fields=fields)
 
     def _yield_places(self) -> None:
+        now_ms = self._clock.now_ms()
         by_worker: dict[str, list[ItemRun]] = {}
         for run in self._runs.values():
             if run.scope is not None and not run.scope.cancel_called:
@@ -377,7 +380,7 @@
             if worker is None:
                 continue
             stopping = self._fleet.loads.own(worker_id).batch - len(runs)
-            count = self._room.places_to_yield(worker) - stopping
+            count = self._room.places_to_yield(worker, now_ms) - stopping
             if count <= 0:
                 continue
             # What is due last gives way first.
