Tell a cut-off VM from a lost one by its lease, and save the progress of items

Progress is saved every 2.5 s and at a stop; a new process under the same name frees its forerunner's items at once.

--- a/src/foxtailbank/fleet/peer_book.py
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -80,6 +80,10 @@
             if now_ms - peer.heard_ms < SEND_MS
         )
 
+    def get(self, vm_id: str) -> Peer | None:
+        """Return what is known of a VM."""
+        return self._by_id.get(vm_id)
+
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that were heard of lately and go on."""
         return tuple(
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -7,6 +7,7 @@
 
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
+from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.load_exchange import LoadExchange
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.forward.fleet_state import FleetState
@@ -14,6 +15,7 @@
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.keyed_log import KeyedLog
+from foxtailbank.lease_book import LeaseBook
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.metrics import Gauge, Metrics
@@ -82,6 +84,8 @@
         Log of batch submissions.
     addresses : KeyedLog
         Addresses of the entry VMs.
+    leases : LeaseBook
+        Leases of the entry VMs' processes.
     sizes : StoreSizes
         Bounds of the store.
     clock : Clock
@@ -114,6 +118,7 @@
         client: WorkerClient,
         submissions: KeyedLog,
         addresses: KeyedLog,
+        leases: LeaseBook,
         sizes: StoreSizes,
         clock: Clock,
         logs: Logs,
@@ -198,10 +203,11 @@
         )
         self._takeover = Takeover(
             vm_id=identity.vm_id,
-            me=me,
+            incarnation=identity.incarnation,
             book=book,
             appends=self._appends,
             peers=peers,
+            leases=leases,
             logs=logs,
             clock=clock,
         )
@@ -223,12 +229,23 @@
             group.start_soon(self._takeover.run)
             group.start_soon(self._expire)
 
-    def hand_over(self) -> None:
-        """Stop batch items so that other VMs go on with them."""
-        self._takeover.stopping = True
+    async def hand_over(self, timeout_ms: int) -> None:
+        """Stop batch items so that other VMs go on with them.
+
+        Parameters
+        ----------
+        timeout_ms : int
+            Bound on saving their output so far, in milliseconds.
+        """
         self.runner.stop_items()
+        await self.flush(timeout_ms)
         self._exchange.stopping = True
         self._exchange.hurry()
+        try:
+            await self._takeover.stop()
+        except FoxtailbankError as failure:
+            fields = LogFields(task="lease", reason=failure.code)
+            self._logs.write(Event.TASK_FAILED, fields=fields)
 
     async def flush(self, timeout_ms: int) -> None:
         """Wait until the results of ended items stand in the log."""
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -5,7 +5,7 @@
 import anyio
 
 from foxtailbank.forward.event_stream import EventCutter
-from foxtailbank.submissions.records import Item
+from foxtailbank.submissions.records import Item, Progress
 from foxtailbank.submissions.submission import Submission
 
 
@@ -35,6 +35,10 @@
         Workers that failed it.
     tries : int
         How often it was sent.
+    saved_count : int
+        Events whose data stands in the log.
+    saved_ms : int
+        When progress was last saved, or first made.
     is_done : bool
         Whether its result is on the way to the log.
     """
@@ -49,8 +53,16 @@
     not_before_ms: int = 0
     failed_on: set[str] = dataclasses.field(default_factory=set)
     tries: int = 0
+    saved_count: int = 0
+    saved_ms: int = 0
     is_done: bool = False
 
+    def resume_from(self, progress: Progress) -> None:
+        """Go on from what another process saved."""
+        self.texts = list(progress.texts)
+        self.cutter.last_id = progress.after_event
+        self.saved_count = len(self.texts)
+
     @property
     def key(self) -> tuple[str, str]:
         """Submission and item."""
--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -9,6 +9,7 @@
     Item,
     Listed,
     Part,
+    Progress,
     Record,
     Submitted,
     Taken,
@@ -71,6 +72,8 @@
                 return self._list(record)
             case AttemptFailed():
                 return self._fail(record)
+            case Progress():
+                return self._progress(record)
             case Ended():
                 return self._end(record)
             case Taken():
@@ -106,6 +109,7 @@
             return Effect.NONE
         submission.results.append(record)
         submission.listed_ids.add(record.item_id)
+        submission.progress_by_id.pop(record.item_id, None)
         if not submission.ended:
             self._waiting_by_route[submission.route] -= item.tokens
         return Effect.LISTED
@@ -118,6 +122,13 @@
         failures[record.item_id] = failures.get(record.item_id, 0) + 1
         return Effect.FAILED
 
+    def _progress(self, record: Progress) -> Effect:
+        submission = self._by_id.get(record.submission_id)
+        if submission is None or record.item_id in submission.listed_ids:
+            return Effect.NONE
+        submission.progress_by_id[record.item_id] = record
+        return Effect.NONE
+
     def _end(self, record: Ended) -> Effect:
         submission = self._by_id.get(record.submission_id)
         if submission is None or submission.ended:
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -1,7 +1,8 @@
 """Records of the submission log.
 
 No key is ever written twice, except to drop it, so that the newest record of each
-key is the whole history and gives every VM the same state in the same order.
+key is the whole history and gives every VM the same state in the same order. Only an
+item's progress replaces what it was before, for it decides nothing but where to go on.
 """
 
 import typing as t
@@ -110,6 +111,23 @@
     item_id: str
 
 
+class Progress(msgspec.Struct, frozen=True, kw_only=True, tag="progress"):
+    """Output of an item so far, for a process that takes it over.
+
+    Attributes
+    ----------
+    after_event : str
+        Id of the last event that is in the text.
+    texts : tuple of str
+        Data of the events.
+    """
+
+    submission_id: str
+    item_id: str
+    after_event: str
+    texts: tuple[str, ...]
+
+
 class Ended(msgspec.Struct, frozen=True, kw_only=True, tag="ended"):
     """The client ended its submission."""
 
@@ -132,7 +150,9 @@
     owner: str
 
 
-Record: t.TypeAlias = Part | Submitted | Listed | AttemptFailed | Ended | Taken
+Record: t.TypeAlias = (
+    Part | Submitted | Listed | AttemptFailed | Progress | Ended | Taken
+)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
 
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -1,7 +1,6 @@
 """Runs the batch items that this VM owns."""
 
 import random
-import typing as t
 
 import anyio
 import anyio.abc
@@ -30,7 +29,14 @@
 from foxtailbank.submissions.batch_room import BatchRoom
 from foxtailbank.submissions.book import SubmissionBook
 from foxtailbank.submissions.item_run import ItemRun
-from foxtailbank.submissions.records import AttemptFailed, Listed, encode
+from foxtailbank.submissions.records import (
+    AttemptFailed,
+    Item,
+    Listed,
+    Progress,
+    encode,
+)
+from foxtailbank.submissions.submission import Submission
 
 HEAD_TIMEOUT_MS = 3_000  # a full worker may queue an item for some steps
 GAP_TIMEOUT_MS = 1_500
@@ -40,6 +46,7 @@
 SPREAD_MS = 25  # VMs that see the same free place do not take it together
 TICK_MS = 250
 EXCESS_TICK_MS = 15
+SAVE_PERIOD_MS = 2_500  # about half a run; more is lost seldom, less costs bytes
 GIVE_UP_MARGIN_MS = 5_000  # clocks of VMs differ
 ROUTE_GONE_MS = 3_000  # a route that is missing so long is not just late
 STATUS_CANNOT_RUN = 422
@@ -121,6 +128,7 @@
         """Stop all items for good, so that another VM can go on."""
         self.stopping = True
         for run in self._runs.values():
+            self._save(run)
             run.stop()
 
     @property
@@ -146,17 +154,40 @@
                 key = (submission.submission_id, item.item_id)
                 wanted.add(key)
                 if key not in self._runs:
-                    self._runs[key] = ItemRun(
-                        submission=submission,
-                        item=item,
-                        due_ms=self._due_ms(submission.host, submission),
-                    )
+                    self._runs[key] = self._new_run(submission, item)
                 else:
                     self._runs[key].submission = submission
         for key in self._runs.keys() - wanted:
             self._runs.pop(key).stop()
 
-    def _due_ms(self, host: str, submission: t.Any) -> int:
+    def _new_run(self, submission: Submission, item: Item) -> ItemRun:
+        run = ItemRun(
+            submission=submission,
+            item=item,
+            due_ms=self._due_ms(submission.host, submission),
+            saved_ms=self._clock.now_ms(),
+        )
+        progress = submission.progress_by_id.get(item.item_id)
+        if progress is not None:
+            run.resume_from(progress)
+        return run
+
+    def _save(self, run: ItemRun) -> None:
+        """Write the output so far to the log, if there is more than before."""
+        run.saved_ms = self._clock.now_ms()
+        if run.is_done or len(run.texts) == run.saved_count:
+            return
+        run.saved_count = len(run.texts)
+        submission_id, item_id = run.key
+        record = Progress(
+            submission_id=submission_id,
+            item_id=item_id,
+            after_event=run.cutter.last_id,
+            texts=tuple(run.texts),
+        )
+        self._appends.put((encode(record, unique=item_id),), urgent=False)
+
+    def _due_ms(self, host: str, submission: Submission) -> int:
         route = self._routes.find(host, submission.target)
         span_ms = route.run_deadline_ms if route is not None else 0
         age_ms = self._clock.wall_ms() - submission.arrived_wall_ms
@@ -284,9 +315,7 @@
         if answer.status == STATUS_FAILED:
             self._on_attempt_failed(run, route)
 
-    def _log_refusal(
-        self, run: ItemRun, worker: Worker, answer: WorkerAnswer
-    ) -> None:
+    def _log_refusal(self, run: ItemRun, worker: Worker, answer: WorkerAnswer) -> None:
         fields = LogFields(
             job_id=run.submission.submission_id,
             request_id=run.item.item_id,
@@ -301,6 +330,8 @@
             whole = run.cutter.feed(part)
             if whole:
                 run.texts.extend(event.data for event in parse_events(whole))
+                if self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS:
+                    self._save(run)
         if not run.cutter.is_clean:
             raise ConnectionBroken(detail="ended within an event")
 
--- a/src/foxtailbank/submissions/submission.py
+++ b/src/foxtailbank/submissions/submission.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from foxtailbank.submissions.records import Item, Listed
+from foxtailbank.submissions.records import Item, Listed, Progress
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -27,6 +27,8 @@
         Ids of ended items.
     failures_by_id : dict of str to int
         Failed attempts of each item.
+    progress_by_id : dict of str to Progress
+        Output so far of items that ran.
     ended : bool
         Whether the client ended it.
     """
@@ -42,6 +44,7 @@
     results: list[Listed] = dataclasses.field(default_factory=list)
     listed_ids: set[str] = dataclasses.field(default_factory=set)
     failures_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    progress_by_id: dict[str, Progress] = dataclasses.field(default_factory=dict)
     ended: bool = False
 
     @property
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -1,40 +1,58 @@
 """Takes over the items of entry VMs that are gone."""
 
+import enum
+
 import anyio
 import xxhash
 
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
+from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.peer_book import Peer, PeerBook
+from foxtailbank.lease_book import LeaseBook
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.book import SubmissionBook
 from foxtailbank.submissions.records import Taken, encode
 from foxtailbank.submissions.submission import Submission
 
 PERIOD_MS = 300
-ORPHANED_MS = 900  # after a peer's silence; a late report ends it
-SETTLE_MS = 1_500  # after the start, until reports of all peers came
+SILENT_MS = 900  # after a peer's last report is too old; a late one ends it
+SETTLE_MS = 1_000  # after the start, until reports of all peers came
+LEASE_PERIOD_MS = 700  # three renewals within a lease's life
+
+
+class OwnerState(enum.Enum):
+    """What is known of the process that owns a submission."""
+
+    ALIVE = "alive"
+    SILENT = "silent"
+    GONE = "gone"
 
 
 class Takeover:
     """Finds submissions whose owner is gone and claims its share of them.
 
     Every VM comes to the same successor for each submission as long as they see the
-    same peers; where they do not, the first claim on the log wins.
+    same peers; where they do not, the first claim on the log wins. An owner that is
+    only silent is left alone as long as it holds its lease at the platform, for it
+    may be cut off from its peers and go on.
 
     Parameters
     ----------
     vm_id : str
         This VM.
-    me : str
-        This process, as ``vm/incarnation``.
+    incarnation : int
+        This process.
     book : SubmissionBook
         The ledger.
     appends : AppendQueue
         Writes claims.
     peers : PeerBook
         Entry VMs that are alive.
+    leases : LeaseBook
+        Leases of all processes.
     logs : Logs
         Takes a line for each claim.
     clock : Clock
@@ -45,50 +63,93 @@
         self,
         *,
         vm_id: str,
-        me: str,
+        incarnation: int,
         book: SubmissionBook,
         appends: AppendQueue,
         peers: PeerBook,
+        leases: LeaseBook,
         logs: Logs,
         clock: Clock,
     ) -> None:
         self._vm_id = vm_id
-        self._me = me
+        self._me = f"{vm_id}/{incarnation}"
         self._book = book
         self._appends = appends
         self._peers = peers
+        self._leases = leases
         self._logs = logs
         self._clock = clock
-        self._orphaned_ms_by_id: dict[str, int] = {}
+        self._silent_since_ms: dict[str, int] = {}
         self._claimed: set[tuple[str, int]] = set()
         self._started_ms = clock.now_ms()
+        self._renewed_ms = -LEASE_PERIOD_MS
         self.stopping = False
 
     async def run(self) -> None:
         """Look for orphans until cancelled."""
         while True:
             await anyio.sleep(PERIOD_MS / MS_PER_S)
-            self.look(self._clock.now_ms())
+            try:
+                await self._renew()
+                await self.look()
+            except FoxtailbankError as failure:
+                reason = f"{failure.code}: {failure.detail}"
+                fields = LogFields(task="takeover", reason=reason)
+                self._logs.write(
+                    Event.TASK_FAILED, level=LogLevel.WARNING, fields=fields
+                )
+
+    async def stop(self) -> None:
+        """Claim nothing more and give the lease up."""
+        self.stopping = True
+        await self._leases.release()
 
-    def look(self, now_ms: int) -> None:
+    async def look(self) -> None:
         """Claim what is due."""
+        now_ms = self._clock.now_ms()
         if self.stopping or now_ms - self._started_ms < SETTLE_MS:
             return
         alive = self._peers.alive(now_ms)
-        owners = {f"{peer.vm_id}/{peer.incarnation}" for peer in alive}
-        owners.add(self._me)
-        orphans: dict[str, int] = {}
+        by_owner: dict[str, list[Submission]] = {}
         for submission in self._book.ledger.all():
-            if not submission.is_open or submission.owner in owners:
-                continue
-            submission_id = submission.submission_id
-            since_ms = self._orphaned_ms_by_id.get(submission_id, now_ms)
-            orphans[submission_id] = since_ms
-            if now_ms - since_ms >= ORPHANED_MS and self._is_successor(
-                submission, alive
-            ):
-                self._claim(submission)
-        self._orphaned_ms_by_id = orphans
+            if submission.is_open and submission.owner != self._me:
+                by_owner.setdefault(submission.owner, []).append(submission)
+        self._silent_since_ms = {
+            owner: self._silent_since_ms.get(owner, now_ms)
+            for owner in by_owner
+            if self._state_of(owner, alive) is OwnerState.SILENT
+        }
+        for owner, submissions in by_owner.items():
+            mine = [s for s in submissions if self._is_successor(s, alive)]
+            if mine and await self._is_gone(owner, alive, now_ms):
+                for submission in mine:
+                    self._claim(submission)
+
+    async def _renew(self) -> None:
+        now_ms = self._clock.now_ms()
+        if self.stopping or now_ms - self._renewed_ms < LEASE_PERIOD_MS:
+            return
+        self._renewed_ms = now_ms
+        await self._leases.renew()
+
+    def _state_of(self, owner: str, alive: tuple[Peer, ...]) -> OwnerState:
+        vm_id, _, incarnation = owner.rpartition("/")
+        if vm_id == self._vm_id:
+            return OwnerState.GONE
+        peer = self._peers.get(vm_id)
+        if peer is not None and peer.incarnation:
+            if str(peer.incarnation) != incarnation or peer.stopping:
+                return OwnerState.GONE
+        return OwnerState.ALIVE if peer in alive else OwnerState.SILENT
+
+    async def _is_gone(self, owner: str, alive: tuple[Peer, ...], now_ms: int) -> bool:
+        state = self._state_of(owner, alive)
+        if state is not OwnerState.SILENT:
+            return state is OwnerState.GONE
+        if now_ms - self._silent_since_ms.get(owner, now_ms) < SILENT_MS:
+            return False
+        vm_id, _, incarnation = owner.rpartition("/")
+        return not await self._leases.is_held(vm_id=vm_id, incarnation=incarnation)
 
     def _is_successor(self, submission: Submission, alive: tuple[Peer, ...]) -> bool:
         candidates = [peer.vm_id for peer in alive] + [self._vm_id]
