Count an attempt once, and pass on no promise that the worker did not make

Cause: an answer that broke off after its head was counted as two attempts, so that a resumable stream was not resumed; a worker's 503 or 429 without its statement that the request had not run reached the client as that promise.

--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -33,6 +33,7 @@
 EVENT_GAP_MS = 900  # several times the longest step of a full engine
 MIN_SAFE_WAIT_MS = 250
 SAFE_WAIT_FACTOR = 5  # of the mean run time; slower ones are rare
+PROMISES = frozenset((408, 421, 429, 503))  # tell a client that nothing has run
 LAST_MOMENT_MS = 30  # less is too short for any run
 
 
@@ -156,6 +157,7 @@
         progress.tried.add(worker.worker_id)
         self._fleet.start(worker.worker_id, LoadKind.ONLINE)
         started_ms = self._clock.now_ms()
+        progress.sent += 1
         try:
             async with self._client.exchange(
                 worker,
@@ -164,7 +166,6 @@
                 head_timeout_ms=self._head_timeout_ms(route, choice, progress),
                 resume_after=progress.cutter.last_id,
             ) as answer:
-                progress.sent += 1
                 if answer.not_run:
                     self._on_refused(call, worker, answer, progress)
                     return False
@@ -174,10 +175,10 @@
                 self._on_served(call, route, worker, answer, started_ms)
             return done
         except NotConnected as failure:
+            progress.sent -= 1
             self._on_failure(call, worker, progress, failure)
             return False
         except ExchangeFailed as failure:
-            progress.sent += 1
             progress.may_have_run = True
             self._on_failure(call, worker, progress, failure)
             return not await self._may_go_on(call, route, responder, progress, failure)
@@ -188,7 +189,7 @@
         self, route: Route, choice: Choice, progress: _Progress
     ) -> float:
         left_ms = self._left_ms(progress)
-        if not route.repeatable or progress.sent + 1 >= route.max_attempts:
+        if not route.repeatable or progress.sent >= route.max_attempts:
             return left_ms
         if route.kind is RouteKind.SAFE:
             mean_ms = self._fleet.times.mean_ms(choice.worker.service)
@@ -210,12 +211,18 @@
             return True
         body = await self._whole_body(answer, self._left_ms(progress))
         attempts_left = progress.sent < route.max_attempts
-        if not answer.is_success and route.repeatable and attempts_left:
-            if answer.status >= 500 and not responder.started:
-                progress.last_failure = f"status {answer.status}"
-                return False
+        is_failure = answer.status >= 500 or answer.status in PROMISES
+        if is_failure and route.repeatable and attempts_left and not responder.started:
+            progress.last_failure = f"status {answer.status}"
+            return False
         if responder.started:
             # A resumed stream met a failure: the client must see it end early.
+            self._finish(call, route, 0, reason=f"status {answer.status}")
+            return True
+        if answer.status in PROMISES:
+            # The worker did not say that it had not run the request.
+            reason = f"status {answer.status} without a promise"
+            await self._answer_failure(call, route, responder, 502, reason)
             return True
         await responder.answer(status=answer.status, headers=answer.headers, body=body)
         self._finish(call, route, answer.status, reason="")
--- a/src/foxtailbank/http1/socket_options.py
+++ b/src/foxtailbank/http1/socket_options.py
@@ -2,7 +2,6 @@
 
 import select
 import socket
-import typing as t
 
 import anyio.abc
 
@@ -14,8 +13,7 @@
 
 def raw_socket(stream: anyio.abc.SocketStream) -> socket.socket:
     """Return the socket below a stream."""
-    found = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    return t.cast(socket.socket, found)
+    return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
 def detect_silence(stream: anyio.abc.SocketStream) -> None:
--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -1,6 +1,7 @@
 """The daemon's log lines: JSON, one line for each outcome."""
 
 import dataclasses
+import io
 import logging
 import sys
 import typing as t
@@ -99,7 +100,7 @@
         vm: str,
         zone: str,
         level: LogLevel = LogLevel.INFO,
-        stream: t.TextIO | None = None,
+        stream: t.TextIO | io.TextIOBase | None = None,
     ) -> None:
         self._vm = vm
         self._zone = zone
--- /dev/null
+++ b/tests/serving_fakes.py
@@ -0,0 +1,282 @@
+"""In-memory stand-ins of what the serving core asks of a platform."""
+
+import contextlib
+import io
+import random
+
+import anyio
+
+from foxtailbank.clock import ManualClock, SystemClock
+from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward.call import Call
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.forwarder import Forwarder
+from foxtailbank.forward.route import Backend, Route, RouteKind, RouteSet
+from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.worker_client import WorkerAnswer, WorkerClient
+from foxtailbank.http1.responder import Responder
+from foxtailbank.http1.server_limits import ServerLimits
+from foxtailbank.keyed_log import (
+    HistoryGone,
+    KeyedLog,
+    KeyedRecord,
+    LogSlice,
+    SequenceRefused,
+    StoreAnswerLost,
+    StoreRefused,
+)
+from foxtailbank.lease_book import LeaseBook
+from foxtailbank.logs import Logs
+from foxtailbank.metrics import Metrics
+
+
+def make_logs():
+    return Logs(vm="vm-1", zone="z1", stream=io.StringIO())
+
+
+def make_worker(worker_id="w1", *, zone="z1", slots=2, draining=False, service="s"):
+    return Worker(
+        worker_id=worker_id,
+        service=service,
+        address="127.0.0.1:9",
+        zone=zone,
+        slots=slots,
+        draining=draining,
+    )
+
+
+def make_route(**changes):
+    fields = {
+        "name": "r",
+        "owner": "o",
+        "host": "h",
+        "path_prefix": "/p/",
+        "kind": RouteKind.SAFE,
+        "timeout_ms": 2_000,
+        "target_ms": 300,
+        "priority": 0,
+        "backends": (Backend(service="s", weight=1),),
+        "max_attempts": 2,
+    }
+    fields.update(changes)
+    return Route(**fields)
+
+
+def make_routes(*routes, version=1):
+    return RouteSet(version=version, routes=routes, limits=ServerLimits())
+
+
+def make_call(clock, **changes):
+    fields = {
+        "request_id": "q1",
+        "method": "POST",
+        "target": "/p/x",
+        "host": "h",
+        "headers": (),
+        "body": b"b",
+        "arrived_ms": clock.now_ms(),
+        "patience_ms": 2_000,
+        "fingerprint": 7,
+    }
+    fields.update(changes)
+    return Call(**fields)
+
+
+class FakeKeyedLog(KeyedLog):
+    """Keyed log with the faults of a store.
+
+    Switches: `up`; `lose_answers` (the next appends take effect unconfirmed);
+    `late` (the next appends are kept aside until `land_late`); `deaf_polls` (the
+    next polls hear nothing of records that come while they wait).
+    """
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.up = True
+        self.lose_answers = 0
+        self.keep_aside = 0
+        self.aside = []
+        self.deaf_polls = 0
+        self.appends = 0
+        self._steps = {}
+        self._grown = anyio.Event()
+
+    async def newest(self):
+        self._check()
+        newest = {record.key: record for record in self.records}
+        kept = sorted(
+            (r for r in newest.values() if r.value), key=lambda record: record.offset
+        )
+        return LogSlice(records=tuple(kept), end=len(self.records))
+
+    async def read(self, *, start, wait_ms):
+        self._check()
+        if start < self.first:
+            raise HistoryGone()
+        if start >= len(self.records):
+            is_deaf = self.deaf_polls > 0
+            self.deaf_polls -= is_deaf
+            with anyio.move_on_after(wait_ms / 1000):
+                while is_deaf or start >= len(self.records):
+                    await self._grown.wait()
+            if is_deaf:
+                return LogSlice(records=(), end=start)
+        self._check()
+        return LogSlice(records=tuple(self.records[start:]), end=len(self.records))
+
+    async def append(self, records, *, step):
+        await anyio.sleep(0)
+        self._check()
+        self.appends += 1
+        if self.keep_aside:
+            self.keep_aside -= 1
+            self.aside.append((records, step))
+            raise StoreAnswerLost()
+        end = self._land(records, step)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreAnswerLost()
+        return end
+
+    def land_late(self):
+        for records, step in self.aside:
+            with contextlib.suppress(SequenceRefused):
+                self._land(records, step)
+        self.aside.clear()
+
+    def _land(self, records, step):
+        done = self._steps.setdefault(step.producer, {})
+        if step.sequence in done:
+            return done[step.sequence]
+        if done and step.sequence != max(done) + 1:
+            raise SequenceRefused(expected=max(done) + 1)
+        for record in records:
+            offset = len(self.records)
+            self.records.append(
+                KeyedRecord(key=record.key, value=record.value, offset=offset)
+            )
+        done[step.sequence] = len(self.records)
+        self._grown.set()
+        self._grown = anyio.Event()
+        return len(self.records)
+
+    def _check(self):
+        if not self.up:
+            raise StoreRefused()
+
+
+class FakeLeases(LeaseBook):
+    """Leases in memory: `held` has ``vm/incarnation`` texts."""
+
+    def __init__(self):
+        self.held = set()
+        self.up = True
+
+    async def renew(self):
+        return None
+
+    async def release(self):
+        return None
+
+    async def is_held(self, *, vm_id, incarnation):
+        if not self.up:
+            raise StoreRefused()
+        return f"{vm_id}/{incarnation}" in self.held
+
+
+class FakeAnswer(WorkerAnswer):
+    """Answer whose parts are bytes or failures to raise."""
+
+    def __init__(self, *, status=200, parts=(), not_run=False, misdirected=False):
+        self.status = status
+        self.headers = (("x-proof", "p"),)
+        self.not_run = not_run
+        self.misdirected = misdirected
+        self._parts = list(parts)
+
+    async def next_part(self, timeout_ms):
+        if not self._parts:
+            return None
+        part = self._parts.pop(0)
+        if isinstance(part, BaseException):
+            raise part
+        return part
+
+
+class FakeWorkers(WorkerClient):
+    """Plays a script of answers and failures; keeps what was sent."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.sent = []
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self, worker, call, *, left_ms, head_timeout_ms, resume_after
+    ):
+        self.sent.append((worker.worker_id, call.request_id, left_ms, resume_after))
+        step = self.script.pop(0)
+        if isinstance(step, BaseException):
+            raise step
+        if step is None:
+            await anyio.sleep_forever()
+        yield step
+
+
+class FakeResponder(Responder):
+    """Keeps what the client would see."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+        self.complete = False
+
+    @property
+    def started(self):
+        return self.status != 0
+
+    async def start(self, *, status, headers, length=None):
+        assert not self.started
+        self.status = status
+        self.headers = headers
+
+    async def send(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.complete = True
+
+
+class ServingWorld:
+    """A forwarder over scripted workers."""
+
+    def __init__(self, *script, worker_count=3, slots=2):
+        self.clock = SystemClock()
+        self.routes = RouteTable()
+        self.fleet = FleetState(
+            zone="z1", routes=self.routes, logs=make_logs(), clock=self.clock
+        )
+        for number in range(worker_count):
+            self.fleet.workers.put(make_worker(f"w{number}", slots=slots))
+        self.client = FakeWorkers(*script)
+        self.responder = FakeResponder()
+        self.forwarder = Forwarder(
+            client=self.client,
+            fleet=self.fleet,
+            clock=self.clock,
+            logs=make_logs(),
+            metrics=Metrics(),
+            rng=random.Random(1),
+        )
+
+    async def serve(self, route, **call):
+        await self.forwarder.serve(
+            make_call(self.clock, **call), route, self.responder
+        )
+        return self.responder
+
+
+def manual_clock():
+    return ManualClock(start_ms=1_000)
--- /dev/null
+++ b/tests/test_batch_room.py
@@ -0,0 +1,99 @@
+"""Pattern: batch items fill the troughs and give way when a wave of requests lasts."""
+
+import pytest
+from serving_fakes import make_worker
+
+from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
+from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.submissions.batch_room import EXCESS_MS, BatchRoom
+
+WORKER = make_worker("w", slots=4)
+
+
+class Vm:
+    def __init__(self, vm_id):
+        self.vm_id = vm_id
+        self.loads = LoadTable()
+        self.room = BatchRoom(
+            vm_id=vm_id, zone="z1", loads=self.loads, health=WorkerHealth()
+        )
+
+    def hold(self, *, online=0, batch=0):
+        for _ in range(online):
+            self.loads.start("w", LoadKind.ONLINE)
+        for _ in range(batch):
+            self.loads.start("w", LoadKind.BATCH)
+
+    def hear(self, other):
+        report = PeerLoad(
+            vm_id=other.vm_id,
+            incarnation=1,
+            load_by_worker=other.loads.own_by_worker(),
+        )
+        self.loads.on_report(report, 0)
+
+
+def meet(*vms):
+    for vm in vms:
+        for other in vms:
+            if other is not vm:
+                vm.hear(other)
+
+
+def lasting_share(vm):
+    vm.room.places_to_yield(WORKER, 0)
+    return vm.room.places_to_yield(WORKER, EXCESS_MS)
+
+
+@pytest.mark.parametrize(
+    ("online", "batches", "expected"),
+    [
+        pytest.param(1, (1, 2), 0, id="room-for-all"),
+        pytest.param(2, (1, 2), 1, id="one-too-many"),
+        pytest.param(4, (2, 2), 4, id="a-full-wave"),
+        pytest.param(9, (1, 1), 2, id="no-more-than-there-are"),
+        pytest.param(0, (4, 4), 0, id="items-alone-wait-at-the-worker"),
+    ],
+)
+def test_all_vms_together_yield_what_is_needed(online, batches, expected):
+    front = Vm("front")
+    front.hold(online=online)
+    holders = [Vm(f"vm-{number}") for number in range(len(batches))]
+    for holder, batch in zip(holders, batches, strict=True):
+        holder.hold(batch=batch)
+    meet(front, *holders)
+    assert sum(lasting_share(holder) for holder in holders) == expected
+
+
+def test_an_excess_that_passes_stops_nothing():
+    vm = Vm("a")
+    vm.hold(online=2, batch=3)
+    assert vm.room.places_to_yield(WORKER, 0) == 0
+    vm.loads.end("w", LoadKind.ONLINE)
+    assert vm.room.places_to_yield(WORKER, EXCESS_MS) == 0
+    vm.hold(online=1)
+    assert vm.room.places_to_yield(WORKER, EXCESS_MS + 1) == 0
+    assert vm.room.places_to_yield(WORKER, 2 * EXCESS_MS + 1) == 1
+
+
+def test_items_leave_a_place_for_the_next_online_request():
+    vm = Vm("a")
+    taken = 0
+    while vm.room.choose((WORKER,), avoid=(), now_ms=0) is not None:
+        vm.hold(batch=1)
+        taken += 1
+    assert taken == WORKER.slots - 1
+
+
+def test_an_item_goes_elsewhere_after_a_failure_if_it_can():
+    vm = Vm("a")
+    other = make_worker("other", slots=4)
+    vm.loads.on_report(
+        PeerLoad(
+            vm_id="b", incarnation=1, load_by_worker={"other": WorkerLoad(batch=2)}
+        ),
+        0,
+    )
+    chosen = vm.room.choose((WORKER, other), avoid=("w",), now_ms=0)
+    assert chosen is other
+    assert vm.room.choose((WORKER,), avoid=("w",), now_ms=0) is WORKER
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,93 @@
+"""Pattern: waves of online requests over long batch items on engines of one size."""
+
+import pytest
+from serving_fakes import make_worker
+
+from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
+from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
+from foxtailbank.fleet.worker_health import WorkerHealth
+
+WORKERS = (
+    make_worker("near", zone="z1", slots=4),
+    make_worker("far", zone="z2", slots=4),
+)
+
+
+class World:
+    def __init__(self, **loads):
+        self.loads = LoadTable()
+        self.health = WorkerHealth()
+        self.placement = Placement(zone="z1", loads=self.loads, health=self.health)
+        report = PeerLoad(
+            vm_id="peer",
+            incarnation=1,
+            load_by_worker={
+                name: WorkerLoad(online=online, batch=batch)
+                for name, (online, batch) in loads.items()
+            },
+        )
+        self.loads.on_report(report, 0)
+
+    def choose(self, *, patience_ms=150.0, tried=(), affinity=""):
+        return self.placement.choose(
+            workers=WORKERS,
+            tried=tried,
+            affinity=affinity,
+            mean_ms=400.0,
+            patience_ms=patience_ms,
+            now_ms=0,
+        )
+
+
+@pytest.mark.parametrize(
+    ("loads", "expected"),
+    [
+        pytest.param({}, "near", id="own-zone-first"),
+        pytest.param({"near": (2, 0)}, "far", id="free-places-before-zone"),
+        pytest.param({"near": (0, 4), "far": (3, 0)}, "far", id="free-before-yielding"),
+        pytest.param({"near": (3, 1), "far": (4, 0)}, "near", id="an-item-gives-way"),
+        pytest.param({"near": (5, 0), "far": (4, 0)}, "far", id="shortest-queue"),
+    ],
+)
+def test_choice(loads, expected):
+    chosen = World(**loads).choose()
+    assert isinstance(chosen, Choice)
+    assert chosen.worker.worker_id == expected
+
+
+def test_a_wave_beyond_all_places_is_refused_while_some_wait_a_little():
+    world = World(near=(4, 0), far=(4, 0))
+    admitted = 0
+    while isinstance(chosen := world.choose(), Choice):
+        world.loads.start(chosen.worker.worker_id, LoadKind.ONLINE)
+        admitted += 1
+    # A wait of 150 ms is one place of 400 ms shared by four on each worker.
+    assert admitted == 2
+    assert chosen.reason is RefusalReason.OVERLOADED
+    assert chosen.wait_ms > 150
+
+
+def test_who_returns_after_a_refusal_may_wait_longer():
+    world = World(near=(6, 0), far=(6, 0))
+    assert isinstance(world.choose(patience_ms=150), Refusal)
+    assert isinstance(world.choose(patience_ms=1_000), Choice)
+
+
+def test_workers_that_failed_are_avoided_until_nothing_else_is_left():
+    world = World()
+    world.health.on_failure("near", 0)
+    assert world.choose().worker.worker_id == "far"
+    assert world.choose(tried=("far",)).worker.worker_id == "near"
+    refusal = world.choose(tried=("far", "near"))
+    assert refusal.reason is RefusalReason.NO_WORKERS
+
+
+def test_one_prefix_keeps_to_one_worker_while_it_has_places():
+    world = World()
+    workers = {world.choose(affinity="a,b").worker.worker_id for _ in range(5)}
+    assert len(workers) == 1
+
+
+def test_no_vm_is_refused_while_a_place_is_free():
+    world = World(near=(3, 0), far=(4, 0))
+    assert world.choose(patience_ms=0).worker.worker_id == "near"
