--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -13,7 +13,6 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 
-
 ONLINE_RESERVE = 1  # places a worker keeps for the next online request
 EXCESS_MS = 50  # a full worker ends some request within about that
 
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -212,9 +212,7 @@
         self.sent = []
 
     @contextlib.asynccontextmanager
-    async def exchange(
-        self, worker, call, *, left_ms, head_timeout_ms, resume_after
-    ):
+    async def exchange(self, worker, call, *, left_ms, head_timeout_ms, resume_after):
         self.sent.append((worker.worker_id, call.request_id, left_ms, resume_after))
         step = self.script.pop(0)
         if isinstance(step, BaseException):
@@ -272,9 +270,7 @@
         )
 
     async def serve(self, route, **call):
-        await self.forwarder.serve(
-            make_call(self.clock, **call), route, self.responder
-        )
+        await self.forwarder.serve(make_call(self.clock, **call), route, self.responder)
         return self.responder
 
 
--- /dev/null
+++ b/tests/test_append_queue.py
@@ -0,0 +1,123 @@
+"""Appends whose answers are lost, refused or late, each done exactly once."""
+
+import anyio
+import pytest
+
+from foxtailbank.clock import SystemClock
+from foxtailbank.keyed_log import KeyedRecord
+from foxtailbank.submissions.append_queue import AppendQueue
+from serving_fakes import FakeKeyedLog, make_logs
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def record(key, size=1):
+    return (KeyedRecord(key=key, value=b"x" * size),)
+
+
+def make_queue(log, call_bytes=1_000):
+    return AppendQueue(
+        log=log,
+        producer="vm/1",
+        call_bytes=call_bytes,
+        logs=make_logs(),
+        clock=SystemClock(),
+    )
+
+
+def lose_one(log):
+    log.lose_answers = 1
+
+
+def land_late(log):
+    log.keep_aside = 1
+
+
+def refuse_a_while(log):
+    log.up = False
+
+
+@pytest.mark.parametrize("fault", [lose_one, land_late, refuse_a_while])
+async def test_results_stand_in_the_log_once_and_in_order(fault):
+    log = FakeKeyedLog()
+    fault(log)
+    queue = make_queue(log)
+    async with anyio.create_task_group() as group:
+        group.start_soon(queue.run)
+        first = queue.put(record("a"), urgent=False)
+        await anyio.sleep(0.1)
+        last = queue.put(record("b"), urgent=False)
+        await anyio.sleep(0.1)
+        log.up = True
+        with anyio.fail_after(10):
+            await last.done.wait()
+            await first.done.wait()
+        log.land_late()
+        group.cancel_scope.cancel()
+    assert [r.key for r in log.records] == ["a", "b"]
+    assert queue.is_empty
+    assert queue.waiting_bytes == 0
+    assert queue.available
+
+
+async def test_a_refused_call_that_somebody_waits_for_is_told_so_and_never_done():
+    log = FakeKeyedLog()
+    log.up = False
+    queue = make_queue(log)
+    async with anyio.create_task_group() as group:
+        group.start_soon(queue.run)
+        pending = queue.put(record("a"), urgent=True)
+        with anyio.fail_after(10):
+            await pending.done.wait()
+        assert pending.end == -1
+        assert not queue.available
+        log.up = True
+        later = queue.put(record("b"), urgent=True)
+        with anyio.fail_after(10):
+            await later.done.wait()
+        group.cancel_scope.cancel()
+    assert [r.key for r in log.records] == ["b"]
+
+
+async def test_a_call_in_doubt_is_not_refused_when_the_store_refuses_next():
+    log = FakeKeyedLog()
+    log.keep_aside = 1
+    queue = make_queue(log)
+    async with anyio.create_task_group() as group:
+        group.start_soon(queue.run)
+        pending = queue.put(record("a"), urgent=True)
+        await anyio.sleep(0.05)
+        log.up = False
+        await anyio.sleep(0.4)
+        assert not pending.done.is_set()
+        assert not queue.withdraw(pending)
+        log.up = True
+        with anyio.fail_after(10):
+            await pending.done.wait()
+        group.cancel_scope.cancel()
+    assert pending.end == 1
+
+
+async def test_what_was_not_sent_can_be_withdrawn():
+    queue = make_queue(FakeKeyedLog())
+    pending = queue.put(record("a"), urgent=True)
+    assert queue.withdraw(pending)
+    assert queue.is_empty
+
+
+async def test_results_that_end_together_share_calls_within_the_largest_call():
+    log = FakeKeyedLog()
+    queue = make_queue(log, call_bytes=100)
+    async with anyio.create_task_group() as group:
+        group.start_soon(queue.run)
+        for number in range(6):
+            last = queue.put(record(f"k{number}", size=40), urgent=False)
+        with anyio.fail_after(10):
+            await last.done.wait()
+        group.cancel_scope.cancel()
+    assert log.appends == 3
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -1,11 +1,11 @@
 """Pattern: batch items fill the troughs and give way when a wave of requests lasts."""
 
 import pytest
-from serving_fakes import make_worker
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.submissions.batch_room import EXCESS_MS, BatchRoom
+from serving_fakes import make_worker
 
 WORKER = make_worker("w", slots=4)
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,7 +1,6 @@
 """What a caller sees of workers that fail, and what workers get of a request."""
 
 import pytest
-from serving_fakes import FakeAnswer, ServingWorld, make_route
 
 from foxtailbank.fleet.crash_marks import CrashMark
 from foxtailbank.fleet.load_table import LoadKind
@@ -12,6 +11,7 @@
     NotConnected,
     ServerSilent,
 )
+from serving_fakes import FakeAnswer, ServingWorld, make_route
 
 pytestmark = pytest.mark.anyio
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
@@ -81,7 +81,9 @@
             id="address-reused",
         ),
         pytest.param(UNSAFE, [FakeAnswer(status=503)], 502, b"", 1, id="no-promise"),
-        pytest.param(UNSAFE, [FakeAnswer(status=429)], 502, b"", 1, id="no-promise-429"),
+        pytest.param(
+            UNSAFE, [FakeAnswer(status=429)], 502, b"", 1, id="no-promise-429"
+        ),
     ],
 )
 async def test_answers(route, script, status, body, sends):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,11 +1,11 @@
 """Pattern: waves of online requests over long batch items on engines of one size."""
 
 import pytest
-from serving_fakes import make_worker
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.worker_health import WorkerHealth
+from serving_fakes import make_worker
 
 WORKERS = (
     make_worker("near", zone="z1", slots=4),
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,237 @@
+"""Fault tables of what the platform's adapter decodes."""
+
+import json
+
+import pytest
+
+from foxtailbank.fleet.worker_table import RETURN_GRACE_MS
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.route import RouteKind
+from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.keyed_log import KeyedRecord, LogSlice
+from foxtailbank_platform.framing import (
+    FrameUnreadable,
+    decode_slice,
+    encode_records,
+)
+from foxtailbank_platform.manifest import (
+    ManifestState,
+    ManifestUnreadable,
+    decode_manifest,
+)
+from foxtailbank_platform.settings import (
+    SettingsInvalid,
+    decode_settings,
+    read_settings,
+)
+from foxtailbank_platform.worker_list import (
+    EntryUnreadable,
+    WorkerListState,
+    decode_entry,
+)
+from serving_fakes import make_logs, manual_clock
+
+SETTINGS = """node_name=n1
+zone=z1
+ip=127.0.0.1
+listen.front=127.0.0.1:8144
+listen.ready=127.0.0.1:8140
+port_range=7660,7675
+platform.address=127.0.0.1:8142
+unknown.field=1
+"""
+
+
+def test_settings():
+    settings = decode_settings(SETTINGS)
+    assert (settings.vm_id, settings.peer_port) == ("n1", 7660)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("node_name=n1", "", "node_name is missing"),
+        ("127.0.0.1:8144", "somewhere", "listen.front"),
+        ("7660,7675", "ports", "port_range"),
+        ("unknown.field=1", "bounds.grace_s=soon", "bounds.grace_s"),
+        ("zone=z1\nip=127.0.0.1", "", "zone is missing; ip is missing"),
+    ],
+)
+def test_settings_that_are_refused(old, new, named):
+    with pytest.raises(SettingsInvalid, match=named.split(";")[0]) as raised:
+        decode_settings(SETTINGS.replace(old, new))
+    assert named in raised.value.detail
+
+
+def test_settings_file_that_is_not_there(tmp_path):
+    with pytest.raises(SettingsInvalid):
+        read_settings(str(tmp_path / "none"))
+
+
+def test_records_come_back_from_their_frames():
+    records = (
+        KeyedRecord(key="k1", value=b"v"),
+        KeyedRecord(key="k2", value=b""),
+    )
+    data = (9).to_bytes(8, "big") + (0).to_bytes(8, "big") + encode_records(records)
+    found = decode_slice(data, start=7)
+    assert [(r.key, r.value, r.offset) for r in found.records] == [
+        ("k1", b"v", 7),
+        ("k2", b"", 8),
+    ]
+    assert found.end == 9
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\0" * 15, b"\0" * 18, b"\0" * 16 + b"\0\0\0\x09ab"]
+)
+def test_frames_that_are_refused(data):
+    with pytest.raises(FrameUnreadable):
+        decode_slice(data, start=0)
+
+
+def test_a_key_that_is_too_long_is_refused():
+    with pytest.raises(FrameUnreadable):
+        encode_records((KeyedRecord(key="k" * 256, value=b""),))
+
+
+def make_manifest(version=1, **route):
+    fields = {
+        "name": "r",
+        "host": "H.example",
+        "path_prefix": "/p/",
+        "type": "safe",
+        "service": "s",
+        "max_attempts": 2,
+    }
+    fields.update(route)
+    return json.dumps({"version": version, "routes": [fields]}).encode()
+
+
+def test_a_route_becomes_an_entry():
+    data = make_manifest(type="batch", cap=9, retention_s=60, run_deadline_ms=18_000)
+    route = decode_manifest(data).routes[0]
+    assert route.kind is RouteKind.BATCH
+    assert (route.host, route.owner) == ("h.example", "H.example")
+    assert (route.waiting_tokens, route.give_up_ms) == (9, 60_000)
+
+
+def test_an_unknown_type_must_not_run_twice():
+    assert decode_manifest(make_manifest(type="new")).routes[0].kind is RouteKind.UNSAFE
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"[]", b'{"version": "x", "routes": []}', b'{"version": 1}']
+)
+def test_manifests_that_are_refused(data):
+    with pytest.raises(ManifestUnreadable):
+        decode_manifest(data)
+
+
+def slice_of(*pairs):
+    records = tuple(
+        KeyedRecord(key=key, value=value, offset=offset)
+        for offset, (key, value) in enumerate(pairs)
+    )
+    return LogSlice(records=records, end=len(records))
+
+
+def test_a_version_never_goes_back_and_an_unreadable_one_changes_nothing():
+    routes = RouteTable()
+    state = ManifestState(routes=routes, logs=make_logs())
+    state.restore(slice_of(("config", make_manifest(version=4))))
+    state.advance(slice_of(("config", b"{")))
+    state.advance(slice_of(("config", make_manifest(version=3, path_prefix="/q/"))))
+    state.advance(slice_of(("other", make_manifest(version=9))))
+    assert routes.version == 4
+    assert routes.find("h.example", "/p/x") is not None
+    assert routes.find("h.example", "/q/x") is None
+
+
+def test_the_longest_prefix_of_a_host_wins():
+    routes = RouteTable()
+    state = ManifestState(routes=routes, logs=make_logs())
+    body = json.loads(make_manifest())
+    body["routes"].append({**body["routes"][0], "name": "long", "path_prefix": "/p/q/"})
+    state.restore(slice_of(("config", json.dumps(body).encode())))
+    assert routes.find("h.example", "/p/q/x").name == "long"
+    assert routes.find("h.example", "/p/x").name == "r"
+    assert routes.find("other.example", "/p/x") is None
+
+
+def make_entry(**fields):
+    entry = {"service": "s", "address": "127.0.0.1:1", "state": "ready", "slots": 2}
+    entry.update(fields)
+    return json.dumps(entry).encode()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"{}",
+        make_entry(state="lost"),
+        make_entry(slots=0),
+        make_entry(slots="many"),
+        make_entry(address="somewhere"),
+        make_entry(service=None),
+    ],
+)
+def test_entries_that_name_no_worker(value):
+    with pytest.raises(EntryUnreadable):
+        decode_entry("w", value)
+
+
+class Workers:
+    def __init__(self):
+        self.clock = manual_clock()
+        self.fleet = FleetState(
+            zone="z", routes=RouteTable(), logs=make_logs(), clock=self.clock
+        )
+        self.state = WorkerListState(
+            fleet=self.fleet, logs=make_logs(), clock=self.clock
+        )
+
+    @property
+    def usable(self):
+        return [worker.worker_id for worker in self.fleet.workers.usable("s")]
+
+
+def test_workers_join_drain_and_leave():
+    world = Workers()
+    world.state.restore(slice_of(("w1", make_entry()), ("w2", make_entry())))
+    assert world.usable == ["w1", "w2"]
+    world.state.advance(slice_of(("w1", make_entry(state="draining"))))
+    assert world.usable == ["w2"]
+    world.state.advance(slice_of(("w2", b"")))
+    assert world.usable == []
+
+
+def test_an_older_report_does_not_bring_a_leaving_worker_back():
+    world = Workers()
+    world.state.advance(
+        slice_of(("w", make_entry(state="draining", born=5, sequence=8)))
+    )
+    world.state.advance(slice_of(("w", make_entry(born=5, sequence=7))))
+    assert world.usable == []
+    world.state.advance(slice_of(("w", make_entry(born=6, sequence=0))))
+    assert world.usable == ["w"]
+
+
+def test_a_foreign_entry_changes_nothing():
+    world = Workers()
+    world.state.advance(slice_of(("w", make_entry()), ("x", b"\xff"), ("w", b"{}")))
+    assert world.usable == ["w"]
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_return():
+    world = Workers()
+    world.state.advance(slice_of(("w", make_entry()), ("gone", make_entry())))
+    world.fleet.workers.on_store_returned(world.clock.now_ms())
+    world.state.restore(slice_of())
+    assert world.usable == ["gone", "w"]
+    world.state.advance(slice_of(("w", make_entry())))
+    world.clock.advance(RETURN_GRACE_MS)
+    assert world.fleet.workers.expire(world.clock.now_ms()) == ("gone",)
+    assert world.usable == ["w"]
