Avoid zones that fell silent, drop closed submissions after their time

Cause: requests sent across a fresh cut were lost without a word until each connection had failed; submissions were kept in the store for ever.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -58,6 +58,7 @@
     SUBMISSION_REFUSED = "submission_refused"
     SUBMISSION_ENDED = "submission_ended"
     SUBMISSION_TAKEN_OVER = "submission_taken_over"
+    SUBMISSION_RETIRED = "submission_retired"
     ITEM_STARTED = "item_started"
     ITEM_YIELDED = "item_yielded"
     ITEM_FINISHED = "item_finished"
--- a/src/foxtailbank/fleet/load_exchange.py
+++ b/src/foxtailbank/fleet/load_exchange.py
@@ -35,6 +35,8 @@
     ----------
     vm_id : str
         This VM.
+    zone : str
+        Its availability zone.
     incarnation : int
         This process.
     address : str
@@ -57,6 +59,7 @@
         self,
         *,
         vm_id: str,
+        zone: str,
         incarnation: int,
         address: str,
         addresses: KeyedLog,
@@ -67,6 +70,7 @@
         clock: Clock,
     ) -> None:
         self._vm_id = vm_id
+        self._zone = zone
         self._incarnation = incarnation
         self._address = parse_address(address)
         self._addresses = addresses
@@ -125,6 +129,7 @@
         self._sequence += 1
         return LoadReport(
             vm_id=self._vm_id,
+            zone=self._zone,
             incarnation=self._incarnation,
             sequence=self._sequence,
             stopping=self.stopping,
@@ -148,6 +153,7 @@
         now_ms = self._clock.now_ms()
         if not self._peers.on_report(report, address, now_ms):
             return
+        self._fleet.reach.on_heard(report.zone, now_ms)
         if report.vm_id not in self._known_alive and not report.stopping:
             self._known_alive.add(report.vm_id)
             fields = LogFields(peer=report.vm_id)
--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -8,6 +8,7 @@
   stopping @3 :Bool;
   loads @4 :List(Load);     # only workers with requests in flight
   marks @5 :List(Mark);
+  zone @6 :Text;
 }
 
 struct Load {
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -22,6 +22,8 @@
     ----------
     vm_id : str
         The VM.
+    zone : str
+        Its availability zone.
     incarnation : int
         Its process.
     sequence : int
@@ -35,6 +37,7 @@
     """
 
     vm_id: str
+    zone: str
     incarnation: int
     sequence: int
     stopping: bool
@@ -56,6 +59,7 @@
     """Return the datagram of a report."""
     builder = _SCHEMA.LoadReport.new_message(
         vmId=report.vm_id,
+        zone=report.zone,
         incarnation=report.incarnation,
         sequence=report.sequence,
         stopping=report.stopping,
@@ -86,6 +90,7 @@
         reader = _SCHEMA.LoadReport.from_bytes_packed(datagram)
         return LoadReport(
             vm_id=reader.vmId,
+            zone=reader.zone,
             incarnation=reader.incarnation,
             sequence=reader.sequence,
             stopping=reader.stopping,
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -14,6 +14,7 @@
 from foxtailbank.fleet.load_table import LoadTable
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.zone_reach import ZoneReach
 
 SAME_ZONE_BONUS = 0.15  # of a worker's places; bytes between zones cost
 AFFINITY_BONUS = 0.2  # of a worker's places; a known prefix saves its prefill
@@ -69,12 +70,22 @@
         Requests in flight.
     health : WorkerHealth
         Workers to avoid.
+    reach : ZoneReach
+        Zones to avoid.
     """
 
-    def __init__(self, *, zone: str, loads: LoadTable, health: WorkerHealth) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str,
+        loads: LoadTable,
+        health: WorkerHealth,
+        reach: ZoneReach,
+    ) -> None:
         self._zone = zone
         self._loads = loads
         self._health = health
+        self._reach = reach
 
     def choose(
         self,
@@ -106,7 +117,7 @@
         left = [worker for worker in workers if worker.worker_id not in tried]
         if not left:
             return Refusal(reason=RefusalReason.NO_WORKERS, wait_ms=mean_ms)
-        sound = [w for w in left if not self._health.avoided(w.worker_id, now_ms)]
+        sound = [w for w in left if self._is_sound(w, now_ms)]
         # When all are avoided, the guess that they are down is worth less than a try.
         candidates = sound or left
         home = _affinity_home(candidates, affinity)
@@ -122,6 +133,11 @@
             return Refusal(reason=RefusalReason.OVERLOADED, wait_ms=wait_ms)
         return Choice(worker=best, wait_ms=wait_ms)
 
+    def _is_sound(self, worker: Worker, now_ms: int) -> bool:
+        if self._reach.is_silent(worker.zone, now_ms):
+            return False
+        return not self._health.avoided(worker.worker_id, now_ms)
+
     def _has_place(self, worker: Worker, now_ms: int) -> bool:
         if self._health.full(worker.worker_id, now_ms):
             return False
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -11,6 +11,7 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.worker_table import WorkerTable
+from foxtailbank.fleet.zone_reach import ZoneReach
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank.logs import LogFields, Logs
@@ -33,7 +34,7 @@
 
     Attributes
     ----------
-    workers, loads, health, times, marks
+    workers, loads, health, times, marks, reach
         The parts.
     """
 
@@ -48,7 +49,10 @@
         self._routes = routes
         self._logs = logs
         self._clock = clock
-        self._placement = Placement(zone=zone, loads=self.loads, health=self.health)
+        self.reach = ZoneReach(own_zone=zone)
+        self._placement = Placement(
+            zone=zone, loads=self.loads, health=self.health, reach=self.reach
+        )
         self._load_listeners: list[t.Callable[[], None]] = []
         self._peer_listeners: list[t.Callable[[], None]] = []
         self._mark_listeners: list[t.Callable[[CrashMark], None]] = []
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -22,6 +22,7 @@
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_room import BatchRoom
 from foxtailbank.submissions.book import SubmissionBook
+from foxtailbank.submissions.retirement import Retirement
 from foxtailbank.submissions.runner import Runner
 from foxtailbank.submissions.service import SubmissionService
 from foxtailbank.submissions.takeover import Takeover
@@ -166,6 +167,7 @@
         peers = PeerBook(vm_id=identity.vm_id)
         self._exchange = LoadExchange(
             vm_id=identity.vm_id,
+            zone=identity.zone,
             incarnation=identity.incarnation,
             address=identity.peer_address,
             addresses=addresses,
@@ -194,6 +196,7 @@
                 zone=identity.zone,
                 loads=self.fleet.loads,
                 health=self.fleet.health,
+                reach=self.fleet.reach,
             ),
             routes=self.routes,
             clock=clock,
@@ -211,6 +214,9 @@
             logs=logs,
             clock=clock,
         )
+        self._retirement = Retirement(
+            me=me, book=book, appends=self._appends, logs=logs, clock=clock
+        )
         self._read_gauges(metrics, peers)
 
     @property
@@ -227,6 +233,7 @@
             group.start_soon(self._exchange.run)
             group.start_soon(self.runner.run)
             group.start_soon(self._takeover.run)
+            group.start_soon(self._retirement.run)
             group.start_soon(self._expire)
 
     async def hand_over(self, timeout_ms: int) -> None:
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -12,6 +12,7 @@
 from foxtailbank.fleet.load_table import LoadTable
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.zone_reach import ZoneReach
 
 ONLINE_RESERVE = 1  # places a worker keeps for the next online request
 EXCESS_MS = 50  # a full worker ends some request within about that
@@ -30,15 +31,24 @@
         Requests in flight.
     health : WorkerHealth
         Workers to avoid.
+    reach : ZoneReach
+        Zones to avoid.
     """
 
     def __init__(
-        self, *, vm_id: str, zone: str, loads: LoadTable, health: WorkerHealth
+        self,
+        *,
+        vm_id: str,
+        zone: str,
+        loads: LoadTable,
+        health: WorkerHealth,
+        reach: ZoneReach,
     ) -> None:
         self._vm_id = vm_id
         self._zone = zone
         self._loads = loads
         self._health = health
+        self._reach = reach
         self._excess_since_ms: dict[str, int] = {}
 
     @property
@@ -100,6 +110,8 @@
     def _is_open(self, worker: Worker, now_ms: int) -> bool:
         if self._health.avoided(worker.worker_id, now_ms):
             return False
+        if self._reach.is_silent(worker.zone, now_ms):
+            return False
         if self._health.full(worker.worker_id, now_ms):
             return False
         places = max(1, worker.slots - ONLINE_RESERVE)
--- a/src/foxtailbank/submissions/book.py
+++ b/src/foxtailbank/submissions/book.py
@@ -8,7 +8,7 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
-from foxtailbank.submissions.records import RecordUnreadable, decode
+from foxtailbank.submissions.records import SUBMITTED_KIND, RecordUnreadable, decode
 
 _EVENT_BY_EFFECT = {
     Effect.ACCEPTED: Event.SUBMISSION_ACCEPTED,
@@ -56,7 +56,8 @@
 
     def _apply(self, stored: KeyedRecord, *, is_replay: bool) -> None:
         if not stored.value:
-            return  # the key was dropped when its submission had run out
+            self._drop(stored)
+            return
         try:
             record = decode(stored.value)
         except RecordUnreadable as failure:
@@ -66,6 +67,9 @@
             self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
             return
         effect = self.ledger.apply(record)
+        submission = self.ledger.get(record.submission_id)
+        if submission is not None:
+            submission.keys.add(stored.key)
         event = _EVENT_BY_EFFECT.get(effect)
         if event is None or is_replay:
             return
@@ -77,6 +81,11 @@
         )
         self._logs.write(event, level=LogLevel.DEBUG, fields=fields)
 
+    def _drop(self, stored: KeyedRecord) -> None:
+        kind, _, rest = stored.key.partition("/")
+        if kind == SUBMITTED_KIND:
+            self.ledger.forget(rest.partition("/")[0])
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -12,6 +12,8 @@
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.keyed_log import KeyedRecord
 
+SUBMITTED_KIND = "submitted"
+
 
 class RecordUnreadable(FoxtailbankError):
     """The bytes of a record are none of the known forms."""
@@ -51,7 +53,7 @@
     items: tuple[Item, ...]
 
 
-class Submitted(msgspec.Struct, frozen=True, kw_only=True, tag="submitted"):
+class Submitted(msgspec.Struct, frozen=True, kw_only=True, tag=SUBMITTED_KIND):
     """A submission arrived; accepted if it fits when the log reaches this record.
 
     Attributes
--- a/src/foxtailbank/submissions/submission.py
+++ b/src/foxtailbank/submissions/submission.py
@@ -31,6 +31,8 @@
         Output so far of items that ran.
     ended : bool
         Whether the client ended it.
+    keys : set of str
+        Keys of its records, by which they are dropped.
     """
 
     submission_id: str
@@ -46,6 +48,7 @@
     failures_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     progress_by_id: dict[str, Progress] = dataclasses.field(default_factory=dict)
     ended: bool = False
+    keys: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def is_open(self) -> bool:
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -137,9 +137,10 @@
         if vm_id == self._vm_id:
             return OwnerState.GONE
         peer = self._peers.get(vm_id)
-        if peer is not None and peer.incarnation:
-            if str(peer.incarnation) != incarnation or peer.stopping:
-                return OwnerState.GONE
+        if peer is None or not peer.incarnation:
+            return OwnerState.SILENT
+        if str(peer.incarnation) != incarnation or peer.stopping:
+            return OwnerState.GONE
         return OwnerState.ALIVE if peer in alive else OwnerState.SILENT
 
     async def _is_gone(self, owner: str, alive: tuple[Peer, ...], now_ms: int) -> bool:
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -4,6 +4,7 @@
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
 from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.zone_reach import ZoneReach
 from foxtailbank.submissions.batch_room import EXCESS_MS, BatchRoom
 from serving_fakes import make_worker
 
@@ -15,7 +16,11 @@
         self.vm_id = vm_id
         self.loads = LoadTable()
         self.room = BatchRoom(
-            vm_id=vm_id, zone="z1", loads=self.loads, health=WorkerHealth()
+            vm_id=vm_id,
+            zone="z1",
+            loads=self.loads,
+            health=WorkerHealth(),
+            reach=ZoneReach(own_zone="z1"),
         )
 
     def hold(self, *, online=0, batch=0):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,6 +5,7 @@
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.zone_reach import DOUBT_MS, SILENT_MS, ZoneReach
 from serving_fakes import make_worker
 
 WORKERS = (
@@ -17,7 +18,10 @@
     def __init__(self, **loads):
         self.loads = LoadTable()
         self.health = WorkerHealth()
-        self.placement = Placement(zone="z1", loads=self.loads, health=self.health)
+        self.reach = ZoneReach(own_zone="z1")
+        self.placement = Placement(
+            zone="z1", loads=self.loads, health=self.health, reach=self.reach
+        )
         report = PeerLoad(
             vm_id="peer",
             incarnation=1,
@@ -28,14 +32,14 @@
         )
         self.loads.on_report(report, 0)
 
-    def choose(self, *, patience_ms=150.0, tried=(), affinity=""):
+    def choose(self, *, patience_ms=150.0, tried=(), affinity="", now_ms=0):
         return self.placement.choose(
             workers=WORKERS,
             tried=tried,
             affinity=affinity,
             mean_ms=400.0,
             patience_ms=patience_ms,
-            now_ms=0,
+            now_ms=now_ms,
         )
 
 
@@ -91,3 +95,22 @@
 def test_no_vm_is_refused_while_a_place_is_free():
     world = World(near=(3, 0), far=(4, 0))
     assert world.choose(patience_ms=0).worker.worker_id == "near"
+
+
+@pytest.mark.parametrize(
+    ("silence_ms", "others_heard", "expected"),
+    [
+        pytest.param(SILENT_MS, True, "far", id="not-yet-silent"),
+        pytest.param(SILENT_MS + 1, True, "near", id="cut-off"),
+        pytest.param(SILENT_MS + 1, False, "far", id="nobody-is-heard"),
+        pytest.param(DOUBT_MS, True, "far", id="workers-may-live-on"),
+    ],
+)
+def test_a_zone_that_fell_silent_gets_no_requests_for_a_while(
+    silence_ms, others_heard, expected
+):
+    world = World(near=(2, 0))
+    world.reach.on_heard("z2", 0)
+    if others_heard:
+        world.reach.on_heard("z1", silence_ms)
+    assert world.choose(now_ms=silence_ms).worker.worker_id == expected
--- /dev/null
+++ b/tests/test_retirement.py
@@ -0,0 +1,65 @@
+"""Closed submissions leave the log after their time, and only then."""
+
+import dataclasses
+
+import anyio
+import pytest
+
+from foxtailbank.keyed_log import LogSlice
+from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.book import SubmissionBook
+from foxtailbank.submissions.records import encode
+from foxtailbank.submissions.retirement import KEPT_MS, Retirement
+from serving_fakes import FakeKeyedLog, make_logs, manual_clock
+from test_submission_ledger import listed, make_submitted
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.parametrize(
+    ("me", "results", "age_ms", "is_dropped"),
+    [
+        pytest.param("vm/1", "ab", KEPT_MS, True, id="own"),
+        pytest.param("vm/1", "ab", KEPT_MS - 2_000, False, id="too-early"),
+        pytest.param("vm/1", "a", KEPT_MS, False, id="still-open"),
+        pytest.param("other/1", "ab", KEPT_MS, False, id="its-owner-comes-first"),
+        pytest.param("other/1", "ab", 2 * KEPT_MS, True, id="owner-gone"),
+    ],
+)
+async def test_dropped(me, results, age_ms, is_dropped):
+    clock = manual_clock()
+    log = FakeKeyedLog()
+    book = SubmissionBook(logs=make_logs())
+    records = [make_submitted(), *(listed("s1", item) for item in results)]
+    stored = tuple(
+        dataclasses.replace(encode(record, unique=str(offset)), offset=offset)
+        for offset, record in enumerate(records)
+    )
+    book.restore(LogSlice(records=stored, end=len(stored)))
+    appends = AppendQueue(
+        log=log, producer=me, call_bytes=9_999, logs=make_logs(), clock=clock
+    )
+    retirement = Retirement(
+        me=me, book=book, appends=appends, logs=make_logs(), clock=clock
+    )
+    clock.advance(age_ms)
+    retirement.look()
+    retirement.look()
+    assert appends.is_empty != is_dropped
+    if not is_dropped:
+        return
+    async with anyio.create_task_group() as group:
+        group.start_soon(appends.run)
+        with anyio.fail_after(10):
+            while not log.records:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert sorted(r.key for r in log.records) == sorted(r.key for r in stored)
+    book.advance(LogSlice(records=tuple(log.records), end=len(log.records)))
+    assert book.ledger.get("s1") is None
+    assert book.ledger.waiting_tokens("r") == 0
--- a/tests/test_submission_ledger.py
+++ b/tests/test_submission_ledger.py
@@ -64,8 +64,11 @@
             id="too-many-tokens",
         ),
         pytest.param(
-            [make_submitted(items="abcdef"), Ended(submission_id="s1")]
-            + [make_submitted("s2")],
+            [
+                make_submitted(items="abcdef"),
+                Ended(submission_id="s1"),
+                make_submitted("s2"),
+            ],
             [Effect.ACCEPTED, Effect.ENDED, Effect.ACCEPTED],
             id="an-end-frees-its-tokens",
         ),
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -50,6 +50,7 @@
     def hear(self, vm_id="vm", *, incarnation=1, stopping=False):
         report = LoadReport(
             vm_id=vm_id,
+            zone="z1",
             incarnation=incarnation,
             sequence=self.clock.now_ms(),
             stopping=stopping,
