Take submissions again after an outage; bound headers; log clients that leave

Cause: after a refused append nothing was tried until another record came, so that submissions were refused for good once the store was back; a header over the bound was taken when it came in one piece.

--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -101,7 +101,12 @@
         progress = _Progress(deadline_ms=call.arrived_ms + wait_ms)
         progress.cutter.last_id = call.resume_after
         with anyio.move_on_after(self._left_ms(progress) / MS_PER_S) as scope:
-            await self._run(call, route, responder, progress)
+            try:
+                await self._run(call, route, responder, progress)
+            except anyio.get_cancelled_exc_class():
+                if not scope.cancel_called:
+                    self._on_client_left(call, route)
+                raise
         if scope.cancelled_caught:
             await self._expire(call, route, responder, progress)
 
@@ -401,6 +406,14 @@
             return
         await self._answer_failure(call, route, responder, 504, "deadline")
 
+    def _on_client_left(self, call: Call, route: Route) -> None:
+        self._metrics.count(Count.CALLS, entry=route.name, reason="client_left")
+        duration_ms = self._clock.now_ms() - call.arrived_ms
+        fields = LogFields(
+            request_id=call.request_id, entry=route.name, duration_ms=duration_ms
+        )
+        self._logs.write(Event.CLIENT_LEFT, fields=fields)
+
     def _record_first(self, call: Call, route: Route) -> None:
         value_ms = self._clock.now_ms() - call.arrived_ms
         self._metrics.record(
--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -160,7 +160,11 @@
         while event is h11.NEED_DATA:
             await self._feed(limits.header_timeout_ms)
             event = self._next_event()
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        if _header_bytes(event) > limits.header_bytes:
+            raise RequestRefused(status=431, detail="header too large")
+        return event
 
     async def _wait_idle(self, timeout_ms: int) -> bool:
         """Wait for the first bytes of a request; false if the wait is over."""
@@ -263,6 +267,11 @@
             await self._stream.send(joined)
 
 
+def _header_bytes(head: h11.Request) -> int:
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.target) + fields
+
+
 def _headers_of(head: h11.Request) -> Headers:
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -88,12 +88,15 @@
         self._waiting: list[Pending] = []
         self._wake = anyio.Event()
         self._failing_since_ms: int | None = None
+        self._failed_ms = 0
         self.waiting_bytes = 0
 
     @property
     def available(self) -> bool:
-        """Whether the last append did not fail."""
-        return self._failing_since_ms is None
+        """Whether an append may succeed: the last one did, or failed a while ago."""
+        if self._failing_since_ms is None:
+            return True
+        return self._clock.now_ms() - self._failed_ms > RETRY_MS
 
     @property
     def has_room(self) -> bool:
@@ -188,6 +191,8 @@
                 await anyio.sleep(RETRY_MS / MS_PER_S)
         self._sequence += 1
         self._on_success()
+        fields = LogFields(offset=end, count=len(records))
+        self._logs.write(Event.RESULTS_RECORDED, level=LogLevel.DEBUG, fields=fields)
         for pending in batch:
             self.waiting_bytes -= pending.size_bytes
             pending.end = end
@@ -202,9 +207,10 @@
         return [pending for pending in batch if not pending.urgent]
 
     def _on_failure(self, failure: FoxtailbankError) -> None:
+        self._failed_ms = self._clock.now_ms()
         if self._failing_since_ms is not None:
             return
-        self._failing_since_ms = self._clock.now_ms()
+        self._failing_since_ms = self._failed_ms
         fields = LogFields(task="append", reason=f"{failure.code}: {failure.detail}")
         self._logs.write(Event.STORE_LOST, level=LogLevel.WARNING, fields=fields)
 
