--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
+WORKERS ?= 4
 export PYTHONPATH := src
 
 .PHONY: env test lint demo fleet bench fuzz
@@ -17,7 +18,7 @@
 	$(PYTHON) -m mypy
 
 test: env
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile
 
 demo: env
 	$(PYTHON) -m foxtailbank_bench.demo
