--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -2,18 +2,17 @@
 
 import dataclasses
 import random
-import typing as t
 
 import anyio
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.events import Event
 from foxtailbank.fleet.crash_marks import CrashMark
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.placement import Choice, Refusal
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward import patience
 from foxtailbank.forward.call import Call
+from foxtailbank.forward.call_recorder import BROKEN_OFF, CallRecorder
 from foxtailbank.forward.event_stream import EventCutter
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route import Route, RouteKind
@@ -26,9 +25,8 @@
     ServerSilent,
 )
 from foxtailbank.http1.responder import Responder
-from foxtailbank.logs import LogFields, Logs
-from foxtailbank.metrics import Count, Metrics, Signal
-from foxtailbank.settings_sections import LogLevel
+from foxtailbank.logs import Logs
+from foxtailbank.metrics import Metrics
 
 EVENT_GAP_MS = 900  # several times the longest step of a full engine
 MIN_SAFE_WAIT_MS = 250
@@ -81,9 +79,10 @@
         self._client = client
         self._fleet = fleet
         self._clock = clock
-        self._logs = logs
-        self._metrics = metrics
         self._rng = rng
+        self._recorder = CallRecorder(
+            fleet=fleet, clock=clock, logs=logs, metrics=metrics
+        )
 
     async def serve(self, call: Call, route: Route, responder: Responder) -> None:
         """Answer one request.
@@ -105,7 +104,7 @@
                 await self._run(call, route, responder, progress)
             except anyio.get_cancelled_exc_class():
                 if not scope.cancel_called:
-                    self._on_client_left(call, route)
+                    self._recorder.client_left(call, route)
                 raise
         if scope.cancelled_caught:
             await self._expire(call, route, responder, progress)
@@ -177,7 +176,7 @@
                 progress.may_have_run = True
                 done = await self._pass_on(call, route, responder, progress, answer)
             if done:
-                self._on_served(call, route, worker, answer, started_ms)
+                self._on_served(call, worker, answer, started_ms)
             return done
         except NotConnected as failure:
             progress.sent -= 1
@@ -222,7 +221,9 @@
             return False
         if responder.started:
             # A resumed stream met a failure: the client must see it end early.
-            self._finish(call, route, 0, reason=f"status {answer.status}")
+            self._recorder.finished(
+                call, route, BROKEN_OFF, reason=f"status {answer.status}"
+            )
             return True
         if answer.status in PROMISES:
             # The worker did not say that it had not run the request.
@@ -230,7 +231,7 @@
             await self._answer_failure(call, route, responder, 502, reason)
             return True
         await responder.answer(status=answer.status, headers=answer.headers, body=body)
-        self._finish(call, route, answer.status, reason="")
+        self._recorder.finished(call, route, answer.status, reason="")
         return True
 
     async def _whole_body(self, answer: WorkerAnswer, left_ms: float) -> bytes:
@@ -260,14 +261,14 @@
                 await responder.start(status=answer.status, headers=answer.headers)
             if first:
                 first = False
-                self._record_first(call, route)
+                self._recorder.first_byte(call, route)
             await responder.send(data)
         if route.resumable and not cutter.is_clean:
             raise ConnectionBroken(detail="ended within an event")
         if not responder.started:
             await responder.start(status=answer.status, headers=answer.headers)
         await responder.finish()
-        self._finish(call, route, answer.status, reason="")
+        self._recorder.finished(call, route, answer.status, reason="")
 
     def _gap_ms(self, route: Route, progress: _Progress) -> float:
         left_ms = self._left_ms(progress)
@@ -290,10 +291,10 @@
         if route.repeatable and attempts_left and time_left:
             refused = self._fleet.marks.refused(call.fingerprint)
             if not refused:
-                self._metrics.count(Count.RETRIES, entry=route.name)
+                self._recorder.retried(route)
                 return True
         if responder.started:
-            self._finish(call, route, 0, reason=failure.code)
+            self._recorder.finished(call, route, BROKEN_OFF, reason=failure.code)
             return False
         status = failure.status
         await self._answer_failure(call, route, responder, status, failure.code)
@@ -308,13 +309,7 @@
         else:
             self._fleet.health.on_full(worker.worker_id, now_ms)
         progress.last_failure = f"refused {answer.status}"
-        fields = LogFields(
-            request_id=call.request_id,
-            endpoint=worker.worker_id,
-            status=answer.status,
-            count=self._fleet.loads.total(worker.worker_id).total,
-        )
-        self._logs.write(Event.WORKER_REFUSED, fields=fields)
+        self._recorder.worker_refused(call, worker, answer)
 
     def _on_failure(
         self, call: Call, worker: Worker, progress: _Progress, failure: ExchangeFailed
@@ -326,21 +321,10 @@
         if isinstance(failure, ConnectionBroken):
             mark = CrashMark(fingerprint=call.fingerprint, worker_id=worker.worker_id)
             self._fleet.on_crash(mark, now_ms)
-        fields = LogFields(
-            request_id=call.request_id,
-            endpoint=worker.worker_id,
-            reason=f"{failure.code}: {failure.detail}",
-            count=progress.sent,
-        )
-        self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
+        self._recorder.attempt_failed(call, worker, failure, progress.sent)
 
     def _on_served(
-        self,
-        call: Call,
-        route: Route,
-        worker: Worker,
-        answer: WorkerAnswer,
-        started_ms: int,
+        self, call: Call, worker: Worker, answer: WorkerAnswer, started_ms: int
     ) -> None:
         duration_ms = self._clock.now_ms() - started_ms
         self._fleet.health.on_success(worker.worker_id)
@@ -357,7 +341,9 @@
         refusal: Refusal,
     ) -> None:
         if responder.started:
-            self._finish(call, route, 0, reason=progress.last_failure)
+            self._recorder.finished(
+                call, route, BROKEN_OFF, reason=progress.last_failure
+            )
             return
         if progress.may_have_run and not route.repeatable:
             await self._answer_failure(
@@ -383,8 +369,7 @@
             wait_ms=wait_ms, left_ms=self._left_ms(progress), rng=self._rng
         )
         headers: Headers = (("Retry-After", f"{after_ms / MS_PER_S:.3f}"),)
-        self._metrics.count(Count.REFUSALS, entry=route.name, reason=reason)
-        self._finish(call, route, 503, reason=reason, wait_ms=int(wait_ms))
+        self._recorder.refused(call, route, reason=reason, wait_ms=wait_ms)
         await responder.answer(status=503, headers=headers)
 
     async def _answer_failure(
@@ -395,55 +380,16 @@
         status: int,
         reason: str,
     ) -> None:
-        self._finish(call, route, status, reason=reason)
+        self._recorder.finished(call, route, status, reason=reason)
         await responder.answer(status=status)
 
     async def _expire(
         self, call: Call, route: Route, responder: Responder, progress: _Progress
     ) -> None:
         if responder.started:
-            self._finish(call, route, 0, reason="deadline")
+            self._recorder.finished(call, route, BROKEN_OFF, reason="deadline")
             return
         await self._answer_failure(call, route, responder, 504, "deadline")
 
-    def _on_client_left(self, call: Call, route: Route) -> None:
-        self._metrics.count(Count.CALLS, entry=route.name, reason="client_left")
-        duration_ms = self._clock.now_ms() - call.arrived_ms
-        fields = LogFields(
-            request_id=call.request_id, entry=route.name, duration_ms=duration_ms
-        )
-        self._logs.write(Event.CLIENT_LEFT, fields=fields)
-
-    def _record_first(self, call: Call, route: Route) -> None:
-        value_ms = self._clock.now_ms() - call.arrived_ms
-        self._metrics.record(
-            entry=route.name, signal=Signal.FIRST_TOKEN, value_ms=value_ms
-        )
-
-    def _finish(
-        self, call: Call, route: Route, status: int, *, reason: str, wait_ms: int = 0
-    ) -> None:
-        """Write the request's outcome; status 0 tells of a broken answer."""
-        duration_ms = self._clock.now_ms() - call.arrived_ms
-        self._metrics.count(Count.CALLS, entry=route.name, reason=str(status))
-        self._metrics.record(entry=route.name, signal=Signal.CALL, value_ms=duration_ms)
-        event = Event.CALL_FINISHED if 200 <= status < 300 else Event.CALL_FAILED
-        if status == 503:
-            event = Event.CALL_REFUSED
-        fields = LogFields(
-            request_id=call.request_id,
-            owner=route.owner,
-            entry=route.name,
-            reason=reason,
-            status=status,
-            duration_ms=duration_ms,
-            wait_ms=wait_ms or None,
-            version=self._fleet.routes_version(),
-        )
-        self._logs.write(event, fields=fields)
-
     def _left_ms(self, progress: _Progress) -> float:
         return max(0.0, progress.deadline_ms - self._clock.now_ms())
-
-
-ServeCall: t.TypeAlias = t.Callable[[Call, Route, Responder], t.Awaitable[None]]
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -6,7 +6,6 @@
 import anyio.abc
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.events import Event
 from foxtailbank.fleet.crash_marks import CrashMark, fingerprint_of
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
@@ -22,20 +21,14 @@
     NotConnected,
     ServerSilent,
 )
-from foxtailbank.logs import LogFields, Logs
-from foxtailbank.metrics import Count, Metrics
-from foxtailbank.settings_sections import LogLevel
+from foxtailbank.logs import Logs
+from foxtailbank.metrics import Metrics
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_room import BatchRoom
 from foxtailbank.submissions.book import SubmissionBook
+from foxtailbank.submissions.item_recorder import ItemRecorder
 from foxtailbank.submissions.item_run import ItemRun
-from foxtailbank.submissions.records import (
-    AttemptFailed,
-    Item,
-    Listed,
-    Progress,
-    encode,
-)
+from foxtailbank.submissions.records import Item
 from foxtailbank.submissions.submission import Submission
 
 HEAD_TIMEOUT_MS = 3_000  # a full worker may queue an item for some steps
@@ -99,9 +92,10 @@
         self._room = room
         self._routes = routes
         self._clock = clock
-        self._logs = logs
-        self._metrics = metrics
         self._rng = rng
+        self._recorder = ItemRecorder(
+            me=me, appends=appends, clock=clock, logs=logs, metrics=metrics
+        )
         self._runs: dict[tuple[str, str], ItemRun] = {}
         self._route_missing_ms: dict[str, int] = {}
         self._wake = anyio.Event()
@@ -128,7 +122,7 @@
         """Stop all items for good, so that another VM can go on."""
         self.stopping = True
         for run in self._runs.values():
-            self._save(run)
+            self._recorder.saved(run)
             run.stop()
 
     @property
@@ -172,21 +166,6 @@
             run.resume_from(progress)
         return run
 
-    def _save(self, run: ItemRun) -> None:
-        """Write the output so far to the log, if there is more than before."""
-        run.saved_ms = self._clock.now_ms()
-        if run.is_done or len(run.texts) == run.saved_count:
-            return
-        run.saved_count = len(run.texts)
-        submission_id, item_id = run.key
-        record = Progress(
-            submission_id=submission_id,
-            item_id=item_id,
-            after_event=run.cutter.last_id,
-            texts=tuple(run.texts),
-        )
-        self._appends.put((encode(record, unique=item_id),), urgent=False)
-
     def _due_ms(self, host: str, submission: Submission) -> int:
         route = self._routes.find(host, submission.target)
         span_ms = route.run_deadline_ms if route is not None else 0
@@ -218,7 +197,7 @@
             return True
         self._route_missing_ms.pop(run.submission.submission_id, None)
         if self._given_up(run, route):
-            self._list(run, completed=False, reason="retention")
+            self._recorder.listed(run, completed=False, reason="retention")
             return True
         fingerprint = self._fingerprint(run)
         if self._fleet.marks.refused(fingerprint):
@@ -246,14 +225,7 @@
     ) -> None:
         scope = run.scope
         assert scope is not None
-        fields = LogFields(
-            job_id=run.submission.submission_id,
-            request_id=run.item.item_id,
-            endpoint=worker.worker_id,
-            count=run.tries,
-            reason=f"after event {run.cutter.last_id}" if run.texts else "",
-        )
-        self._logs.write(Event.ITEM_STARTED, level=LogLevel.DEBUG, fields=fields)
+        self._recorder.started(run)
         self._fleet.notify_load()
         try:
             with scope:
@@ -300,50 +272,37 @@
             else:
                 self._fleet.health.on_full(worker.worker_id, now_ms)
             run.not_before_ms = now_ms + FULL_RETRY_MS
-            self._log_refusal(run, worker, answer)
+            load = self._fleet.loads.total(worker.worker_id)
+            self._recorder.worker_refused(run, answer, load)
             return
         if answer.is_success:
             await self._collect(run, answer)
             self._fleet.health.on_success(worker.worker_id)
-            self._list(run, completed=True, reason="")
+            self._recorder.listed(run, completed=True, reason="completed")
             return
         if answer.status == STATUS_CANNOT_RUN:
-            self._list(run, completed=False, reason="cannot_run")
+            self._recorder.listed(run, completed=False, reason="cannot_run")
             return
         run.failed_on.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
         if answer.status == STATUS_FAILED:
             self._on_attempt_failed(run, route)
 
-    def _log_refusal(self, run: ItemRun, worker: Worker, answer: WorkerAnswer) -> None:
-        fields = LogFields(
-            job_id=run.submission.submission_id,
-            request_id=run.item.item_id,
-            endpoint=worker.worker_id,
-            status=answer.status,
-            count=self._fleet.loads.total(worker.worker_id).total,
-        )
-        self._logs.write(Event.WORKER_REFUSED, fields=fields)
-
     async def _collect(self, run: ItemRun, answer: WorkerAnswer) -> None:
         while (part := await answer.next_part(GAP_TIMEOUT_MS)) is not None:
             whole = run.cutter.feed(part)
             if whole:
                 run.texts.extend(event.data for event in parse_events(whole))
                 if self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS:
-                    self._save(run)
+                    self._recorder.saved(run)
         if not run.cutter.is_clean:
             raise ConnectionBroken(detail="ended within an event")
 
     def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
-        submission_id, item_id = run.key
-        record = AttemptFailed(submission_id=submission_id, item_id=item_id)
-        unique = f"{item_id}/{self._me}/{run.tries}"
-        self._appends.put((encode(record, unique=unique),), urgent=False)
-        failures = run.submission.failures_by_id.get(item_id, 0) + 1
-        self._metrics.count(Count.FAILED_ITEMS, entry=route.name)
+        self._recorder.attempt_failed(run, route.name)
+        failures = run.submission.failures_by_id.get(run.item.item_id, 0) + 1
         if failures >= route.max_attempts:
-            self._list(run, completed=False, reason="attempts")
+            self._recorder.listed(run, completed=False, reason="attempts")
 
     def _on_failure(
         self, run: ItemRun, worker: Worker, fingerprint: int, failure: ExchangeFailed
@@ -356,20 +315,13 @@
         if isinstance(failure, ConnectionBroken):
             mark = CrashMark(fingerprint=fingerprint, worker_id=worker.worker_id)
             self._fleet.on_crash(mark, now_ms)
-        fields = LogFields(
-            job_id=run.submission.submission_id,
-            request_id=run.item.item_id,
-            endpoint=worker.worker_id,
-            reason=f"{failure.code}: {failure.detail}",
-            count=run.tries,
-        )
-        self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
+        self._recorder.exchange_failed(run, failure)
 
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
         submission_id = run.submission.submission_id
         since_ms = self._route_missing_ms.setdefault(submission_id, now_ms)
         if self._routes.known and now_ms - since_ms > ROUTE_GONE_MS:
-            self._list(run, completed=False, reason="route_removed")
+            self._recorder.listed(run, completed=False, reason="route_removed")
         else:
             run.not_before_ms = now_ms + RETRY_MS
 
@@ -379,27 +331,6 @@
         age_ms = self._clock.wall_ms() - run.submission.arrived_wall_ms
         return age_ms > route.give_up_ms + GIVE_UP_MARGIN_MS
 
-    def _list(self, run: ItemRun, *, completed: bool, reason: str) -> None:
-        run.is_done = True
-        submission_id, item_id = run.key
-        record = Listed(
-            submission_id=submission_id,
-            item_id=item_id,
-            completed=completed,
-            text="\n".join(run.texts) if completed else "",
-        )
-        stored = encode(record, unique=f"{item_id}/{self._me}")
-        self._appends.put((stored,), urgent=False)
-        self._metrics.count(Count.FINISHED_ITEMS, reason=reason)
-        fields = LogFields(
-            job_id=submission_id,
-            request_id=item_id,
-            endpoint=run.worker_id,
-            reason=reason or "completed",
-            count=run.tries,
-        )
-        self._logs.write(Event.ITEM_FINISHED, fields=fields)
-
     def _yield_places(self) -> None:
         now_ms = self._clock.now_ms()
         by_worker: dict[str, list[ItemRun]] = {}
@@ -417,19 +348,9 @@
             # What is due last gives way first.
             runs.sort(key=lambda run: -run.due_ms)
             for run in runs[:count]:
-                self._yield(run, worker)
-
-    def _yield(self, run: ItemRun, worker: Worker) -> None:
-        load = self._fleet.loads.total(worker.worker_id)
-        self._metrics.count(Count.PREEMPTED_ITEMS)
-        fields = LogFields(
-            job_id=run.submission.submission_id,
-            request_id=run.item.item_id,
-            endpoint=worker.worker_id,
-            reason=f"{load.online} online, {load.batch} batch on {worker.slots}",
-        )
-        self._logs.write(Event.ITEM_YIELDED, fields=fields)
-        run.stop()
+                load = self._fleet.loads.total(worker_id)
+                self._recorder.yielded(run, worker, load)
+                run.stop()
 
     def _fingerprint(self, run: ItemRun) -> int:
         return fingerprint_of(
