--- a/src/foxtailbank/forward/worker_client.py
+++ b/src/foxtailbank/forward/worker_client.py
@@ -2,7 +2,6 @@
 
 import abc
 import contextlib
-import typing as t
 
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
@@ -83,10 +82,3 @@
         ExchangeFailed
             The request may have run.
         """
-
-    async def forget(self, worker: Worker) -> None:
-        """Close what is kept open to a worker that is gone."""
-        return None
-
-
-AnswerContext: t.TypeAlias = contextlib.AbstractAsyncContextManager[WorkerAnswer]
--- a/src/foxtailbank/http1/channel_pool.py
+++ b/src/foxtailbank/http1/channel_pool.py
@@ -26,17 +26,14 @@
             list
         )
         self._distrusted_before_ms = -1
-        self.opened = 0
 
-    async def take(self, address: str, *, fresh: bool = False) -> ClientChannel:
+    async def take(self, address: str) -> ClientChannel:
         """Return an idle connection, or a new one.
 
         Parameters
         ----------
         address : str
             IP number and port.
-        fresh : bool
-            Whether the connection must be new.
 
         Raises
         ------
@@ -44,12 +41,11 @@
             No connection could be made.
         """
         idle = self._idle_by_address[address]
-        while idle and not fresh:
+        while idle:
             channel = idle.pop()
             if self._trusted(channel):
                 return channel
             await channel.aclose()
-        self.opened += 1
         return await ClientChannel.connect(
             address=address, clock=self._clock, timeout_ms=self._connect_ms
         )
@@ -71,16 +67,6 @@
         """
         self._distrusted_before_ms = self._clock.now_ms()
 
-    async def drop(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        for channel in self._idle_by_address.pop(address, []):
-            await channel.aclose()
-
-    async def aclose(self) -> None:
-        """Close all idle connections."""
-        for address in tuple(self._idle_by_address):
-            await self.drop(address)
-
     def _trusted(self, channel: ClientChannel) -> bool:
         if channel.opened_ms <= self._distrusted_before_ms:
             return False
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -8,7 +8,6 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError
-from foxtailbank.fleet.load_exchange import LoadExchange
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.forwarder import Forwarder
@@ -16,6 +15,7 @@
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.keyed_log import KeyedLog
 from foxtailbank.lease_book import LeaseBook
+from foxtailbank.load_exchange import LoadExchange
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.metrics import Gauge, Metrics
