Draw the conclusions from a failed send in one place

Forwarding and running items each sorted failures into avoided workers and crash marks, and refusals into full and misdirected workers; FleetState does both now. Behaviour unchanged.

--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -13,7 +13,13 @@
 from foxtailbank.fleet.worker_table import WorkerTable
 from foxtailbank.fleet.zone_reach import ZoneReach
 from foxtailbank.forward.route_table import RouteTable
-from foxtailbank.http1.failures import ExchangeFailed
+from foxtailbank.forward.worker_client import WorkerAnswer
+from foxtailbank.http1.failures import (
+    ConnectionBroken,
+    ExchangeFailed,
+    NotConnected,
+    ServerSilent,
+)
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 
@@ -138,6 +144,24 @@
         )
         self._logs.write(Event.ENDPOINT_AVOIDED, level=LogLevel.WARNING, fields=fields)
 
+    def on_exchange_failure(
+        self, worker: Worker, fingerprint: int, failure: ExchangeFailed
+    ) -> None:
+        """Draw the conclusions from a send that failed."""
+        now_ms = self._clock.now_ms()
+        if isinstance(failure, (NotConnected, ServerSilent)):
+            self.on_worker_failure(worker, failure, now_ms)
+        if isinstance(failure, ConnectionBroken):
+            mark = CrashMark(fingerprint=fingerprint, worker_id=worker.worker_id)
+            self.on_crash(mark, now_ms)
+
+    def on_not_run(self, worker: Worker, answer: WorkerAnswer) -> None:
+        """Draw the conclusions from a worker that did not run a request."""
+        if answer.misdirected:
+            self.on_misdirected(worker)
+        else:
+            self.health.on_full(worker.worker_id, self._clock.now_ms())
+
     def on_crash(self, mark: CrashMark, now_ms: int) -> None:
         """Remember that a connection broke while a request ran."""
         if not self.marks.add(mark, now_ms):
--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -6,7 +6,6 @@
 import anyio
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.fleet.crash_marks import CrashMark
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.placement import Choice, Refusal
 from foxtailbank.fleet.worker import Worker
@@ -22,7 +21,6 @@
     ConnectionBroken,
     ExchangeFailed,
     NotConnected,
-    ServerSilent,
 )
 from foxtailbank.http1.responder import Responder
 from foxtailbank.logs import Logs
@@ -303,24 +301,15 @@
     def _on_refused(
         self, call: Call, worker: Worker, answer: WorkerAnswer, progress: _Progress
     ) -> None:
-        now_ms = self._clock.now_ms()
-        if answer.misdirected:
-            self._fleet.on_misdirected(worker)
-        else:
-            self._fleet.health.on_full(worker.worker_id, now_ms)
+        self._fleet.on_not_run(worker, answer)
         progress.last_failure = f"refused {answer.status}"
         self._recorder.worker_refused(call, worker, answer)
 
     def _on_failure(
         self, call: Call, worker: Worker, progress: _Progress, failure: ExchangeFailed
     ) -> None:
-        now_ms = self._clock.now_ms()
         progress.last_failure = failure.code
-        if isinstance(failure, (NotConnected, ServerSilent)):
-            self._fleet.on_worker_failure(worker, failure, now_ms)
-        if isinstance(failure, ConnectionBroken):
-            mark = CrashMark(fingerprint=call.fingerprint, worker_id=worker.worker_id)
-            self._fleet.on_crash(mark, now_ms)
+        self._fleet.on_exchange_failure(worker, call.fingerprint, failure)
         self._recorder.attempt_failed(call, worker, failure, progress.sent)
 
     def _on_served(
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -6,7 +6,7 @@
 import anyio.abc
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.fleet.crash_marks import CrashMark, fingerprint_of
+from foxtailbank.fleet.crash_marks import fingerprint_of
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
@@ -18,8 +18,6 @@
 from foxtailbank.http1.failures import (
     ConnectionBroken,
     ExchangeFailed,
-    NotConnected,
-    ServerSilent,
 )
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -267,10 +265,7 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         if answer.not_run:
-            if answer.misdirected:
-                self._fleet.on_misdirected(worker)
-            else:
-                self._fleet.health.on_full(worker.worker_id, now_ms)
+            self._fleet.on_not_run(worker, answer)
             run.not_before_ms = now_ms + FULL_RETRY_MS
             load = self._fleet.loads.total(worker.worker_id)
             self._recorder.worker_refused(run, answer, load)
@@ -310,11 +305,7 @@
         now_ms = self._clock.now_ms()
         run.failed_on.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
-        if isinstance(failure, (NotConnected, ServerSilent)):
-            self._fleet.on_worker_failure(worker, failure, now_ms)
-        if isinstance(failure, ConnectionBroken):
-            mark = CrashMark(fingerprint=fingerprint, worker_id=worker.worker_id)
-            self._fleet.on_crash(mark, now_ms)
+        self._fleet.on_exchange_failure(worker, fingerprint, failure)
         self._recorder.exchange_failed(run, failure)
 
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
