Keep shares of services below one; draw the service in one place

Cause: the decoder cut a share of 0.5 to 0, and the runner's draw over shares that are all 0 raises ValueError, which would end the process. Forwarder and runner each had the draw.

--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -133,19 +133,13 @@
             target_ms=route.target_ms, timeout_ms=route.timeout_ms, left_ms=left_ms
         )
         return self._fleet.choose(
-            service=self._service(route),
+            service=route.choose_service(self._rng),
             tried=progress.tried,
             affinity=call.affinity,
             patience_ms=longest_ms,
             now_ms=self._clock.now_ms(),
         )
 
-    def _service(self, route: Route) -> str:
-        if len(route.backends) == 1:
-            return route.backends[0].service
-        weights = [backend.weight for backend in route.backends]
-        return self._rng.choices(route.backends, weights)[0].service
-
     async def _attempt(
         self,
         call: Call,
--- a/src/foxtailbank/forward/route.py
+++ b/src/foxtailbank/forward/route.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import random
 
 from foxtailbank.http1.server_limits import ServerLimits
 
@@ -23,12 +24,12 @@
     ----------
     service : str
         The service.
-    weight : int
+    weight : float
         Its share relative to the others'.
     """
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -88,6 +89,16 @@
         """Whether a request may run more than once."""
         return self.kind is RouteKind.SAFE or self.resumable
 
+    def choose_service(self, rng: random.Random) -> str:
+        """Draw the service that takes the next request, by weight.
+
+        Services without any weight share equally.
+        """
+        weights = [max(0.0, backend.weight) for backend in self.backends]
+        if not any(weights):
+            return rng.choice(self.backends).service
+        return rng.choices(self.backends, weights)[0].service
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouteSet:
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -9,7 +9,7 @@
 
 from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.headers import Headers, strip_hop_by_hop
+from foxtailbank.headers import Headers
 from foxtailbank.http1.failures import (
     AnswerGarbled,
     ConnectionBroken,
@@ -44,11 +44,6 @@
         """Return a header's value, or an empty text; the name is in lower case."""
         return self._value_by_name.get(name, "")
 
-    @property
-    def end_to_end(self) -> Headers:
-        """Headers that may travel on to the next connection."""
-        return strip_hop_by_hop(self.headers)
-
 
 class ClientChannel:
     """Connection to a server.
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -201,8 +201,7 @@
         if self._fleet.marks.refused(fingerprint):
             run.not_before_ms = now_ms + ROUTE_GONE_MS
             return True
-        service = self._service(route)
-        workers = self._fleet.workers.usable(service)
+        workers = self._fleet.workers.usable(route.choose_service(self._rng))
         worker = self._room.choose(workers, avoid=run.failed_on, now_ms=now_ms)
         if worker is None:
             return False
@@ -214,10 +213,6 @@
         self._group.start_soon(self._run, run, route, worker, fingerprint)
         return True
 
-    def _service(self, route: Route) -> str:
-        weights = [backend.weight for backend in route.backends]
-        return self._rng.choices(route.backends, weights)[0].service
-
     async def _run(
         self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
     ) -> None:
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -254,8 +254,7 @@
 
     async def _append(self, records: tuple[KeyedRecord, ...]) -> int:
         pending = self._appends.put(records, urgent=True)
-        wait_until_ms = self._clock.now_ms() + APPEND_WAIT_MS
-        if not await _wait(pending.done, wait_until_ms - self._clock.now_ms()):
+        if not await _wait(pending.done, APPEND_WAIT_MS):
             if self._appends.withdraw(pending):
                 raise StateUnknown(
                     detail="the store is slow", retry_after_ms=RETRY_AFTER_MS
