Relay: a started link takes datagrams; senders take turns; a mode that cuts one way

Shown by a test whose bind is slow: it failed before. The same file had a second fault: replies of several tasks shared a socket, which anyio refuses (BusyResourceError); a test with 50 datagrams at once failed before. New mode MUTE passes requests and no answers, for the soak. Ruled out: the mode that the failed case was named for; the loss came before it.

--- a/src/foxtailbank_bench/relay_connection.py
+++ b/src/foxtailbank_bench/relay_connection.py
@@ -45,12 +45,16 @@
         self._client = client
         self._target = target
         self._faults = faults
-        self._silent = False
+        self._silent_to: set[anyio.abc.SocketStream] = set()
         self._scope = anyio.CancelScope()
 
     def silence(self) -> None:
         """Pass nothing any more, and keep both ends open."""
-        self._silent = True
+        self._silent_to = {self._client, self._target}
+
+    def mute(self) -> None:
+        """Pass nothing more to the client, and keep both ends open."""
+        self._silent_to.add(self._client)
 
     def reset(self) -> None:
         """Break both ends off."""
@@ -98,9 +102,9 @@
                 async for due_s, data in pieces:
                     if due_s > anyio.current_time():
                         await anyio.sleep_until(due_s)
-                    if not self._silent:
+                    if sink not in self._silent_to:
                         await sink.send(data)
-                if self._silent:
+                if sink in self._silent_to:
                     # The other end must not learn of this one's close.
                     await anyio.sleep(math.inf)
                 await sink.send_eof()
--- a/src/foxtailbank_bench/relay_datagrams.py
+++ b/src/foxtailbank_bench/relay_datagrams.py
@@ -30,12 +30,13 @@
         self._port = port
         self._target = target
         self._faults = faults
+        self._sending = anyio.Lock()  # a socket takes one sender at a time
         self._sockets_by_source: dict[
             tuple[str, int], anyio.abc.ConnectedUDPSocket
         ] = {}
 
-    async def run(self, host: str) -> None:
-        """Pass datagrams for ever.
+    async def run(self, host: str, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Pass datagrams for ever; started once the port is bound.
 
         Parameters
         ----------
@@ -48,6 +49,7 @@
             ) as listener,
             anyio.create_task_group() as tasks,
         ):
+            task_status.started()
             async for data, (source_host, source_port) in listener:
                 source = (source_host, source_port)
                 upstream = self._sockets_by_source.get(source)
@@ -95,6 +97,7 @@
     ) -> None:
         await anyio.sleep((self._faults.delay_ms or 0) / MS_PER_S)
         try:
-            await send(*arguments)
+            async with self._sending:
+                await send(*arguments)
         except (anyio.BrokenResourceError, OSError):
             return
--- a/src/foxtailbank_bench/relay_faults.py
+++ b/src/foxtailbank_bench/relay_faults.py
@@ -17,6 +17,9 @@
     STALL
         Keeps connections open and passes nothing; those open meanwhile stay
         silent for good, also after a return to PASS. Drops datagrams.
+    MUTE
+        Passes on what clients send and nothing of what comes back, for connections
+        open meanwhile for good. Drops datagrams.
     REFUSE
         Resets open connections and refuses new ones; drops datagrams.
     """
@@ -24,6 +27,7 @@
     PASS = "pass"
     CUT = "cut"
     STALL = "stall"
+    MUTE = "mute"
     REFUSE = "refuse"
 
 
--- a/src/foxtailbank_bench/relay_link.py
+++ b/src/foxtailbank_bench/relay_link.py
@@ -50,6 +50,9 @@
         if change.mode is LinkMode.STALL:
             for connection in self._connections:
                 connection.silence()
+        if change.mode is LinkMode.MUTE:
+            for connection in self._connections:
+                connection.mute()
         if change.mode in (LinkMode.CUT, LinkMode.REFUSE):
             for connection in self._connections:
                 connection.reset()
@@ -63,7 +66,7 @@
             port=self._port, target=self._target, faults=self._faults
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(datagrams.run, self._host)
+            await tasks.start(datagrams.run, self._host)
             await tasks.start(self._listen_while_allowed)
             task_status.started()
 
@@ -122,6 +125,8 @@
         connection = RelayConnection(client=client, target=target, faults=self._faults)
         if self._faults.mode is LinkMode.STALL:
             connection.silence()
+        if self._faults.mode is LinkMode.MUTE:
+            connection.mute()
         self._connections.add(connection)
         try:
             await connection.run()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,6 +16,7 @@
 pytestmark = pytest.mark.anyio
 GIVE_UP_S = 30
 SILENCE_S = 0.3
+MANY = 50
 LOOKUP = EndpointCall(request_id="r", method="GET", path="/contracts/c1")
 
 
@@ -66,6 +67,7 @@
     [
         ("cut", exceptions.EndpointFailed),
         ("stall", exceptions.EndpointStalled),
+        ("mute", exceptions.EndpointStalled),
         ("refuse", exceptions.EndpointRefused),
     ],
 )
@@ -117,7 +119,7 @@
     return None
 
 
-@pytest.mark.parametrize("mode", ["cut", "stall", "refuse"])
+@pytest.mark.parametrize("mode", ["cut", "stall", "mute", "refuse"])
 async def test_datagrams_are_dropped_unless_the_link_passes(mode):
     target = await anyio.create_udp_socket(local_host="127.0.0.1")
     port = target.extra(anyio.abc.SocketAttribute.local_port)
@@ -141,6 +143,47 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_started_link_takes_datagrams_however_slowly_its_port_is_bound(
+    monkeypatch,
+):
+    bind = anyio.create_udp_socket
+
+    async def bind_slowly(**options):
+        await anyio.sleep(SILENCE_S)
+        return await bind(**options)
+
+    async with await bind(local_host="127.0.0.1") as target:
+        port = target.extra(anyio.abc.SocketAttribute.local_port)
+        monkeypatch.setattr(anyio, "create_udp_socket", bind_slowly)
+        async with relayed(f"127.0.0.1:{port}") as (address, _):
+            host, _, relay_port = address.partition(":")
+            async with await anyio.create_connected_udp_socket(
+                host, int(relay_port)
+            ) as source:
+                await source.send(b"1")
+                assert await target.receive()
+
+
+async def test_many_datagrams_at_once_pass():
+    async with await anyio.create_udp_socket(local_host="127.0.0.1") as target:
+        port = target.extra(anyio.abc.SocketAttribute.local_port)
+        async with (
+            relayed(f"127.0.0.1:{port}") as (address, control),
+            anyio.create_task_group() as tasks,
+        ):
+            await control.set_faults(delay_ms=20)
+            tasks.start_soon(echo, target)
+            host, _, relay_port = address.partition(":")
+            async with await anyio.create_connected_udp_socket(
+                host, int(relay_port)
+            ) as source:
+                for number in range(MANY):
+                    await source.send(b"%d" % number)
+                answers = {await source.receive() for _ in range(MANY)}
+            assert len(answers) == MANY
+            tasks.cancel_scope.cancel()
+
+
 async def test_program_lists_its_links():
     arguments = ["--link", "a=127.0.0.1:1", "--link", "b=127.0.0.1:2"]
     with anyio.fail_after(GIVE_UP_S):
