Add the fault soak: entry VMs as processes, faults from outside, promises checked

Store, workers, relay links and callers live in the soak's process; entry VMs are processes of their own behind links that delay, reset, silence or cut one way, are stopped, paused, killed, reloaded and restarted with wrong clocks. Stand-ins moved from tests/ into it, one copy for both.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -12,7 +12,8 @@
 from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank_platform.main import Process
 from foxtailbank_platform.settings import decode_settings
-from platform_stand_in import StoreStandIn, WorkerStandIn
+from foxtailbank_soak.store import StoreStandIn
+from foxtailbank_soak.worker import WorkerStandIn
 from serving_fakes import make_logs
 
 pytestmark = pytest.mark.anyio
@@ -49,9 +50,11 @@
 
     def __init__(self, group):
         self.group = group
-        self.store = StoreStandIn(STORE)
+        self.store = StoreStandIn(STORE, clock=CLOCK)
+        self.store.page_keys = 2
         self.workers = [
-            WorkerStandIn(f"w{number}", f"127.0.0.3{number}:18080") for number in (1, 2)
+            WorkerStandIn(f"w{number}", f"127.0.0.3{number}:18080", clock=CLOCK)
+            for number in (1, 2)
         ]
         group.start_soon(self.store.server.run)
         for worker in self.workers:
@@ -268,7 +271,7 @@
         assert await submit("s1") == 202
         await anyio.sleep(0.3)
         first.cancel()
-        world.store.members.clear()
+        world.store.forget_members()
         page = await read_all(world, "s1", 3, number=2)
         assert {r["text"] for r in page["results"]} == {"e1\ne2\ne3"}
 
