Pace load reports by the fleet's size, and spread VMs over equal workers

Cause: 71 VMs sent each change to all 70 peers, about 1,000 datagrams a second each, and each one summed all peers' loads anew; VMs that saw equal loads all took the same worker, online and batch. Change: peers of the own zone hear of changes within 0.1 ms x n^2, others within 0.25 ms x n^2 (at most 500 ms); sums are kept up to date; ties go by an order of the VM's own. Between: two senders on one socket crashed 36 of 71 VMs; a test with real sockets failed before the lock.

--- a/src/foxtailbank/fleet/load_table.py
+++ b/src/foxtailbank/fleet/load_table.py
@@ -62,7 +62,8 @@
         self._own: dict[str, WorkerLoad] = {}
         self._peer_by_vm: dict[str, PeerLoad] = {}
         self._seen_ms_by_vm: dict[str, int] = {}
-        self._peer_sum: dict[str, WorkerLoad] = {}
+        self._peer_online: collections.Counter[str] = collections.Counter()
+        self._peer_batch: collections.Counter[str] = collections.Counter()
 
     def start(self, worker_id: str, kind: LoadKind) -> None:
         """Count a request of this VM."""
@@ -74,9 +75,12 @@
 
     def on_report(self, report: PeerLoad, now_ms: int) -> None:
         """Take what another VM says it has in flight."""
+        known = self._peer_by_vm.get(report.vm_id)
+        if known is not None:
+            self._count(known, -1)
         self._peer_by_vm[report.vm_id] = report
         self._seen_ms_by_vm[report.vm_id] = now_ms
-        self._sum_peers()
+        self._count(report, 1)
 
     def expire(self, now_ms: int) -> tuple[str, ...]:
         """Forget peers that fell silent and return their names."""
@@ -87,9 +91,7 @@
         )
         for vm_id in silent:
             del self._seen_ms_by_vm[vm_id]
-            del self._peer_by_vm[vm_id]
-        if silent:
-            self._sum_peers()
+            self._count(self._peer_by_vm.pop(vm_id), -1)
         return silent
 
     def own(self, worker_id: str) -> WorkerLoad:
@@ -103,9 +105,9 @@
     def total(self, worker_id: str) -> WorkerLoad:
         """Return what all VMs have in flight on a worker."""
         own = self._own.get(worker_id, NO_LOAD)
-        peers = self._peer_sum.get(worker_id, NO_LOAD)
         return WorkerLoad(
-            online=own.online + peers.online, batch=own.batch + peers.batch
+            online=own.online + self._peer_online[worker_id],
+            batch=own.batch + self._peer_batch[worker_id],
         )
 
     def batch_by_peer(self, worker_id: str) -> dict[str, int]:
@@ -127,14 +129,10 @@
         else:
             self._own.pop(worker_id, None)
 
-    def _sum_peers(self) -> None:
-        online: collections.Counter[str] = collections.Counter()
-        batch: collections.Counter[str] = collections.Counter()
-        for peer in self._peer_by_vm.values():
-            for worker_id, load in peer.load_by_worker.items():
-                online[worker_id] += load.online
-                batch[worker_id] += load.batch
-        self._peer_sum = {
-            worker_id: WorkerLoad(online=online[worker_id], batch=batch[worker_id])
-            for worker_id in online.keys() | batch.keys()
-        }
+    def _count(self, peer: PeerLoad, sign: int) -> None:
+        for worker_id, load in peer.load_by_worker.items():
+            self._peer_online[worker_id] += sign * load.online
+            self._peer_batch[worker_id] += sign * load.batch
+            if not self._peer_online[worker_id] and not self._peer_batch[worker_id]:
+                del self._peer_online[worker_id]
+                del self._peer_batch[worker_id]
--- a/src/foxtailbank/fleet/peer_book.py
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from foxtailbank.fleet.load_report import LoadReport
+from foxtailbank.fleet.report_pace import PeerGroup
 
 ALIVE_MS = 1_500  # three missed reports of an idle VM
 SEND_MS = 15_000  # a VM that was replaced is forgotten after that
@@ -18,6 +19,8 @@
         The VM.
     address : str
         Where its datagrams come from.
+    zone : str
+        Its availability zone; empty before its first report.
     incarnation : int
         Its process; 0 before its first report.
     sequence : int
@@ -30,6 +33,7 @@
 
     vm_id: str
     address: str
+    zone: str = ""
     incarnation: int = 0
     sequence: int = 0
     heard_ms: int
@@ -37,10 +41,19 @@
 
 
 class PeerBook:
-    """Addresses from the store, and liveness from reports."""
+    """Addresses from the store, and liveness from reports.
 
-    def __init__(self, *, vm_id: str) -> None:
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    zone : str
+        Its availability zone.
+    """
+
+    def __init__(self, *, vm_id: str, zone: str) -> None:
         self._vm_id = vm_id
+        self._zone = zone
         self._by_id: dict[str, Peer] = {}
 
     def learn(self, vm_id: str, address: str, now_ms: int) -> bool:
@@ -65,6 +78,7 @@
         self._by_id[report.vm_id] = Peer(
             vm_id=report.vm_id,
             address=address,
+            zone=report.zone,
             incarnation=report.incarnation,
             sequence=report.sequence,
             heard_ms=now_ms,
@@ -72,12 +86,12 @@
         )
         return True
 
-    def targets(self, now_ms: int) -> tuple[str, ...]:
-        """Return the addresses that reports go to."""
+    def targets(self, group: PeerGroup, now_ms: int) -> tuple[str, ...]:
+        """Return the addresses of a group that reports go to."""
         return tuple(
             peer.address
             for peer in self._by_id.values()
-            if now_ms - peer.heard_ms < SEND_MS
+            if self._group_of(peer) is group and now_ms - peer.heard_ms < SEND_MS
         )
 
     def get(self, vm_id: str) -> Peer | None:
@@ -93,3 +107,6 @@
             and not peer.stopping
             and now_ms - peer.heard_ms < ALIVE_MS
         )
+
+    def _group_of(self, peer: Peer) -> PeerGroup:
+        return PeerGroup.NEAR if peer.zone == self._zone else PeerGroup.FAR
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -2,11 +2,13 @@
 
 Answers the pattern in which short waves of online requests meet long batch items on
 engines without priorities: a free place first, then a place that a batch item gives
-up, then a short queue, else a refusal at once.
+up, then a short queue, else a refusal at once. Entry VMs that see the same loads
+prefer different ones of equal workers, for they do not see each other's newest choices.
 """
 
 import dataclasses
 import enum
+import functools
 import typing as t
 
 import xxhash
@@ -18,6 +20,8 @@
 
 SAME_ZONE_BONUS = 0.15  # of a worker's places; bytes between zones cost
 AFFINITY_BONUS = 0.2  # of a worker's places; a known prefix saves its prefill
+TASTES_KEPT = 4_096  # workers
+TASTE_SPAN = 0.05  # of a worker's places; less than one place of any engine
 
 
 class RefusalReason(enum.Enum):
@@ -64,8 +68,10 @@
 
     Parameters
     ----------
+    vm_id : str
+        This VM.
     zone : str
-        Availability zone of this VM.
+        Its availability zone.
     loads : LoadTable
         Requests in flight.
     health : WorkerHealth
@@ -77,11 +83,13 @@
     def __init__(
         self,
         *,
+        vm_id: str,
         zone: str,
         loads: LoadTable,
         health: WorkerHealth,
         reach: ZoneReach,
     ) -> None:
+        self._vm_id = vm_id
         self._zone = zone
         self._loads = loads
         self._health = health
@@ -127,7 +135,7 @@
         yielding = [w for w in candidates if self._batch_can_yield(w)]
         if yielding:
             return Choice(worker=min(yielding, key=lambda w: self._cost(w, home)))
-        best = min(candidates, key=lambda w: self._queue_ms(w, mean_ms))
+        best = min(candidates, key=lambda w: self._queue_cost(w, mean_ms))
         wait_ms = self._queue_ms(best, mean_ms)
         if wait_ms > patience_ms:
             return Refusal(reason=RefusalReason.OVERLOADED, wait_ms=wait_ms)
@@ -150,6 +158,7 @@
     def _cost(self, worker: Worker, home: str) -> float:
         load = self._loads.total(worker.worker_id)
         cost = load.online / worker.slots + 0.5 * load.batch / worker.slots
+        cost += TASTE_SPAN * taste(self._vm_id, worker.worker_id)
         if worker.zone == self._zone:
             cost -= SAME_ZONE_BONUS
         if worker.worker_id == home:
@@ -161,6 +170,16 @@
         ahead = load.total - worker.slots + 1
         return max(0.0, ahead * mean_ms / worker.slots)
 
+    def _queue_cost(self, worker: Worker, mean_ms: float) -> tuple[float, float]:
+        queue_ms = self._queue_ms(worker, mean_ms)
+        return (queue_ms, taste(self._vm_id, worker.worker_id))
+
+
+@functools.lru_cache(maxsize=TASTES_KEPT)
+def taste(vm_id: str, worker_id: str) -> float:
+    """Return from 0 to 1 how little a VM likes a worker; each VM in its own order."""
+    return xxhash.xxh32_intdigest(f"{vm_id}/{worker_id}") / 2**32
+
 
 def _affinity_home(workers: t.Sequence[Worker], affinity: str) -> str:
     """Return the worker that a prefix belongs to, by rendezvous hashing."""
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -29,8 +29,10 @@
 
     Parameters
     ----------
+    vm_id : str
+        This VM.
     zone : str
-        Availability zone of this VM.
+        Its availability zone.
     routes : RouteTable
         Routes in force.
     logs : Logs
@@ -45,7 +47,13 @@
     """
 
     def __init__(
-        self, *, zone: str, routes: RouteTable, logs: Logs, clock: Clock
+        self,
+        *,
+        vm_id: str,
+        zone: str,
+        routes: RouteTable,
+        logs: Logs,
+        clock: Clock,
     ) -> None:
         self.workers = WorkerTable()
         self.loads = LoadTable()
@@ -57,7 +65,11 @@
         self._clock = clock
         self.reach = ZoneReach(own_zone=zone)
         self._placement = Placement(
-            zone=zone, loads=self.loads, health=self.health, reach=self.reach
+            vm_id=vm_id,
+            zone=zone,
+            loads=self.loads,
+            health=self.health,
+            reach=self.reach,
         )
         self._load_listeners: list[t.Callable[[], None]] = []
         self._peer_listeners: list[t.Callable[[], None]] = []
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -9,20 +9,18 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError, FrameInvalid
-from foxtailbank.fleet import load_report
+from foxtailbank.fleet import load_report, report_pace
 from foxtailbank.fleet.crash_marks import CrashMark
 from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.load_table import PeerLoad
 from foxtailbank.fleet.peer_book import PeerBook
+from foxtailbank.fleet.report_pace import IDLE_PERIOD_MS, PeerGroup
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import KeyedLog, KeyedRecord
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
 
-IDLE_PERIOD_MS = 500
-MIN_GAP_MS = 12  # changes within it share a report
-GAP_PER_PEER_MS = 1.0  # so that a large fleet's reports stay a small part of a core
 ADDRESSES_FAST_MS = 1_000
 ADDRESSES_SLOW_MS = 20_000
 MARKS_KEPT = 16
@@ -80,16 +78,18 @@
         self._logs = logs
         self._clock = clock
         self._sequence = 0
-        self._changed = anyio.Event()
+        self._changed_by_group = {group: anyio.Event() for group in PeerGroup}
         self._marks: collections.deque[CrashMark] = collections.deque(maxlen=MARKS_KEPT)
         self._known_alive: set[str] = set()
+        self._sending = anyio.Lock()  # a socket takes one sender at a time
         self.stopping = False
         fleet.on_load_change(self.hurry)
         fleet.on_new_mark(self._on_own_mark)
 
     def hurry(self) -> None:
         """Send a report soon."""
-        self._changed.set()
+        for changed in self._changed_by_group.values():
+            changed.set()
 
     async def run(self) -> None:
         """Exchange reports until cancelled."""
@@ -99,28 +99,29 @@
         async with socket, anyio.create_task_group() as group:
             group.start_soon(self._receive, socket)
             group.start_soon(self._learn_addresses)
-            await self._send(socket)
+            for peer_group in PeerGroup:
+                group.start_soon(self._send, socket, peer_group)
 
-    async def _send(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _send(self, socket: anyio.abc.UDPSocket, group: PeerGroup) -> None:
         while True:
             now_ms = self._clock.now_ms()
-            self._changed = anyio.Event()
-            targets = self._peers.targets(now_ms)
+            changed = self._changed_by_group[group] = anyio.Event()
+            targets = self._peers.targets(group, now_ms)
             datagram = load_report.encode(self._report())
             for target in targets:
                 await self._send_one(socket, datagram, parse_address(target))
             self._notice_lost(now_ms)
-            await anyio.sleep(
-                max(MIN_GAP_MS, GAP_PER_PEER_MS * len(targets)) / MS_PER_S
-            )
-            with anyio.move_on_after(IDLE_PERIOD_MS / MS_PER_S):
-                await self._changed.wait()
+            gap_ms = report_pace.gap_ms(group, len(targets))
+            await anyio.sleep(gap_ms / MS_PER_S)
+            with anyio.move_on_after((IDLE_PERIOD_MS - gap_ms) / MS_PER_S):
+                await changed.wait()
 
     async def _send_one(
         self, socket: anyio.abc.UDPSocket, datagram: bytes, to: Address
     ) -> None:
         try:
-            await socket.sendto(datagram, to.ip, to.port)
+            async with self._sending:
+                await socket.sendto(datagram, to.ip, to.port)
         except OSError as error:
             fields = LogFields(peer=f"{to.ip}:{to.port}", reason=repr(error))
             self._logs.write(Event.PEER_REFUSED, level=LogLevel.DEBUG, fields=fields)
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -131,7 +131,11 @@
         self._logs = logs
         self.routes = RouteTable()
         self.fleet = FleetState(
-            zone=identity.zone, routes=self.routes, logs=logs, clock=clock
+            vm_id=identity.vm_id,
+            zone=identity.zone,
+            routes=self.routes,
+            logs=logs,
+            clock=clock,
         )
         self.forwarder = Forwarder(
             client=client,
@@ -164,7 +168,7 @@
             logs=logs,
             clock=clock,
         )
-        peers = PeerBook(vm_id=identity.vm_id)
+        peers = PeerBook(vm_id=identity.vm_id, zone=identity.zone)
         self._exchange = LoadExchange(
             vm_id=identity.vm_id,
             zone=identity.zone,
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from foxtailbank.fleet.load_table import LoadTable
+from foxtailbank.fleet.placement import taste
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.zone_reach import ZoneReach
@@ -117,10 +118,14 @@
         places = max(1, worker.slots - ONLINE_RESERVE)
         return self._loads.total(worker.worker_id).total < places
 
-    def _cost(self, worker: Worker) -> tuple[float, bool, str]:
+    def _cost(self, worker: Worker) -> tuple[float, bool, float]:
         load = self._loads.total(worker.worker_id)
         is_far = worker.zone != self._zone
-        return (load.total / worker.slots, is_far, worker.worker_id)
+        return (
+            load.total / worker.slots,
+            is_far,
+            taste(self._vm_id, worker.worker_id),
+        )
 
 
 def _turn(vm_id: str, worker_id: str) -> int:
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -254,7 +254,11 @@
         self.clock = SystemClock()
         self.routes = RouteTable()
         self.fleet = FleetState(
-            zone="z1", routes=self.routes, logs=make_logs(), clock=self.clock
+            vm_id="vm1",
+            zone="z1",
+            routes=self.routes,
+            logs=make_logs(),
+            clock=self.clock,
         )
         for number in range(worker_count):
             self.fleet.workers.put(make_worker(f"w{number}", slots=slots))
--- /dev/null
+++ b/tests/test_load_exchange.py
@@ -0,0 +1,108 @@
+"""Load reports of one VM to peers of its own zone and of others, over real sockets."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from foxtailbank.clock import SystemClock
+from foxtailbank.fleet import load_report
+from foxtailbank.fleet.load_report import LoadReport
+from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.peer_book import PeerBook
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.keyed_log import KeyedRecord, ProducerStep
+from foxtailbank.load_exchange import LoadExchange
+from serving_fakes import FakeKeyedLog, make_logs, make_routes
+
+pytestmark = pytest.mark.anyio
+CLOCK = SystemClock()
+HOST = "127.0.0.41"
+PORT = 18_461
+PEERS = 12
+WAIT_S = 10
+
+
+class NoAppends:
+    def put(self, records, *, urgent):
+        pass
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_exchange(addresses):
+    fleet = FleetState(
+        vm_id="me", zone="z1", routes=make_routes(), logs=make_logs(), clock=CLOCK
+    )
+    exchange = LoadExchange(
+        vm_id="me",
+        zone="z1",
+        incarnation=1,
+        address=f"{HOST}:{PORT}",
+        addresses=addresses,
+        appends=NoAppends(),
+        peers=PeerBook(vm_id="me", zone="z1"),
+        fleet=fleet,
+        logs=make_logs(),
+        clock=CLOCK,
+    )
+    return exchange, fleet
+
+
+def hello(vm_id, zone):
+    return load_report.encode(
+        LoadReport(
+            vm_id=vm_id,
+            zone=zone,
+            incarnation=1,
+            sequence=1,
+            stopping=False,
+            load_by_worker={},
+            marks=(),
+        )
+    )
+
+
+async def newest_load(socket):
+    """Return once a report with one request in flight has come."""
+    async for datagram, _ in socket:
+        report = load_report.decode(datagram)
+        load = report.load_by_worker.get("w1")
+        if load is not None and load.online == 1:
+            return
+
+
+async def test_peers_of_all_zones_hear_of_a_change_at_once():
+    addresses = FakeKeyedLog()
+    exchange, fleet = make_exchange(addresses)
+    async with contextlib.AsyncExitStack() as stack:
+        sockets = []
+        for number in range(PEERS):
+            socket = await stack.enter_async_context(
+                await anyio.create_udp_socket(
+                    local_host=HOST, local_port=PORT + 1 + number
+                )
+            )
+            sockets.append(socket)
+            address = f"{HOST}:{PORT + 1 + number}"
+            record = KeyedRecord(key=f"vm{number}", value=address.encode())
+            step = ProducerStep(producer="other", epoch=1, sequence=number)
+            await addresses.append((record,), step=step)
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(exchange.run)
+                for number, socket in enumerate(sockets):
+                    await socket.receive()
+                    zone = "z1" if number % 2 else "z2"
+                    await socket.sendto(hello(f"vm{number}", zone), HOST, PORT)
+                for _ in range(50):
+                    fleet.notify_load()
+                    await anyio.sleep(0.002)
+                fleet.start("w1", LoadKind.ONLINE)
+                async with anyio.create_task_group() as waits:
+                    for socket in sockets:
+                        waits.start_soon(newest_load, socket)
+                group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_load_table.py
@@ -0,0 +1,83 @@
+"""Sums of requests in flight against an oracle that adds them up anew."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from foxtailbank.fleet.load_table import (
+    NO_LOAD,
+    PEER_FRESH_MS,
+    LoadKind,
+    LoadTable,
+    PeerLoad,
+    WorkerLoad,
+)
+
+WORKERS = ("w1", "w2", "w3")
+VMS = ("vm1", "vm2", "vm3")
+loads = st.builds(WorkerLoad, online=st.integers(0, 9), batch=st.integers(0, 9)).filter(
+    lambda load: load.total
+)
+load_maps = st.dictionaries(st.sampled_from(WORKERS), loads)
+
+
+class LoadTableMachine(RuleBasedStateMachine):
+    """Own counts, peers' reports and silences in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = LoadTable()
+        self.now_ms = 0
+        self.own = []
+        self.reports = {}
+        self.seen_ms = {}
+
+    @rule(worker=st.sampled_from(WORKERS), kind=st.sampled_from(LoadKind))
+    def start(self, worker, kind):
+        self.table.start(worker, kind)
+        self.own.append((worker, kind))
+
+    @rule(data=st.data())
+    def end(self, data):
+        if not self.own:
+            return
+        one = self.own.pop(data.draw(st.integers(0, len(self.own) - 1)))
+        self.table.end(*one)
+
+    @rule(vm=st.sampled_from(VMS), load_by_worker=load_maps)
+    def report(self, vm, load_by_worker):
+        peer = PeerLoad(vm_id=vm, incarnation=1, load_by_worker=load_by_worker)
+        self.table.on_report(peer, self.now_ms)
+        self.reports[vm] = load_by_worker
+        self.seen_ms[vm] = self.now_ms
+
+    @rule(span_ms=st.integers(0, PEER_FRESH_MS))
+    def wait(self, span_ms):
+        self.now_ms += span_ms
+        silent = {
+            vm
+            for vm, seen_ms in self.seen_ms.items()
+            if self.now_ms - seen_ms > PEER_FRESH_MS
+        }
+        assert set(self.table.expire(self.now_ms)) == silent
+        for vm in silent:
+            del self.reports[vm]
+            del self.seen_ms[vm]
+
+    @invariant()
+    def sums_are_right(self):
+        for worker in WORKERS:
+            expected = self._sum(worker)
+            assert self.table.total(worker) == expected
+
+    def _sum(self, worker):
+        rows = [load.get(worker, NO_LOAD) for load in self.reports.values()]
+        online = sum(row.online for row in rows)
+        batch = sum(row.batch for row in rows)
+        online += self.own.count((worker, LoadKind.ONLINE))
+        batch += self.own.count((worker, LoadKind.BATCH))
+        return WorkerLoad(online=online, batch=batch)
+
+
+LoadTableMachine.TestCase.settings = settings(max_examples=60, deadline=None)
+TestLoadTable = LoadTableMachine.TestCase
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Pattern: waves of online requests over long batch items on engines of one size."""
 
+import collections
+
 import pytest
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
@@ -15,12 +17,16 @@
 
 
 class World:
-    def __init__(self, **loads):
+    def __init__(self, vm_id="vm1", **loads):
         self.loads = LoadTable()
         self.health = WorkerHealth()
         self.reach = ZoneReach(own_zone="z1")
         self.placement = Placement(
-            zone="z1", loads=self.loads, health=self.health, reach=self.reach
+            vm_id=vm_id,
+            zone="z1",
+            loads=self.loads,
+            health=self.health,
+            reach=self.reach,
         )
         report = PeerLoad(
             vm_id="peer",
@@ -32,9 +38,11 @@
         )
         self.loads.on_report(report, 0)
 
-    def choose(self, *, patience_ms=150.0, tried=(), affinity="", now_ms=0):
+    def choose(
+        self, *, patience_ms=150.0, tried=(), affinity="", now_ms=0, workers=WORKERS
+    ):
         return self.placement.choose(
-            workers=WORKERS,
+            workers=workers,
             tried=tried,
             affinity=affinity,
             mean_ms=400.0,
@@ -114,3 +122,15 @@
     if others_heard:
         world.reach.on_heard("z1", silence_ms)
     assert world.choose(now_ms=silence_ms).worker.worker_id == expected
+
+
+@pytest.mark.parametrize("load", [(0, 0), (2, 0), (4, 0)])
+def test_vms_that_see_equal_workers_spread_over_them(load):
+    workers = tuple(make_worker(f"w{n}", zone="z1", slots=4) for n in range(6))
+    chosen = collections.Counter()
+    for number in range(120):
+        world = World(vm_id=f"vm{number}", **{w.worker_id: load for w in workers})
+        choice = world.choose(workers=workers)
+        chosen[choice.worker.worker_id] += 1
+    assert len(chosen) == len(workers)
+    assert max(chosen.values()) < 2 * 120 / len(workers)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -120,6 +120,12 @@
     assert decode_manifest(make_manifest(type="new")).routes[0].kind is RouteKind.UNSAFE
 
 
+def test_shares_below_one_are_kept():
+    backends = [{"service": "a", "weight": 0.25}, {"service": "b", "weight": 0.75}]
+    route = decode_manifest(make_manifest(backends=backends)).routes[0]
+    assert [backend.weight for backend in route.backends] == [0.25, 0.75]
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"\xff", b"[]", b'{"version": "x", "routes": []}', b'{"version": 1}']
 )
@@ -187,7 +193,11 @@
     def __init__(self):
         self.clock = manual_clock()
         self.fleet = FleetState(
-            zone="z", routes=RouteTable(), logs=make_logs(), clock=self.clock
+            vm_id="vm1",
+            zone="z",
+            routes=RouteTable(),
+            logs=make_logs(),
+            clock=self.clock,
         )
         self.state = WorkerListState(
             fleet=self.fleet, logs=make_logs(), clock=self.clock
--- /dev/null
+++ b/tests/test_report_pace.py
@@ -0,0 +1,51 @@
+"""Load reports of many entry VMs that share workers."""
+
+import pytest
+
+from foxtailbank.clock import MS_PER_S
+from foxtailbank.fleet.load_report import LoadReport
+from foxtailbank.fleet.peer_book import ALIVE_MS, PeerBook
+from foxtailbank.fleet.report_pace import IDLE_PERIOD_MS, PeerGroup, gap_ms
+from foxtailbank.fleet.zone_reach import SILENT_MS
+
+SOON_MS = 25
+MAX_REPORTS_PER_S = 1_000  # of one VM; a few hundredths of a core
+
+
+@pytest.mark.parametrize("peers", [0, 1, 3, 10])
+@pytest.mark.parametrize("group", PeerGroup)
+def test_small_fleets_hear_of_changes_soon(group, peers):
+    assert gap_ms(group, peers) <= SOON_MS
+
+
+@pytest.mark.parametrize(("near", "far"), [(3, 6), (9, 20), (24, 47), (70, 140)])
+def test_reports_of_one_vm_are_bounded(near, far):
+    per_s = sum(
+        MS_PER_S / gap_ms(group, peers) * peers
+        for group, peers in ((PeerGroup.NEAR, near), (PeerGroup.FAR, far))
+    )
+    assert per_s <= MAX_REPORTS_PER_S
+
+
+@pytest.mark.parametrize("peers", [0, 10, 1_000])
+@pytest.mark.parametrize("group", PeerGroup)
+def test_the_gap_never_makes_a_peer_look_lost(group, peers):
+    assert gap_ms(group, peers) <= IDLE_PERIOD_MS < min(SILENT_MS, ALIVE_MS)
+
+
+def test_peers_are_grouped_by_the_zone_that_they_report():
+    book = PeerBook(vm_id="me", zone="z1")
+    for vm_id, zone in (("a", "z1"), ("b", "z2")):
+        report = LoadReport(
+            vm_id=vm_id,
+            zone=zone,
+            incarnation=1,
+            sequence=1,
+            stopping=False,
+            load_by_worker={},
+            marks=(),
+        )
+        assert book.on_report(report, f"127.0.0.1:{len(vm_id + zone)}", 0)
+    book.learn("c", "127.0.0.3:9", 0)
+    assert len(book.targets(PeerGroup.NEAR, 0)) == 1
+    assert len(book.targets(PeerGroup.FAR, 0)) == 2
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -26,7 +26,7 @@
         self.clock = manual_clock()
         self.book = SubmissionBook(logs=make_logs())
         self.book.ledger.apply(make_submitted())
-        self.peers = PeerBook(vm_id=vm_id)
+        self.peers = PeerBook(vm_id=vm_id, zone="z1")
         self.leases = FakeLeases()
         self.appends = AppendQueue(
             log=FakeKeyedLog(),
