--- /dev/null
+++ b/src/foxtailbank/fleet/neighbourhood.py
@@ -0,0 +1,92 @@
+"""Which workers an entry VM uses first, and which only if those have no place.
+
+Answers the pattern of many entry VMs before many workers: if each VM spread over all
+of them, several would take each place that falls free, with loads that they know
+late, and none would keep its connections busy. In a small fleet all workers are alike.
+"""
+
+import dataclasses
+import functools
+import math
+import typing as t
+
+import xxhash
+
+from foxtailbank.fleet.report_pace import PeerGroup
+from foxtailbank.fleet.worker import Worker
+
+SMALL_FLEET_VMS = 20  # up to then VMs hear of each other's changes within a step or two
+VMS_PER_WORKER = 4  # that use it first; fewer would leave some workers without any
+TASTES_KEPT = 4_096  # workers
+
+Rings: t.TypeAlias = tuple[tuple[Worker, ...], ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Sorted:
+    workers: tuple[Worker, ...]
+    rings: Rings
+
+
+class Neighbourhood:
+    """Sorts workers into rings, nearest first.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    zone : str
+        Its availability zone.
+    """
+
+    def __init__(self, *, vm_id: str, zone: str) -> None:
+        self._vm_id = vm_id
+        self._zone = zone
+        self._peers_by_group = dict.fromkeys(PeerGroup, 0)
+        self._sorted_by_service: dict[str, _Sorted] = {}
+
+    def count_peers(self, group: PeerGroup, peers: int) -> None:
+        """Take the number of other VMs in a group."""
+        if self._peers_by_group[group] != peers:
+            self._peers_by_group[group] = peers
+            self._sorted_by_service.clear()
+
+    def rings(self, workers: tuple[Worker, ...]) -> Rings:
+        """Return the workers by rings; no ring is empty.
+
+        Parameters
+        ----------
+        workers : tuple of Worker
+                Workers of one service.
+        """
+        if not workers:
+            return ()
+        service = workers[0].service
+        known = self._sorted_by_service.get(service)
+        if known is None or known.workers is not workers:
+            known = _Sorted(workers=workers, rings=self._sort(workers))
+            self._sorted_by_service[service] = known
+        return known.rings
+
+    def taste(self, worker: Worker) -> float:
+        """Return from 0 to 1 how little this VM likes a worker.
+
+        Each VM has its own order, so that VMs that see the same loads choose
+        different ones of equal workers.
+        """
+        return _taste(self._vm_id, worker.worker_id)
+
+    def _sort(self, workers: tuple[Worker, ...]) -> Rings:
+        if 1 + sum(self._peers_by_group.values()) <= SMALL_FLEET_VMS:
+            return (workers,)
+        near = sorted((w for w in workers if w.zone == self._zone), key=self.taste)
+        far = tuple(w for w in workers if w.zone != self._zone)
+        vms = 1 + self._peers_by_group[PeerGroup.NEAR]
+        homes = math.ceil(len(near) * VMS_PER_WORKER / vms)
+        rings = (tuple(near[:homes]), tuple(near[homes:]), far)
+        return tuple(ring for ring in rings if ring)
+
+
+@functools.lru_cache(maxsize=TASTES_KEPT)
+def _taste(vm_id: str, worker_id: str) -> float:
+    return xxhash.xxh32_intdigest(f"{vm_id}/{worker_id}") / 2**32
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -8,19 +8,18 @@
 
 import dataclasses
 import enum
-import functools
 import typing as t
 
 import xxhash
 
 from foxtailbank.fleet.load_table import LoadTable
+from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.zone_reach import ZoneReach
 
 SAME_ZONE_BONUS = 0.15  # of a worker's places; bytes between zones cost
 AFFINITY_BONUS = 0.2  # of a worker's places; a known prefix saves its prefill
-TASTES_KEPT = 4_096  # workers
 TASTE_SPAN = 0.05  # of a worker's places; less than one place of any engine
 
 
@@ -68,10 +67,10 @@
 
     Parameters
     ----------
-    vm_id : str
-        This VM.
     zone : str
-        Its availability zone.
+        Availability zone of this VM.
+    neighbourhood : Neighbourhood
+        Which workers come first.
     loads : LoadTable
         Requests in flight.
     health : WorkerHealth
@@ -83,14 +82,14 @@
     def __init__(
         self,
         *,
-        vm_id: str,
         zone: str,
+        neighbourhood: Neighbourhood,
         loads: LoadTable,
         health: WorkerHealth,
         reach: ZoneReach,
     ) -> None:
-        self._vm_id = vm_id
         self._zone = zone
+        self._neighbourhood = neighbourhood
         self._loads = loads
         self._health = health
         self._reach = reach
@@ -129,18 +128,29 @@
         # When all are avoided, the guess that they are down is worth less than a try.
         candidates = sound or left
         home = _affinity_home(candidates, affinity)
-        free = [w for w in candidates if self._has_place(w, now_ms)]
-        if free:
-            return Choice(worker=min(free, key=lambda w: self._cost(w, home)))
-        yielding = [w for w in candidates if self._batch_can_yield(w)]
-        if yielding:
-            return Choice(worker=min(yielding, key=lambda w: self._cost(w, home)))
+        rings = self._rings_of(workers, candidates)
+        for fits in (lambda w: self._has_place(w, now_ms), self._batch_can_yield):
+            for ring in rings:
+                fitting = [worker for worker in ring if fits(worker)]
+                if fitting:
+                    return Choice(
+                        worker=min(fitting, key=lambda w: self._cost(w, home))
+                    )
         best = min(candidates, key=lambda w: self._queue_cost(w, mean_ms))
         wait_ms = self._queue_ms(best, mean_ms)
         if wait_ms > patience_ms:
             return Refusal(reason=RefusalReason.OVERLOADED, wait_ms=wait_ms)
         return Choice(worker=best, wait_ms=wait_ms)
 
+    def _rings_of(
+        self, workers: tuple[Worker, ...], candidates: t.Sequence[Worker]
+    ) -> tuple[t.Sequence[Worker], ...]:
+        rings = self._neighbourhood.rings(workers)
+        if len(rings) <= 1:
+            return (candidates,)
+        kept = {worker.worker_id for worker in candidates}
+        return tuple([w for w in ring if w.worker_id in kept] for ring in rings)
+
     def _is_sound(self, worker: Worker, now_ms: int) -> bool:
         if self._reach.is_silent(worker.zone, now_ms):
             return False
@@ -158,7 +168,7 @@
     def _cost(self, worker: Worker, home: str) -> float:
         load = self._loads.total(worker.worker_id)
         cost = load.online / worker.slots + 0.5 * load.batch / worker.slots
-        cost += TASTE_SPAN * taste(self._vm_id, worker.worker_id)
+        cost += TASTE_SPAN * self._neighbourhood.taste(worker)
         if worker.zone == self._zone:
             cost -= SAME_ZONE_BONUS
         if worker.worker_id == home:
@@ -172,13 +182,7 @@
 
     def _queue_cost(self, worker: Worker, mean_ms: float) -> tuple[float, float]:
         queue_ms = self._queue_ms(worker, mean_ms)
-        return (queue_ms, taste(self._vm_id, worker.worker_id))
-
-
-@functools.lru_cache(maxsize=TASTES_KEPT)
-def taste(vm_id: str, worker_id: str) -> float:
-    """Return from 0 to 1 how little a VM likes a worker; each VM in its own order."""
-    return xxhash.xxh32_intdigest(f"{vm_id}/{worker_id}") / 2**32
+        return (queue_ms, self._neighbourhood.taste(worker))
 
 
 def _affinity_home(workers: t.Sequence[Worker], affinity: str) -> str:
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -6,6 +6,7 @@
 from foxtailbank.events import Event
 from foxtailbank.fleet.crash_marks import CrashMark, CrashMarks
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad
+from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.service_time import ServiceTimes
 from foxtailbank.fleet.worker import Worker
@@ -42,7 +43,7 @@
 
     Attributes
     ----------
-    workers, loads, health, times, marks, reach
+    workers, loads, health, times, marks, reach, neighbourhood
         The parts.
     """
 
@@ -64,9 +65,10 @@
         self._logs = logs
         self._clock = clock
         self.reach = ZoneReach(own_zone=zone)
+        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone)
         self._placement = Placement(
-            vm_id=vm_id,
             zone=zone,
+            neighbourhood=self.neighbourhood,
             loads=self.loads,
             health=self.health,
             reach=self.reach,
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -107,6 +107,7 @@
             now_ms = self._clock.now_ms()
             changed = self._changed_by_group[group] = anyio.Event()
             targets = self._peers.targets(group, now_ms)
+            self._fleet.neighbourhood.count_peers(group, len(targets))
             datagram = load_report.encode(self._report())
             for target in targets:
                 await self._send_one(socket, datagram, parse_address(target))
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -198,6 +198,7 @@
             room=BatchRoom(
                 vm_id=identity.vm_id,
                 zone=identity.zone,
+                neighbourhood=self.fleet.neighbourhood,
                 loads=self.fleet.loads,
                 health=self.fleet.health,
                 reach=self.fleet.reach,
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -10,12 +10,13 @@
 import xxhash
 
 from foxtailbank.fleet.load_table import LoadTable
-from foxtailbank.fleet.placement import taste
+from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.zone_reach import ZoneReach
 
 ONLINE_RESERVE = 1  # places a worker keeps for the next online request
+RING_WAIT_MS = 1_500  # a run in a fleet with room ends earlier
 EXCESS_MS = 50  # a full worker ends some request within about that
 
 
@@ -28,6 +29,8 @@
         This VM.
     zone : str
         Its availability zone.
+    neighbourhood : Neighbourhood
+        Which workers come first.
     loads : LoadTable
         Requests in flight.
     health : WorkerHealth
@@ -41,12 +44,14 @@
         *,
         vm_id: str,
         zone: str,
+        neighbourhood: Neighbourhood,
         loads: LoadTable,
         health: WorkerHealth,
         reach: ZoneReach,
     ) -> None:
         self._vm_id = vm_id
         self._zone = zone
+        self._neighbourhood = neighbourhood
         self._loads = loads
         self._health = health
         self._reach = reach
@@ -58,7 +63,12 @@
         return bool(self._excess_since_ms)
 
     def choose(
-        self, workers: tuple[Worker, ...], *, avoid: t.Container[str], now_ms: int
+        self,
+        workers: tuple[Worker, ...],
+        *,
+        avoid: t.Container[str],
+        waited_ms: int,
+        now_ms: int,
     ) -> Worker | None:
         """Return the worker with the most free places, or None if none is free.
 
@@ -68,10 +78,17 @@
             Workers of the item's service.
         avoid : container of str
             Workers that failed this item.
+        waited_ms : int
+            How long this VM has found no place; workers farther away are taken only
+            then.
         now_ms : int
             Present time.
         """
-        open_workers = [w for w in workers if self._is_open(w, now_ms)]
+        rings = self._neighbourhood.rings(workers)
+        count = 1 + waited_ms // RING_WAIT_MS
+        open_workers = [
+            w for ring in rings[:count] for w in ring if self._is_open(w, now_ms)
+        ]
         if not open_workers:
             return None
         preferred = [w for w in open_workers if w.worker_id not in avoid]
@@ -124,7 +141,7 @@
         return (
             load.total / worker.slots,
             is_far,
-            taste(self._vm_id, worker.worker_id),
+            self._neighbourhood.taste(worker),
         )
 
 
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -96,6 +96,7 @@
         )
         self._runs: dict[tuple[str, str], ItemRun] = {}
         self._route_missing_ms: dict[str, int] = {}
+        self._no_place_since_ms: int | None = None
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self.stopping = False
@@ -180,6 +181,7 @@
             if not run.is_running and not run.is_done and run.not_before_ms <= now_ms
         ]
         if not waiting:
+            self._no_place_since_ms = None
             return
         # Items that can't be in time any more come after those that can.
         waiting.sort(key=lambda run: (run.due_ms < now_ms, run.due_ms))
@@ -201,8 +203,7 @@
         if self._fleet.marks.refused(fingerprint):
             run.not_before_ms = now_ms + ROUTE_GONE_MS
             return True
-        workers = self._fleet.workers.usable(route.choose_service(self._rng))
-        worker = self._room.choose(workers, avoid=run.failed_on, now_ms=now_ms)
+        worker = self._choose(run, route, now_ms)
         if worker is None:
             return False
         run.scope = anyio.CancelScope()
@@ -213,6 +214,22 @@
         self._group.start_soon(self._run, run, route, worker, fingerprint)
         return True
 
+    def _choose(self, run: ItemRun, route: Route, now_ms: int) -> Worker | None:
+        waited_ms = 0
+        if self._no_place_since_ms is not None:
+            waited_ms = now_ms - self._no_place_since_ms
+        worker = self._room.choose(
+            self._fleet.workers.usable(route.choose_service(self._rng)),
+            avoid=run.failed_on,
+            waited_ms=waited_ms,
+            now_ms=now_ms,
+        )
+        if worker is not None:
+            self._no_place_since_ms = None
+        elif self._no_place_since_ms is None:
+            self._no_place_since_ms = now_ms
+        return worker
+
     async def _run(
         self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
     ) -> None:
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -3,9 +3,11 @@
 import pytest
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
+from foxtailbank.fleet.neighbourhood import Neighbourhood
+from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.zone_reach import ZoneReach
-from foxtailbank.submissions.batch_room import EXCESS_MS, BatchRoom
+from foxtailbank.submissions.batch_room import EXCESS_MS, RING_WAIT_MS, BatchRoom
 from serving_fakes import make_worker
 
 WORKER = make_worker("w", slots=4)
@@ -15,9 +17,11 @@
     def __init__(self, vm_id):
         self.vm_id = vm_id
         self.loads = LoadTable()
+        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1")
         self.room = BatchRoom(
             vm_id=vm_id,
             zone="z1",
+            neighbourhood=self.neighbourhood,
             loads=self.loads,
             health=WorkerHealth(),
             reach=ZoneReach(own_zone="z1"),
@@ -84,7 +88,7 @@
 def test_items_leave_a_place_for_the_next_online_request():
     vm = Vm("a")
     taken = 0
-    while vm.room.choose((WORKER,), avoid=(), now_ms=0) is not None:
+    while vm.room.choose((WORKER,), avoid=(), waited_ms=0, now_ms=0) is not None:
         vm.hold(batch=1)
         taken += 1
     assert taken == WORKER.slots - 1
@@ -99,6 +103,18 @@
         ),
         0,
     )
-    chosen = vm.room.choose((WORKER, other), avoid=("w",), now_ms=0)
+    chosen = vm.room.choose((WORKER, other), avoid=("w",), waited_ms=0, now_ms=0)
     assert chosen is other
-    assert vm.room.choose((WORKER,), avoid=("w",), now_ms=0) is WORKER
+    assert vm.room.choose((WORKER,), avoid=("w",), waited_ms=0, now_ms=0) is WORKER
+
+
+def test_a_vm_of_a_large_fleet_waits_for_its_own_workers_before_others():
+    vm = Vm("a")
+    vm.neighbourhood.count_peers(PeerGroup.NEAR, 30)
+    workers = tuple(make_worker(f"w{n}", zone="z1", slots=4) for n in range(30))
+    home, others = vm.neighbourhood.rings(workers)
+    full = {worker.worker_id: WorkerLoad(online=4) for worker in home}
+    vm.loads.on_report(PeerLoad(vm_id="b", incarnation=1, load_by_worker=full), 0)
+    assert vm.room.choose(workers, avoid=(), waited_ms=0, now_ms=0) is None
+    chosen = vm.room.choose(workers, avoid=(), waited_ms=RING_WAIT_MS, now_ms=0)
+    assert chosen in others
--- /dev/null
+++ b/tests/test_neighbourhood.py
@@ -0,0 +1,60 @@
+"""Pattern: many entry VMs before many workers, with loads that are known late."""
+
+import collections
+
+import pytest
+
+from foxtailbank.fleet.neighbourhood import SMALL_FLEET_VMS, Neighbourhood
+from foxtailbank.fleet.report_pace import PeerGroup
+from serving_fakes import make_worker
+
+ZONES = ("z1", "z2", "z3")
+WORKERS = tuple(
+    make_worker(f"w{number}", zone=ZONES[number % 3], slots=7) for number in range(57)
+)
+VMS_PER_ZONE = 24
+
+
+def make_neighbourhood(vm_id, *, zone="z1", near=VMS_PER_ZONE - 1, far=47):
+    neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone)
+    neighbourhood.count_peers(PeerGroup.NEAR, near)
+    neighbourhood.count_peers(PeerGroup.FAR, far)
+    return neighbourhood
+
+
+def test_in_a_small_fleet_all_workers_are_alike():
+    near = SMALL_FLEET_VMS // 3
+    neighbourhood = make_neighbourhood("vm", near=near, far=SMALL_FLEET_VMS - near - 1)
+    assert neighbourhood.rings(WORKERS) == (WORKERS,)
+
+
+@pytest.mark.parametrize("zone", [*ZONES, "without-workers"])
+def test_rings_hold_each_worker_once_and_near_ones_first(zone):
+    rings = make_neighbourhood("vm", zone=zone).rings(WORKERS)
+    assert sorted(w.worker_id for ring in rings for w in ring) == sorted(
+        worker.worker_id for worker in WORKERS
+    )
+    assert {w.zone for ring in rings[:-1] for w in ring} <= {zone}
+    assert all(rings)
+
+
+def test_each_worker_is_used_first_by_some_vms_and_not_by_all():
+    users = collections.Counter()
+    for zone in ZONES:
+        for number in range(VMS_PER_ZONE):
+            neighbourhood = make_neighbourhood(f"vm-{zone}-{number}", zone=zone)
+            users.update(worker.worker_id for worker in neighbourhood.rings(WORKERS)[0])
+    assert len(users) >= 0.95 * len(WORKERS)
+    assert max(users.values()) <= VMS_PER_ZONE / 2
+
+
+def test_rings_follow_workers_and_peers():
+    neighbourhood = make_neighbourhood("vm")
+    before = neighbourhood.rings(WORKERS)
+    assert neighbourhood.rings(WORKERS) is before
+    fewer = WORKERS[1:]
+    assert sum(len(ring) for ring in neighbourhood.rings(fewer)) == len(fewer)
+    neighbourhood.count_peers(PeerGroup.FAR, 0)
+    neighbourhood.count_peers(PeerGroup.NEAR, 0)
+    assert neighbourhood.rings(fewer) == (fewer,)
+    assert neighbourhood.rings(()) == ()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,9 @@
 import pytest
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
+from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
+from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.zone_reach import DOUBT_MS, SILENT_MS, ZoneReach
 from serving_fakes import make_worker
@@ -21,9 +23,10 @@
         self.loads = LoadTable()
         self.health = WorkerHealth()
         self.reach = ZoneReach(own_zone="z1")
+        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1")
         self.placement = Placement(
-            vm_id=vm_id,
             zone="z1",
+            neighbourhood=self.neighbourhood,
             loads=self.loads,
             health=self.health,
             reach=self.reach,
@@ -134,3 +137,14 @@
         chosen[choice.worker.worker_id] += 1
     assert len(chosen) == len(workers)
     assert max(chosen.values()) < 2 * 120 / len(workers)
+
+
+def test_a_vm_of_a_large_fleet_takes_its_own_workers_first_and_others_at_once():
+    workers = tuple(make_worker(f"w{n}", zone="z1", slots=4) for n in range(30))
+    neighbourhood = Neighbourhood(vm_id="vm1", zone="z1")
+    neighbourhood.count_peers(PeerGroup.NEAR, 30)
+    home, others = neighbourhood.rings(workers)
+    for load, ring in (((3, 0), home), ((4, 0), others)):
+        world = World(**{worker.worker_id: load for worker in home})
+        world.neighbourhood.count_peers(PeerGroup.NEAR, 30)
+        assert world.choose(workers=workers).worker in ring
