--- a/src/foxtailbank/datagram_socket.py
+++ b/src/foxtailbank/datagram_socket.py
@@ -20,12 +20,12 @@
     ----------
     data : bytes
         Content.
-    source : str
-        IP number and port of the sender.
+    source : Address
+        The sender.
     """
 
     data: bytes
-    source: str
+    source: Address
 
 
 class DatagramSocket:
@@ -76,7 +76,7 @@
             except ConnectionRefusedError:
                 continue  # an earlier datagram met a closed port
             source = Address(ip=sender[0], port=sender[1])
-            taken.append(Datagram(data=data, source=str(source)))
+            taken.append(Datagram(data=data, source=source))
         return tuple(taken)
 
 
--- a/src/foxtailbank/fleet/peer_book.py
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from foxtailbank.address import Address
 from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.report_pace import PeerGroup
 
@@ -17,7 +18,7 @@
     ----------
     vm_id : str
         The VM.
-    address : str
+    address : Address
         Where its datagrams come from.
     zone : str
         Its availability zone; empty before its first report.
@@ -32,7 +33,7 @@
     """
 
     vm_id: str
-    address: str
+    address: Address
     zone: str = ""
     incarnation: int = 0
     sequence: int = 0
@@ -56,7 +57,7 @@
         self._zone = zone
         self._by_id: dict[str, Peer] = {}
 
-    def learn(self, vm_id: str, address: str, now_ms: int) -> bool:
+    def learn(self, vm_id: str, address: Address, now_ms: int) -> bool:
         """Take an address that the store has; true if it is new."""
         if vm_id == self._vm_id:
             return False
@@ -66,7 +67,7 @@
         self._by_id[vm_id] = Peer(vm_id=vm_id, address=address, heard_ms=now_ms)
         return True
 
-    def on_report(self, report: LoadReport, address: str, now_ms: int) -> bool:
+    def on_report(self, report: LoadReport, address: Address, now_ms: int) -> bool:
         """Take a report; false if it is an old one or this VM's own."""
         if report.vm_id == self._vm_id:
             return False
@@ -86,7 +87,7 @@
         )
         return True
 
-    def targets(self, group: PeerGroup, now_ms: int) -> tuple[str, ...]:
+    def targets(self, group: PeerGroup, now_ms: int) -> tuple[Address, ...]:
         """Return the addresses of a group that reports go to."""
         return tuple(
             peer.address
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from foxtailbank.address import AddressInvalid, parse_address
+from foxtailbank.address import Address, AddressInvalid, parse_address
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.datagram_socket import Datagram, DatagramSocket
 from foxtailbank.events import Event
@@ -117,11 +117,13 @@
             with anyio.move_on_after((IDLE_PERIOD_MS - gap_ms) / MS_PER_S):
                 await changed.wait()
 
-    def _send_one(self, socket: DatagramSocket, datagram: bytes, target: str) -> None:
+    def _send_one(
+        self, socket: DatagramSocket, datagram: bytes, target: Address
+    ) -> None:
         try:
-            socket.send(datagram, parse_address(target))
+            socket.send(datagram, target)
         except OSError as error:
-            fields = LogFields(peer=target, reason=repr(error))
+            fields = LogFields(peer=str(target), reason=repr(error))
             self._logs.write(Event.PEER_REFUSED, level=LogLevel.DEBUG, fields=fields)
 
     def _report(self) -> LoadReport:
@@ -145,12 +147,12 @@
         try:
             report = load_report.decode(datagram.data)
         except FrameInvalid as failure:
-            fields = LogFields(peer=datagram.source, reason=failure.detail)
+            fields = LogFields(peer=str(datagram.source), reason=failure.detail)
             self._logs.write(Event.PEER_REFUSED, level=LogLevel.WARNING, fields=fields)
             return
         self._take(report, datagram.source)
 
-    def _take(self, report: LoadReport, address: str) -> None:
+    def _take(self, report: LoadReport, address: Address) -> None:
         now_ms = self._clock.now_ms()
         if not self._peers.on_report(report, address, now_ms):
             return
@@ -200,9 +202,8 @@
             self._logs.write(Event.TASK_FAILED, level=LogLevel.DEBUG, fields=fields)
             return 0
         for record in newest.records:
-            address = record.value.decode("ascii", "replace")
             try:
-                parse_address(address)
+                address = parse_address(record.value.decode("ascii", "replace"))
             except AddressInvalid as error:
                 fields = LogFields(peer=record.key, reason=str(error))
                 self._logs.write(Event.RECORD_SKIPPED, fields=fields)
--- a/tests/test_datagram_socket.py
+++ b/tests/test_datagram_socket.py
@@ -28,7 +28,7 @@
                 assert len(part) <= MAX_READ
                 found += part
         assert [int(datagram.data) for datagram in found] == list(range(MAX_READ + 1))
-        assert {datagram.source for datagram in found} == {"127.0.0.42:18471"}
+        assert {datagram.source for datagram in found} == {FIRST}
 
 
 async def test_a_closed_peer_does_not_end_the_reading():
--- a/tests/test_report_pace.py
+++ b/tests/test_report_pace.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.peer_book import ALIVE_MS, PeerBook
@@ -40,7 +41,9 @@
             load_by_worker={},
             marks=(),
         )
-        assert book.on_report(report, f"127.0.0.1:{len(vm_id + zone)}", 0)
-    book.learn("c", "127.0.0.3:9", 0)
+        assert book.on_report(
+            report, parse_address(f"127.0.0.1:{len(vm_id + zone)}"), 0
+        )
+    book.learn("c", parse_address("127.0.0.3:9"), 0)
     assert len(book.targets(PeerGroup.NEAR, 0)) == 1
     assert len(book.targets(PeerGroup.FAR, 0)) == 2
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailbank.address import parse_address
 from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.keyed_log import StoreRefused
@@ -57,7 +58,7 @@
             load_by_worker={},
             marks=(),
         )
-        self.peers.on_report(report, "127.0.0.1:1", self.clock.now_ms())
+        self.peers.on_report(report, parse_address("127.0.0.1:1"), self.clock.now_ms())
 
     async def claims(self, *, looks=2, gap_ms=SILENT_MS):
         for _ in range(looks):
