--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -10,7 +10,7 @@
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.service_time import ServiceTimes
 from foxtailbank.fleet.worker import Worker
-from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.worker_health import ERROR_PAUSE_MS, WorkerHealth
 from foxtailbank.fleet.worker_table import WorkerTable
 from foxtailbank.fleet.zone_reach import ZoneReach
 from foxtailbank.forward.route_table import RouteTable
@@ -158,6 +158,18 @@
         )
         self._logs.write(Event.ENDPOINT_AVOIDED, level=LogLevel.WARNING, fields=fields)
 
+    def on_worker_error(self, worker: Worker, reason: str) -> None:
+        """Note an online request that a worker failed, though it is up."""
+        if self.health.on_error(worker.worker_id, self._clock.now_ms()):
+            fields = LogFields(
+                endpoint=worker.worker_id,
+                reason=f"fails requests: {reason}",
+                wait_ms=ERROR_PAUSE_MS,
+            )
+            self._logs.write(
+                Event.ENDPOINT_AVOIDED, level=LogLevel.WARNING, fields=fields
+            )
+
     def on_exchange_failure(
         self, worker: Worker, fingerprint: int, failure: ExchangeFailed
     ) -> None:
@@ -168,6 +180,7 @@
         if isinstance(failure, ConnectionBroken):
             mark = CrashMark(fingerprint=fingerprint, worker_id=worker.worker_id)
             self.on_crash(mark, now_ms)
+            self.on_worker_error(worker, failure.code)
 
     def on_not_run(self, worker: Worker, answer: WorkerAnswer) -> None:
         """Draw the conclusions from a worker that did not run a request."""
--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -166,7 +166,9 @@
                     self._on_refused(call, worker, answer, progress)
                     return False
                 progress.may_have_run = True
-                done = await self._pass_on(call, route, responder, progress, answer)
+                done = await self._pass_on(
+                    call, route, responder, progress, worker, answer
+                )
             if done:
                 self._on_served(call, worker, answer, started_ms)
             return done
@@ -199,6 +201,7 @@
         route: Route,
         responder: Responder,
         progress: _Progress,
+        worker: Worker,
         answer: WorkerAnswer,
     ) -> bool:
         """Send the answer to the client; false to try another worker."""
@@ -208,6 +211,8 @@
         body = await self._whole_body(answer, self._left_ms(progress))
         attempts_left = progress.sent < route.max_attempts
         is_failure = answer.status >= 500 or answer.status in PROMISES
+        if is_failure:
+            self._fleet.on_worker_error(worker, f"status {answer.status}")
         if is_failure and route.repeatable and attempts_left and not responder.started:
             progress.last_failure = f"status {answer.status}"
             return False
@@ -310,8 +315,8 @@
         self, call: Call, worker: Worker, answer: WorkerAnswer, started_ms: int
     ) -> None:
         duration_ms = self._clock.now_ms() - started_ms
-        self._fleet.health.on_success(worker.worker_id)
         if answer.is_success:
+            self._fleet.health.on_success(worker.worker_id)
             self._fleet.times.record(worker.service, duration_ms)
             self._fleet.marks.clear(call.fingerprint)
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -11,7 +11,7 @@
     NotConnected,
     ServerSilent,
 )
-from serving_fakes import FakeAnswer, ServingWorld, make_route
+from serving_fakes import FakeAnswer, FakeResponder, ServingWorld, make_route
 
 pytestmark = pytest.mark.anyio
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
@@ -175,3 +175,20 @@
     seen = await world.serve(SAFE)
     assert seen.status == 503
     assert world.client.sent == []
+
+
+@pytest.mark.parametrize("failure", [500, ConnectionBroken], ids=["errors", "resets"])
+async def test_a_worker_that_fails_requests_in_a_row_is_left_alone(failure):
+    script = []
+    for _ in range(2):
+        script.append(failure() if failure != 500 else FakeAnswer(status=500))
+        script.append(good())
+    script += [good()] * 3
+    world = ServingWorld(*script, worker_count=2, slots=4)
+    for _ in range(5):
+        world.responder = FakeResponder()
+        seen = await world.serve(SAFE)
+        assert seen.status == 200
+    workers = [worker_id for worker_id, *_ in world.client.sent]
+    assert workers[0] == workers[2] != workers[1]
+    assert set(workers[3:]) == {workers[1]}
--- /dev/null
+++ b/tests/test_worker_health.py
@@ -0,0 +1,63 @@
+"""Pattern: workers that fail part of their requests and call themselves well."""
+
+import random
+
+import pytest
+
+from foxtailbank.fleet.worker_health import (
+    ERROR_PAUSE_MS,
+    FIRST_PAUSE_MS,
+    WorkerHealth,
+)
+
+STEP_MS = 50  # between two requests to one worker
+SPAN_MS = 20_000
+
+
+def share_sent(error_share, seed=3):
+    """Return the share of time in which a worker is used, and of errors it caused."""
+    health = WorkerHealth()
+    rng = random.Random(seed)
+    used = 0
+    for now_ms in range(0, SPAN_MS, STEP_MS):
+        if health.avoided("w", now_ms):
+            continue
+        used += 1
+        if rng.random() < error_share:
+            health.on_error("w", now_ms)
+        else:
+            health.on_success("w")
+    return used / (SPAN_MS / STEP_MS)
+
+
+@pytest.mark.parametrize(
+    ("error_share", "least", "most"),
+    [
+        pytest.param(0.0, 1.0, 1.0, id="sound"),
+        pytest.param(0.02, 0.9, 1.0, id="rare-errors"),
+        pytest.param(0.45, 0.0, 0.35, id="grey"),
+        pytest.param(1.0, 0.0, 0.1, id="fails-all"),
+    ],
+)
+def test_a_worker_is_used_less_the_more_it_fails(error_share, least, most):
+    assert least <= share_sent(error_share) <= most
+
+
+def test_one_error_avoids_nobody_and_two_in_a_row_do():
+    health = WorkerHealth()
+    assert not health.on_error("w", 0)
+    assert not health.avoided("w", 0)
+    assert health.on_error("w", 0)
+    assert health.avoided("w", ERROR_PAUSE_MS - 1)
+    assert not health.avoided("w", ERROR_PAUSE_MS)
+    assert not health.avoided("other", 0)
+
+
+def test_lost_connections_bring_longer_pauses_until_a_success():
+    health = WorkerHealth()
+    assert health.on_failure("w", 0) == FIRST_PAUSE_MS
+    assert health.on_failure("w", FIRST_PAUSE_MS) == 2 * FIRST_PAUSE_MS
+    assert health.on_success("w")
+    assert health.on_failure("w", 10_000) == FIRST_PAUSE_MS
+    health.forget("w")
+    assert not health.avoided("w", 10_000)
