Add the command story: from an id and log files to what became of a request

An answer of 500 that is tried again gets its line too (it had none). Three kinds of failure are provoked and found from the lines alone.

--- a/src/foxtailbank/cli.py
+++ b/src/foxtailbank/cli.py
@@ -14,6 +14,7 @@
 from foxtailbank.cli_failure import CommandFailed, failure_lines
 from foxtailbank.cli_fleet import add_fleet
 from foxtailbank.cli_report import add_report
+from foxtailbank.cli_story import add_story
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.exit_code import ExitCode, exit_codes_text
 
@@ -34,6 +35,7 @@
     add_batch(commands)
     add_fleet(commands)
     add_report(commands)
+    add_story(commands)
     return parser
 
 
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -7,7 +7,6 @@
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.worker_client import WorkerAnswer
-from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.metrics import Count, Metrics, Signal
 from foxtailbank.settings_sections import LogLevel
@@ -60,13 +59,13 @@
         self._logs.write(Event.WORKER_REFUSED, fields=fields)
 
     def attempt_failed(
-        self, call: Call, worker: Worker, failure: ExchangeFailed, sent: int
+        self, call: Call, worker: Worker, reason: str, sent: int
     ) -> None:
         """Record that a send to a worker failed; `sent` counts the sends so far."""
         fields = LogFields(
             request_id=call.request_id,
             endpoint=worker.worker_id,
-            reason=f"{failure.code}: {failure.detail}",
+            reason=reason,
             count=sent,
         )
         self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -212,7 +212,9 @@
         attempts_left = progress.sent < route.max_attempts
         is_failure = answer.status >= 500 or answer.status in PROMISES
         if is_failure:
-            self._fleet.on_worker_error(worker, f"status {answer.status}")
+            reason = f"status {answer.status}"
+            self._fleet.on_worker_error(worker, reason)
+            self._recorder.attempt_failed(call, worker, reason, progress.sent)
         if is_failure and route.repeatable and attempts_left and not responder.started:
             progress.last_failure = f"status {answer.status}"
             return False
@@ -309,7 +311,8 @@
     ) -> None:
         progress.last_failure = failure.code
         self._fleet.on_exchange_failure(worker, call.fingerprint, failure)
-        self._recorder.attempt_failed(call, worker, failure, progress.sent)
+        reason = f"{failure.code}: {failure.detail}"
+        self._recorder.attempt_failed(call, worker, reason, progress.sent)
 
     def _on_served(
         self, call: Call, worker: Worker, answer: WorkerAnswer, started_ms: int
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -250,14 +250,15 @@
 class ServingWorld:
     """A forwarder over scripted workers."""
 
-    def __init__(self, *script, worker_count=3, slots=2):
+    def __init__(self, *script, worker_count=3, slots=2, logs=None):
         self.clock = SystemClock()
+        logs = logs or make_logs()
         self.routes = RouteTable()
         self.fleet = FleetState(
             vm_id="vm1",
             zone="z1",
             routes=self.routes,
-            logs=make_logs(),
+            logs=logs,
             clock=self.clock,
         )
         for number in range(worker_count):
@@ -268,7 +269,7 @@
             client=self.client,
             fleet=self.fleet,
             clock=self.clock,
-            logs=make_logs(),
+            logs=logs,
             metrics=Metrics(),
             rng=random.Random(1),
         )
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,135 @@
+"""From the id of a failed request to its cause, by log lines alone."""
+
+import io
+import json
+
+import pytest
+
+from foxtailbank import story
+from foxtailbank.cli import run
+from foxtailbank.cli_context import Context
+from foxtailbank.exit_code import ExitCode
+from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.forward.route import RouteKind
+from foxtailbank.http1.failures import ConnectionBroken, ServerSilent
+from foxtailbank.logs import Logs
+from serving_fakes import FakeAnswer, ServingWorld, make_route
+
+STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def command(*words):
+    context = Context(
+        stdin=io.BytesIO(),
+        stdout=io.StringIO(),
+        stderr=io.StringIO(),
+        environment={},
+    )
+    code = run(["story", *words], context)
+    return code, context.stdout.getvalue(), context.stderr.getvalue()
+
+
+class Breaking(FakeAnswer):
+    """Sends its parts and then breaks off."""
+
+    async def next_part(self, timeout_ms):
+        part = await super().next_part(timeout_ms)
+        if part is None:
+            raise ConnectionBroken(detail="reset")
+        return part
+
+
+def overloaded(world):
+    for worker in ("w0", "w1", "w2"):
+        for _ in range(8):
+            world.fleet.start(worker, LoadKind.ONLINE)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("route", "script", "before", "causes"),
+    [
+        pytest.param(
+            make_route(kind=RouteKind.UNSAFE),
+            [],
+            overloaded,
+            ["call_refused", "reason=overloaded", "status=503"],
+            id="refused",
+        ),
+        pytest.param(
+            STREAM,
+            [Breaking(parts=(b"id: 1\ndata: a\n\n",))],
+            None,
+            ["attempt_failed", "connection_broken: reset", "endpoint=w", "status=0"],
+            id="broken-off",
+        ),
+        pytest.param(
+            make_route(max_attempts=2),
+            [FakeAnswer(status=500), ServerSilent(detail="nothing")],
+            None,
+            ["status 500", "server_silent", "endpoint_avoided", "status=504"],
+            id="failed-twice",
+        ),
+    ],
+)
+async def test_the_cause_stands_in_the_story(tmp_path, route, script, before, causes):
+    output = io.StringIO()
+    logs = Logs(vm="vm-1", zone="z1", stream=output)
+    world = ServingWorld(*script, logs=logs)
+    if before is not None:
+        before(world)
+    await world.serve(route, request_id="q1")
+    await ServingWorld(FakeAnswer(), logs=logs).serve(make_route(), request_id="q2")
+    path = tmp_path / "vm-1.log"
+    path.write_text(output.getvalue())
+    code, text, _ = command("q1", str(path))
+    assert code == ExitCode.OK
+    for cause in causes:
+        assert cause in text
+    assert "q2" not in text
+
+
+def line(vm, second, event, **fields):
+    time = f"2026-05-31T10:00:{second:02}.5+00:00"
+    return json.dumps({"event": event, "vm": vm, "time": time, **fields})
+
+
+def test_lines_of_several_vms_stand_in_the_order_of_time(tmp_path):
+    files = {
+        "b.log": [
+            line("b", 9, "item_finished", job_id="s1"),
+            line("b", 30, "store_lost", task="submissions"),
+        ],
+        "a.log": [
+            "not a line",
+            line("a", 5, "submission_accepted", job_id="s1"),
+            line("a", 6, "store_lost", task="submissions"),
+            line("a", 7, "endpoint_lost", endpoint="other"),
+            "{}",
+        ],
+    }
+    for name, lines in files.items():
+        (tmp_path / name).write_text("\n".join(lines) + "\n")
+    told = story.tell("s1", [tmp_path / name for name in files])
+    assert [one.event for one in told.lines] == ["submission_accepted", "item_finished"]
+    assert [(one.vm, one.event) for one in told.around] == [("a", "store_lost")]
+    assert told.unreadable == 2
+    code, text, warnings = command("--json", "s1", *map(str, tmp_path.iterdir()))
+    assert code == ExitCode.OK
+    assert json.loads(text)["request_id"] == "s1"
+    assert "2 lines are no log" in warnings
+
+
+def test_an_unknown_id_and_a_missing_file_are_told_apart(tmp_path):
+    path = tmp_path / "a.log"
+    path.write_text(line("a", 5, "vm_started"))
+    code, text, _ = command("none", str(path))
+    assert (code, text) == (ExitCode.NOT_FOUND, "no line names none\n")
+    code, _, errors = command("none", str(tmp_path / "missing.log"))
+    assert code == ExitCode.INVALID_INPUT
+    assert "missing.log" in errors
