--- a/src/foxtailbank/fleet/peer_book.py
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -72,10 +72,8 @@
         if report.vm_id == self._vm_id:
             return False
         known = self._by_id.get(report.vm_id)
-        if known is not None:
-            newest = (known.incarnation, known.sequence)
-            if (report.incarnation, report.sequence) <= newest:
-                return False
+        if known is not None and not _follows(report, known, now_ms):
+            return False
         self._by_id[report.vm_id] = Peer(
             vm_id=report.vm_id,
             address=address,
@@ -111,3 +109,12 @@
 
     def _group_of(self, peer: Peer) -> PeerGroup:
         return PeerGroup.NEAR if peer.zone == self._zone else PeerGroup.FAR
+
+
+def _follows(report: LoadReport, known: Peer, now_ms: int) -> bool:
+    if report.incarnation == known.incarnation:
+        return report.sequence > known.sequence
+    if report.incarnation > known.incarnation:
+        return True
+    # The process after one that fell silent may start with a clock that went back.
+    return now_ms - known.heard_ms >= ALIVE_MS
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -90,7 +90,7 @@
         while True:
             await anyio.sleep(PERIOD_MS / MS_PER_S)
             try:
-                await self._renew()
+                await self.renew()
                 await self.look()
             except FoxtailbankError as failure:
                 reason = f"{failure.code}: {failure.detail}"
@@ -125,13 +125,23 @@
                 for submission in mine:
                     self._claim(submission)
 
-    async def _renew(self) -> None:
+    async def renew(self) -> None:
+        """Renew the lease if it is due and anything depends on it."""
         now_ms = self._clock.now_ms()
         if self.stopping or now_ms - self._renewed_ms < LEASE_PERIOD_MS:
             return
+        if not self._owns_any:
+            return
         self._renewed_ms = now_ms
         await self._leases.renew()
 
+    @property
+    def _owns_any(self) -> bool:
+        return any(
+            submission.is_open and submission.owner == self._me
+            for submission in self._book.ledger.all()
+        )
+
     def _state_of(self, owner: str, alive: tuple[Peer, ...]) -> OwnerState:
         vm_id, _, incarnation = owner.rpartition("/")
         if vm_id == self._vm_id:
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -172,9 +172,10 @@
     def __init__(self):
         self.held = set()
         self.up = True
+        self.renewals = 0
 
     async def renew(self):
-        return None
+        self.renewals += 1
 
     async def release(self):
         return None
--- /dev/null
+++ b/tests/test_peer_book.py
@@ -0,0 +1,39 @@
+"""Reports of processes that start anew, also with a clock that went back."""
+
+import pytest
+
+from foxtailbank.address import parse_address
+from foxtailbank.fleet.load_report import LoadReport
+from foxtailbank.fleet.peer_book import ALIVE_MS, PeerBook
+
+ADDRESS = parse_address("127.0.0.1:1")
+
+
+def make_report(incarnation, sequence):
+    return LoadReport(
+        vm_id="vm",
+        zone="z1",
+        incarnation=incarnation,
+        sequence=sequence,
+        stopping=False,
+        load_by_worker={},
+        marks=(),
+    )
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "sequence", "after_ms", "accepted"),
+    [
+        pytest.param(5, 3, 0, True, id="next"),
+        pytest.param(5, 2, 0, False, id="repeated"),
+        pytest.param(5, 1, ALIVE_MS, False, id="late"),
+        pytest.param(6, 1, 0, True, id="new-process"),
+        pytest.param(4, 9, 100, False, id="late-one-of-the-old-process"),
+        pytest.param(4, 1, ALIVE_MS, True, id="new-process-whose-clock-went-back"),
+    ],
+)
+def test_which_reports_count(incarnation, sequence, after_ms, accepted):
+    book = PeerBook(vm_id="me", zone="z1")
+    assert book.on_report(make_report(5, 2), ADDRESS, 0)
+    report = make_report(incarnation, sequence)
+    assert book.on_report(report, ADDRESS, after_ms) is accepted
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,6 @@
 """Who goes on with the items of a VM that died, stopped, restarted or was cut off."""
 
+import msgspec
 import pytest
 
 from foxtailbank.address import parse_address
@@ -8,6 +9,7 @@
 from foxtailbank.keyed_log import StoreRefused
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.book import SubmissionBook
+from foxtailbank.submissions.records import Ended
 from foxtailbank.submissions.takeover import SETTLE_MS, SILENT_MS, Takeover
 from serving_fakes import FakeKeyedLog, FakeLeases, make_logs, manual_clock
 from test_submission_ledger import make_submitted
@@ -138,3 +140,21 @@
     vm = Vm()
     await vm.takeover.stop()
     assert not await vm.claims()
+
+
+@pytest.mark.parametrize(
+    ("owner", "ended", "expected"),
+    [
+        pytest.param("b/9", False, 1, id="own-open"),
+        pytest.param("b/9", True, 0, id="own-ended"),
+        pytest.param("vm/1", False, 0, id="of-another"),
+    ],
+)
+async def test_only_a_vm_with_open_submissions_needs_a_lease(owner, ended, expected):
+    vm = Vm()
+    vm.book.ledger.apply(msgspec.structs.replace(make_submitted("own"), owner=owner))
+    if ended:
+        vm.book.ledger.apply(Ended(submission_id="own"))
+    for _ in range(2):
+        await vm.takeover.renew()
+    assert vm.leases.renewals == expected
