Read items' output in fewer pieces

Cause: on the grown deployments half of all events belong to items, and each one woke the loop, for nobody.

--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -65,6 +65,7 @@
         self._idle_ms = DEFAULT_IDLE_MS
         self._idle_since_ms = clock.now_ms()
         self._body_sent = True
+        self._held: t.Any = None  # event or error behind the last piece returned
         self.opened_ms = clock.now_ms()
 
     @classmethod
@@ -161,7 +162,9 @@
             raise AnswerGarbled(detail="no status line")
 
     async def next_part(self, timeout_ms: float) -> bytes | None:
-        """Return the next piece of the body, or None at its end.
+        """Return what has come of the body, or None at its end.
+
+        Pieces that have come together are returned as one.
 
         Raises
         ------
@@ -170,11 +173,28 @@
         """
         event = await self._next_event(timeout_ms)
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return bytes(event.data) + self._rest_at_hand()
         if isinstance(event, h11.EndOfMessage):
             return None
         raise ConnectionBroken(detail="ended within the body")
 
+    def _rest_at_hand(self) -> bytes:
+        """Return the pieces that were read and not returned yet."""
+        parts = []
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._held = error
+                break
+            if event is h11.NEED_DATA:
+                break
+            if not isinstance(event, h11.Data):
+                self._held = event
+                break
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
     def reusable(self) -> bool:
         """Return whether another request may follow on this connection."""
         if not self._body_sent:
@@ -188,6 +208,7 @@
     def start_idle(self) -> None:
         """Make ready for the next request."""
         self._http.start_next_cycle()
+        self._held = None
         self._idle_since_ms = self._clock.now_ms()
 
     def still_idle(self) -> bool:
@@ -212,6 +233,8 @@
 
     async def _next_event(self, timeout_ms: float) -> t.Any:
         try:
+            if self._held is not None:
+                return self._take_held()
             while True:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
@@ -222,6 +245,12 @@
                 raise ConnectionBroken(detail=str(error)) from error
             raise AnswerGarbled(detail=str(error)) from error
 
+    def _take_held(self) -> t.Any:
+        held, self._held = self._held, None
+        if isinstance(held, h11.RemoteProtocolError):
+            raise held
+        return held
+
     async def _receive(self, timeout_ms: float) -> bytes:
         try:
             with anyio.fail_after(timeout_ms / MS_PER_S):
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -26,6 +26,7 @@
 from foxtailbank.submissions.book import SubmissionBook
 from foxtailbank.submissions.item_recorder import ItemRecorder
 from foxtailbank.submissions.item_run import ItemRun
+from foxtailbank.submissions.paced_reading import parts_of
 from foxtailbank.submissions.records import Item
 from foxtailbank.submissions.submission import Submission
 
@@ -296,7 +297,7 @@
             self._on_attempt_failed(run, route)
 
     async def _collect(self, run: ItemRun, answer: WorkerAnswer) -> None:
-        while (part := await answer.next_part(GAP_TIMEOUT_MS)) is not None:
+        async for part in parts_of(answer, gap_ms=GAP_TIMEOUT_MS):
             whole = run.cutter.feed(part)
             if whole:
                 run.texts.extend(event.data for event in parse_events(whole))
--- /dev/null
+++ b/tests/test_client_channel.py
@@ -0,0 +1,92 @@
+"""Bodies that come in many pieces, or end badly behind good ones."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from foxtailbank.clock import SystemClock
+from foxtailbank.http1.client_channel import ClientChannel
+from foxtailbank.http1.failures import AnswerGarbled, ConnectionBroken
+
+pytestmark = pytest.mark.anyio
+CLOCK = SystemClock()
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+END = b"0\r\n\r\n"
+TIMEOUT_MS = 5_000
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@contextlib.asynccontextmanager
+async def answered(data, *, closes=False):
+    """Give a channel to a server that answers each request with the same bytes."""
+
+    async def serve(stream):
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+                    await stream.send(data)
+                    if closes:
+                        return
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        channel = await ClientChannel.connect(
+            address=f"{host}:{port}", clock=CLOCK, timeout_ms=TIMEOUT_MS
+        )
+        yield channel
+        await channel.aclose()
+        group.cancel_scope.cancel()
+
+
+async def ask(channel):
+    await channel.send(method="GET", target="/", headers=(("Host", "h"),), body=b"")
+    await channel.head(TIMEOUT_MS)
+
+
+async def test_pieces_that_came_together_are_one_and_the_connection_goes_on():
+    async with answered(HEAD + chunk(b"a") + chunk(b"b") + END) as channel:
+        for _ in range(2):
+            await ask(channel)
+            assert await channel.next_part(TIMEOUT_MS) == b"ab"
+            assert await channel.next_part(TIMEOUT_MS) is None
+            assert channel.reusable()
+            channel.start_idle()
+
+
+async def test_an_end_that_nobody_read_does_not_end_the_next_answer():
+    async with answered(HEAD + chunk(b"a") + END) as channel:
+        await ask(channel)
+        assert await channel.next_part(TIMEOUT_MS) == b"a"
+        assert channel.reusable()
+        channel.start_idle()
+        await ask(channel)
+        assert await channel.next_part(TIMEOUT_MS) == b"a"
+
+
+@pytest.mark.parametrize(
+    ("rest", "closes", "failure"),
+    [
+        pytest.param(b"zz\r\n", False, AnswerGarbled, id="garbled"),
+        pytest.param(b"", True, ConnectionBroken, id="broken-off"),
+    ],
+)
+async def test_good_pieces_come_before_the_failure(rest, closes, failure):
+    data = HEAD + chunk(b"a") + chunk(b"b") + rest
+    async with answered(data, closes=closes) as channel:
+        await ask(channel)
+        assert await channel.next_part(TIMEOUT_MS) == b"ab"
+        with pytest.raises(failure):
+            await channel.next_part(TIMEOUT_MS)
+        assert not channel.reusable()
--- /dev/null
+++ b/tests/test_paced_reading.py
@@ -0,0 +1,48 @@
+"""Pattern: many items whose single events nobody waits for."""
+
+import anyio
+import pytest
+
+from foxtailbank.clock import SystemClock
+from foxtailbank.http1.client_channel import ClientChannel
+from foxtailbank.http1.failures import ServerSilent
+from foxtailbank.submissions.paced_reading import parts_of
+from foxtailbank_soak.worker import WorkerStandIn, event_of
+from serving_fakes import FakeAnswer
+
+pytestmark = pytest.mark.anyio
+CLOCK = SystemClock()
+ADDRESS = "127.0.0.43:18481"
+EVENTS = 40
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_events_that_come_close_together_are_read_together_and_whole():
+    worker = WorkerStandIn("w1", ADDRESS, clock=CLOCK, events=EVENTS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(worker.server.run)
+        await anyio.sleep(0.1)
+        channel = await ClientChannel.connect(
+            address=ADDRESS, clock=CLOCK, timeout_ms=1_000
+        )
+        headers = (("Host", "h"), ("X-Expect-Instance", "w1"))
+        await channel.send(method="POST", target="/b/", headers=headers, body=b"")
+        await channel.head(5_000)
+        parts = [part async for part in parts_of(channel, gap_ms=5_000)]
+        await channel.aclose()
+        group.cancel_scope.cancel()
+    assert len(parts) < EVENTS / 2
+    assert b"".join(parts) == b"".join(event_of(n + 1) for n in range(EVENTS))
+
+
+async def test_a_failure_within_the_body_is_passed_on():
+    answer = FakeAnswer(parts=(b"a", ServerSilent(detail="x")))
+    seen = []
+    with pytest.raises(ServerSilent):
+        async for part in parts_of(answer, gap_ms=100):
+            seen.append(part)
+    assert seen == [b"a"]
