Compare two drawn workers where loads are known late

Cause: on the grown site a request waited 1.6 s in one worker's queue while the fleet had places (p99 of the first byte 1.5 s; busiest worker 1.37 times the mean): outside a VM's own workers loads are 130 to 500 ms old, and all VMs took the same least loaded worker. Change: from the second ring on, two drawn workers are compared, online and batch. Small fleets have one ring and are not touched.

--- a/src/foxtailbank/fleet/neighbourhood.py
+++ b/src/foxtailbank/fleet/neighbourhood.py
@@ -8,6 +8,7 @@
 import dataclasses
 import functools
 import math
+import random
 import typing as t
 
 import xxhash
@@ -17,6 +18,7 @@
 
 SMALL_FLEET_VMS = 20  # up to then VMs hear of each other's changes within a step or two
 VMS_PER_WORKER = 4  # that use it first; fewer would leave some workers without any
+SAMPLE = 2  # of workers whose loads are known late
 TASTES_KEPT = 4_096  # workers
 
 Rings: t.TypeAlias = tuple[tuple[Worker, ...], ...]
@@ -37,10 +39,13 @@
         This VM.
     zone : str
         Its availability zone.
+    rng : random.Random
+        Draws the workers that are compared.
     """
 
-    def __init__(self, *, vm_id: str, zone: str) -> None:
+    def __init__(self, *, vm_id: str, zone: str, rng: random.Random) -> None:
         self._vm_id = vm_id
+        self._rng = rng
         self._zone = zone
         self._peers_by_group = dict.fromkeys(PeerGroup, 0)
         self._sorted_by_service: dict[str, _Sorted] = {}
@@ -68,6 +73,23 @@
             self._sorted_by_service[service] = known
         return known.rings
 
+    def compared(self, ring: t.Sequence[Worker], number: int) -> t.Sequence[Worker]:
+        """Return the workers of a ring among which the least loaded one is taken.
+
+        Loads outside the first ring are known late. If all VMs took the least loaded
+        worker there, they would all take the same one.
+
+        Parameters
+        ----------
+        ring : sequence of Worker
+            What is left of the ring.
+        number : int
+            Its number from 0.
+        """
+        if number == 0 or len(ring) <= SAMPLE:
+            return ring
+        return self._rng.sample(ring, SAMPLE)
+
     def taste(self, worker: Worker) -> float:
         """Return from 0 to 1 how little this VM likes a worker.
 
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -130,13 +130,18 @@
         home = _affinity_home(candidates, affinity)
         rings = self._rings_of(workers, candidates)
         for fits in (lambda w: self._has_place(w, now_ms), self._batch_can_yield):
-            for ring in rings:
+            for number, ring in enumerate(rings):
                 fitting = [worker for worker in ring if fits(worker)]
                 if fitting:
-                    return Choice(
-                        worker=min(fitting, key=lambda w: self._cost(w, home))
-                    )
-        best = min(candidates, key=lambda w: self._queue_cost(w, mean_ms))
+                    compared = self._neighbourhood.compared(fitting, number)
+                    best = min(compared, key=lambda w: self._cost(w, home))
+                    return Choice(worker=best)
+        queues = [
+            worker
+            for number, ring in enumerate(rings)
+            for worker in self._neighbourhood.compared(ring, number)
+        ]
+        best = min(queues, key=lambda w: self._queue_cost(w, mean_ms))
         wait_ms = self._queue_ms(best, mean_ms)
         if wait_ms > patience_ms:
             return Refusal(reason=RefusalReason.OVERLOADED, wait_ms=wait_ms)
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -1,5 +1,6 @@
 """What this VM believes of the workers, in one place for all decisions."""
 
+import random
 import typing as t
 
 from foxtailbank.clock import Clock
@@ -40,6 +41,8 @@
         Takes a line for each change of belief.
     clock : Clock
         Source of time.
+    rng : random.Random
+        Draws among workers whose loads are known late.
 
     Attributes
     ----------
@@ -55,6 +58,7 @@
         routes: RouteTable,
         logs: Logs,
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         self.workers = WorkerTable()
         self.loads = LoadTable()
@@ -65,7 +69,7 @@
         self._logs = logs
         self._clock = clock
         self.reach = ZoneReach(own_zone=zone)
-        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone)
+        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone, rng=rng)
         self._placement = Placement(
             zone=zone,
             neighbourhood=self.neighbourhood,
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -136,6 +136,7 @@
             routes=self.routes,
             logs=logs,
             clock=clock,
+            rng=rng,
         )
         self.forwarder = Forwarder(
             client=client,
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -86,13 +86,13 @@
         """
         rings = self._neighbourhood.rings(workers)
         count = 1 + waited_ms // RING_WAIT_MS
-        open_workers = [
-            w for ring in rings[:count] for w in ring if self._is_open(w, now_ms)
-        ]
-        if not open_workers:
-            return None
-        preferred = [w for w in open_workers if w.worker_id not in avoid]
-        return min(preferred or open_workers, key=self._cost)
+        for number, ring in enumerate(rings[:count]):
+            open_workers = [w for w in ring if self._is_open(w, now_ms)]
+            preferred = [w for w in open_workers if w.worker_id not in avoid]
+            compared = self._neighbourhood.compared(preferred or open_workers, number)
+            if compared:
+                return min(compared, key=self._cost)
+        return None
 
     def places_to_yield(self, worker: Worker, now_ms: int) -> int:
         """Return how many of this VM's items on a worker must stop now.
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -256,6 +256,7 @@
         logs = logs or make_logs()
         self.routes = RouteTable()
         self.fleet = FleetState(
+            rng=random.Random(1),
             vm_id="vm1",
             zone="z1",
             routes=self.routes,
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -1,5 +1,7 @@
 """Pattern: batch items fill the troughs and give way when a wave of requests lasts."""
 
+import random
+
 import pytest
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
@@ -17,7 +19,7 @@
     def __init__(self, vm_id):
         self.vm_id = vm_id
         self.loads = LoadTable()
-        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1")
+        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1", rng=random.Random(1))
         self.room = BatchRoom(
             vm_id=vm_id,
             zone="z1",
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -1,6 +1,7 @@
 """Load reports of one VM to peers of its own zone and of others, over real sockets."""
 
 import contextlib
+import random
 
 import anyio
 import pytest
@@ -35,7 +36,12 @@
 
 def make_exchange(addresses):
     fleet = FleetState(
-        vm_id="me", zone="z1", routes=make_routes(), logs=make_logs(), clock=CLOCK
+        rng=random.Random(1),
+        vm_id="me",
+        zone="z1",
+        routes=make_routes(),
+        logs=make_logs(),
+        clock=CLOCK,
     )
     exchange = LoadExchange(
         vm_id="me",
--- a/tests/test_neighbourhood.py
+++ b/tests/test_neighbourhood.py
@@ -1,6 +1,7 @@
 """Pattern: many entry VMs before many workers, with loads that are known late."""
 
 import collections
+import random
 
 import pytest
 
@@ -16,7 +17,7 @@
 
 
 def make_neighbourhood(vm_id, *, zone="z1", near=VMS_PER_ZONE - 1, far=47):
-    neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone)
+    neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone, rng=random.Random(1))
     neighbourhood.count_peers(PeerGroup.NEAR, near)
     neighbourhood.count_peers(PeerGroup.FAR, far)
     return neighbourhood
@@ -58,3 +59,15 @@
     neighbourhood.count_peers(PeerGroup.NEAR, 0)
     assert neighbourhood.rings(fewer) == (fewer,)
     assert neighbourhood.rings(()) == ()
+
+
+def test_vms_that_know_loads_late_do_not_all_take_the_least_loaded_worker():
+    chosen = collections.Counter()
+    for number in range(200):
+        neighbourhood = Neighbourhood(
+            vm_id=f"vm{number}", zone="z1", rng=random.Random(number)
+        )
+        compared = neighbourhood.compared(WORKERS, 1)
+        chosen[min(compared, key=lambda w: w.worker_id).worker_id] += 1
+        assert neighbourhood.compared(WORKERS, 0) == WORKERS
+    assert max(chosen.values()) <= 20
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Pattern: waves of online requests over long batch items on engines of one size."""
 
 import collections
+import random
 
 import pytest
 
@@ -23,7 +24,7 @@
         self.loads = LoadTable()
         self.health = WorkerHealth()
         self.reach = ZoneReach(own_zone="z1")
-        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1")
+        self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1", rng=random.Random(1))
         self.placement = Placement(
             zone="z1",
             neighbourhood=self.neighbourhood,
@@ -141,7 +142,7 @@
 
 def test_a_vm_of_a_large_fleet_takes_its_own_workers_first_and_others_at_once():
     workers = tuple(make_worker(f"w{n}", zone="z1", slots=4) for n in range(30))
-    neighbourhood = Neighbourhood(vm_id="vm1", zone="z1")
+    neighbourhood = Neighbourhood(vm_id="vm1", zone="z1", rng=random.Random(1))
     neighbourhood.count_peers(PeerGroup.NEAR, 30)
     home, others = neighbourhood.rings(workers)
     for load, ring in (((3, 0), home), ((4, 0), others)):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,6 +1,7 @@
 """Fault tables of what the platform's adapter decodes."""
 
 import json
+import random
 
 import pytest
 
@@ -193,6 +194,7 @@
     def __init__(self):
         self.clock = manual_clock()
         self.fleet = FleetState(
+            rng=random.Random(1),
             vm_id="vm1",
             zone="z",
             routes=RouteTable(),
