Let load reports fall faster as a group of peers gets large

Change: the gap rises with the cube of the peers (up to ten stay below 17 ms), a group of over 30 peers hears of an idle VM once a second, and a peer counts as silent after three missed reports of its group.

--- a/src/foxtailbank/fleet/load_table.py
+++ b/src/foxtailbank/fleet/load_table.py
@@ -4,8 +4,6 @@
 import dataclasses
 import enum
 
-PEER_FRESH_MS = 1_500  # three missed reports of an idle VM
-
 
 class LoadKind(enum.Enum):
     """Which requests are counted."""
@@ -82,12 +80,12 @@
         self._seen_ms_by_vm[report.vm_id] = now_ms
         self._count(report, 1)
 
-    def expire(self, now_ms: int) -> tuple[str, ...]:
-        """Forget peers that fell silent and return their names."""
+    def expire(self, now_ms: int, silence_ms: int) -> tuple[str, ...]:
+        """Forget peers of which nothing was heard for a time; return their names."""
         silent = tuple(
             vm_id
             for vm_id, seen_ms in self._seen_ms_by_vm.items()
-            if now_ms - seen_ms > PEER_FRESH_MS
+            if now_ms - seen_ms > silence_ms
         )
         for vm_id in silent:
             del self._seen_ms_by_vm[vm_id]
--- a/src/foxtailbank/fleet/peer_book.py
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -4,9 +4,8 @@
 
 from foxtailbank.address import Address
 from foxtailbank.fleet.load_report import LoadReport
-from foxtailbank.fleet.report_pace import PeerGroup
+from foxtailbank.fleet.report_pace import PeerGroup, silence_ms
 
-ALIVE_MS = 1_500  # three missed reports of an idle VM
 SEND_MS = 15_000  # a VM that was replaced is forgotten after that
 
 
@@ -99,12 +98,15 @@
 
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that were heard of lately and go on."""
+        silence_by_group = {
+            group: silence_ms(len(self.targets(group, now_ms))) for group in PeerGroup
+        }
         return tuple(
             peer
             for peer in self._by_id.values()
             if peer.incarnation
             and not peer.stopping
-            and now_ms - peer.heard_ms < ALIVE_MS
+            and now_ms - peer.heard_ms < silence_by_group[self._group_of(peer)]
         )
 
     def _group_of(self, peer: Peer) -> PeerGroup:
@@ -117,4 +119,4 @@
     if report.incarnation > known.incarnation:
         return True
     # The process after one that fell silent may start with a clock that went back.
-    return now_ms - known.heard_ms >= ALIVE_MS
+    return now_ms - known.heard_ms >= silence_ms(1)
--- a/src/foxtailbank/fleet/report_pace.py
+++ b/src/foxtailbank/fleet/report_pace.py
@@ -8,9 +8,10 @@
 
 import enum
 
-IDLE_PERIOD_MS = 500  # liveness of a VM without any change
 MIN_GAP_MS = 12  # changes within it share a report
-GAP_MS_PER_SQUARE = 0.25  # so that datagrams a second fall as the peers get more
+GAP_MS_PER_CUBE = 1 / 60  # so that datagrams a second fall fast as the peers get more
+LARGE_GROUP = 30  # peers
+MISSED_REPORTS = 3  # of an idle VM, until it counts as silent
 
 
 class PeerGroup(enum.Enum):
@@ -20,12 +21,23 @@
     FAR = "far"
 
 
-def gap_ms(peers: int) -> float:
-    """Return the shortest time between two reports to a group of peers.
+def idle_period_ms(peers: int) -> int:
+    """Return the time between two reports of a VM without any change.
 
     Parameters
     ----------
     peers : int
-        How many they are.
+        How many the group has.
     """
-    return min(max(MIN_GAP_MS, GAP_MS_PER_SQUARE * peers * peers), IDLE_PERIOD_MS)
+    return 500 if peers <= LARGE_GROUP else 1_000
+
+
+def silence_ms(peers: int) -> int:
+    """Return how long nothing is heard of a peer until it counts as silent."""
+    return MISSED_REPORTS * idle_period_ms(peers)
+
+
+def gap_ms(peers: int) -> float:
+    """Return the shortest time between two reports to a group of peers."""
+    rising_ms = GAP_MS_PER_CUBE * peers**3
+    return min(max(MIN_GAP_MS, rising_ms), idle_period_ms(peers))
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -14,7 +14,7 @@
 from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.load_table import PeerLoad
 from foxtailbank.fleet.peer_book import PeerBook
-from foxtailbank.fleet.report_pace import IDLE_PERIOD_MS, PeerGroup
+from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import KeyedLog, KeyedRecord
 from foxtailbank.logs import LogFields, Logs
@@ -113,8 +113,9 @@
                 self._send_one(socket, datagram, target)
             self._notice_lost(now_ms)
             gap_ms = report_pace.gap_ms(len(targets))
+            idle_ms = report_pace.idle_period_ms(len(targets))
             await anyio.sleep(gap_ms / MS_PER_S)
-            with anyio.move_on_after((IDLE_PERIOD_MS - gap_ms) / MS_PER_S):
+            with anyio.move_on_after((idle_ms - gap_ms) / MS_PER_S):
                 await changed.wait()
 
     def _send_one(
@@ -172,7 +173,8 @@
             self._fleet.marks.add(mark, now_ms)
 
     def _notice_lost(self, now_ms: int) -> None:
-        self._fleet.loads.expire(now_ms)
+        peers = len(self._peers.targets(PeerGroup.FAR, now_ms))
+        self._fleet.loads.expire(now_ms, report_pace.silence_ms(peers))
         alive = {peer.vm_id for peer in self._peers.alive(now_ms)}
         for vm_id in self._known_alive - alive:
             self._logs.write(Event.PEER_LOST, fields=LogFields(peer=vm_id))
