--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -2,7 +2,7 @@
 
 Answers the pattern in which short waves of online requests meet long batch items on
 engines without priorities: a free place first, then a place that a batch item gives
-up, then a short queue, else a refusal at once. Entry VMs that see the same loads
+up, then a short queue, else a refusal at once, each from the nearest workers on. Entry VMs that see the same loads
 prefer different ones of equal workers, for they do not see each other's newest choices.
 """
 
@@ -22,6 +22,8 @@
 AFFINITY_BONUS = 0.2  # of a worker's places; a known prefix saves its prefill
 TASTE_SPAN = 0.05  # of a worker's places; less than one place of any engine
 
+Candidates: t.TypeAlias = tuple[t.Sequence[Worker], ...]
+
 
 class RefusalReason(enum.Enum):
     """Why no worker gets the request."""
@@ -129,27 +131,39 @@
         candidates = sound or left
         home = _affinity_home(candidates, affinity)
         rings = self._rings_of(workers, candidates)
-        for fits in (lambda w: self._has_place(w, now_ms), self._batch_can_yield):
-            for number, ring in enumerate(rings):
-                fitting = [worker for worker in ring if fits(worker)]
-                if fitting:
-                    compared = self._neighbourhood.compared(fitting, number)
-                    best = min(compared, key=lambda w: self._cost(w, home))
-                    return Choice(worker=best)
-        queues = [
-            worker
-            for number, ring in enumerate(rings)
-            for worker in self._neighbourhood.compared(ring, number)
-        ]
-        best = min(queues, key=lambda w: self._queue_cost(w, mean_ms))
+        best = self._best(rings, home, lambda worker: self._has_place(worker, now_ms))
+        if best is None:
+            best = self._best(rings, home, self._batch_can_yield)
+        if best is not None:
+            return Choice(worker=best)
+        best = self._shortest_queue(rings, mean_ms)
         wait_ms = self._queue_ms(best, mean_ms)
         if wait_ms > patience_ms:
             return Refusal(reason=RefusalReason.OVERLOADED, wait_ms=wait_ms)
         return Choice(worker=best, wait_ms=wait_ms)
 
+    def _best(
+        self, rings: Candidates, home: str, fits: t.Callable[[Worker], bool]
+    ) -> Worker | None:
+        """Return the cheapest worker that fits, from the nearest ring that has one."""
+        for number, ring in enumerate(rings):
+            fitting = [worker for worker in ring if fits(worker)]
+            if fitting:
+                compared = self._neighbourhood.compared(fitting, number)
+                return min(compared, key=lambda worker: self._cost(worker, home))
+        return None
+
+    def _shortest_queue(self, rings: Candidates, mean_ms: float) -> Worker:
+        compared = [
+            worker
+            for number, ring in enumerate(rings)
+            for worker in self._neighbourhood.compared(ring, number)
+        ]
+        return min(compared, key=lambda worker: self._queue_cost(worker, mean_ms))
+
     def _rings_of(
         self, workers: tuple[Worker, ...], candidates: t.Sequence[Worker]
-    ) -> tuple[t.Sequence[Worker], ...]:
+    ) -> Candidates:
         rings = self._neighbourhood.rings(workers)
         if len(rings) <= 1:
             return (candidates,)
