--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -2,8 +2,9 @@
 
 Answers the pattern in which short waves of online requests meet long batch items on
 engines without priorities: a free place first, then a place that a batch item gives
-up, then a short queue, else a refusal at once, each from the nearest workers on. Entry VMs that see the same loads
-prefer different ones of equal workers, for they do not see each other's newest choices.
+up, then a short queue, else a refusal at once, each at the nearest workers first.
+Entry VMs that see the same loads prefer different ones of equal workers, for they do
+not see each other's newest choices.
 """
 
 import dataclasses
