--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 WORKERS ?= 4
+SEED ?= 1
+COUNT ?= 1
 export PYTHONPATH := src
 
-.PHONY: env test lint demo fleet bench fuzz
+.PHONY: env test lint demo fleet bench fuzz soak
 
 env: $(VENV)/.ready
 
@@ -31,3 +33,6 @@
 
 fuzz: env
 	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py tests/test_catalogue_fuzz.py
+
+soak: env
+	PYTHONPATH=src:platform $(PYTHON) -m foxtailbank_soak --seed $(SEED) --count $(COUNT)
