--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -7,6 +7,7 @@
 import anyio
 
 from foxtailbank.clock import ManualClock, SystemClock
+from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.fleet_state import FleetState
@@ -45,6 +46,18 @@
     )
 
 
+def make_report(vm_id, **changes):
+    fields = {
+        "zone": "z1",
+        "incarnation": 1,
+        "sequence": 1,
+        "stopping": False,
+        "load_by_worker": {},
+        "marks": (),
+    }
+    return LoadReport(vm_id=vm_id, **{**fields, **changes})
+
+
 def make_route(**changes):
     fields = {
         "name": "r",
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -8,13 +8,12 @@
 
 from foxtailbank.clock import SystemClock
 from foxtailbank.fleet import load_report
-from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import KeyedRecord, ProducerStep
 from foxtailbank.load_exchange import LoadExchange
-from serving_fakes import FakeKeyedLog, make_logs, make_routes
+from serving_fakes import FakeKeyedLog, make_logs, make_report, make_routes
 
 pytestmark = pytest.mark.anyio
 CLOCK = SystemClock()
@@ -58,20 +57,6 @@
     return exchange, fleet
 
 
-def hello(vm_id, zone):
-    return load_report.encode(
-        LoadReport(
-            vm_id=vm_id,
-            zone=zone,
-            incarnation=1,
-            sequence=1,
-            stopping=False,
-            load_by_worker={},
-            marks=(),
-        )
-    )
-
-
 async def newest_load(socket):
     """Return once a report with one request in flight has come."""
     async for datagram, _ in socket:
@@ -103,7 +88,8 @@
                 for number, socket in enumerate(sockets):
                     await socket.receive()
                     zone = "z1" if number % 2 else "z2"
-                    await socket.sendto(hello(f"vm{number}", zone), HOST, PORT)
+                    report = make_report(f"vm{number}", zone=zone)
+                    await socket.sendto(load_report.encode(report), HOST, PORT)
                 for _ in range(50):
                     fleet.notify_load()
                     await anyio.sleep(0.002)
--- a/tests/test_peer_book.py
+++ b/tests/test_peer_book.py
@@ -3,26 +3,14 @@
 import pytest
 
 from foxtailbank.address import parse_address
-from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.fleet.report_pace import silence_ms
+from serving_fakes import make_report
 
 SILENCE_MS = silence_ms(1)
 ADDRESS = parse_address("127.0.0.1:1")
 
 
-def make_report(incarnation, sequence):
-    return LoadReport(
-        vm_id="vm",
-        zone="z1",
-        incarnation=incarnation,
-        sequence=sequence,
-        stopping=False,
-        load_by_worker={},
-        marks=(),
-    )
-
-
 @pytest.mark.parametrize(
     ("incarnation", "sequence", "after_ms", "accepted"),
     [
@@ -36,6 +24,6 @@
 )
 def test_which_reports_count(incarnation, sequence, after_ms, accepted):
     book = PeerBook(vm_id="me", zone="z1")
-    assert book.on_report(make_report(5, 2), ADDRESS, 0)
-    report = make_report(incarnation, sequence)
+    assert book.on_report(make_report("vm", incarnation=5, sequence=2), ADDRESS, 0)
+    report = make_report("vm", incarnation=incarnation, sequence=sequence)
     assert book.on_report(report, ADDRESS, after_ms) is accepted
--- a/tests/test_report_pace.py
+++ b/tests/test_report_pace.py
@@ -4,7 +4,6 @@
 
 from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S
-from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.fleet.report_pace import (
     LARGE_GROUP,
@@ -14,6 +13,7 @@
     silence_ms,
 )
 from foxtailbank.fleet.zone_reach import SILENT_MS
+from serving_fakes import make_report
 
 SOON_MS = 25
 MAX_REPORTS_PER_S = 1_000  # of one VM; a few hundredths of a core
@@ -43,15 +43,7 @@
 def test_peers_are_grouped_by_the_zone_that_they_report():
     book = PeerBook(vm_id="me", zone="z1")
     for vm_id, zone in (("a", "z1"), ("b", "z2")):
-        report = LoadReport(
-            vm_id=vm_id,
-            zone=zone,
-            incarnation=1,
-            sequence=1,
-            stopping=False,
-            load_by_worker={},
-            marks=(),
-        )
+        report = make_report(vm_id, zone=zone)
         assert book.on_report(
             report, parse_address(f"127.0.0.1:{len(vm_id + zone)}"), 0
         )
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,14 +4,13 @@
 import pytest
 
 from foxtailbank.address import parse_address
-from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.keyed_log import StoreRefused
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.book import SubmissionBook
 from foxtailbank.submissions.records import Ended
 from foxtailbank.submissions.takeover import SETTLE_MS, SILENT_MS, Takeover
-from serving_fakes import FakeKeyedLog, FakeLeases, make_logs, manual_clock
+from serving_fakes import FakeKeyedLog, FakeLeases, make_logs, make_report, manual_clock
 from test_submission_ledger import make_submitted
 
 pytestmark = pytest.mark.anyio
@@ -51,14 +50,11 @@
         self.clock.advance(SETTLE_MS)
 
     def hear(self, vm_id="vm", *, incarnation=1, stopping=False):
-        report = LoadReport(
-            vm_id=vm_id,
-            zone="z1",
+        report = make_report(
+            vm_id,
             incarnation=incarnation,
             sequence=self.clock.now_ms(),
             stopping=stopping,
-            load_by_worker={},
-            marks=(),
         )
         self.peers.on_report(report, parse_address("127.0.0.1:1"), self.clock.now_ms())
 
