--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -93,6 +93,16 @@
         pytest.param(
             {"status": -1, "ended_ms": 50}, ["answers what it read"], id="broken-off"
         ),
+        pytest.param(
+            {"status": -1, "ended_ms": 50, "request_id": "never-run"},
+            [],
+            id="crossed-a-close",
+        ),
+        pytest.param(
+            {"status": -1, "ended_ms": 9_000, "request_id": "never-run"},
+            ["answers in time", "answers what it read"],
+            id="dropped-late",
+        ),
         pytest.param(
             {"status": 502, "ended_ms": 50}, ["no failures in calm"], id="failed"
         ),
@@ -115,6 +125,7 @@
     if changes["ended_ms"] > 1_000:
         soak.journal.disturbances.pop()
     soak.journal.on_sent(dataclasses.replace(SENT, **changes))
+    soak.journal.runs_by_id["r"].append(RUN)
     soak.check_calm_requests()
     assert promises(soak.journal) == expected
 
