--- a/src/foxtailbank_bench/relayed_daemon.py
+++ b/src/foxtailbank_bench/relayed_daemon.py
@@ -4,13 +4,9 @@
 import json
 import pathlib
 import sys
-import typing as t
-
-import anyio
-import anyio.abc
 
 from foxtailbank import daemon
-from foxtailbank.stream_backend import StreamBackend
+from foxtailbank_bench.outgoing_links import replace_addresses
 
 
 def main() -> int:
@@ -25,38 +21,5 @@
     return daemon.main(["--settings", options.settings])
 
 
-def replace_addresses(links_by_address: dict[str, str]) -> None:
-    """Send traffic of this process through links.
-
-    Parameters
-    ----------
-    links_by_address : dict of str to str
-        Address of the link for each target; other targets are reached directly.
-    """
-    connect_tcp: t.Any = anyio.connect_tcp
-    open_stream: t.Any = StreamBackend.connect_tcp
-    send_datagram: t.Any = anyio.abc.UDPSocket.sendto
-
-    def link_of(host: str, port: int) -> tuple[str, int]:
-        target = f"{host}:{port}"
-        link_host, _, link_port = links_by_address.get(target, target).rpartition(":")
-        return link_host, int(link_port)
-
-    async def connect(remote_host: str, remote_port: int, **options: t.Any) -> t.Any:
-        return await connect_tcp(*link_of(remote_host, remote_port), **options)
-
-    async def connect_http(
-        self: t.Any, host: str, port: int, **options: t.Any
-    ) -> t.Any:
-        return await open_stream(self, *link_of(host, port), **options)
-
-    async def sendto(self: t.Any, data: bytes, host: str, port: int) -> None:
-        await send_datagram(self, data, *link_of(host, port))
-
-    anyio.connect_tcp = t.cast(t.Any, connect)
-    StreamBackend.connect_tcp = t.cast(t.Any, connect_http)  # type: ignore[method-assign]
-    anyio.abc.UDPSocket.sendto = sendto  # type: ignore[method-assign]
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_paced_reading.py
+++ b/tests/test_paced_reading.py
@@ -7,6 +7,7 @@
 from foxtailbank.http1.client_channel import ClientChannel
 from foxtailbank.http1.failures import ServerSilent
 from foxtailbank.submissions.paced_reading import parts_of
+from foxtailbank_platform.headers import EXPECTED_WORKER
 from foxtailbank_soak.worker import WorkerStandIn, event_of
 from serving_fakes import FakeAnswer
 
@@ -29,7 +30,7 @@
         channel = await ClientChannel.connect(
             address=ADDRESS, clock=CLOCK, timeout_ms=1_000
         )
-        headers = (("Host", "h"), ("X-Expect-Instance", "w1"))
+        headers = (("Host", "h"), (EXPECTED_WORKER, "w1"))
         await channel.send(method="POST", target="/b/", headers=headers, body=b"")
         await channel.head(5_000)
         parts = [part async for part in parts_of(channel, gap_ms=5_000)]
