Proof of a lost engine: kill it once each caller has a first token

Traced in the engines' journals of that run: the kill came 39 ms after the three requests had arrived and before any token was passed on, so all three were sent again from the start (resume_at 0) and there was nothing to resume. The proof waits for the first piece at each caller now; its assertions are unchanged.

--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -150,14 +150,22 @@
         url = self.url(vm, "/v1/completions")
         return self.client.post(url, json=body, headers=headers)
 
-    def stream(self, vm, prompt, *, tokens, request_id):
-        """Return a streamed answer's text, the finish reasons and its end."""
+    def stream(self, vm, prompt, *, tokens, request_id, started=None):
+        """Return a streamed answer's text, the finish reasons and its end.
+
+        The event `started` is set once the first piece has come.
+        """
         body = {"model": "wordsmith", "prompt": prompt, "max_tokens": tokens}
         body |= {"stream": True}
         headers = {"x-request-id": request_id}
         url = self.url(vm, "/v1/completions")
         with self.client.stream("POST", url, json=body, headers=headers) as answer:
-            lines = [line[6:] for line in answer.iter_lines() if line]
+            lines = []
+            for line in answer.iter_lines():
+                if line:
+                    lines.append(line[6:])
+                    if started is not None:
+                        started.set()
         chunks = [json.loads(line) for line in lines if line != "[DONE]"]
         errors = [chunk["error"] for chunk in chunks if "error" in chunk]
         assert not errors, errors
--- a/tests/test_proofs_pairs.py
+++ b/tests/test_proofs_pairs.py
@@ -1,6 +1,7 @@
 """Two faults together."""
 
 import concurrent.futures
+import threading
 
 import pytest
 
@@ -73,13 +74,19 @@
     ids = start_jobs(fleet)
     fleet.platform(log="down")
     with concurrent.futures.ThreadPoolExecutor() as pool:
+        started = [threading.Event() for _ in range(3)]
         streams = [
             pool.submit(
-                fleet.stream, vm, "No log", tokens=240, request_id=f"no-log-{vm}"
+                fleet.stream,
+                vm,
+                "No log",
+                tokens=240,
+                request_id=f"no-log-{vm}",
+                started=started[vm],
             )
             for vm in range(3)
         ]
-        fleet.wait(lambda: len(fleet.reached("no-log-")) >= 3)
+        fleet.wait(lambda: all(event.is_set() for event in started))
         lost_engine = fleet.reached("no-log-")[0]["endpoint"]
         fleet.launcher.tolerated = (lost_engine,)
         fleet.kill(lost_engine)
