--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -11,8 +11,7 @@
 import enum
 import typing as t
 
-import xxhash
-
+from foxtailbank import rendezvous
 from foxtailbank.fleet.load_table import LoadTable
 from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.worker import Worker
@@ -211,5 +210,5 @@
         return ""
     return max(
         (worker.worker_id for worker in workers),
-        key=lambda worker_id: xxhash.xxh64_intdigest(f"{affinity}/{worker_id}"),
+        key=lambda worker_id: rendezvous.score(affinity, worker_id),
     )
--- /dev/null
+++ b/src/foxtailbank/rendezvous.py
@@ -0,0 +1,8 @@
+"""Rendezvous hashing without weights: all VMs draw the same score."""
+
+import xxhash
+
+
+def score(key: str, name: str) -> int:
+    """Return the score of a candidate for a key."""
+    return xxhash.xxh64_intdigest(f"{key}/{name}")
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -7,8 +7,7 @@
 
 import typing as t
 
-import xxhash
-
+from foxtailbank import rendezvous
 from foxtailbank.fleet.load_table import LoadTable
 from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.worker import Worker
@@ -118,7 +117,9 @@
             return 0
         batch_by_vm = self._loads.batch_by_peer(worker.worker_id)
         batch_by_vm[self._vm_id] = own
-        for vm_id in sorted(batch_by_vm, key=lambda v: _turn(v, worker.worker_id)):
+        for vm_id in sorted(
+            batch_by_vm, key=lambda vm: rendezvous.score(vm, worker.worker_id)
+        ):
             share = min(excess, batch_by_vm[vm_id])
             if vm_id == self._vm_id:
                 return share
@@ -143,7 +144,3 @@
             is_far,
             self._neighbourhood.taste(worker),
         )
-
-
-def _turn(vm_id: str, worker_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{vm_id}/{worker_id}")
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -3,8 +3,8 @@
 import enum
 
 import anyio
-import xxhash
 
+from foxtailbank import rendezvous
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError
@@ -165,7 +165,7 @@
     def _is_successor(self, submission: Submission, alive: tuple[Peer, ...]) -> bool:
         candidates = [peer.vm_id for peer in alive] + [self._vm_id]
         key = f"{submission.submission_id}/{submission.generation}"
-        chosen = max(candidates, key=lambda vm: xxhash.xxh64_intdigest(f"{key}/{vm}"))
+        chosen = max(candidates, key=lambda vm: rendezvous.score(key, vm))
         return chosen == self._vm_id
 
     def _claim(self, submission: Submission) -> None:
