--- a/src/foxtailbank/fleet/peer_book.py
+++ b/src/foxtailbank/fleet/peer_book.py
@@ -3,8 +3,9 @@
 import dataclasses
 
 from foxtailbank.address import Address
+from foxtailbank.fleet import report_pace
 from foxtailbank.fleet.load_report import LoadReport
-from foxtailbank.fleet.report_pace import PeerGroup, silence_ms
+from foxtailbank.fleet.report_pace import PeerGroup
 
 SEND_MS = 15_000  # a VM that was replaced is forgotten after that
 
@@ -92,6 +93,10 @@
             if self._group_of(peer) is group and now_ms - peer.heard_ms < SEND_MS
         )
 
+    def silence_ms(self, group: PeerGroup, now_ms: int) -> int:
+        """Return how long nothing is heard of a peer of a group that is lost."""
+        return report_pace.silence_ms(len(self.targets(group, now_ms)))
+
     def get(self, vm_id: str) -> Peer | None:
         """Return what is known of a VM."""
         return self._by_id.get(vm_id)
@@ -99,7 +104,7 @@
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that were heard of lately and go on."""
         silence_by_group = {
-            group: silence_ms(len(self.targets(group, now_ms))) for group in PeerGroup
+            group: self.silence_ms(group, now_ms) for group in PeerGroup
         }
         return tuple(
             peer
@@ -119,4 +124,4 @@
     if report.incarnation > known.incarnation:
         return True
     # The process after one that fell silent may start with a clock that went back.
-    return now_ms - known.heard_ms >= silence_ms(1)
+    return now_ms - known.heard_ms >= report_pace.silence_ms(1)
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -173,8 +173,8 @@
             self._fleet.marks.add(mark, now_ms)
 
     def _notice_lost(self, now_ms: int) -> None:
-        peers = len(self._peers.targets(PeerGroup.FAR, now_ms))
-        self._fleet.loads.expire(now_ms, report_pace.silence_ms(peers))
+        silence_ms = self._peers.silence_ms(PeerGroup.FAR, now_ms)
+        self._fleet.loads.expire(now_ms, silence_ms)
         alive = {peer.vm_id for peer in self._peers.alive(now_ms)}
         for vm_id in self._known_alive - alive:
             self._logs.write(Event.PEER_LOST, fields=LogFields(peer=vm_id))
