--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -208,7 +208,7 @@
         if route.kind is RouteKind.STREAM and answer.is_success:
             await self._pass_stream(call, route, responder, progress, answer)
             return True
-        body = await self._whole_body(answer, self._left_ms(progress))
+        body = await answer.rest(self._left_ms(progress))
         attempts_left = progress.sent < route.max_attempts
         is_failure = answer.status >= 500 or answer.status in PROMISES
         if is_failure:
@@ -233,12 +233,6 @@
         self._recorder.finished(call, route, answer.status, reason="")
         return True
 
-    async def _whole_body(self, answer: WorkerAnswer, left_ms: float) -> bytes:
-        parts = []
-        while (part := await answer.next_part(left_ms)) is not None:
-            parts.append(part)
-        return b"".join(parts)
-
     async def _pass_stream(
         self,
         call: Call,
--- a/src/foxtailbank/forward/worker_client.py
+++ b/src/foxtailbank/forward/worker_client.py
@@ -6,9 +6,10 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.headers import Headers
+from foxtailbank.http1.body_source import BodySource
 
 
-class WorkerAnswer(abc.ABC):
+class WorkerAnswer(BodySource):
     """An answer whose head has arrived.
 
     Attributes
@@ -33,16 +34,6 @@
         """Whether the worker answered with success."""
         return 200 <= self.status < 300
 
-    @abc.abstractmethod
-    async def next_part(self, timeout_ms: float) -> bytes | None:
-        """Return the next piece of the body, or None at its proper end.
-
-        Raises
-        ------
-        ExchangeFailed
-            The answer broke off, was spoilt, or fell silent.
-        """
-
 
 class WorkerClient(abc.ABC):
     """Sends requests to workers."""
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -10,6 +10,7 @@
 from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.headers import Headers
+from foxtailbank.http1.body_source import BodySource
 from foxtailbank.http1.failures import (
     AnswerGarbled,
     ConnectionBroken,
@@ -45,7 +46,7 @@
         return self._value_by_name.get(name, "")
 
 
-class ClientChannel:
+class ClientChannel(BodySource):
     """Connection to a server.
 
     Parameters
--- a/src/foxtailbank/submissions/paced_reading.py
+++ b/src/foxtailbank/submissions/paced_reading.py
@@ -10,17 +10,17 @@
 import anyio
 
 from foxtailbank.clock import MS_PER_S
-from foxtailbank.forward.worker_client import WorkerAnswer
+from foxtailbank.http1.body_source import BodySource
 
 PAUSE_MS = 100  # so many of the newest events run again after a yield
 
 
-async def parts_of(answer: WorkerAnswer, *, gap_ms: float) -> t.AsyncIterator[bytes]:
+async def parts_of(answer: BodySource, *, gap_ms: float) -> t.AsyncIterator[bytes]:
     """Yield the pieces of an answer's body.
 
     Parameters
     ----------
-    answer : WorkerAnswer
+    answer : BodySource
         The answer.
     gap_ms : float
         Longest silence, in milliseconds.
@@ -28,7 +28,7 @@
     Raises
     ------
     ExchangeFailed
-        As for `WorkerAnswer.next_part`.
+        As for `BodySource.next_part`.
     """
     while (part := await answer.next_part(gap_ms)) is not None:
         yield part
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -74,10 +74,7 @@
     headers = (("Host", "h"),)
     await channel.send(method="POST", target=target, headers=headers, body=body)
     head = await channel.head(5_000)
-    parts = []
-    while (part := await channel.next_part(5_000)) is not None:
-        parts.append(part)
-    return head, b"".join(parts)
+    return head, await channel.rest(5_000)
 
 
 async def test_a_connection_serves_many_requests():
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -111,10 +111,7 @@
         try:
             await channel.send(method=method, target=target, headers=sent, body=body)
             head = await channel.head(10_000)
-            parts = []
-            while (part := await channel.next_part(10_000)) is not None:
-                parts.append(part)
-            return head, b"".join(parts)
+            return head, await channel.rest(10_000)
         finally:
             await channel.aclose()
     except ExchangeFailed:
