One view of the workers for placement and batch

Both took the same five parts and asked the same questions (sound, within reach, not full, a free place); the view answers them once, and keeps a reserve where asked.

--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -12,11 +12,8 @@
 import typing as t
 
 from foxtailbank import rendezvous
-from foxtailbank.fleet.load_table import LoadTable
-from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.worker import Worker
-from foxtailbank.fleet.worker_health import WorkerHealth
-from foxtailbank.fleet.zone_reach import ZoneReach
+from foxtailbank.fleet.worker_view import WorkerView
 
 SAME_ZONE_BONUS = 0.15  # of a worker's places; bytes between zones cost
 AFFINITY_BONUS = 0.2  # of a worker's places; a known prefix saves its prefill
@@ -69,32 +66,14 @@
 
     Parameters
     ----------
-    zone : str
-        Availability zone of this VM.
-    neighbourhood : Neighbourhood
-        Which workers come first.
-    loads : LoadTable
-        Requests in flight.
-    health : WorkerHealth
-        Workers to avoid.
-    reach : ZoneReach
-        Zones to avoid.
+    view : WorkerView
+        What is believed of the workers.
     """
 
-    def __init__(
-        self,
-        *,
-        zone: str,
-        neighbourhood: Neighbourhood,
-        loads: LoadTable,
-        health: WorkerHealth,
-        reach: ZoneReach,
-    ) -> None:
-        self._zone = zone
-        self._neighbourhood = neighbourhood
-        self._loads = loads
-        self._health = health
-        self._reach = reach
+    def __init__(self, *, view: WorkerView) -> None:
+        self._view = view
+        self._loads = view.loads
+        self._neighbourhood = view.neighbourhood
 
     def choose(
         self,
@@ -126,12 +105,14 @@
         left = [worker for worker in workers if worker.worker_id not in tried]
         if not left:
             return Refusal(reason=RefusalReason.NO_WORKERS, wait_ms=mean_ms)
-        sound = [w for w in left if self._is_sound(w, now_ms)]
+        sound = [w for w in left if self._view.is_sound(w, now_ms)]
         # When all are avoided, the guess that they are down is worth less than a try.
         candidates = sound or left
         home = _affinity_home(candidates, affinity)
         rings = self._rings_of(workers, candidates)
-        best = self._best(rings, home, lambda worker: self._has_place(worker, now_ms))
+        best = self._best(
+            rings, home, lambda worker: self._view.has_place(worker, now_ms)
+        )
         if best is None:
             best = self._best(rings, home, self._batch_can_yield)
         if best is not None:
@@ -170,16 +151,6 @@
         kept = {worker.worker_id for worker in candidates}
         return tuple([w for w in ring if w.worker_id in kept] for ring in rings)
 
-    def _is_sound(self, worker: Worker, now_ms: int) -> bool:
-        if self._reach.is_silent(worker.zone, now_ms):
-            return False
-        return not self._health.avoided(worker.worker_id, now_ms)
-
-    def _has_place(self, worker: Worker, now_ms: int) -> bool:
-        if self._health.full(worker.worker_id, now_ms):
-            return False
-        return self._loads.total(worker.worker_id).total < worker.slots
-
     def _batch_can_yield(self, worker: Worker) -> bool:
         load = self._loads.total(worker.worker_id)
         return load.batch > 0 and load.online < worker.slots
@@ -188,7 +159,7 @@
         load = self._loads.total(worker.worker_id)
         cost = load.online / worker.slots + 0.5 * load.batch / worker.slots
         cost += TASTE_SPAN * self._neighbourhood.taste(worker)
-        if worker.zone == self._zone:
+        if worker.zone == self._view.zone:
             cost -= SAME_ZONE_BONUS
         if worker.worker_id == home:
             cost -= AFFINITY_BONUS
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -13,6 +13,7 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import ERROR_PAUSE_MS, WorkerHealth
 from foxtailbank.fleet.worker_table import WorkerTable
+from foxtailbank.fleet.worker_view import WorkerView
 from foxtailbank.fleet.zone_reach import ZoneReach
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerAnswer
@@ -46,7 +47,7 @@
 
     Attributes
     ----------
-    workers, loads, health, times, marks, reach, neighbourhood
+    workers, loads, health, times, marks, reach, neighbourhood, view
         The parts.
     """
 
@@ -70,13 +71,14 @@
         self._clock = clock
         self.reach = ZoneReach(own_zone=zone)
         self.neighbourhood = Neighbourhood(vm_id=vm_id, zone=zone, rng=rng)
-        self._placement = Placement(
+        self.view = WorkerView(
             zone=zone,
             neighbourhood=self.neighbourhood,
             loads=self.loads,
             health=self.health,
             reach=self.reach,
         )
+        self._placement = Placement(view=self.view)
         self._load_listeners: list[t.Callable[[], None]] = []
         self._peer_listeners: list[t.Callable[[], None]] = []
         self._mark_listeners: list[t.Callable[[CrashMark], None]] = []
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -8,11 +8,8 @@
 import typing as t
 
 from foxtailbank import rendezvous
-from foxtailbank.fleet.load_table import LoadTable
-from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.worker import Worker
-from foxtailbank.fleet.worker_health import WorkerHealth
-from foxtailbank.fleet.zone_reach import ZoneReach
+from foxtailbank.fleet.worker_view import WorkerView
 
 ONLINE_RESERVE = 1  # places a worker keeps for the next online request
 RING_WAIT_MS = 1_500  # a run in a fleet with room ends earlier
@@ -26,34 +23,20 @@
     ----------
     vm_id : str
         This VM.
-    zone : str
-        Its availability zone.
-    neighbourhood : Neighbourhood
-        Which workers come first.
-    loads : LoadTable
-        Requests in flight.
-    health : WorkerHealth
-        Workers to avoid.
-    reach : ZoneReach
-        Zones to avoid.
+    view : WorkerView
+        What is believed of the workers.
     """
 
     def __init__(
         self,
         *,
         vm_id: str,
-        zone: str,
-        neighbourhood: Neighbourhood,
-        loads: LoadTable,
-        health: WorkerHealth,
-        reach: ZoneReach,
+        view: WorkerView,
     ) -> None:
         self._vm_id = vm_id
-        self._zone = zone
-        self._neighbourhood = neighbourhood
-        self._loads = loads
-        self._health = health
-        self._reach = reach
+        self._view = view
+        self._loads = view.loads
+        self._neighbourhood = view.neighbourhood
         self._excess_since_ms: dict[str, int] = {}
 
     @property
@@ -127,18 +110,13 @@
         return 0
 
     def _is_open(self, worker: Worker, now_ms: int) -> bool:
-        if self._health.avoided(worker.worker_id, now_ms):
+        if not self._view.is_sound(worker, now_ms):
             return False
-        if self._reach.is_silent(worker.zone, now_ms):
-            return False
-        if self._health.full(worker.worker_id, now_ms):
-            return False
-        places = max(1, worker.slots - ONLINE_RESERVE)
-        return self._loads.total(worker.worker_id).total < places
+        return self._view.has_place(worker, now_ms, reserve=ONLINE_RESERVE)
 
     def _cost(self, worker: Worker) -> tuple[float, bool, float]:
         load = self._loads.total(worker.worker_id)
-        is_far = worker.zone != self._zone
+        is_far = worker.zone != self._view.zone
         return (
             load.total / worker.slots,
             is_far,
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -8,6 +8,7 @@
 from foxtailbank.fleet.neighbourhood import Neighbourhood
 from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.worker_view import WorkerView
 from foxtailbank.fleet.zone_reach import ZoneReach
 from foxtailbank.submissions.batch_room import EXCESS_MS, RING_WAIT_MS, BatchRoom
 from serving_fakes import make_worker
@@ -20,14 +21,14 @@
         self.vm_id = vm_id
         self.loads = LoadTable()
         self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1", rng=random.Random(1))
-        self.room = BatchRoom(
-            vm_id=vm_id,
+        view = WorkerView(
             zone="z1",
             neighbourhood=self.neighbourhood,
             loads=self.loads,
             health=WorkerHealth(),
             reach=ZoneReach(own_zone="z1"),
         )
+        self.room = BatchRoom(vm_id=vm_id, view=view)
 
     def hold(self, *, online=0, batch=0):
         for _ in range(online):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.fleet.worker_health import WorkerHealth
+from foxtailbank.fleet.worker_view import WorkerView
 from foxtailbank.fleet.zone_reach import DOUBT_MS, SILENT_MS, ZoneReach
 from serving_fakes import make_worker
 
@@ -25,13 +26,14 @@
         self.health = WorkerHealth()
         self.reach = ZoneReach(own_zone="z1")
         self.neighbourhood = Neighbourhood(vm_id=vm_id, zone="z1", rng=random.Random(1))
-        self.placement = Placement(
+        view = WorkerView(
             zone="z1",
             neighbourhood=self.neighbourhood,
             loads=self.loads,
             health=self.health,
             reach=self.reach,
         )
+        self.placement = Placement(view=view)
         report = PeerLoad(
             vm_id="peer",
             incarnation=1,
