Peer links: connect at once when a peer is heard that was not up before

Entry-1 had started before entry-2: its link was in the pause after five failed connects (50 ms doubled), though entry-2's heartbeats had been heard since 02.67. Ruled out: breakers (no failed health check in the logs), reservations left behind (none was open at the refusal), lost marks (they were queued, the links never broke). Change: the pause ends when the membership reports that the peer joined; the next pause starts short again. The test failed before (no such call; the notice waits for the pause).

--- a/src/foxtailbank/peer_channel.py
+++ b/src/foxtailbank/peer_channel.py
@@ -103,6 +103,7 @@
         self._waiting: collections.deque[peer_codec.Envelope] = collections.deque()
         self._waiting_bytes = 0
         self._wake = anyio.Event()
+        self._reachable = anyio.Event()
         self._waiter_by_correlation: dict[int, _Waiter] = {}
         self._correlations = itertools.count(1)
         self._scope = anyio.CancelScope()
@@ -132,6 +133,10 @@
         """Queue a notice; see `PeerClient.notify`."""
         self._put(peer_codec.Envelope(message=message))
 
+    def on_peer_alive(self) -> None:
+        """Connect at once if a pause after a failed attempt is under way."""
+        self._reachable.set()
+
     def stop(self) -> None:
         """Close the connection for good."""
         self.is_open = False
@@ -195,8 +200,18 @@
                     continue
             if self._is_idle():
                 return
-            await anyio.sleep(backoff_ms / clock_module.MS_PER_S)
-            backoff_ms = min(2 * backoff_ms, self._config.max_backoff_ms)
+            if await self._pause(backoff_ms):
+                backoff_ms = self._config.backoff_ms
+            else:
+                backoff_ms = min(2 * backoff_ms, self._config.max_backoff_ms)
+
+    async def _pause(self, pause_ms: int) -> bool:
+        """Wait; true if the wait ended early, since the peer lives."""
+        with anyio.move_on_after(pause_ms / clock_module.MS_PER_S):
+            await self._reachable.wait()
+            self._reachable = anyio.Event()
+            return True
+        return False
 
     async def _try_connect(self) -> peer_link.PeerLink | None:
         host, _, port = self.address.rpartition(":")
--- a/src/foxtailbank/peer_client.py
+++ b/src/foxtailbank/peer_client.py
@@ -117,6 +117,12 @@
         """
         self._channel(vm_id).notify(message)
 
+    def on_peer_alive(self, vm_id: str) -> None:
+        """Send what waits for a VM at once, since it was heard from."""
+        channel = self._channel_by_vm_id.get(vm_id)
+        if channel is not None:
+            channel.on_peer_alive()
+
     def connection_count(self, vm_id: str) -> int:
         """Return how many connections to a VM were opened so far."""
         channel = self._channel_by_vm_id.get(vm_id)
--- a/src/foxtailbank/peering.py
+++ b/src/foxtailbank/peering.py
@@ -13,7 +13,7 @@
 from foxtailbank.heartbeat import HeartbeatService
 from foxtailbank.heartbeat_writer import OwnState
 from foxtailbank.membership import Membership
-from foxtailbank.membership_actions import MembershipAction
+from foxtailbank.membership_actions import MemberJoined, MembershipAction
 from foxtailbank.peer_client import PeerClient
 from foxtailbank.peer_handler import PeerHandler
 from foxtailbank.peer_server import PeerServer
@@ -123,8 +123,12 @@
             if seed != vm.peer_address:
                 self.membership.seed(address=seed)
         self._heartbeats = HeartbeatService(
-            state=self.membership, clock=clock, secret=secret, on_change=on_change
+            state=self.membership,
+            clock=clock,
+            secret=secret,
+            on_change=self._on_member,
         )
+        self._on_change = on_change
         hello = pm.Hello(vm_id=vm.id, zone=vm.zone, incarnation=started_ms)
         self.handlers = MessageTable()
         self._server = PeerServer(own=hello, secret=secret, handler=self.handlers)
@@ -203,6 +207,11 @@
         """Tell the other VMs that this one leaves."""
         await self._heartbeats.leave()
 
+    def _on_member(self, action: MembershipAction) -> None:
+        if isinstance(action, MemberJoined):
+            self.client.on_peer_alive(action.record.vm_id)
+        self._on_change(action)
+
     def _resolve(self, vm_id: str) -> str | None:
         for one in self.membership.view.members():
             if one.vm_id == vm_id:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -44,8 +44,8 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(handler, *, secret=SECRET, vm_id="b"):
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+async def serve(handler, *, secret=SECRET, vm_id="b", port=0):
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     server = peer_server.PeerServer(
         own=pm.Hello(vm_id=vm_id), secret=secret, handler=handler
@@ -302,3 +302,23 @@
             notice = pm.CancelNotice(job_id="j")
             await client.request("b", notice, timeout_ms=WAIT_MS)
         assert await client.request("b", REPORT, timeout_ms=WAIT_MS) == REPORT
+
+
+@pytest.mark.anyio
+async def test_notice_for_a_peer_that_starts_late_is_sent_once_it_is_heard():
+    # Marks of crash-inducing requests must not wait for the end of a long pause.
+    handler = Recorder()
+    async with serve(Recorder()) as (free_address, _):
+        pass
+    port = int(free_address.rpartition(":")[2])
+    config = peer_channel.ChannelConfig(backoff_ms=WAIT_MS * 10)
+    async with client_to(free_address, config=config) as client:
+        with pytest.raises(exceptions.PeerUnreachable):
+            await client.request("b", REPORT, timeout_ms=WAIT_MS)
+        notice = pm.OnlineDispatched(endpoint_id="e", count=1)
+        client.notify("b", notice)
+        async with serve(handler, port=port):
+            client.on_peer_alive("b")
+            with anyio.fail_after(WAIT_MS / 1000):
+                await handler.noticed.wait()
+    assert handler.notices == [("a", notice)]
