Load reports of a large zone are read together

Cause: with 23 peers in a zone each of some 160 datagrams a second woke the loop on its own (wait, two changes of the selector, two reads); by count of calls these are more than those of the streams. Change: from the size on at which reports are paced (over 9 peers) a VM reads them four times per gap. Smaller groups read as before. Test: test_reports_of_many_peers_wake_the_vm_a_few_times failed before.

--- a/src/foxtailbank/fleet/report_pace.py
+++ b/src/foxtailbank/fleet/report_pace.py
@@ -10,6 +10,7 @@
 
 MIN_GAP_MS = 12  # changes within it share a report
 GAP_MS_PER_CUBE = 1 / 60  # so that datagrams a second fall fast as the peers get more
+READ_SHARE = 0.25  # of the gap; small beside the age that reports have anyway
 LARGE_GROUP = 30  # peers
 MISSED_REPORTS = 3  # of an idle VM, until it counts as silent
 
@@ -41,3 +42,13 @@
     """Return the shortest time between two reports to a group of peers."""
     rising_ms = GAP_MS_PER_CUBE * peers**3
     return min(max(MIN_GAP_MS, rising_ms), idle_period_ms(peers))
+
+
+def read_pause_ms(peers: int) -> float:
+    """Return the pause between two readings of what a group of peers has sent.
+
+    Reports of many peers come one by one; read together, they wake the process once.
+    A small group's changes are read as they come.
+    """
+    gap = gap_ms(peers)
+    return READ_SHARE * gap if gap > MIN_GAP_MS else 0.0
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -143,6 +143,10 @@
         while True:
             for datagram in await socket.receive():
                 self._read(datagram)
+            near = self._peers.targets(PeerGroup.NEAR, self._clock.now_ms())
+            pause_ms = report_pace.read_pause_ms(len(near))
+            if pause_ms:
+                await anyio.sleep(pause_ms / MS_PER_S)
 
     def _read(self, datagram: Datagram) -> None:
         try:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -7,8 +7,9 @@
 import pytest
 
 from foxtailbank.clock import SystemClock
+from foxtailbank.datagram_socket import DatagramSocket
 from foxtailbank.fleet import load_report
-from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.load_table import LoadKind, WorkerLoad
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import KeyedRecord, ProducerStep
@@ -20,6 +21,7 @@
 HOST = "127.0.0.41"
 PORT = 18_461
 PEERS = 12
+MANY = 23  # VMs of one zone
 WAIT_S = 10
 
 
@@ -98,3 +100,36 @@
                     for socket in sockets:
                         waits.start_soon(newest_load, socket)
                 group.cancel_scope.cancel()
+
+
+async def test_reports_of_many_peers_wake_the_vm_a_few_times(monkeypatch):
+    exchange, fleet = make_exchange(FakeKeyedLog())
+    reads = []
+    receive = DatagramSocket.receive
+
+    async def counted(self):
+        datagrams = await receive(self)
+        reads.append(len(datagrams))
+        return datagrams
+
+    monkeypatch.setattr(DatagramSocket, "receive", counted)
+    sent = 0
+    with anyio.fail_after(WAIT_S):
+        async with await anyio.create_udp_socket(local_host=HOST) as socket:
+            async with anyio.create_task_group() as group:
+                group.start_soon(exchange.run)
+                await anyio.sleep(0.1)
+                for sequence in range(1, 9):
+                    for number in range(MANY):
+                        load = {"w1": WorkerLoad(online=1)}
+                        report = make_report(
+                            f"vm{number}", sequence=sequence, load_by_worker=load
+                        )
+                        await socket.sendto(load_report.encode(report), HOST, PORT)
+                        await anyio.sleep(0.002)
+                        sent += 1
+                while sum(reads) < sent:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+    assert len(reads) <= sent / 2
+    assert fleet.loads.total("w1").online == MANY
--- a/tests/test_report_pace.py
+++ b/tests/test_report_pace.py
@@ -10,6 +10,7 @@
     PeerGroup,
     gap_ms,
     idle_period_ms,
+    read_pause_ms,
     silence_ms,
 )
 from foxtailbank.fleet.zone_reach import SILENT_MS
@@ -30,6 +31,19 @@
     assert per_s <= MAX_REPORTS_PER_S
 
 
+@pytest.mark.parametrize("peers", [0, 3, 8])
+def test_reports_of_a_small_group_are_read_as_they_come(peers):
+    assert read_pause_ms(peers) == 0
+
+
+@pytest.mark.parametrize("peers", [15, 23, 40, 1_000])
+def test_reports_of_many_peers_are_read_together_but_soon(peers):
+    reports_s = peers * MS_PER_S / gap_ms(peers)
+    reads_s = MS_PER_S / read_pause_ms(peers)
+    assert reads_s <= reports_s / 2
+    assert read_pause_ms(peers) <= gap_ms(peers) / 2
+
+
 @pytest.mark.parametrize("peers", [0, 10, 1_000])
 def test_the_gap_never_makes_a_peer_look_lost(peers):
     assert 2 * gap_ms(peers) < silence_ms(peers)
