--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -2,9 +2,11 @@
 
 Answers the pattern of online waves over a standing batch: items fill the places that
 online requests leave, and stop at once when more online requests come than there are
-free places. What an item has produced is kept, so that it goes on from there.
+free places. What an item has produced is kept, so that it goes on from there. In a
+large fleet, where a wave is known late, items leave more places free from the start.
 """
 
+import math
 import typing as t
 
 from foxtailbank import rendezvous
@@ -12,6 +14,7 @@
 from foxtailbank.fleet.worker_view import WorkerView
 
 ONLINE_RESERVE = 1  # places a worker keeps for the next online request
+LARGE_FLEET_RESERVE = 0.55  # of a worker's places; a wave doubles the mean online load
 RING_WAIT_MS = 1_500  # a run in a fleet with room ends earlier
 EXCESS_MS = 50  # a full worker ends some request within about that
 
@@ -112,7 +115,12 @@
     def _is_open(self, worker: Worker, now_ms: int) -> bool:
         if not self._view.is_sound(worker, now_ms):
             return False
-        return self._view.has_place(worker, now_ms, reserve=ONLINE_RESERVE)
+        return self._view.has_place(worker, now_ms, reserve=self._reserve(worker))
+
+    def _reserve(self, worker: Worker) -> int:
+        if self._neighbourhood.is_large:
+            return math.ceil(LARGE_FLEET_RESERVE * worker.slots)
+        return ONLINE_RESERVE
 
     def _cost(self, worker: Worker) -> tuple[float, bool, float]:
         load = self._loads.total(worker.worker_id)
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -5,7 +5,7 @@
 import pytest
 
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
-from foxtailbank.fleet.neighbourhood import Neighbourhood
+from foxtailbank.fleet.neighbourhood import SMALL_FLEET_VMS, Neighbourhood
 from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.worker_view import WorkerView
@@ -97,6 +97,17 @@
     assert taken == WORKER.slots - 1
 
 
+def test_in_a_large_fleet_a_wave_finds_places_before_items_have_yielded():
+    vm = Vm("a")
+    vm.neighbourhood.count_peers(PeerGroup.FAR, SMALL_FLEET_VMS)
+    worker = make_worker("w", slots=7)
+    taken = 0
+    while vm.room.choose((worker,), avoid=(), waited_ms=0, now_ms=0) is not None:
+        vm.hold(batch=1)
+        taken += 1
+    assert 1 <= taken <= worker.slots / 2
+
+
 def test_an_item_goes_elsewhere_after_a_failure_if_it_can():
     vm = Vm("a")
     other = make_worker("other", slots=4)
