--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -47,6 +47,8 @@
         HTTP status of the answer.
     duration_ms : int
         From the request's arrival to its outcome.
+    first_byte_ms : int
+        From the request's arrival to the first byte of its answer.
     wait_ms : int
         Expected wait or pause.
     age_ms : int
@@ -69,6 +71,7 @@
     task: str = ""
     status: int | None = None
     duration_ms: int | None = None
+    first_byte_ms: int | None = None
     wait_ms: int | None = None
     age_ms: int | None = None
     version: int | None = None
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -10,6 +10,7 @@
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.peer_book import PeerBook
 from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.forward_tools import ForwardTools
 from foxtailbank.forward.forwarder import Forwarder
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient
@@ -139,12 +140,14 @@
             rng=rng,
         )
         self.forwarder = Forwarder(
-            client=client,
-            fleet=self.fleet,
-            clock=clock,
-            logs=logs,
-            metrics=metrics,
-            rng=rng,
+            tools=ForwardTools(
+                client=client,
+                fleet=self.fleet,
+                clock=clock,
+                logs=logs,
+                metrics=metrics,
+                rng=rng,
+            )
         )
         book = SubmissionBook(logs=logs)
         self._appends = AppendQueue(
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -11,6 +11,7 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.forward_tools import ForwardTools
 from foxtailbank.forward.forwarder import Forwarder
 from foxtailbank.forward.route import Backend, Route, RouteKind, RouteSet
 from foxtailbank.forward.route_table import RouteTable
@@ -281,12 +282,14 @@
         self.client = FakeWorkers(*script)
         self.responder = FakeResponder()
         self.forwarder = Forwarder(
-            client=self.client,
-            fleet=self.fleet,
-            clock=self.clock,
-            logs=logs,
-            metrics=Metrics(),
-            rng=random.Random(1),
+            tools=ForwardTools(
+                client=self.client,
+                fleet=self.fleet,
+                clock=self.clock,
+                logs=logs,
+                metrics=Metrics(),
+                rng=random.Random(1),
+            )
         )
 
     async def serve(self, route, **call):
