Large fleets: places are reserved at workers that may be full; items leave room

Weighed: cells of a few VMs with fresh reports (overflow at 95% load would be as blind); the workers' own reports (priced, and as old as ours). Change: in fleets of over 20 VMs a request of known size first reserves a place where the known load is 40% of the places or more; up to four workers a round, again after 30 ms, for a third of the target; then it queues as before. A worker that refuses is left for 100 ms. Reservations are offered by the service's entry in the configuration. Small fleets are unchanged.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -47,6 +47,7 @@
     ENDPOINT_DRAINING = "endpoint_draining"
     ENDPOINT_AVOIDED = "endpoint_avoided"
     WORKER_REFUSED = "worker_refused"
+    PLACE_REFUSED = "place_refused"
     ATTEMPT_FAILED = "attempt_failed"
     ENTRY_SKIPPED = "entry_skipped"
     ROUTES_APPLIED = "routes_applied"
--- a/src/foxtailbank/forward/call.py
+++ b/src/foxtailbank/forward/call.py
@@ -27,6 +27,8 @@
         How long the client waits after that; 0 if it did not say.
     resume_after : str
         Id of the last event that the client has; empty for a whole stream.
+    tokens : int
+        Tokens of the prompt and the longest output together; 0 if unknown.
     affinity : str
         Key of the prompt's shared prefix.
     fingerprint : int
@@ -42,5 +44,6 @@
     arrived_ms: int
     patience_ms: int = 0
     resume_after: str = ""
+    tokens: int = 0
     affinity: str = ""
     fingerprint: int = 0
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -84,6 +84,17 @@
         )
         self._logs.write(Event.WORKER_REFUSED, fields=fields)
 
+    def place_refused(self, worker: Worker, reason: str) -> None:
+        """Record that a worker did not reserve a place."""
+        self._metrics.count(Count.RESERVATIONS_REFUSED, entry=self._route.name)
+        fields = LogFields(
+            request_id=self._call.request_id,
+            endpoint=worker.worker_id,
+            reason=reason,
+            count=self._fleet.loads.total(worker.worker_id).total,
+        )
+        self._logs.write(Event.PLACE_REFUSED, fields=fields)
+
     def attempt_failed(self, worker: Worker, reason: str, sent: int) -> None:
         """Record that a send to a worker failed; `sent` counts the sends so far."""
         fields = LogFields(
--- a/src/foxtailbank/forward/call_run.py
+++ b/src/foxtailbank/forward/call_run.py
@@ -11,6 +11,7 @@
 from foxtailbank.forward.call_recorder import BROKEN_OFF, CallRecorder
 from foxtailbank.forward.event_stream import EventCutter
 from foxtailbank.forward.forward_tools import ForwardTools
+from foxtailbank.forward.place_finder import Place, PlaceFinder
 from foxtailbank.forward.route import Route, RouteKind
 from foxtailbank.forward.worker_client import WorkerAnswer
 from foxtailbank.headers import Headers
@@ -62,6 +63,9 @@
             logs=tools.logs,
             metrics=tools.metrics,
         )
+        self._finder = PlaceFinder(
+            call=call, route=route, recorder=self._recorder, tools=tools
+        )
         wait_ms = min(call.patience_ms or route.timeout_ms, route.timeout_ms)
         self._deadline_ms = call.arrived_ms + wait_ms
         self._tried: set[str] = set()
@@ -96,40 +100,26 @@
             await self._refuse("crashes_workers", 0)
             return
         while True:
-            choice = self._choose()
-            if isinstance(choice, Refusal):
-                await self._give_up(choice)
+            place = await self._finder.find(tried=self._tried, left_ms=self._left_ms)
+            if isinstance(place, Refusal):
+                await self._give_up(place)
                 return
-            if await self._attempt(choice):
+            if await self._attempt(place):
                 return
             if not self._attempts_left:
-                service = choice.worker.service
+                service = place.choice.worker.service
                 await self._give_up(self._fleet.no_attempts_left(service))
                 return
 
-    def _choose(self) -> Choice | Refusal:
-        longest_ms = patience.longest_wait_ms(
-            target_ms=self._route.target_ms,
-            timeout_ms=self._route.timeout_ms,
-            left_ms=self._left_ms,
-        )
-        return self._fleet.choose(
-            service=self._route.choose_service(self._rng),
-            tried=self._tried,
-            affinity=self._call.affinity,
-            patience_ms=longest_ms,
-            now_ms=self._clock.now_ms(),
-        )
-
-    async def _attempt(self, choice: Choice) -> bool:
+    async def _attempt(self, place: Place) -> bool:
         """Send to one worker; true once the request has its answer."""
-        worker = choice.worker
+        worker = place.choice.worker
         self._tried.add(worker.worker_id)
         self._recorder.placed(worker)
         self._fleet.start(worker.worker_id, LoadKind.ONLINE)
         self._sent += 1
         try:
-            return await self._exchange(choice)
+            return await self._exchange(place)
         except NotConnected as failure:
             self._sent -= 1
             self._on_failure(worker, failure)
@@ -141,15 +131,16 @@
         finally:
             self._fleet.end(worker.worker_id, LoadKind.ONLINE)
 
-    async def _exchange(self, choice: Choice) -> bool:
-        worker = choice.worker
+    async def _exchange(self, place: Place) -> bool:
+        worker = place.choice.worker
         started_ms = self._clock.now_ms()
         async with self._client.exchange(
             worker,
             self._call,
             left_ms=int(self._left_ms),
-            head_timeout_ms=self._head_timeout_ms(choice),
+            head_timeout_ms=self._head_timeout_ms(place.choice),
             resume_after=self._cutter.last_id,
+            reservation=place.reservation,
         ) as answer:
             if answer.not_run:
                 self._on_refused(worker, answer)
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -87,6 +87,10 @@
         """Return the version of the configuration in force."""
         return self._routes.version
 
+    def takes_reservations(self, service: str) -> bool:
+        """Return whether the workers of a service reserve places."""
+        return self._routes.takes_reservations(service)
+
     def on_load_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function whenever the requests in flight have changed."""
         self._load_listeners.append(listener)
--- a/src/foxtailbank/forward/route.py
+++ b/src/foxtailbank/forward/route.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+import typing as t
 
 from foxtailbank.http1.server_limits import ServerLimits
 
@@ -112,8 +113,13 @@
         Entries in force.
     limits : ServerLimits
         Bounds on what clients may send.
+    reservation_ms_by_service : dict of str to int
+        Longest life of a place's reservation, for services that take any.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: ServerLimits
+    reservation_ms_by_service: t.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -1,6 +1,7 @@
 """The routes in force on this VM."""
 
 import collections
+import typing as t
 
 from foxtailbank.forward.route import Route, RouteSet
 from foxtailbank.http1.server_limits import ServerLimits
@@ -21,6 +22,7 @@
         self.version = -1
         self.limits = ServerLimits()
         self._routes_by_host: dict[str, list[Route]] = {}
+        self._reservation_ms_by_service: t.Mapping[str, int] = {}
 
     @property
     def known(self) -> bool:
@@ -38,9 +40,14 @@
             listed.sort(key=lambda route: -len(route.path_prefix))
         self._routes_by_host = dict(by_host)
         self.limits = routes.limits
+        self._reservation_ms_by_service = routes.reservation_ms_by_service
         self.version = routes.version
         return True
 
+    def takes_reservations(self, service: str) -> bool:
+        """Return whether the workers of a service reserve places."""
+        return self._reservation_ms_by_service.get(service, 0) > 0
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request: the longest prefix of its host wins."""
         for route in self._routes_by_host.get(host.lower(), ()):
--- a/src/foxtailbank/forward/worker_client.py
+++ b/src/foxtailbank/forward/worker_client.py
@@ -3,12 +3,19 @@
 import abc
 import contextlib
 
+from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.headers import Headers
 from foxtailbank.http1.body_source import BodySource
 
 
+class PlaceRefused(FoxtailbankError):
+    """The worker has no free place to reserve."""
+
+    code = "place_refused"
+
+
 class WorkerAnswer(BodySource):
     """An answer whose head has arrived.
 
@@ -47,6 +54,7 @@
         left_ms: int,
         head_timeout_ms: float,
         resume_after: str,
+        reservation: str = "",
     ) -> contextlib.AbstractAsyncContextManager[WorkerAnswer]:
         """Send a request and give the answer once its head has arrived.
 
@@ -65,6 +73,8 @@
             Bound on the wait for the head, in milliseconds.
         resume_after : str
             Id of the last event that is there already; empty for none.
+        reservation : str
+            What `reserve` returned; empty for none.
 
         Raises
         ------
@@ -73,3 +83,28 @@
         ExchangeFailed
             The request may have run.
         """
+
+    @abc.abstractmethod
+    async def reserve(
+        self, worker: Worker, *, tokens: int, life_ms: int, timeout_ms: int
+    ) -> str:
+        """Reserve a place for one request and return the reservation's id.
+
+        Parameters
+        ----------
+        worker : Worker
+            Where.
+        tokens : int
+            Memory that the request needs.
+        life_ms : int
+            Time after which an unused reservation lapses.
+        timeout_ms : int
+            Bound on the wait for the answer.
+
+        Raises
+        ------
+        PlaceRefused
+            No place is free.
+        ExchangeFailed
+            The worker could not be asked.
+        """
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -46,6 +46,7 @@
     REFUSALS = "refusals"
     RESUMED_STREAMS = "resumed_streams"
     RETRIES = "retries"
+    RESERVATIONS_REFUSED = "reservations_refused"
     PREEMPTED_ITEMS = "preempted_items"
     FINISHED_ITEMS = "finished_items"
     FAILED_ITEMS = "failed_items"
--- a/src/foxtailbank/submissions/batch_room.py
+++ b/src/foxtailbank/submissions/batch_room.py
@@ -16,6 +16,7 @@
 ONLINE_RESERVE = 1  # places a worker keeps for the next online request
 LARGE_FLEET_RESERVE = 0.55  # of a worker's places; a wave doubles the mean online load
 RING_WAIT_MS = 1_500  # a run in a fleet with room ends earlier
+LARGE_FLEET_HEADROOM = 0.25  # of a worker's places; online requests reserve them
 EXCESS_MS = 50  # a full worker ends some request within about that
 
 
@@ -98,7 +99,7 @@
         own = self._loads.own(worker.worker_id).batch
         if not own or not load.online:
             return 0
-        excess = min(load.total - worker.slots, load.batch)
+        excess = min(load.total - worker.slots + self._headroom(worker), load.batch)
         if excess <= 0:
             return 0
         batch_by_vm = self._loads.batch_by_peer(worker.worker_id)
@@ -112,6 +113,11 @@
             excess -= share
         return 0
 
+    def _headroom(self, worker: Worker) -> int:
+        if self._neighbourhood.is_large:
+            return math.ceil(LARGE_FLEET_HEADROOM * worker.slots)
+        return 0
+
     def _is_open(self, worker: Worker, now_ms: int) -> bool:
         if not self._view.is_sound(worker, now_ms):
             return False
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -15,7 +15,11 @@
 from foxtailbank.forward.forwarder import Forwarder
 from foxtailbank.forward.route import Backend, Route, RouteKind, RouteSet
 from foxtailbank.forward.route_table import RouteTable
-from foxtailbank.forward.worker_client import WorkerAnswer, WorkerClient
+from foxtailbank.forward.worker_client import (
+    PlaceRefused,
+    WorkerAnswer,
+    WorkerClient,
+)
 from foxtailbank.http1.responder import Responder
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.keyed_log import (
@@ -76,8 +80,8 @@
     return Route(**fields)
 
 
-def make_routes(*routes, version=1):
-    return RouteSet(version=version, routes=routes, limits=ServerLimits())
+def make_routes(*routes, version=1, **changes):
+    return RouteSet(version=version, routes=routes, limits=ServerLimits(), **changes)
 
 
 def make_call(clock, **changes):
@@ -225,10 +229,29 @@
     def __init__(self, *script):
         self.script = list(script)
         self.sent = []
+        self.full = set()
+        self.asked = []
+        self.reservations = []
+
+    async def reserve(self, worker, *, tokens, life_ms, timeout_ms):
+        self.asked.append(worker.worker_id)
+        if worker.worker_id in self.full:
+            raise PlaceRefused(detail="status 503")
+        return f"place-at-{worker.worker_id}"
 
     @contextlib.asynccontextmanager
-    async def exchange(self, worker, call, *, left_ms, head_timeout_ms, resume_after):
+    async def exchange(
+        self,
+        worker,
+        call,
+        *,
+        left_ms,
+        head_timeout_ms,
+        resume_after,
+        reservation="",
+    ):
         self.sent.append((worker.worker_id, call.request_id, left_ms, resume_after))
+        self.reservations.append(reservation)
         step = self.script.pop(0)
         if isinstance(step, BaseException):
             raise step
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -121,6 +121,25 @@
     assert decode_manifest(make_manifest(type="new")).routes[0].kind is RouteKind.UNSAFE
 
 
+@pytest.mark.parametrize(
+    ("engine", "takes"),
+    [
+        pytest.param({"hold_ms": 2_000.0, "slots": 7}, True, id="offered"),
+        pytest.param({"slots": 7}, False, id="not-offered"),
+        pytest.param(None, False, id="no-engine"),
+    ],
+)
+def test_which_services_reserve_places(engine, takes):
+    service = {"name": "s", "health_path": "/h"}
+    if engine is not None:
+        service["engine"] = engine
+    manifest = {"version": 1, "routes": [], "services": [service]}
+    table = RouteTable()
+    table.apply(decode_manifest(json.dumps(manifest).encode()))
+    assert table.takes_reservations("s") is takes
+    assert not table.takes_reservations("other")
+
+
 def test_shares_below_one_are_kept():
     backends = [{"service": "a", "weight": 0.25}, {"service": "b", "weight": 0.75}]
     route = decode_manifest(make_manifest(backends=backends)).routes[0]
