--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -10,10 +10,12 @@
 from foxtailbank.cli_context import Context
 from foxtailbank.exit_code import ExitCode
 from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.neighbourhood import SMALL_FLEET_VMS
+from foxtailbank.fleet.report_pace import PeerGroup
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.http1.failures import ConnectionBroken, ServerSilent
 from foxtailbank.logs import Logs
-from serving_fakes import FakeAnswer, ServingWorld, make_route
+from serving_fakes import FakeAnswer, ServingWorld, make_route, make_routes
 
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
 
@@ -50,6 +52,15 @@
             world.fleet.start(worker, LoadKind.ONLINE)
 
 
+def full_workers(world):
+    """A large fleet whose workers have other requests than this VM knows of."""
+    world.fleet.neighbourhood.count_peers(PeerGroup.FAR, SMALL_FLEET_VMS)
+    world.routes.apply(make_routes(reservation_ms_by_service={"s": 2_000}))
+    world.client.full = {"w0", "w1", "w2"}
+    for worker in world.client.full:
+        world.fleet.start(worker, LoadKind.ONLINE)
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ("route", "script", "before", "causes"),
@@ -75,6 +86,13 @@
             ["status 500", "server_silent", "endpoint_avoided", "status=504"],
             id="failed-twice",
         ),
+        pytest.param(
+            STREAM,
+            [FakeAnswer(parts=(b"id: 1\ndata: a\n\n",))],
+            full_workers,
+            ["place_refused", "first_byte_ms=", "endpoint=w", "count=1", "status=200"],
+            id="late",
+        ),
     ],
 )
 async def test_the_cause_stands_in_the_story(tmp_path, route, script, before, causes):
@@ -83,7 +101,7 @@
     world = ServingWorld(*script, logs=logs)
     if before is not None:
         before(world)
-    await world.serve(route, request_id="q1")
+    await world.serve(route, request_id="q1", tokens=450)
     await ServingWorld(FakeAnswer(), logs=logs).serve(make_route(), request_id="q2")
     path = tmp_path / "vm-1.log"
     path.write_text(output.getvalue())
