--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -87,9 +87,9 @@
         """Return the version of the configuration in force."""
         return self._routes.version
 
-    def takes_reservations(self, service: str) -> bool:
-        """Return whether the workers of a service reserve places."""
-        return self._routes.takes_reservations(service)
+    def reservation_ms(self, service: str) -> int:
+        """Return how long a service's workers reserve a place at most; 0 for never."""
+        return self._routes.reservation_ms(service)
 
     def on_load_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function whenever the requests in flight have changed."""
--- a/src/foxtailbank/forward/place_finder.py
+++ b/src/foxtailbank/forward/place_finder.py
@@ -135,7 +135,7 @@
         """Return whether the worker may be full although it seems to have room."""
         if not self._call.tokens or not self._fleet.neighbourhood.is_large:
             return False
-        if not self._fleet.takes_reservations(worker.service):
+        if not self._fleet.reservation_ms(worker.service):
             return False
         load = self._fleet.loads.total(worker.worker_id)
         return load.total >= CERTAIN_SHARE * worker.slots
@@ -146,7 +146,9 @@
             return await self._client.reserve(
                 worker,
                 tokens=self._call.tokens,
-                life_ms=RESERVE_LIFE_MS,
+                life_ms=min(
+                    RESERVE_LIFE_MS, self._fleet.reservation_ms(worker.service)
+                ),
                 timeout_ms=RESERVE_TIMEOUT_MS,
             )
         except PlaceRefused as failure:
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -44,9 +44,9 @@
         self.version = routes.version
         return True
 
-    def takes_reservations(self, service: str) -> bool:
-        """Return whether the workers of a service reserve places."""
-        return self._reservation_ms_by_service.get(service, 0) > 0
+    def reservation_ms(self, service: str) -> int:
+        """Return how long a service's workers reserve a place at most; 0 for never."""
+        return self._reservation_ms_by_service.get(service, 0)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request: the longest prefix of its host wins."""
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -233,10 +233,12 @@
         self.sent = []
         self.full = set()
         self.asked = []
+        self.lives_ms = []
         self.reservations = []
 
     async def reserve(self, worker, *, tokens, life_ms, timeout_ms):
         self.asked.append(worker.worker_id)
+        self.lives_ms.append(life_ms)
         if worker.worker_id in self.full:
             raise PlaceRefused(detail="status 503")
         return f"place-at-{worker.worker_id}"
--- a/tests/test_place_finder.py
+++ b/tests/test_place_finder.py
@@ -4,7 +4,11 @@
 
 from foxtailbank.fleet.load_table import PeerLoad, WorkerLoad
 from foxtailbank.fleet.report_pace import SMALL_GROUP, PeerGroup
-from foxtailbank.forward.place_finder import ROUND_PAUSE_MS, TRIES_A_ROUND
+from foxtailbank.forward.place_finder import (
+    RESERVE_LIFE_MS,
+    ROUND_PAUSE_MS,
+    TRIES_A_ROUND,
+)
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.http1.failures import ServerSilent
 from serving_fakes import FakeAnswer, ServingWorld, make_route, make_routes
@@ -114,3 +118,10 @@
     assert (await world.serve(STREAM, tokens=450)).complete
     assert world.client.sent[0][0] == asked[1] != asked[0]
     assert world.fleet.health.avoided(asked[0], world.clock.now_ms())
+
+
+@pytest.mark.parametrize("life_ms", [200, 2_000])
+async def test_a_reservation_lives_no_longer_than_engines_allow(life_ms):
+    world = make_world(life_ms=life_ms)
+    assert (await world.serve(STREAM, tokens=450)).complete
+    assert world.client.lives_ms == [min(life_ms, RESERVE_LIFE_MS)]
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -122,22 +122,22 @@
 
 
 @pytest.mark.parametrize(
-    ("engine", "takes"),
+    ("engine", "life_ms"),
     [
-        pytest.param({"hold_ms": 2_000.0, "slots": 7}, True, id="offered"),
-        pytest.param({"slots": 7}, False, id="not-offered"),
-        pytest.param(None, False, id="no-engine"),
+        pytest.param({"hold_ms": 2_000.0, "slots": 7}, 2_000, id="offered"),
+        pytest.param({"slots": 7}, 0, id="not-offered"),
+        pytest.param(None, 0, id="no-engine"),
     ],
 )
-def test_which_services_reserve_places(engine, takes):
+def test_which_services_reserve_places(engine, life_ms):
     service = {"name": "s", "health_path": "/h"}
     if engine is not None:
         service["engine"] = engine
     manifest = {"version": 1, "routes": [], "services": [service]}
     table = RouteTable()
     table.apply(decode_manifest(json.dumps(manifest).encode()))
-    assert table.takes_reservations("s") is takes
-    assert not table.takes_reservations("other")
+    assert table.reservation_ms("s") == life_ms
+    assert table.reservation_ms("other") == 0
 
 
 def test_shares_below_one_are_kept():
