Streams of large fleets gather only where a pause joins events

Change: at most 40 ms, and only from the first two pieces on that came within half of it. Tests: test_only_events_that_a_pause_joins_are_let_gather.

--- a/src/foxtailbank/forward/call_run.py
+++ b/src/foxtailbank/forward/call_run.py
@@ -13,6 +13,7 @@
 from foxtailbank.forward.forward_tools import ForwardTools
 from foxtailbank.forward.place_finder import Place, PlaceFinder
 from foxtailbank.forward.route import Route, RouteKind
+from foxtailbank.forward.stream_pace import StreamPace
 from foxtailbank.forward.worker_client import WorkerAnswer
 from foxtailbank.headers import Headers
 from foxtailbank.http1.failures import (
@@ -27,8 +28,6 @@
 SAFE_WAIT_FACTOR = 5  # of the mean run time; slower ones are rare
 PROMISES = frozenset((408, 421, 429, 503))  # tell a client that nothing has run
 LAST_MOMENT_MS = 30  # less is too short for any run
-MAX_STREAM_PAUSE_MS = 80  # a dozen pieces a second read as running text
-PASS_SHARE = 0.4  # of the time for passing an event on; the rest is for the way
 
 
 class CallRun:
@@ -69,7 +68,7 @@
         )
         wait_ms = min(call.patience_ms or route.timeout_ms, route.timeout_ms)
         self._deadline_ms = call.arrived_ms + wait_ms
-        self._stream_pause_ms = min(MAX_STREAM_PAUSE_MS, PASS_SHARE * tools.pass_ms)
+        self._pace = StreamPace(pass_ms=tools.pass_ms)
         self._tried: set[str] = set()
         self._sent = 0
         self._may_have_run = False
@@ -210,14 +209,12 @@
         self._recorder.finished(answer.status, reason="")
 
     async def _pause(self, answer: WorkerAnswer) -> None:
-        """Let events of a stream gather, so that some travel together.
-
-        Answers the pattern of a large fleet of small VMs, where each piece that is
-        passed on costs processor time that others wait for. In a small fleet the end
-        of a stream is told to peers at once, which a pause would delay.
-        """
-        if self._fleet.neighbourhood.is_large and not answer.is_complete:
-            await anyio.sleep(self._stream_pause_ms / MS_PER_S)
+        """Let events gather; in a small fleet peers are to hear of an end at once."""
+        if answer.is_complete or not self._fleet.neighbourhood.is_large:
+            return
+        pause_ms = self._pace.pause_ms(self._clock.now_ms())
+        if pause_ms:
+            await anyio.sleep(pause_ms / MS_PER_S)
 
     def _gap_ms(self) -> float:
         if self._route.resumable and self._attempts_left:
--- a/tests/test_stream_pace.py
+++ b/tests/test_stream_pace.py
@@ -5,6 +5,7 @@
 
 from foxtailbank.fleet.report_pace import SMALL_GROUP, PeerGroup
 from foxtailbank.forward.route import RouteKind
+from foxtailbank.forward.stream_pace import StreamPace
 from foxtailbank_soak.worker import event_of
 from serving_fakes import FakeAnswer, FakeResponder, ServingWorld, make_route
 
@@ -73,6 +74,21 @@
     assert seen.pieces[0].count(b"id:") < EVENTS / 3, "the first one goes on at once"
 
 
+@pytest.mark.parametrize(
+    ("arrivals_ms", "pass_ms", "pauses_ms"),
+    [
+        pytest.param((0, 20, 60), 200, [0, 40, 40], id="close-together"),
+        pytest.param((0, 41, 82), 200, [0, 0, 0], id="far-apart"),
+        pytest.param((0, 41, 50, 91), 200, [0, 0, 40, 40], id="closer-later"),
+        pytest.param((0, 10, 30), 50, [0, 20, 20], id="a-strict-deployment"),
+        pytest.param((0, 15, 30), 50, [0, 0, 0], id="strict-and-far-apart"),
+    ],
+)
+def test_only_events_that_a_pause_joins_are_let_gather(arrivals_ms, pass_ms, pauses_ms):
+    pace = StreamPace(pass_ms=pass_ms)
+    assert [pace.pause_ms(now_ms) for now_ms in arrivals_ms] == pauses_ms
+
+
 async def test_an_end_that_has_come_is_not_waited_for(monkeypatch):
     world = ServingWorld(Ended(parts=(WHOLE,)))
     world.fleet.neighbourhood.count_peers(PeerGroup.FAR, SMALL_GROUP + 1)
