--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -35,6 +35,8 @@
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 
+PASS_MS = 200
+
 
 def make_logs():
     return Logs(vm="vm-1", zone="z1", stream=io.StringIO())
@@ -231,10 +233,12 @@
         self.sent = []
         self.full = set()
         self.asked = []
+        self.lives_ms = []
         self.reservations = []
 
     async def reserve(self, worker, *, tokens, life_ms, timeout_ms):
         self.asked.append(worker.worker_id)
+        self.lives_ms.append(life_ms)
         if worker.worker_id in self.full:
             raise PlaceRefused(detail="status 503")
         return f"place-at-{worker.worker_id}"
@@ -312,6 +316,7 @@
                 logs=logs,
                 metrics=Metrics(),
                 rng=random.Random(1),
+                pass_ms=PASS_MS,
             )
         )
 
