--- a/src/foxtailbank/forward/stream_pace.py
+++ b/src/foxtailbank/forward/stream_pace.py
@@ -1,8 +1,8 @@
 """When to let events of a stream gather, so that some travel together.
 
-Answers the pattern of a large fleet of small VMs that pass on many streams: where events
-come close together, each piece costs processor time that others wait for. Events that
-are farther apart are passed on as they come, since a pause would join none of them.
+Answers the pattern of a large fleet of small VMs that pass on many streams: where
+events come close together, each piece costs processor time that others wait for. Events
+that are farther apart are passed on as they come, since a pause would join none.
 """
 
 MAX_PAUSE_MS = 40  # 25 pieces a second look continuous to a reader
