--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -108,6 +108,26 @@
     assert 1 <= taken <= worker.slots / 2
 
 
+@pytest.mark.parametrize(
+    ("peers", "online", "batch", "expected"),
+    [
+        pytest.param(SMALL_GROUP + 1, 3, 3, 1, id="large-fleet-keeps-two-free"),
+        pytest.param(SMALL_GROUP + 1, 2, 3, 0, id="two-are-free"),
+        pytest.param(SMALL_GROUP + 1, 0, 6, 0, id="nobody-to-yield-to"),
+        pytest.param(SMALL_GROUP, 3, 3, 0, id="small-fleet-fills-the-last-place"),
+    ],
+)
+def test_in_a_large_fleet_items_yield_before_the_last_place_is_taken(
+    peers, online, batch, expected
+):
+    vm = Vm("a")
+    vm.neighbourhood.count_peers(PeerGroup.FAR, peers)
+    vm.hold(online=online, batch=batch)
+    worker = make_worker("w", slots=7)
+    vm.room.places_to_yield(worker, 0)
+    assert vm.room.places_to_yield(worker, EXCESS_MS) == expected
+
+
 def test_an_item_goes_elsewhere_after_a_failure_if_it_can():
     vm = Vm("a")
     other = make_worker("other", slots=4)
