Reservations: a dropped idle connection is no failure of its worker

Cause: by reading: workers of grown deployments drop idle connections without notice; a reservation that met one had the worker left alone for half a second and more. Change: such a worker is passed over for this request only. Test: test_a_worker_that_can_not_be_asked_is_passed_over[dropped-an-idle-connection] failed before.

--- a/src/foxtailbank/forward/place_finder.py
+++ b/src/foxtailbank/forward/place_finder.py
@@ -20,7 +20,7 @@
 from foxtailbank.forward.forward_tools import ForwardTools
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.worker_client import PlaceRefused
-from foxtailbank.http1.failures import ExchangeFailed
+from foxtailbank.http1.failures import ConnectionBroken, ExchangeFailed
 
 TRIES_A_ROUND = 4  # of a few milliseconds each
 ROUND_PAUSE_MS = 30  # full workers of a large fleet free several places meanwhile
@@ -154,6 +154,9 @@
         except PlaceRefused as failure:
             self._fleet.health.on_full(worker.worker_id, self._clock.now_ms())
             self._note(worker, failure)
+        except ConnectionBroken as failure:
+            # Workers drop idle connections without notice, which tells nothing of them.
+            self._note(worker, failure)
         except ExchangeFailed as failure:
             self._fleet.on_worker_failure(worker, failure, self._clock.now_ms())
             self._note(worker, failure)
--- a/tests/test_place_finder.py
+++ b/tests/test_place_finder.py
@@ -10,7 +10,7 @@
     TRIES_A_ROUND,
 )
 from foxtailbank.forward.route import RouteKind
-from foxtailbank.http1.failures import ServerSilent
+from foxtailbank.http1.failures import ConnectionBroken, NotConnected, ServerSilent
 from serving_fakes import FakeAnswer, ServingWorld, make_route, make_routes
 
 pytestmark = pytest.mark.anyio
@@ -104,20 +104,31 @@
     assert world.client.asked == world.client.sent == []
 
 
-async def test_a_worker_that_does_not_answer_is_left_alone(monkeypatch):
+@pytest.mark.parametrize(
+    ("failure", "avoided"),
+    [
+        pytest.param(ServerSilent, True, id="silent"),
+        pytest.param(NotConnected, True, id="unreachable"),
+        pytest.param(ConnectionBroken, False, id="dropped-an-idle-connection"),
+    ],
+)
+async def test_a_worker_that_can_not_be_asked_is_passed_over(
+    monkeypatch, failure, avoided
+):
     world = make_world()
     asked = []
 
     async def reserve(worker, **_):
         asked.append(worker.worker_id)
         if len(asked) == 1:
-            raise ServerSilent(detail="nothing in 250 ms")
+            raise failure(detail="x")
         return "place"
 
     monkeypatch.setattr(world.client, "reserve", reserve)
     assert (await world.serve(STREAM, tokens=450)).complete
     assert world.client.sent[0][0] == asked[1] != asked[0]
-    assert world.fleet.health.avoided(asked[0], world.clock.now_ms())
+    now_ms = world.clock.now_ms()
+    assert world.fleet.health.avoided(asked[0], now_ms) is avoided
 
 
 @pytest.mark.parametrize("life_ms", [200, 2_000])
