--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -1,14 +1,13 @@
 """Log lines, counters and latencies of online requests."""
 
-from foxtailbank.clock import Clock
 from foxtailbank.events import Event
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
-from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.forward_tools import ForwardTools
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.worker_client import WorkerAnswer
-from foxtailbank.logs import LogFields, Logs
-from foxtailbank.metrics import Count, Metrics, Signal
+from foxtailbank.logs import LogFields
+from foxtailbank.metrics import Count, Signal
 from foxtailbank.settings_sections import LogLevel
 
 BROKEN_OFF = 0  # stands for the status of an answer that ended early
@@ -24,32 +23,17 @@
         The request.
     route : Route
         Entry that it falls under.
-    fleet : FleetState
-        What the decisions rest on.
-    clock : Clock
-        Source of time.
-    logs : Logs
-        Takes a line for each decision.
-    metrics : Metrics
-        Takes counts and latencies.
+    tools : ForwardTools
+        What all requests share.
     """
 
-    def __init__(
-        self,
-        *,
-        call: Call,
-        route: Route,
-        fleet: FleetState,
-        clock: Clock,
-        logs: Logs,
-        metrics: Metrics,
-    ) -> None:
+    def __init__(self, *, call: Call, route: Route, tools: ForwardTools) -> None:
         self._call = call
         self._route = route
-        self._fleet = fleet
-        self._clock = clock
-        self._logs = logs
-        self._metrics = metrics
+        self._fleet = tools.fleet
+        self._clock = tools.clock
+        self._logs = tools.logs
+        self._metrics = tools.metrics
         self._endpoint = ""
         self._load_seen: int | None = None
         self._first_byte_ms: int | None = None
--- a/src/foxtailbank/forward/call_run.py
+++ b/src/foxtailbank/forward/call_run.py
@@ -55,14 +55,7 @@
         self._fleet = tools.fleet
         self._clock = tools.clock
         self._rng = tools.rng
-        self._recorder = CallRecorder(
-            call=call,
-            route=route,
-            fleet=tools.fleet,
-            clock=tools.clock,
-            logs=tools.logs,
-            metrics=tools.metrics,
-        )
+        self._recorder = CallRecorder(call=call, route=route, tools=tools)
         self._finder = PlaceFinder(
             call=call, route=route, recorder=self._recorder, tools=tools
         )
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -213,7 +213,7 @@
         )
         self._takeover = Takeover(
             vm_id=identity.vm_id,
-            incarnation=identity.incarnation,
+            me=me,
             book=book,
             appends=self._appends,
             peers=peers,
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -43,8 +43,8 @@
     ----------
     vm_id : str
         This VM.
-    incarnation : int
-        This process.
+    me : str
+        This process, as ``vm/incarnation``.
     book : SubmissionBook
         The ledger.
     appends : AppendQueue
@@ -63,7 +63,7 @@
         self,
         *,
         vm_id: str,
-        incarnation: int,
+        me: str,
         book: SubmissionBook,
         appends: AppendQueue,
         peers: PeerBook,
@@ -72,7 +72,7 @@
         clock: Clock,
     ) -> None:
         self._vm_id = vm_id
-        self._me = f"{vm_id}/{incarnation}"
+        self._me = me
         self._book = book
         self._appends = appends
         self._peers = peers
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -77,6 +77,15 @@
         self.group.start_soon(self._run, process, scope)
         return scope
 
+    async def start_two_vms(self):
+        """Publish, start VMs 1 and 2, and return the scope that ends the first."""
+        self.publish()
+        first = self.start_vm(1)
+        self.start_vm(2)
+        await self.until_ready(1)
+        await self.until_ready(2)
+        return first
+
     async def _run(self, process, scope):
         with scope:
             await process.run()
@@ -238,11 +247,7 @@
 
 async def test_a_submission_lives_on_other_vms_and_after_a_restart():
     async with running() as world:
-        world.publish()
-        first = world.start_vm(1)
-        world.start_vm(2)
-        await world.until_ready(1)
-        await world.until_ready(2)
+        first = await world.start_two_vms()
         assert await submit("s1") == 202
         assert await submit("s1", number=2) == 202
         page = await read_all(world, "s1", 3, number=2)
@@ -258,11 +263,7 @@
 
 async def test_items_of_a_vm_that_went_are_finished_by_another():
     async with running() as world:
-        world.publish()
-        first = world.start_vm(1)
-        world.start_vm(2)
-        await world.until_ready(1)
-        await world.until_ready(2)
+        first = await world.start_two_vms()
         for worker in world.workers:
             worker.gap_s = 0.5
         assert await submit("s1") == 202
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -39,7 +39,7 @@
         )
         self.takeover = Takeover(
             vm_id=vm_id,
-            incarnation=9,
+            me=f"{vm_id}/9",
             book=self.book,
             appends=self.appends,
             peers=self.peers,
