--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -58,6 +58,7 @@
     SUBMISSION_ACCEPTED = "submission_accepted"
     SUBMISSION_REFUSED = "submission_refused"
     SUBMISSION_ENDED = "submission_ended"
+    RESULT_NOT_FOUND = "result_not_found"
     SUBMISSION_TAKEN_OVER = "submission_taken_over"
     SUBMISSION_RETIRED = "submission_retired"
     ITEM_STARTED = "item_started"
--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -54,6 +54,8 @@
     next_offset : int
         Offset of the first record that is not in the state; -1 before the state is
         restored.
+    known_end : int
+        End of the log in the last answer of the store; -1 before the first one.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self._failing_since_ms: int | None = None
         self._last_read_ms = 0
         self.next_offset = -1
+        self.known_end = -1
 
     @property
     def is_restored(self) -> bool:
@@ -155,12 +158,16 @@
                 return
 
     async def _restore(self) -> None:
+        requested_ms = self._clock.now_ms()
         newest = await self._log.read_newest()
         self._state.restore(newest)
-        self.next_offset = newest.end
+        self.next_offset = self.known_end = newest.end
         self._on_success()
         fields = LogFields(
-            task=self._name, offset=newest.end, count=len(newest.records)
+            task=self._name,
+            offset=newest.end,
+            count=len(newest.records),
+            duration_ms=self._clock.now_ms() - requested_ms,
         )
         self._logs.write(Event.STATE_RESTORED, fields=fields)
         self._notify()
@@ -175,6 +182,7 @@
                 await skip_pause.wait()
 
     def _apply_new(self, part: LogSlice) -> None:
+        self.known_end = max(self.known_end, part.end)
         new_records = tuple(r for r in part.records if r.offset >= self.next_offset)
         if not new_records:
             return
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -196,6 +196,7 @@
             follower=self._follower,
             appends=self._appends,
             record_bytes=store_limits.max_record_bytes,
+            logs=logs,
             clock=clock,
         )
         self.runner = Runner(
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -6,10 +6,12 @@
 import anyio
 
 from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError, Ran
 from foxtailbank.forward.route import Route
 from foxtailbank.keyed_log import KeyedRecord
 from foxtailbank.log_follower import LogFollower
+from foxtailbank.logs import LogFields, Logs
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.records import (
     Ended,
@@ -122,6 +124,8 @@
         Queue for the submission log.
     record_bytes : int
         Maximum size of a record in bytes.
+    logs : Logs
+        Receives a line for each answer that has no result at the asked position.
     clock : Clock
         Source of time.
     """
@@ -134,6 +138,7 @@
         follower: LogFollower,
         appends: AppendQueue,
         record_bytes: int,
+        logs: Logs,
         clock: Clock,
     ) -> None:
         self._owner_id = owner_id
@@ -141,6 +146,7 @@
         self._follower = follower
         self._appends = appends
         self._part_bytes = int(record_bytes * PART_SIZE_SHARE)
+        self._logs = logs
         self._clock = clock
         self._suffix_count = 0
 
@@ -190,6 +196,8 @@
                 break
             await self._follower.wait_for_change(left_ms)
             submission = self._table.ledger.get(submission_id) or submission
+        if len(submission.results) <= position:
+            self._log_no_result(submission, position)
         return _page_from(submission, position)
 
     async def item_body(self, submission_id: str, item_id: str) -> bytes:
@@ -265,6 +273,17 @@
             raise SubmissionUnknown(detail=submission_id)
         return submission
 
+    def _log_no_result(self, submission: Submission, position: int) -> None:
+        unread_count = self._follower.known_end - self._follower.next_offset
+        fields = LogFields(
+            job_id=submission.submission_id,
+            reason=f"position {position}, {unread_count} records unread",
+            count=len(submission.results),
+            offset=self._follower.next_offset,
+            age_ms=self._follower.age_ms,
+        )
+        self._logs.write(Event.RESULT_NOT_FOUND, fields=fields)
+
     async def _append(self, records: tuple[KeyedRecord, ...]) -> int:
         pending = self._appends.put(records, urgent=True)
         if not await _wait_for(pending.done, APPEND_WAIT_MS):
