Failing tests: answers from a copy of the log that is out of date

A VM answers from its own copy of the log whenever it knows the submission, without regard to how old the copy is: while it lags, after a restore that took long, while it reads its state again, while the store turns it away or a read hangs.

FakeKeyedLog can hold the responses to reads, limit their size and counts them.

--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -109,7 +109,9 @@
     next `lose_answers` appends take effect but are not confirmed. The next
     `delayed_append_count` appends are held back until `apply_delayed_appends`. The
     next `unnotified_polls` polls get no notification of records that are appended
-    while they wait.
+    while they wait. A read returns at most `read_limit` records. While `held_reads` or
+    `held_newest` is an event, reads without a wait or reads of the newest records take
+    their records at once but return them only when the event is set.
     """
 
     def __init__(self):
@@ -120,6 +122,10 @@
         self.delayed_append_count = 0
         self.delayed_appends = []
         self.unnotified_polls = 0
+        self.read_limit = None
+        self.held_reads = None
+        self.held_newest = None
+        self.reads = 0
         self.appends = 0
         self._steps = {}
         self._appended = anyio.Event()
@@ -130,9 +136,13 @@
         kept = sorted(
             (r for r in newest.values() if r.value), key=lambda record: record.offset
         )
-        return LogSlice(records=tuple(kept), end=len(self.records))
+        newest = LogSlice(records=tuple(kept), end=len(self.records))
+        if self.held_newest is not None:
+            await self.held_newest.wait()
+        return newest
 
     async def read(self, *, start, wait_ms):
+        self.reads += 1
         self._check()
         if start < self.first:
             raise HistoryTruncated()
@@ -145,7 +155,11 @@
             if is_unnotified:
                 return LogSlice(records=(), end=start)
         self._check()
-        return LogSlice(records=tuple(self.records[start:]), end=len(self.records))
+        found = self.records[start:][: self.read_limit]
+        part = LogSlice(records=tuple(found), end=len(self.records))
+        if self.held_reads is not None and not wait_ms:
+            await self.held_reads.wait()
+        return part
 
     async def append(self, records, *, append_id):
         await anyio.sleep(0)
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -4,7 +4,13 @@
 import pytest
 
 from foxtailbank.clock import SystemClock
-from foxtailbank.keyed_log import AppendId, KeyedRecord, StoreRefused
+from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.keyed_log import (
+    AppendId,
+    HistoryTruncated,
+    KeyedRecord,
+    StoreRefused,
+)
 from foxtailbank.log_follower import LONG_POLL_MS, LogFollower, LogState
 from serving_fakes import FakeKeyedLog, make_logs
 
@@ -150,3 +156,63 @@
             await harness.put("b")
         assert outcomes == [True]
         group.cancel_scope.cancel()
+
+
+# A sync that was in progress when history was lost applied records to the old state
+# and ended as if that were up to date.
+@pytest.mark.parametrize("key_count", [0, 2])
+async def test_a_sync_does_not_mix_with_a_restore(key_count):
+    harness = Harness(pause_ms=60_000)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await anyio.sleep(0.05)
+        await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        for number in range(key_count):
+            await harness.put(f"b{number}")
+        harness.log.held_reads = anyio.Event()
+        harness.log.held_newest = anyio.Event()
+        failures = []
+
+        async def sync():
+            try:
+                with anyio.fail_after(2):
+                    await harness.follower.sync()
+            except (FoxtailbankError, TimeoutError) as failure:
+                failures.append(type(failure))
+
+        async with anyio.create_task_group() as syncs:
+            syncs.start_soon(sync)
+            await anyio.sleep(0.05)
+            await harness.put("c")
+            harness.log.first = len(harness.log.records)
+            await harness.follower.wait_for_offset(2 + key_count, 50)
+            assert not harness.follower.is_restored
+            harness.log.held_reads.set()
+        assert failures == [HistoryTruncated]
+        assert harness.state.keys == ["a"]
+        harness.log.held_newest.set()
+        await harness.wait_until_keys(["a", *(f"b{n}" for n in range(key_count)), "c"])
+        group.cancel_scope.cancel()
+
+
+# A caller was told that an id is unknown from a read that was sent before the id was
+# accepted.
+async def test_a_sync_uses_no_read_that_was_sent_before_it():
+    harness = Harness(pause_ms=60_000)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await anyio.sleep(0.05)
+        await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        held = harness.log.held_reads = anyio.Event()
+        async with anyio.create_task_group() as syncs:
+            syncs.start_soon(harness.follower.sync)
+            await anyio.sleep(0.05)
+            await harness.put("b")
+            harness.log.held_reads = None
+            syncs.start_soon(harness.follower.sync)
+            await anyio.sleep(0.05)
+            held.set()
+        assert harness.state.keys == ["a", "b"]
+        group.cancel_scope.cancel()
