--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -206,6 +206,36 @@
         group.cancel_scope.cancel()
 
 
+# A VM that was suspended while it read the log answered from what it had read before.
+@pytest.mark.parametrize(
+    ("submission_id", "is_listed", "expected"),
+    [
+        pytest.param("s1", True, ["a"], id="listed"),
+        pytest.param("s1", False, StateUnknown, id="not-listed-then"),
+        pytest.param("s2", False, StateUnknown, id="not-accepted-then"),
+    ],
+)
+async def test_a_suspension_during_a_read_counts(submission_id, is_listed, expected):
+    async with running_vm() as vm:
+        await vm.know(make_submitted())
+        if is_listed:
+            await vm.append_elsewhere(item_ended("s1", "a"))
+        vm.clock.shift_ms += SETTLE_MS
+        held = vm.log.held_reads = anyio.Event()
+        pages = []
+
+        async def read():
+            pages.append(await vm.read(submission_id=submission_id))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read)
+            await anyio.sleep(0.05)
+            vm.clock.shift_ms += SETTLE_MS
+            vm.log.held_reads = anyio.Event()
+            held.set()
+        assert pages == [expected]
+
+
 # An id that another VM had accepted got 404 from a VM that could not read the log.
 @pytest.mark.parametrize(("make_stale", "can_read"), STALE_COPIES)
 async def test_an_id_accepted_elsewhere_is_not_unknown(make_stale, can_read):
