Read the log to its end before answering that nothing is there

Cause: answers came from this VM's copy of the log however old that was. The copy is old while the VM lags, after a restore whose pages took long, while it reads its state again after lost history, while the store turns it away, and after a suspension.

The follower now keeps the moment as of which its state is complete: the time at which the last read was sent whose response reached the end of the log, by the clock that counts suspensions. Results that are known are still returned at once. Before a VM answers that no result stands at a position, or refuses with 429, that moment must be at most 500 ms ago; else the log is read to its end, and if that does not end in 700 ms the answer is 503. A 404 needs a read that was sent after the request, as before, and a recent state besides. After the last item nothing can be missing and nothing is read.

Concurrent callers share reads, and failures for 200 ms (SharedRead). The response of a read that was sent before history was lost is dropped while the state is restored. result_not_found gives the age of the state as age_ms, no longer the time since the store last answered.

--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -11,9 +11,11 @@
 from foxtailbank.keyed_log import HistoryTruncated, KeyedLog, LogSlice
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
+from foxtailbank.shared_read import SharedRead
 
 RETRY_MS = 200
 LONG_POLL_MS = 800  # bounds the delay if the store misses new records for a poll
+SYNC_TIMEOUT_MS = 700  # two fit into the time that callers wait beyond their limit
 
 
 class LogState(abc.ABC):
@@ -80,6 +82,13 @@
         self._skip_pause = anyio.Event()
         self._failing_since_ms: int | None = None
         self._last_read_ms = 0
+        self._complete_ms: int | None = None
+        self._shared_read = SharedRead(
+            read=self._read_to_end,
+            timeout_ms=SYNC_TIMEOUT_MS,
+            retry_ms=RETRY_MS,
+            clock=clock,
+        )
         self.next_offset = -1
         self.known_end = -1
 
@@ -93,6 +102,17 @@
         """Milliseconds since the store last answered."""
         return self._clock.now_ms() - self._last_read_ms
 
+    @property
+    def state_age_ms(self) -> int | None:
+        """Milliseconds since the state held the whole log, at most; None if unknown.
+
+        Counted from when the last read was sent whose response reached the end of the
+        log, so that a suspension of this VM during the read counts as well.
+        """
+        if self._complete_ms is None:
+            return None
+        return self._clock.now_ms() - self._complete_ms
+
     @property
     def is_failing(self) -> bool:
         """Whether the last read failed."""
@@ -142,18 +162,46 @@
         return True
 
     async def sync(self) -> None:
-        """Apply all records up to the present end of the log.
+        """Apply all records that the log holds at the time of the call.
+
+        Concurrent callers share a read unless it was sent before their call.
 
         Raises
         ------
         FoxtailbankError
-            The store did not answer, so the state may be out of date.
+            The store did not answer in time, so the state may be out of date.
         """
-        if not self.is_restored:
-            raise HistoryTruncated(detail="the state has not been read yet")
+        await self._shared_read.run()
+
+    async def refresh(self, max_age_ms: int) -> None:
+        """Read the log to its end unless the state is recent.
+
+        Concurrent callers share a read, also one that was sent before their call.
+
+        Parameters
+        ----------
+        max_age_ms : int
+            Greatest `state_age_ms` on return.
+
+        Raises
+        ------
+        FoxtailbankError
+            The store did not answer in time, so the state may be older.
+        """
+        await self._shared_read.run_until(lambda: self.is_recent(max_age_ms))
+
+    def is_recent(self, max_age_ms: int) -> bool:
+        """Whether `state_age_ms` is known and at most so many milliseconds."""
+        age_ms = self.state_age_ms
+        return age_ms is not None and age_ms <= max_age_ms
+
+    async def _read_to_end(self) -> None:
         while True:
+            if not self.is_restored:
+                raise HistoryTruncated(detail="the state has not been read yet")
+            sent_ms = self._clock.now_ms()
             part = await self._log.read(start=self.next_offset, wait_ms=0)
-            self._apply_new(part)
+            self._apply_new(part, sent_ms=sent_ms)
             if self.next_offset >= part.end:
                 return
 
@@ -162,6 +210,9 @@
         newest = await self._log.read_newest()
         self._state.restore(newest)
         self.next_offset = self.known_end = newest.end
+        # The newest records come in pages that are no snapshot: a key that is replaced
+        # meanwhile is missing until the records after them are read.
+        self._complete_ms = None
         self._on_success()
         fields = LogFields(
             task=self._name,
@@ -174,21 +225,26 @@
 
     async def _poll(self) -> None:
         skip_pause = self._skip_pause = anyio.Event()
+        sent_ms = self._clock.now_ms()
         part = await self._log.read(start=self.next_offset, wait_ms=LONG_POLL_MS)
         self._on_success()
-        self._apply_new(part)
+        self._apply_new(part, sent_ms=sent_ms)
         if part.records:
             with anyio.move_on_after(self._pause_ms / MS_PER_S):
                 await skip_pause.wait()
 
-    def _apply_new(self, part: LogSlice) -> None:
+    def _apply_new(self, part: LogSlice, *, sent_ms: int) -> None:
         self.known_end = max(self.known_end, part.end)
+        if not self.is_restored:
+            return  # the state that the records follow is being replaced
         new_records = tuple(r for r in part.records if r.offset >= self.next_offset)
-        if not new_records:
-            return
-        self.next_offset = new_records[-1].offset + 1
-        self._state.apply_records(LogSlice(records=new_records, end=part.end))
-        self._notify()
+        if new_records:
+            self.next_offset = new_records[-1].offset + 1
+            self._state.apply_records(LogSlice(records=new_records, end=part.end))
+        if self.next_offset >= part.end:
+            self._complete_ms = max(sent_ms, self._complete_ms or 0)
+        if new_records:
+            self._notify()
 
     def _notify(self) -> None:
         self._changed.set()
--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -48,7 +48,7 @@
     status : int
         HTTP status of the answer.
     duration_ms : int
-        Time from the arrival of the request to its outcome.
+        Time from the arrival of the request, or the start of a task, to its outcome.
     first_byte_ms : int
         Time from the arrival of the request to the first byte of the answer.
     wait_ms : int
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -1,5 +1,6 @@
 """Operations on batch submissions for callers."""
 
+import contextlib
 import dataclasses
 import typing as t
 
@@ -30,6 +31,7 @@
 RESULT_OVERHEAD_BYTES = 200  # of a result in a page, beside its text
 MAX_PAGE_BYTES = 900_000
 RETRY_AFTER_MS = 700
+MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
 
 
 class StateUnknown(FoxtailbankError):
@@ -158,7 +160,8 @@
         SubmissionTooLarge
             It exceeds the entry's token limit; this attempt runs none of its items.
         StateUnknown
-            The store is unavailable; nothing was written.
+            The store is unavailable, or the log could not be read to its end to confirm
+            that the submission is too large; nothing was written.
         OutcomeUnknown
             The submission may still be accepted.
         """
@@ -166,10 +169,12 @@
             return
         self._require_store()
         tokens = sum(item.tokens for item in new.items)
-        if route.waiting_tokens and tokens > route.waiting_tokens:
-            raise self._too_large()
-        if self._is_known_full(route, tokens):
-            raise self._too_large()
+        if self._exceeds_limit(route, tokens):
+            await self._refresh()
+            if self._table.ledger.get(new.submission_id) is not None:
+                return
+            if self._exceeds_limit(route, tokens):
+                raise self._too_large()
         end = await self._append(self._encode_records(new, route))
         if not await self._follower.wait_for_offset(end, APPEND_WAIT_MS):
             raise OutcomeUnknown(detail="the log could not be read back")
@@ -181,6 +186,9 @@
     ) -> ResultPage:
         """Return results, waiting up to `wait_ms` for the first one.
 
+        Results that this VM knows are returned at once, as they never change. Before
+        it returns none, the log is read to its end unless the state is recent.
+
         Raises
         ------
         SubmissionUnknown
@@ -188,14 +196,16 @@
         StateUnknown
             The log could not be read to its end.
         """
-        submission = await self._find(submission_id)
         deadline_ms = self._clock.now_ms() + wait_ms
+        submission = await self._find(submission_id)
         while submission.is_open and len(submission.results) <= position:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 break
             await self._follower.wait_for_change(left_ms)
             submission = self._table.ledger.get(submission_id) or submission
+        if len(submission.results) <= position < len(submission.items_by_id):
+            submission = await self._reread(submission, position)
         if len(submission.results) <= position:
             self._log_no_result(submission, position)
         return _page_from(submission, position)
@@ -246,11 +256,9 @@
                 detail="the store is unavailable", retry_after_ms=RETRY_AFTER_MS
             )
 
-    def _is_known_full(self, route: Route, tokens: int) -> bool:
+    def _exceeds_limit(self, route: Route, tokens: int) -> bool:
         waiting = self._table.ledger.waiting_tokens(route.name)
-        if not route.waiting_tokens or self._follower.is_failing:
-            return False
-        return waiting + tokens > route.waiting_tokens
+        return bool(route.waiting_tokens) and waiting + tokens > route.waiting_tokens
 
     def _too_large(self) -> SubmissionTooLarge:
         return SubmissionTooLarge(
@@ -262,17 +270,33 @@
         submission = self._table.ledger.get(submission_id)
         if submission is not None:
             return submission
-        try:
+        with _unknown_on_failure():
             await self._follower.sync()
-        except FoxtailbankError as failure:
-            raise StateUnknown(
-                detail=failure.detail, retry_after_ms=RETRY_AFTER_MS
-            ) from failure
         submission = self._table.ledger.get(submission_id)
-        if submission is None:
-            raise SubmissionUnknown(detail=submission_id)
+        if submission is not None:
+            return submission
+        if not self._follower.is_recent(MAX_STATE_AGE_MS):
+            raise StateUnknown(
+                detail="the log was read too slowly", retry_after_ms=RETRY_AFTER_MS
+            )
+        raise SubmissionUnknown(detail=submission_id)
+
+    async def _reread(self, submission: Submission, position: int) -> Submission:
+        """Return a submission from a recent state, or one with a result there."""
+        failure: StateUnknown | None = None
+        try:
+            await self._refresh()
+        except StateUnknown as error:
+            failure = error
+        submission = self._table.ledger.get(submission.submission_id) or submission
+        if failure is not None and len(submission.results) <= position:
+            raise failure
         return submission
 
+    async def _refresh(self) -> None:
+        with _unknown_on_failure():
+            await self._follower.refresh(MAX_STATE_AGE_MS)
+
     def _log_no_result(self, submission: Submission, position: int) -> None:
         unread_count = self._follower.known_end - self._follower.next_offset
         fields = LogFields(
@@ -280,7 +304,7 @@
             reason=f"position {position}, {unread_count} records unread",
             count=len(submission.results),
             offset=self._follower.next_offset,
-            age_ms=self._follower.age_ms,
+            age_ms=self._follower.state_age_ms,
         )
         self._logs.write(Event.RESULT_NOT_FOUND, fields=fields)
 
@@ -331,6 +355,16 @@
         return f"{self._owner_id}/{self._suffix_count}"
 
 
+@contextlib.contextmanager
+def _unknown_on_failure() -> t.Iterator[None]:
+    try:
+        yield
+    except FoxtailbankError as failure:
+        raise StateUnknown(
+            detail=failure.detail, retry_after_ms=RETRY_AFTER_MS
+        ) from failure
+
+
 async def _wait_for(event: anyio.Event, timeout_ms: float) -> bool:
     with anyio.move_on_after(timeout_ms / MS_PER_S):
         await event.wait()
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -1,6 +1,8 @@
 """Answers about submissions from a VM whose copy of the log is out of date."""
 
 import contextlib
+import io
+import json
 
 import anyio
 import pytest
@@ -8,6 +10,8 @@
 from foxtailbank.clock import SystemClock
 from foxtailbank.keyed_log import AppendId
 from foxtailbank.log_follower import LogFollower
+from foxtailbank.logs import Logs
+from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.records import Ended, encode
 from foxtailbank.submissions.service import (
@@ -48,13 +52,15 @@
     def __init__(self):
         self.clock = ShiftedClock()
         self.log = FakeKeyedLog()
+        self.log_output = io.StringIO()
+        logs = Logs(vm="b", zone="z1", level=LogLevel.DEBUG, stream=self.log_output)
         self.table = SubmissionTable(logs=make_logs())
         self.follower = LogFollower(
             name="submissions",
             log=self.log,
             state=self.table,
             pause_ms=NO_MORE_READS_MS,
-            logs=make_logs(),
+            logs=logs,
             clock=self.clock,
         )
         self.appends = AppendQueue(
@@ -70,7 +76,7 @@
             follower=self.follower,
             appends=self.appends,
             record_bytes=10_000,
-            logs=make_logs(),
+            logs=logs,
             clock=self.clock,
         )
         self._sequence = 0
@@ -92,6 +98,11 @@
         await self.append_elsewhere(*records)
         self.log.up = was_up
 
+    def log_lines(self, event):
+        """Return the log lines of an event."""
+        lines = map(json.loads, self.log_output.getvalue().splitlines())
+        return [line for line in lines if line["event"] == event]
+
     async def until(self, check):
         with anyio.fail_after(10):
             while not check():
@@ -329,3 +340,17 @@
                 group.start_soon(read)
         assert pages == [StateUnknown] * 20
         assert vm.log.reads == reads + 1
+
+
+# The log line of an answer without results gave the time of the last response instead
+# of the age of the state.
+async def test_log_lines_tell_the_age_of_the_state():
+    async with running_vm() as vm:
+        await vm.know(make_submitted())
+        vm.clock.shift_ms += SETTLE_MS
+        assert await vm.read(1) == []
+        (restored,) = vm.log_lines("state_restored")
+        (absent,) = vm.log_lines("result_not_found")
+        assert 0 <= restored["duration_ms"] < SETTLE_MS
+        assert (absent["job_id"], absent["count"], absent["offset"]) == ("s1", 0, 1)
+        assert 0 <= absent["age_ms"] < SETTLE_MS
