--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -212,7 +212,7 @@
         await vm.append_elsewhere(make_submitted("s2"), item_ended("s1", "a"))
         vm.clock.shift_ms += SETTLE_MS
         vm.log.held_newest.set()
-        await vm.until(lambda: vm.follower.next_offset == 2)
+        await vm.until(lambda: vm.follower.next_offset >= 2)
         assert await vm.read() == ["a"]
         group.cancel_scope.cancel()
 
