Failing tests: a follower that falls behind its log

- After each read with records it pauses, also if the answer's `end` says that the log holds more.
- wait_for_offset skips one pause only, so a read that lacks the caller's record holds it for a whole pause.
It also skips a pause if the record has been read, which costs a call to the store.
- Lost history that is reported again is read again at once.

Three more tests hold what the fixes must keep: one read while records keep coming at the end of the log, one skipped pause for one caller, and no pause before the first restore.

FakeKeyedLog gets a limit of records per read, a count of reads, and reads that find their records expired.

--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -109,7 +109,8 @@
     next `lose_answers` appends take effect but are not confirmed. The next
     `delayed_append_count` appends are held back until `apply_delayed_appends`. The
     next `unnotified_polls` polls get no notification of records that are appended
-    while they wait.
+    while they wait. A read returns at most `read_limit` records. The next
+    `truncated_reads` reads find their records expired.
     """
 
     def __init__(self):
@@ -120,6 +121,9 @@
         self.delayed_append_count = 0
         self.delayed_appends = []
         self.unnotified_polls = 0
+        self.read_limit = None
+        self.truncated_reads = 0
+        self.reads = 0
         self.appends = 0
         self._steps = {}
         self._appended = anyio.Event()
@@ -134,6 +138,10 @@
 
     async def read(self, *, start, wait_ms):
         self._check()
+        self.reads += 1
+        if self.truncated_reads:
+            self.truncated_reads -= 1
+            raise HistoryTruncated()
         if start < self.first:
             raise HistoryTruncated()
         if start >= len(self.records):
@@ -145,7 +153,8 @@
             if is_unnotified:
                 return LogSlice(records=(), end=start)
         self._check()
-        return LogSlice(records=tuple(self.records[start:]), end=len(self.records))
+        records = self.records[start:][: self.read_limit]
+        return LogSlice(records=tuple(records), end=len(self.records))
 
     async def append(self, records, *, append_id):
         await anyio.sleep(0)
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -5,7 +5,7 @@
 
 from foxtailbank.clock import SystemClock
 from foxtailbank.keyed_log import AppendId, KeyedRecord, StoreRefused
-from foxtailbank.log_follower import LONG_POLL_MS, LogFollower, LogState
+from foxtailbank.log_follower import LONG_POLL_MS, RETRY_MS, LogFollower, LogState
 from serving_fakes import FakeKeyedLog, make_logs
 
 pytestmark = pytest.mark.anyio
@@ -16,6 +16,10 @@
     return "asyncio"
 
 
+# Longer than any test: a pause that is not skipped fails the test.
+ENDLESS_PAUSE_MS = 60_000
+
+
 class KeyList(LogState):
     def __init__(self):
         self.keys = []
@@ -55,6 +59,21 @@
             (KeyedRecord(key=key, value=b"v"),), append_id=step
         )
 
+    async def put_all(self, count):
+        self._sequence += 1
+        step = AppendId(producer="p", epoch=1, sequence=self._sequence)
+        records = tuple(
+            KeyedRecord(key=key, value=b"v") for key in self.expected_keys(count)
+        )
+        await self.log.append(records, append_id=step)
+
+    @staticmethod
+    def expected_keys(count):
+        return [f"k{number}" for number in range(count)]
+
+    async def wait_for(self, offset, outcomes):
+        outcomes.append(await self.follower.wait_for_offset(offset, 5_000))
+
     async def wait_until_keys(self, keys):
         with anyio.fail_after(10):
             while self.state.keys != keys:
@@ -150,3 +169,113 @@
             await harness.put("b")
         assert outcomes == [True]
         group.cancel_scope.cancel()
+
+
+# Guards against a pause between reads while the log holds records that were not read.
+@pytest.mark.parametrize("record_count", [3, 6, 7])
+@pytest.mark.parametrize("read_limit", [1, 2])
+async def test_follower_that_is_behind_reads_on_without_pause(read_limit, record_count):
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    harness.log.read_limit = read_limit
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.wait_until_keys([])
+        await harness.put_all(record_count)
+        await harness.wait_until_keys(harness.expected_keys(record_count))
+        group.cancel_scope.cancel()
+
+
+# Guards against calls to the store without a pause once the end of the log was read.
+async def test_follower_at_the_end_pauses_between_reads():
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.wait_until_keys([])
+        for number in range(1, 6):
+            await harness.put(f"k{number}")
+            await anyio.sleep(0.02)
+        assert harness.log.reads == 1
+        group.cancel_scope.cancel()
+
+
+# Guards against a pause after a read that lacks the record a caller waits for.
+@pytest.mark.parametrize("other_count", [1, 2, 4])
+async def test_waiting_caller_is_not_held_by_later_pauses(other_count):
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.wait_until_keys([])
+        outcomes = []
+        async with anyio.create_task_group() as waits:
+            waits.start_soon(harness.wait_for, other_count + 1, outcomes)
+            for number in range(other_count):
+                await anyio.sleep(0.03)
+                await harness.put(f"other{number}")
+            await anyio.sleep(0.03)
+            await harness.put("own")
+        assert outcomes == [True]
+        group.cancel_scope.cancel()
+
+
+# Guards against a pause that one caller's record ends while others still wait.
+@pytest.mark.parametrize("offsets", [(1, 2, 3), (3, 2, 1), (2, 2, 4)], ids=str)
+async def test_all_waiting_callers_skip_the_pauses(offsets):
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.wait_until_keys([])
+        outcomes = []
+        async with anyio.create_task_group() as waits:
+            for offset in offsets:
+                waits.start_soon(harness.wait_for, offset, outcomes)
+            for number in range(max(offsets)):
+                await anyio.sleep(0.03)
+                await harness.put(f"k{number}")
+        assert outcomes == [True] * len(offsets)
+        group.cancel_scope.cancel()
+
+
+# Guards against a pause skipped for a caller whose records are already in the state.
+async def test_caller_whose_record_was_read_causes_no_read():
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.wait_until_keys([])
+        end = await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        assert await harness.follower.wait_for_offset(end, 5_000)
+        await harness.put("b")
+        await anyio.sleep(0.05)
+        assert harness.log.reads == 1
+        group.cancel_scope.cancel()
+
+
+# Guards against restoring without a pause while the store keeps reporting lost history.
+async def test_history_lost_again_is_restored_after_a_pause():
+    harness = Harness()
+    harness.log.truncated_reads = 10_000
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await anyio.sleep(3 * RETRY_MS / 1000)
+        assert 2 <= harness.log.reads <= 5
+        harness.log.truncated_reads = 0
+        await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        group.cancel_scope.cancel()
+
+
+# Guards against a pause before the first restore after lost history: reads are stale.
+async def test_history_lost_once_is_restored_at_once():
+    harness = Harness()
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        await anyio.sleep(0.05)
+        harness.log.truncated_reads = 1
+        await harness.put("b")
+        with anyio.fail_after(RETRY_MS / 2 / 1000):
+            while harness.state.restore_count < 2:
+                await anyio.sleep(0.01)
+        assert harness.state.keys == ["a", "b"]
+        group.cancel_scope.cancel()
