Log follower: no pause before the offset that a caller waits for

A submission's 202 could come late: wait_for_offset ended one pause only, so if the next read lacked the caller's record, as other VMs' records came first, the caller was held for a further pause of 500 ms, and again after each such read. A caller whose record had been read ended a pause as well, which cost a call to the store.

The follower now keeps the largest offset that a caller waits for and pauses only once its state has reached it. All callers that wait at once profit, as the largest offset covers theirs. The offset comes from an append that the store has acknowledged, so the log reaches it.

test_waiting_caller_is_not_held_by_later_pauses (two of three cases), test_all_waiting_callers_skip_the_pauses (three) and test_caller_whose_record_was_read_causes_no_read failed before and pass now.

--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -76,6 +76,7 @@
         self._on_recovery = on_recovery
         self._changed = anyio.Event()
         self._skip_pause = anyio.Event()
+        self._awaited_offset = 0
         self._failing_since_ms: int | None = None
         self._last_read_ms = 0
         self.next_offset = -1
@@ -130,7 +131,7 @@
             False if the wait timed out.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
-        self._skip_pause.set()
+        self._await_offset(offset)
         while self.next_offset < offset:
             remaining_ms = deadline_ms - self._clock.now_ms()
             if remaining_ms <= 0:
@@ -166,13 +167,22 @@
         self._notify()
 
     async def _poll(self) -> None:
-        skip_pause = self._skip_pause = anyio.Event()
         part = await self._log.read(start=self.next_offset, wait_ms=LONG_POLL_MS)
         self._on_success()
         self._apply_new(part)
-        if part.records and self.next_offset >= part.end:
-            with anyio.move_on_after(self._pause_ms / MS_PER_S):
-                await skip_pause.wait()
+        if part.records and self.next_offset >= max(part.end, self._awaited_offset):
+            await self._pause()
+
+    async def _pause(self) -> None:
+        self._skip_pause = anyio.Event()
+        with anyio.move_on_after(self._pause_ms / MS_PER_S):
+            await self._skip_pause.wait()
+
+    def _await_offset(self, offset: int) -> None:
+        """Read without a pause until an offset is reached."""
+        self._awaited_offset = max(self._awaited_offset, offset)
+        if self.next_offset < offset:
+            self._skip_pause.set()
 
     def _apply_new(self, part: LogSlice) -> None:
         new_records = tuple(r for r in part.records if r.offset >= self.next_offset)
