Log follower: pause before restoring lost history again

If the store reported lost history for each read, the follower restored its state and read again without any pause: calls to the store and processor time without bound, while other tasks of the VM waited.

The first loss is still restored at once, as the state is out of date until then. If no read succeeds between two losses, the follower pauses for RETRY_MS, as after other failures.

test_history_lost_again_is_restored_after_a_pause failed before with 10,001 reads in 600 ms (the limit is 5) and passes now.

--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -98,14 +98,19 @@
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
+        history_lost = False
         while True:
             try:
                 if not self.is_restored:
                     await self._restore()
                 await self._poll()
+                history_lost = False
             except HistoryTruncated as failure:
                 self._on_failure(failure)
                 self.next_offset = -1
+                if history_lost:
+                    await anyio.sleep(RETRY_MS / MS_PER_S)
+                history_lost = True
             except FoxtailbankError as failure:
                 self._on_failure(failure)
                 await anyio.sleep(RETRY_MS / MS_PER_S)
