Takeover: choose successors only for owners that are missing

Each VM spent processor time every 300 ms in proportion to all open submissions times all peers: the successor of each open submission was chosen before it was known whether its owner had departed.

Owners that are alive, or silent within the grace time, are now passed over first. The conditions of a takeover are the same, and nothing is awaited between the two checks.

A check runs each 300 ms.

test_successors_are_chosen_only_for_missing_owners failed before in its cases `alive` and `silent-within-grace`, and passes now.

--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -121,8 +121,10 @@
             if self._state_of(owner, alive) is OwnerState.SILENT
         }
         for owner, submissions in submissions_by_owner.items():
+            if not self._is_missing(owner, alive, now_ms):
+                continue
             own_share = [s for s in submissions if self._is_successor(s, alive)]
-            if own_share and await self._has_departed(owner, alive, now_ms):
+            if own_share and await self._has_departed(owner, alive):
                 for submission in own_share:
                     self._take_over(submission)
 
@@ -154,14 +156,18 @@
             return OwnerState.DEPARTED
         return OwnerState.ALIVE if peer in alive else OwnerState.SILENT
 
-    async def _has_departed(
-        self, owner: str, alive: tuple[Peer, ...], now_ms: int
-    ) -> bool:
+    def _is_missing(self, owner: str, alive: tuple[Peer, ...], now_ms: int) -> bool:
+        """Whether an owner has departed or has been silent for the grace time."""
         state = self._state_of(owner, alive)
-        if state is not OwnerState.SILENT:
-            return state is OwnerState.DEPARTED
-        if now_ms - self._silent_since_ms.get(owner, now_ms) < SILENCE_GRACE_MS:
-            return False
+        if state is OwnerState.SILENT:
+            silent_ms = now_ms - self._silent_since_ms.get(owner, now_ms)
+            return silent_ms >= SILENCE_GRACE_MS
+        return state is OwnerState.DEPARTED
+
+    async def _has_departed(self, owner: str, alive: tuple[Peer, ...]) -> bool:
+        """Whether a missing owner is known to have departed or holds no lease."""
+        if self._state_of(owner, alive) is OwnerState.DEPARTED:
+            return True
         vm_id, _, incarnation = owner.rpartition("/")
         return not await self._leases.is_held(vm_id=vm_id, incarnation=incarnation)
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from foxtailbank import rendezvous
 from foxtailbank.address import parse_address
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.keyed_log import StoreRefused
@@ -136,6 +137,35 @@
     assert takeovers == 1
 
 
+# Guards against processor time in each check for all open submissions and peers.
+@pytest.mark.parametrize(
+    ("report", "checks", "is_scored"),
+    [
+        pytest.param({}, 1, False, id="alive"),
+        pytest.param(None, 1, False, id="silent-within-grace"),
+        pytest.param(None, 2, True, id="silent-past-grace"),
+        pytest.param({"stopping": True}, 1, True, id="stopping"),
+        pytest.param({"incarnation": 2}, 1, True, id="restarted"),
+    ],
+)
+async def test_successors_are_chosen_only_for_missing_owners(
+    monkeypatch, report, checks, is_scored
+):
+    scored_keys = []
+    score = rendezvous.score
+
+    def counting_score(key, name):
+        scored_keys.append(key)
+        return score(key, name)
+
+    monkeypatch.setattr(rendezvous, "score", counting_score)
+    vm = Vm()
+    if report is not None:
+        vm.receive_report(**report)
+    await vm.takes_over(checks=checks)
+    assert bool(scored_keys) is is_scored
+
+
 async def test_a_stopping_vm_takes_nothing_over():
     vm = Vm()
     await vm.takeover.stop()
