Takeover: look up alive peers by id

Each check compared each owner with the alive peers one by one, field by field, twice. They are now a set of ids. An owner whose next report comes while a lease is looked up stays alive; before, it counted as silent.

The tests of test_takeover.py hold the behaviour.

--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -8,7 +8,7 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError
-from foxtailbank.fleet.peer_table import Peer, PeerTable
+from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.lease_table import LeaseTable
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
@@ -110,7 +110,7 @@
         now_ms = self._clock.now_ms()
         if self.stopping or now_ms - self._started_ms < STARTUP_GRACE_MS:
             return
-        alive = self._peers.alive(now_ms)
+        alive_ids = frozenset(peer.vm_id for peer in self._peers.alive(now_ms))
         submissions_by_owner: dict[str, list[Submission]] = {}
         for submission in self._table.ledger.all():
             if submission.is_open and submission.owner != self._owner_id:
@@ -118,13 +118,13 @@
         self._silent_since_ms = {
             owner: self._silent_since_ms.get(owner, now_ms)
             for owner in submissions_by_owner
-            if self._state_of(owner, alive) is OwnerState.SILENT
+            if self._state_of(owner, alive_ids) is OwnerState.SILENT
         }
         for owner, submissions in submissions_by_owner.items():
-            if not self._is_missing(owner, alive, now_ms):
+            if not self._is_missing(owner, alive_ids, now_ms):
                 continue
-            own_share = [s for s in submissions if self._is_successor(s, alive)]
-            if own_share and await self._has_departed(owner, alive):
+            own_share = [s for s in submissions if self._is_successor(s, alive_ids)]
+            if own_share and await self._has_departed(owner, alive_ids):
                 for submission in own_share:
                     self._take_over(submission)
 
@@ -145,7 +145,7 @@
             for submission in self._table.ledger.all()
         )
 
-    def _state_of(self, owner: str, alive: tuple[Peer, ...]) -> OwnerState:
+    def _state_of(self, owner: str, alive_ids: frozenset[str]) -> OwnerState:
         vm_id, _, incarnation = owner.rpartition("/")
         if vm_id == self._vm_id:
             return OwnerState.DEPARTED
@@ -154,25 +154,25 @@
             return OwnerState.SILENT
         if str(peer.incarnation) != incarnation or peer.stopping:
             return OwnerState.DEPARTED
-        return OwnerState.ALIVE if peer in alive else OwnerState.SILENT
+        return OwnerState.ALIVE if vm_id in alive_ids else OwnerState.SILENT
 
-    def _is_missing(self, owner: str, alive: tuple[Peer, ...], now_ms: int) -> bool:
+    def _is_missing(self, owner: str, alive_ids: frozenset[str], now_ms: int) -> bool:
         """Whether an owner has departed or has been silent for the grace time."""
-        state = self._state_of(owner, alive)
+        state = self._state_of(owner, alive_ids)
         if state is OwnerState.SILENT:
             silent_ms = now_ms - self._silent_since_ms.get(owner, now_ms)
             return silent_ms >= SILENCE_GRACE_MS
         return state is OwnerState.DEPARTED
 
-    async def _has_departed(self, owner: str, alive: tuple[Peer, ...]) -> bool:
+    async def _has_departed(self, owner: str, alive_ids: frozenset[str]) -> bool:
         """Whether a missing owner is known to have departed or holds no lease."""
-        if self._state_of(owner, alive) is OwnerState.DEPARTED:
+        if self._state_of(owner, alive_ids) is OwnerState.DEPARTED:
             return True
         vm_id, _, incarnation = owner.rpartition("/")
         return not await self._leases.is_held(vm_id=vm_id, incarnation=incarnation)
 
-    def _is_successor(self, submission: Submission, alive: tuple[Peer, ...]) -> bool:
-        candidates = [peer.vm_id for peer in alive] + [self._vm_id]
+    def _is_successor(self, submission: Submission, alive_ids: frozenset[str]) -> bool:
+        candidates = alive_ids | {self._vm_id}
         key = f"{submission.submission_id}/{submission.generation}"
         chosen = max(candidates, key=lambda vm: rendezvous.score(key, vm))
         return chosen == self._vm_id
