--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -109,7 +109,8 @@
     next `lose_answers` appends take effect but are not confirmed. The next
     `delayed_append_count` appends are held back until `apply_delayed_appends`. The
     next `unnotified_polls` polls get no notification of records that are appended
-    while they wait. A read returns at most `read_limit` records. While `held_reads` or
+    while they wait. A read returns at most `read_limit` records. The next
+    `truncated_reads` reads find their records expired. While `held_reads` or
     `held_newest` is an event, reads without a wait or reads of the newest records take
     their records at once but return them only when the event is set.
     """
@@ -125,6 +126,7 @@
         self.read_limit = None
         self.held_reads = None
         self.held_newest = None
+        self.truncated_reads = 0
         self.reads = 0
         self.appends = 0
         self._steps = {}
@@ -144,6 +146,9 @@
     async def read(self, *, start, wait_ms):
         self.reads += 1
         self._check()
+        if self.truncated_reads:
+            self.truncated_reads -= 1
+            raise HistoryTruncated()
         if start < self.first:
             raise HistoryTruncated()
         if start >= len(self.records):
