--- /dev/null
+++ b/tests/test_crashed_items.py
@@ -0,0 +1,307 @@
+"""Batch items whose workers crash while they run are still owed and run again soon."""
+
+import contextlib
+import random
+
+import anyio
+import pytest
+
+from foxtailbank.fleet.crash_reports import CrashReport, request_fingerprint
+from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.worker_health import ERROR_PAUSE_MS, MAX_PAUSE_MS
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.route import Backend, RouteKind
+from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.http1.failures import (
+    ConnectionBroken,
+    MalformedResponse,
+    NotConnected,
+    ResponseTimeout,
+)
+from foxtailbank.keyed_log import LogSlice
+from foxtailbank.metrics import Metrics
+from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.batch_capacity import BatchCapacity
+from foxtailbank.submissions.records import (
+    Item,
+    ItemEnded,
+    Submitted,
+    TakenOver,
+    decode,
+)
+from foxtailbank.submissions.runner import RETRY_MS, Runner
+from foxtailbank.submissions.submission_table import SubmissionTable
+from serving_fakes import (
+    FakeKeyedLog,
+    FakeResponse,
+    FakeWorkerClient,
+    ServingWorld,
+    make_logs,
+    make_route,
+    make_routes,
+    make_worker,
+    manual_clock,
+)
+
+pytestmark = pytest.mark.anyio
+HOST = "h"
+TARGET = "/p/x"
+BODY = b"b"
+FINGERPRINT = request_fingerprint(host=HOST, target=TARGET, body=BODY)
+STEP_MS = 100
+BURST_MS = 12_000  # longer than the crashes of any case here take
+# From the last crash on: the pauses of the item and of its worker, which may overlap.
+SOON_MS = RETRY_MS + ERROR_PAUSE_MS + 2 * STEP_MS
+WORKER_IDS = tuple(f"w{number}" for number in range(4))
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class ItemVm:
+    """A VM that runs batch items on scripted workers."""
+
+    def __init__(self, *script, workers=None, routes=None):
+        self.clock = manual_clock()
+        logs = make_logs()
+        self.routes = RouteTable()
+        self.routes.apply(make_routes(*(routes or (make_route(kind=RouteKind.BATCH),))))
+        self.fleet = FleetState(
+            vm_id="vm1",
+            zone="z1",
+            routes=self.routes,
+            logs=logs,
+            clock=self.clock,
+            rng=random.Random(1),
+        )
+        for worker in workers or map(make_worker, WORKER_IDS):
+            self.fleet.workers.put(worker)
+        self.client = FakeWorkerClient(*script)
+        self.table = SubmissionTable(logs=logs)
+        self.log = FakeKeyedLog()
+        self.appends = AppendQueue(
+            log=self.log,
+            producer="vm1/1",
+            call_bytes=10_000,
+            logs=logs,
+            clock=self.clock,
+        )
+        self.runner = Runner(
+            owner_id="vm1/1",
+            table=self.table,
+            appends=self.appends,
+            client=self.client,
+            fleet=self.fleet,
+            capacity=BatchCapacity(vm_id="vm1", view=self.fleet.view),
+            routes=self.routes,
+            clock=self.clock,
+            logs=logs,
+            metrics=Metrics(),
+            rng=random.Random(1),
+        )
+
+    def submit(self, submission_id="s1", *, owner="vm1/1", target=TARGET, route="r"):
+        item = Item(
+            item_id=f"{submission_id}-i", target=target, headers=(), body=BODY, tokens=1
+        )
+        record = Submitted(
+            submission_id=submission_id,
+            attempt="1",
+            route=route,
+            host=HOST,
+            target=target,
+            arrived_wall_ms=self.clock.wall_ms(),
+            waiting_limit=0,
+            owner=owner,
+            items=(item,),
+        )
+        self.table.ledger.apply(record)
+
+    def results(self):
+        """Return the results in the log."""
+        records = [decode(stored.value) for stored in self.log.records]
+        return [record for record in records if isinstance(record, ItemEnded)]
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.runner.run)
+            tasks.start_soon(self.appends.run)
+            self.table.apply_records(LogSlice(records=(), end=0))
+            yield
+            tasks.cancel_scope.cancel()
+
+    async def pass_time(self, total_ms, *, until=lambda: False):
+        """Advance the clock in steps; return the time passed until a condition."""
+        passed_ms = 0
+        while not until() and passed_ms < total_ms:
+            self.clock.advance(STEP_MS)
+            passed_ms += STEP_MS
+            self.fleet.notify_load()
+            await anyio.sleep(0.03)
+        return passed_ms
+
+    async def finish_items(self):
+        """Run until no item is on a worker and all results are in the log."""
+
+        def is_finished():
+            return not self.runner.running_count and not self.appends.waiting_bytes
+
+        await self.pass_time(BURST_MS, until=is_finished)
+
+    async def send_all(self):
+        """Run until the script of the workers has been used up."""
+        await self.pass_time(BURST_MS, until=lambda: not self.client.script)
+
+
+def success():
+    return FakeResponse(parts=(b"id: 1\ndata: t\n\n",))
+
+
+def broken_stream():
+    return FakeResponse(parts=(b"id: 1\ndata: t\n\n", ConnectionBroken()))
+
+
+# An item whose workers crashed during a burst is never sent again.
+@pytest.mark.parametrize(
+    ("crashes", "worker_ids"),
+    [
+        pytest.param([ConnectionBroken] * 3, WORKER_IDS, id="three-before-any-output"),
+        pytest.param([ConnectionBroken] * 6, WORKER_IDS, id="six-before-any-output"),
+        pytest.param([broken_stream] * 4, WORKER_IDS, id="within-the-output"),
+        pytest.param([ConnectionBroken] * 4, ("w0",), id="one-worker-same-id"),
+        pytest.param([ConnectionBroken] * 4, ("w0", "w1", "w2"), id="all-have-failed"),
+    ],
+)
+async def test_an_item_is_placed_soon_after_its_workers_crashed(crashes, worker_ids):
+    vm = ItemVm(
+        *(crash() for crash in crashes), success(), workers=map(make_worker, worker_ids)
+    )
+    vm.submit()
+    async with vm.running():
+        await vm.pass_time(BURST_MS, until=lambda: len(vm.client.script) == 1)
+        assert len(vm.client.sent) == len(crashes)
+        assert await vm.pass_time(10_000, until=lambda: not vm.client.script) <= SOON_MS
+        await vm.finish_items()
+        assert [result.completed for result in vm.results()] == [True]
+        assert vm.results()[0].text.endswith("t")
+
+
+# An item is never sent because other VMs reported its crashes, or because it changed
+# its owner after them.
+@pytest.mark.parametrize("first_owner", ["vm1/1", "vm2/1"], ids=["own", "taken-over"])
+async def test_crash_reports_of_other_vms_do_not_stop_an_item(first_owner):
+    vm = ItemVm(success())
+    for worker_id in WORKER_IDS:
+        report = CrashReport(fingerprint=FINGERPRINT, worker_id=worker_id)
+        vm.fleet.crash_reports.add(report, vm.clock.now_ms())
+    vm.submit(owner=first_owner)
+    if first_owner != "vm1/1":
+        record = TakenOver(submission_id="s1", generation=1, owner="vm1/1")
+        vm.table.ledger.apply(record)
+    async with vm.running():
+        assert await vm.pass_time(10_000, until=lambda: not vm.client.script) <= SOON_MS
+        await vm.finish_items()
+    assert [result.completed for result in vm.results()] == [True]
+
+
+# An online request with the content of an item is refused for the item's crashes.
+async def test_crashes_of_an_item_do_not_refuse_an_online_request():
+    vm = ItemVm(*(ConnectionBroken() for _ in range(4)), success())
+    vm.submit()
+    async with vm.running():
+        await vm.pass_time(BURST_MS, until=lambda: len(vm.client.script) == 1)
+        assert not vm.fleet.crash_reports.is_refused(FINGERPRINT)
+
+
+# Crash reports of items displace those of online requests from the load reports.
+async def test_crashes_of_items_are_not_reported_to_other_vms():
+    vm = ItemVm(*(ConnectionBroken() for _ in range(4)), success())
+    reported = []
+    vm.fleet.add_crash_listener(reported.append)
+    vm.submit()
+    async with vm.running():
+        await vm.send_all()
+    assert reported == []
+
+
+# An online request that crashes its workers is sent to further workers.
+async def test_an_online_request_that_crashes_workers_is_refused_and_reported():
+    world = ServingWorld(
+        *(ConnectionBroken() for _ in range(3)), success(), worker_count=4
+    )
+    reported = []
+    world.fleet.add_crash_listener(reported.append)
+    route = make_route(kind=RouteKind.SAFE, max_attempts=4)
+    seen = await world.serve(route, fingerprint=FINGERPRINT)
+    assert seen.status == 502
+    assert world.fleet.crash_reports.is_refused(FINGERPRINT)
+    assert len(reported) == 3
+
+
+# A failed exchange leaves a load behind, so that the worker appears full for good.
+@pytest.mark.parametrize(
+    "failure", [ConnectionBroken, MalformedResponse, NotConnected, ResponseTimeout]
+)
+async def test_no_load_remains_after_a_worker_failed(failure):
+    vm = ItemVm(*(failure() for _ in range(3)), success())
+    vm.submit()
+    async with vm.running():
+        await vm.pass_time(BURST_MS, until=lambda: len(vm.client.script) == 1)
+        vm.fleet.workers.remove(vm.client.sent[-1][0], vm.clock.now_ms())
+        await vm.send_all()
+        await vm.finish_items()
+        assert vm.fleet.loads.own_by_worker() == {}
+
+
+# A worker that failed often is avoided for longer and longer, and its items wait.
+@pytest.mark.parametrize("failure", [ConnectionBroken, NotConnected, ResponseTimeout])
+async def test_the_pause_of_a_worker_that_failed_often_is_bounded(failure):
+    vm = ItemVm()
+    worker = vm.fleet.workers.get("w0")
+    for _ in range(50):
+        vm.fleet.health.on_failure("w0", vm.clock.now_ms())
+        vm.fleet.health.on_error("w0", vm.clock.now_ms())
+        vm.clock.advance(MAX_PAUSE_MS)
+    vm.fleet.on_exchange_failure(worker, FINGERPRINT, failure())
+    vm.clock.advance(MAX_PAUSE_MS)
+    assert vm.fleet.view.is_healthy(worker, vm.clock.now_ms())
+
+
+# Items of one service are not sent while the workers of another service are down.
+@pytest.mark.parametrize("state", ["crashed", "avoided", "full"])
+async def test_items_are_placed_while_another_service_has_no_free_worker(state):
+    workers = {
+        "crashed": (),
+        "avoided": (make_worker("a0", service="a"),),
+        "full": (make_worker("a0", service="a"),),
+    }[state]
+    routes = [
+        make_route(
+            name=name,
+            path_prefix=f"/{name}/",
+            kind=RouteKind.BATCH,
+            backends=(Backend(service=name, weight=1),),
+        )
+        for name in "ab"
+    ]
+    vm = ItemVm(
+        success(), workers=(*workers, make_worker("b0", service="b")), routes=routes
+    )
+    if state == "avoided":
+        for _ in range(9):
+            vm.fleet.health.on_failure("a0", vm.clock.now_ms())
+            vm.clock.advance(MAX_PAUSE_MS)
+        vm.fleet.health.on_failure("a0", vm.clock.now_ms())
+    if state == "full":
+        for _ in range(2):
+            vm.fleet.loads.start("a0", LoadKind.ONLINE)
+    vm.submit("first", target="/a/x", route="a")
+    vm.clock.advance(STEP_MS)
+    vm.submit("second", target="/b/x", route="b")
+    async with vm.running():
+        assert await vm.pass_time(3_000, until=lambda: not vm.client.script) < 3_000
+        await vm.finish_items()
+    assert [record.submission_id for record in vm.results()] == ["second"]
