Place items again however many workers crashed while they ran

Callers: an item that was running on three workers when they crashed was never sent again, by no VM, and an online request with the same host, target and body was refused with 503 although it had crashed nothing.

Cause: the runner reported each broken connection of an item as a crash report and did not send an item with reports of three workers. Reports go to all VMs and are dropped only above 4,096 of them, so neither calm nor a takeover ended the refusal.

Items now neither report crashes nor heed reports: an item under which workers crash is still owed, and its reports would fill the 16 places in a load report. What bounds its retries is as before: RETRY_MS for the item and the pause of the worker.

--- a/src/foxtailbank/fleet/crash_reports.py
+++ b/src/foxtailbank/fleet/crash_reports.py
@@ -1,4 +1,4 @@
-"""Reports of requests that were running when their worker crashed."""
+"""Reports of online requests that were running when their worker crashed."""
 
 import dataclasses
 
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CrashReport:
-    """A request was in flight when a connection to its worker broke.
+    """An online request was in flight when a connection to its worker broke.
 
     Attributes
     ----------
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -248,7 +248,7 @@
 
     def _on_failure(self, worker: Worker, failure: ExchangeFailed) -> None:
         self._last_failure = failure.code
-        self._fleet.on_exchange_failure(worker, self._call.fingerprint, failure)
+        self._fleet.on_request_failure(worker, self._call.fingerprint, failure)
         reason = f"{failure.code}: {failure.detail}"
         self._recorder.on_attempt_failed(worker, reason, self._attempts)
 
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -180,17 +180,26 @@
                 Event.ENDPOINT_AVOIDED, level=LogLevel.WARNING, fields=fields
             )
 
-    def on_exchange_failure(
+    def on_exchange_failure(self, worker: Worker, failure: ExchangeFailed) -> None:
+        """Update worker health after a failed exchange."""
+        if isinstance(failure, (NotConnected, ResponseTimeout)):
+            self.on_worker_failure(worker, failure, self._clock.now_ms())
+        if isinstance(failure, ConnectionBroken):
+            self.on_worker_error(worker, failure.code)
+
+    def on_request_failure(
         self, worker: Worker, fingerprint: int, failure: ExchangeFailed
     ) -> None:
-        """Update worker health and crash reports after a failed exchange."""
-        now_ms = self._clock.now_ms()
-        if isinstance(failure, (NotConnected, ResponseTimeout)):
-            self.on_worker_failure(worker, failure, now_ms)
+        """Update worker health and crash reports after a failed online request.
+
+        Batch items are not reported. A crash during an item is never caused by the
+        item, which stays owed however many workers crash, and its reports would
+        refuse online requests with the same content.
+        """
         if isinstance(failure, ConnectionBroken):
             report = CrashReport(fingerprint=fingerprint, worker_id=worker.worker_id)
-            self.on_crash(report, now_ms)
-            self.on_worker_error(worker, failure.code)
+            self.on_crash(report, self._clock.now_ms())
+        self.on_exchange_failure(worker, failure)
 
     def on_not_run(self, worker: Worker, response: WorkerResponse) -> None:
         """Update the state of a worker that refused to run a request."""
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -6,7 +6,6 @@
 import anyio.abc
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.fleet.crash_reports import request_fingerprint
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
@@ -209,10 +208,6 @@
         if self._is_past_retention(run, route):
             self._recorder.record_end(run, completed=False, reason="retention")
             return True
-        fingerprint = self._fingerprint(run)
-        if self._fleet.crash_reports.is_refused(fingerprint):
-            run.not_before_ms = now_ms + ROUTE_REMOVED_MS
-            return True
         worker = self._choose_worker(run, route, now_ms)
         if worker is None:
             return False
@@ -221,7 +216,7 @@
         run.send_count += 1
         self._fleet.loads.start(worker.worker_id, LoadKind.BATCH)
         assert self._group is not None
-        self._group.start_soon(self._run, run, route, worker, fingerprint)
+        self._group.start_soon(self._run, run, route, worker)
         return True
 
     def _choose_worker(self, run: ItemRun, route: Route, now_ms: int) -> Worker | None:
@@ -240,16 +235,14 @@
             self._no_slot_since_ms = now_ms
         return worker
 
-    async def _run(
-        self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
-    ) -> None:
+    async def _run(self, run: ItemRun, route: Route, worker: Worker) -> None:
         scope = run.cancel_scope
         assert scope is not None
         self._recorder.record_start(run)
         self._fleet.notify_load()
         try:
             with scope:
-                await self._exchange(run, route, worker, fingerprint)
+                await self._exchange(run, route, worker)
         finally:
             run.cancel_scope = None
             run.event_buffer.discard_partial_event()
@@ -258,9 +251,7 @@
         if scope.cancelled_caught:
             run.not_before_ms = self._clock.now_ms() + PREEMPTION_PAUSE_MS
 
-    async def _exchange(
-        self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
-    ) -> None:
+    async def _exchange(self, run: ItemRun, route: Route, worker: Worker) -> None:
         call = Call(
             request_id=run.item.item_id,
             method="POST",
@@ -280,7 +271,7 @@
             ) as answer:
                 await self._handle_answer(run, route, worker, answer)
         except ExchangeFailed as failure:
-            self._on_failure(run, worker, fingerprint, failure)
+            self._on_failure(run, worker, failure)
 
     async def _handle_answer(
         self, run: ItemRun, route: Route, worker: Worker, answer: WorkerResponse
@@ -322,12 +313,12 @@
             self._recorder.record_end(run, completed=False, reason="attempts")
 
     def _on_failure(
-        self, run: ItemRun, worker: Worker, fingerprint: int, failure: ExchangeFailed
+        self, run: ItemRun, worker: Worker, failure: ExchangeFailed
     ) -> None:
         now_ms = self._clock.now_ms()
         run.failed_worker_ids.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
-        self._fleet.on_exchange_failure(worker, fingerprint, failure)
+        self._fleet.on_exchange_failure(worker, failure)
         self._recorder.record_exchange_failure(run, failure)
 
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
@@ -364,8 +355,3 @@
                 load = self._fleet.loads.total(worker_id)
                 self._recorder.record_preemption(run, worker, load)
                 run.stop()
-
-    def _fingerprint(self, run: ItemRun) -> int:
-        return request_fingerprint(
-            host=run.submission.host, target=run.item.target, body=run.item.body
-        )
