Place items of each route while those of another have no free worker

Callers: while no worker of one service was free, as after crashes of all its workers, no item of another service that was due later was placed, although its workers were idle, and for as long as that lasted.

Cause: the pass over the waiting items ended at the first item without a free worker, and the time since which there was none was one for all services.

A pass now skips only further items of the same route, so its cost stays one search per route, and the time is kept by route: an item of one service that finds a slot no longer restarts the wait after which another's items go to the next distance tier.

--- a/src/foxtailbank/submissions/batch_capacity.py
+++ b/src/foxtailbank/submissions/batch_capacity.py
@@ -67,8 +67,8 @@
         avoid : container of str
             Ids of workers that failed this item; used only if no other is free.
         waited_ms : int
-            How long this VM has found no free slot; after each `TIER_WAIT_MS` the next
-            distance tier is included.
+            How long this VM has found no free slot for items of the same route; after
+            each `TIER_WAIT_MS` the next distance tier is included.
         now_ms : int
             Current time.
         """
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -105,7 +105,7 @@
         )
         self._runs_by_key: dict[tuple[str, str], ItemRun] = {}
         self._route_missing_since_ms: dict[str, int] = {}
-        self._no_slot_since_ms: int | None = None
+        self._no_slot_since_ms_by_route: dict[str, int] = {}
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self.stopping = False
@@ -189,14 +189,17 @@
             for run in self._runs_by_key.values()
             if not run.is_running and not run.is_done and run.not_before_ms <= now_ms
         ]
-        if not waiting:
-            self._no_slot_since_ms = None
-            return
         # Overdue items come after those that can still be on time.
         waiting.sort(key=lambda run: (run.due_ms < now_ms, run.due_ms))
+        no_slot_since_ms_by_route: dict[str, int] = {}
         for run in waiting:
+            name = run.submission.route
+            if name in no_slot_since_ms_by_route:
+                continue
             if not self._try_start(run, now_ms):
-                break
+                since_ms = self._no_slot_since_ms_by_route.get(name, now_ms)
+                no_slot_since_ms_by_route[name] = since_ms
+        self._no_slot_since_ms_by_route = no_slot_since_ms_by_route
 
     def _try_start(self, run: ItemRun, now_ms: int) -> bool:
         """Try to start an item; return false if no worker has a free slot."""
@@ -220,19 +223,15 @@
         return True
 
     def _choose_worker(self, run: ItemRun, route: Route, now_ms: int) -> Worker | None:
-        waited_ms = 0
-        if self._no_slot_since_ms is not None:
-            waited_ms = now_ms - self._no_slot_since_ms
+        name = run.submission.route
         worker = self._capacity.choose_worker(
             self._fleet.workers.usable(route.choose_service(self._rng)),
             avoid=run.failed_worker_ids,
-            waited_ms=waited_ms,
+            waited_ms=now_ms - self._no_slot_since_ms_by_route.get(name, now_ms),
             now_ms=now_ms,
         )
         if worker is not None:
-            self._no_slot_since_ms = None
-        elif self._no_slot_since_ms is None:
-            self._no_slot_since_ms = now_ms
+            self._no_slot_since_ms_by_route.pop(name, None)
         return worker
 
     async def _run(self, run: ItemRun, route: Route, worker: Worker) -> None:
