Don't count attempts that made progress against a batch item

Callers: a sound item of a batch job ended as the typed failure endpoint_failed after three engines had crashed under it, although each attempt had carried it further.

Cause: the item runner counted every failed attempt up to MAX_ATTEMPTS. The quarantine clears a request that gets 16 tokens past the point of a crash; the count did not.

Attempts without progress are counted as before, so an item that crashes each engine at the same token still ends after at most three. One that crashes each engine only after progress ends after MAX_FAILURES, 16 in all.

--- a/src/foxtailbank/item_runner.py
+++ b/src/foxtailbank/item_runner.py
@@ -24,11 +24,14 @@
 from foxtailbank.ledger_events import ItemsClaimWon, LedgerEvent
 from foxtailbank.ledger_service import LedgerService
 from foxtailbank.open_chunk import OpenChunk
+from foxtailbank.quarantine import TOKENS_TO_CLEAR
 from foxtailbank.records import ItemsClaimed, ItemsReleased
 from foxtailbank.results import failure_line
 from foxtailbank.work import Work
 
-MAX_ATTEMPTS = 3
+MAX_ATTEMPTS = 3  # consecutive ones without progress
+# Limits the damage of an item that crashes each engine only after some progress.
+MAX_FAILURES = 16
 ITEM_DEADLINE_MS = 600_000
 REFUSAL_PAUSE_S = 0.25
 
@@ -170,6 +173,7 @@
     ) -> None:
         chunk = active.chunk
         position = active.position
+        first_index = active.collector.next_index
         try:
             await self._dispatcher.run(
                 work, active.collector, first_backend=batch.backend, may_retry=False
@@ -183,16 +187,32 @@
         except OutcomeUnknown as failure:
             self._fail(chunk, position, chunk.lines[position], failure)
         except EndpointFailed as failure:
-            chunk.attempts_by_position[position] += 1
-            if chunk.attempts_by_position[position] < MAX_ATTEMPTS:
-                chunk.requeue(position, active.collector)
+            new_tokens = active.collector.next_index - first_index
+            if not self._may_run_again(chunk, position, new_tokens):
+                self._fail(chunk, position, chunk.lines[position], failure)
                 return
-            self._fail(chunk, position, chunk.lines[position], failure)
+            chunk.requeue(position, active.collector)
         except FoxtailbankError as failure:
             self._fail(chunk, position, chunk.lines[position], failure)
         else:
             self._finish(active, item)
 
+    def _may_run_again(self, chunk: OpenChunk, position: int, new_tokens: int) -> bool:
+        """Count a failed attempt; return whether the item has attempts left.
+
+        An attempt that got well past the earlier ones restarts the count up to
+        `MAX_ATTEMPTS`, since the item is unlikely to be the cause of the failure.
+        """
+        chunk.failures_by_position[position] += 1
+        if new_tokens >= TOKENS_TO_CLEAR:
+            chunk.attempts_by_position[position] = 0
+        else:
+            chunk.attempts_by_position[position] += 1
+        return (
+            chunk.attempts_by_position[position] < MAX_ATTEMPTS
+            and chunk.failures_by_position[position] < MAX_FAILURES
+        )
+
     def _finish(self, active: ActiveItem, item: BatchItem) -> None:
         collector = active.collector
         line = msgspec.json.encode(
--- a/src/foxtailbank/open_chunk.py
+++ b/src/foxtailbank/open_chunk.py
@@ -51,7 +51,9 @@
     running : set of int
         Positions in flight.
     attempts_by_position : Counter of int
-        Number of attempts that may have run.
+        Number of failed attempts that may have run, since the last with progress.
+    failures_by_position : Counter of int
+        Number of all failed attempts that may have run.
     partial_by_position : dict of int to CompletionCollector
         Output of interrupted attempts, from which the item is resumed.
     """
@@ -74,6 +76,7 @@
         )
         self.running: set[int] = set()
         self.attempts_by_position: collections.Counter[int] = collections.Counter()
+        self.failures_by_position: collections.Counter[int] = collections.Counter()
         self.partial_by_position: dict[int, CompletionCollector] = {}
         self._results_by_position: dict[int, bytes] = {}
         self._failed: set[int] = set()
