--- a/tests/test_crashed_items.py
+++ b/tests/test_crashed_items.py
@@ -63,7 +63,7 @@
 class ItemVm:
     """A VM that runs batch items on scripted workers."""
 
-    def __init__(self, *script, workers=None, routes=None):
+    def __init__(self, *script, workers=None, routes=None, client=None):
         self.clock = manual_clock()
         logs = make_logs()
         self.routes = RouteTable()
@@ -78,7 +78,7 @@
         )
         for worker in workers or map(make_worker, WORKER_IDS):
             self.fleet.workers.put(worker)
-        self.client = FakeWorkerClient(*script)
+        self.client = client or FakeWorkerClient(*script)
         self.table = SubmissionTable(logs=logs)
         self.log = FakeKeyedLog()
         self.appends = AppendQueue(
@@ -305,3 +305,46 @@
         assert await vm.pass_time(3_000, until=lambda: not vm.client.script) < 3_000
         await vm.finish_items()
     assert [record.submission_id for record in vm.results()] == ["second"]
+
+
+class WorkerScripts(FakeWorkerClient):
+    """Responds per worker; the last response of a worker's list repeats."""
+
+    def __init__(self, steps_by_worker):
+        super().__init__()
+        self.steps_by_worker = steps_by_worker
+
+    @contextlib.asynccontextmanager
+    async def exchange(self, worker, call, **parameters):
+        steps = self.steps_by_worker[worker.worker_id]
+        make_step = steps.pop(0) if len(steps) > 1 else steps[0]
+        self.script.append(make_step())
+        async with super().exchange(worker, call, **parameters) as response:
+            yield response
+
+
+def refusal():
+    return FakeResponse(status=503, not_run=True)
+
+
+# An item is sent for good to the worker that appears the least loaded and fails it.
+@pytest.mark.parametrize("bad_id", ["w0", "w1"])
+@pytest.mark.parametrize(
+    ("first", "others"),
+    [
+        pytest.param([], refusal, id="refuses"),
+        pytest.param([refusal], refusal, id="after-the-other-refused"),
+        pytest.param([MalformedResponse], MalformedResponse, id="after-both-failed"),
+    ],
+)
+async def test_an_item_is_not_left_to_one_worker_that_always_fails_it(
+    bad_id, first, others
+):
+    good_id = {"w0": "w1", "w1": "w0"}[bad_id]
+    client = WorkerScripts({bad_id: [others], good_id: [*first, success]})
+    vm = ItemVm(workers=map(make_worker, ("w0", "w1")), client=client)
+    vm.submit()
+    async with vm.running():
+        await vm.pass_time(4 * RETRY_MS + STEP_MS)
+        await vm.finish_items()
+    assert [result.completed for result in vm.results()] == [True]
