Send an item to each free worker in turn after refusals and failures

Callers: an item was sent every 100 ms, for good, to the one worker that appeared the least loaded and refused it each time, while another had free slots; once each worker had failed an item, it was sent every 300 ms to the same one.

Cause: a refusal did not make the next send prefer another worker, and the pause of a full worker ends just when the item is due again. Workers that had failed the item were avoided for good, so that with all of them in the set the least loaded was always chosen.

A refusal now counts like a failure for this preference, and the set is cleared when a worker in it has to be chosen, so that each free worker gets its turn.

--- a/src/foxtailbank/submissions/batch_capacity.py
+++ b/src/foxtailbank/submissions/batch_capacity.py
@@ -65,7 +65,8 @@
         workers : tuple of Worker
             Workers of the item's service.
         avoid : container of str
-            Ids of workers that failed this item; used only if no other is free.
+            Ids of workers that failed or refused this item; used only if no other is
+            free.
         waited_ms : int
             How long this VM has found no free slot for items of the same route; after
             each `TIER_WAIT_MS` the next distance tier is included.
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -31,8 +31,9 @@
         Cancels the current run; None while the item waits.
     not_before_ms : int
         Earliest time of the next send.
-    failed_worker_ids : set of str
-        Ids of workers that failed the item.
+    avoided_worker_ids : set of str
+        Ids of workers that failed or refused the item, until one of them is chosen
+        again because no other is free.
     send_count : int
         Number of times it was sent to a worker.
     saved_event_count : int
@@ -51,7 +52,7 @@
     worker_id: str = ""
     cancel_scope: anyio.CancelScope | None = None
     not_before_ms: int = 0
-    failed_worker_ids: set[str] = dataclasses.field(default_factory=set)
+    avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
     saved_event_count: int = 0
     saved_ms: int = 0
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -226,12 +226,16 @@
         name = run.submission.route
         worker = self._capacity.choose_worker(
             self._fleet.workers.usable(route.choose_service(self._rng)),
-            avoid=run.failed_worker_ids,
+            avoid=run.avoided_worker_ids,
             waited_ms=now_ms - self._no_slot_since_ms_by_route.get(name, now_ms),
             now_ms=now_ms,
         )
-        if worker is not None:
-            self._no_slot_since_ms_by_route.pop(name, None)
+        if worker is None:
+            return None
+        self._no_slot_since_ms_by_route.pop(name, None)
+        if worker.worker_id in run.avoided_worker_ids:
+            # All free workers have been tried, so each gets another try in turn.
+            run.avoided_worker_ids.clear()
         return worker
 
     async def _run(self, run: ItemRun, route: Route, worker: Worker) -> None:
@@ -278,6 +282,7 @@
         now_ms = self._clock.now_ms()
         if answer.not_run:
             self._fleet.on_not_run(worker, answer)
+            run.avoided_worker_ids.add(worker.worker_id)
             run.not_before_ms = now_ms + FULL_RETRY_MS
             load = self._fleet.loads.total(worker.worker_id)
             self._recorder.record_refusal(run, answer, load)
@@ -290,7 +295,7 @@
         if answer.status == STATUS_CANNOT_RUN:
             self._recorder.record_end(run, completed=False, reason="cannot_run")
             return
-        run.failed_worker_ids.add(worker.worker_id)
+        run.avoided_worker_ids.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
         if answer.status == STATUS_FAILED:
             self._on_attempt_failed(run, route)
@@ -315,7 +320,7 @@
         self, run: ItemRun, worker: Worker, failure: ExchangeFailed
     ) -> None:
         now_ms = self._clock.now_ms()
-        run.failed_worker_ids.add(worker.worker_id)
+        run.avoided_worker_ids.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
         self._fleet.on_exchange_failure(worker, failure)
         self._recorder.record_exchange_failure(run, failure)
