--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -233,6 +233,8 @@
             syncs.start_soon(harness.follower.sync)
             await anyio.sleep(0.05)
             held.set()
+        assert harness.state.keys == ["a", "b"]
+        group.cancel_scope.cancel()
 
 
 # Guards against a pause between reads while the log holds records that were not read.
