Split entry_vm: readiness, periodic tasks, duties and report requests

VmReadiness decides whether the VM serves and whether batch items start; entry_tasks lists the periodic tasks as PeriodicTask values, which run_periodically takes in place of four arguments; DutyOwnership says which VM performs a duty; PeerReportHandler answers report requests, beside PeerNoticeHandlers. Periods, task names and the order of starts are unchanged. The attribute EntryVm.online is gone: nothing read it.

--- a/src/foxtailbank/entry_vm.py
+++ b/src/foxtailbank/entry_vm.py
@@ -2,7 +2,6 @@
 
 import functools
 import random
-import typing as t
 
 import anyio
 import anyio.abc
@@ -16,13 +15,14 @@
 from foxtailbank.batch_api import BatchApi
 from foxtailbank.batch_runner import BatchRunner
 from foxtailbank.burn_recorder import BurnRecorder
-from foxtailbank.catalogue_records import STREAM as CATALOGUE
 from foxtailbank.catalogue_service import CatalogueService
 from foxtailbank.clock import Clock
 from foxtailbank.connector import Connector
 from foxtailbank.dispatcher import Dispatcher
+from foxtailbank.duty_ownership import DutyOwnership
 from foxtailbank.endpoint_directory import EndpointDirectory
 from foxtailbank.endpoint_watcher import EndpointWatcher
+from foxtailbank.entry_tasks import entry_tasks
 from foxtailbank.events import Event
 from foxtailbank.fleet_api import FleetApi
 from foxtailbank.fleet_observer import FleetObserver
@@ -43,16 +43,15 @@
 from foxtailbank.online import OnlineHandler
 from foxtailbank.outcome_recorder import OutcomeRecorder
 from foxtailbank.overload_guard import OverloadGuard
-from foxtailbank.ownership import Candidate, owner_of
 from foxtailbank.peer_notice_handlers import PeerNoticeHandlers
+from foxtailbank.peer_report_handler import PeerReportHandler
 from foxtailbank.peer_sync import PeerSync
-from foxtailbank.peer_vm_list import VM_LIST_REPORT, PeerVmList
+from foxtailbank.peer_vm_list import PeerVmList
 from foxtailbank.peering import Peering
 from foxtailbank.policies import make_batch_limit, make_router
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.quarantine_exchange import QuarantineExchange
 from foxtailbank.replicated_stream import CatalogueStream, LedgerStream
-from foxtailbank.retention_task import PERIOD_MS as RETENTION_PERIOD_MS
 from foxtailbank.retention_task import RetentionTask
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.secret_file import read_secret
@@ -60,13 +59,9 @@
 from foxtailbank.state_change_logger import StateChangeLogger
 from foxtailbank.suspect_gate import SuspectGate
 from foxtailbank.tasks import run_periodically
+from foxtailbank.vm_readiness import VmReadiness
 from foxtailbank.vm_states import vm_states
 
-PLACEMENT_PERIOD_MS = 1_000
-SUSPECT_GATE_PERIOD_MS = 50
-STATE_PERIOD_MS = 500
-QUARANTINE_PERIOD_MS = 5_000
-
 
 class EntryVm:
     """Builds and connects the parts of one entry VM.
@@ -145,6 +140,14 @@
                 LedgerStream(service=self._ledger),
             ),
         )
+        self._readiness = VmReadiness(
+            catalogue=self._catalogue,
+            ledger=self._ledger,
+            peer_sync=self._peer_sync,
+            peering=self._peering,
+            directory=self.directory,
+            max_view_age_ms=settings.timing.batch_view_ms,
+        )
         self._observer = self._make_observer()
         self._retention = self._make_retention(log)
         self._router = make_router(settings.policy, rng=rng)
@@ -178,12 +181,16 @@
             placement=self._placement,
             logs=logs,
         )
+        self._guard = AdminGuard(key=read_secret(settings.admin.key_file).decode())
+        self._fleet_api = self._make_fleet_api()
         self._register_peer_handlers()
-        self.online = self._make_online()
-        self.health = HealthApi(is_ready=self.is_ready, metrics=self._metrics)
+        self.health = HealthApi(
+            is_ready=self._readiness.is_ready, metrics=self._metrics
+        )
         self.app = self._make_app()
 
     def _make_retention(self, log: LogService) -> RetentionTask:
+        duties = DutyOwnership(vm_id=self._settings.vm.id, peering=self._peering)
         lost = LostClaimants(
             clock=self._clock, incarnation_of=self._peering.incarnation_of
         )
@@ -194,20 +201,10 @@
             service=self._ledger,
             catalogue=self._catalogue,
             logs=self._logs,
-            owns=self._owns_duty,
+            owns=duties.is_owner,
             is_lost=lost.is_lost,
         )
 
-    def _owns_duty(self, duty: str) -> bool:
-        """Return whether this VM is the one that performs a duty for the fleet."""
-        live = [
-            Candidate(candidate_id=peer.vm_id, zone=peer.zone)
-            for peer in self._peering.live_vms()
-        ]
-        owner = owner_of(duty, live)
-        vm_id = self._settings.vm.id
-        return isinstance(owner, Candidate) and owner.candidate_id == vm_id
-
     def _make_observer(self) -> FleetObserver:
         return FleetObserver(
             clock=self._clock,
@@ -244,7 +241,7 @@
             logs=self._logs,
             admission=BatchAdmission(clock=self._clock, admission=self._admission),
             burn=self._burn,
-            may_start=self._may_start_batch,
+            may_start=self._readiness.may_start_batch,
             make_limit=functools.partial(make_batch_limit, self._settings.policy),
             max_buffer_bytes=limits.result_buffer_bytes,
             max_in_flight=limits.batch_in_flight,
@@ -274,14 +271,11 @@
             ),
         )
 
-    def _make_app(self) -> App:
-        key = read_secret(self._settings.admin.key_file).decode()
-        guard = AdminGuard(key=key)
-        catalogue = self._catalogue.catalogue
-        fleet = FleetApi(
+    def _make_fleet_api(self) -> FleetApi:
+        return FleetApi(
             clock=self._clock,
-            guard=guard,
-            catalogue=catalogue,
+            guard=self._guard,
+            catalogue=self._catalogue.catalogue,
             directory=self.directory,
             service=self._ledger,
             quarantine=self._quarantine,
@@ -289,7 +283,9 @@
             peering=self._peering,
             burn=self._burn,
         )
-        self._answer_burn_report = fleet.answer_report
+
+    def _make_app(self) -> App:
+        catalogue = self._catalogue.catalogue
         batches = BatchApi(
             clock=self._clock,
             catalogue=catalogue,
@@ -299,17 +295,19 @@
         )
         admin = AdminApi(
             clock=self._clock,
-            guard=guard,
+            guard=self._guard,
             catalogue=catalogue,
             writer=self._catalogue.writer,
         )
-        apis = (self.health, ModelsApi(catalogue=catalogue), batches, admin, fleet)
+        models = ModelsApi(catalogue=catalogue)
+        apis = (self.health, models, batches, admin, self._fleet_api)
         routes = [route for api in apis for route in api.routes()]
-        return App(online=self.online, routes=routes)
+        return App(online=self._make_online(), routes=routes)
 
     def _register_peer_handlers(self) -> None:
         handlers = self._peering.handlers
-        handlers.set_request_handler(pm.Report, self._answer_report)
+        reports = PeerReportHandler(vm_list=self._vm_list, fleet=self._fleet_api)
+        reports.register(handlers)
         notices = PeerNoticeHandlers(
             runner=self._batch_runner,
             exchange=self._quarantine_exchange,
@@ -317,17 +315,6 @@
         )
         notices.register(handlers)
 
-    def is_ready(self) -> bool:
-        """Return whether this VM follows its logs and has a catalogue and endpoints."""
-        tailer = self._catalogue.tailer
-        if tailer.halted_by is not None or self._ledger.tailer.halted_by is not None:
-            return False
-        has_catalogue = (
-            tailer.caught_up_at_ms is not None
-            or CATALOGUE in self._peer_sync.synced_streams
-        )
-        return has_catalogue and bool(self.directory.backends_by_id)
-
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start the background tasks.
 
@@ -336,40 +323,28 @@
         tasks : TaskGroup
             Group that runs the tasks until it is cancelled.
         """
-        timing = self._settings.timing
         self._catalogue.start(tasks)
         self._ledger.start(tasks)
         tasks.start_soon(self._peering.run)
         tasks.start_soon(self._batch_runner.run)
         tasks.start_soon(self._peer_sync.run)
-        self._start_periodic(
-            tasks,
-            timing.vm_list_period_ms,
-            self._endpoint_watcher.refresh_vms,
-            "vm_list",
-        )
-        self._start_periodic(
-            tasks, timing.load_period_ms, self._endpoint_watcher.poll_endpoints, "load"
-        )
-        self._start_periodic(
-            tasks, PLACEMENT_PERIOD_MS, self._refresher.refresh, "placement"
-        )
-        self._start_periodic(tasks, STATE_PERIOD_MS, self._state_log().check, "state")
-        self._start_periodic(
-            tasks, SUSPECT_GATE_PERIOD_MS, self._acknowledge_suspects, "suspects"
-        )
-        self._start_periodic(
-            tasks, RETENTION_PERIOD_MS, self._retention.run_once, "retention"
-        )
-        self._start_periodic(
-            tasks, QUARANTINE_PERIOD_MS, self._broadcast_quarantines, "quarantine"
+        periodic_tasks = entry_tasks(
+            timing=self._settings.timing,
+            endpoint_watcher=self._endpoint_watcher,
+            refresher=self._refresher,
+            state_logger=self._make_state_logger(),
+            suspect_gate=self._suspect_gate,
+            retention=self._retention,
+            quarantine_exchange=self._quarantine_exchange,
         )
+        for task in periodic_tasks:
+            tasks.start_soon(run_periodically, task, self._logs)
 
-    def _state_log(self) -> StateChangeLogger:
+    def _make_state_logger(self) -> StateChangeLogger:
         states = vm_states(
-            is_ready=self.is_ready,
-            may_start_batch=self._may_start_batch,
-            tailers=(self._catalogue.tailer, self._ledger.tailer),
+            is_ready=self._readiness.is_ready,
+            may_start_batch=self._readiness.may_start_batch,
+            tailers=self._readiness.tailers,
         )
         return StateChangeLogger(logs=self._logs, states=states)
 
@@ -378,39 +353,9 @@
         await self._peering.leave()
         await self._batch_runner.stop()
 
-    def _start_periodic(
-        self,
-        tasks: anyio.abc.TaskGroup,
-        period_ms: int,
-        work: t.Callable[[], t.Awaitable[None]],
-        name: str,
-    ) -> None:
-        run = functools.partial(
-            run_periodically, period_ms=period_ms, work=work, name=name, logs=self._logs
-        )
-        tasks.start_soon(run)
-
-    async def _acknowledge_suspects(self) -> None:
-        self._suspect_gate.acknowledge()
-
-    async def _broadcast_quarantines(self) -> None:
-        self._quarantine_exchange.broadcast_all()
-
-    def _may_start_batch(self) -> bool:
-        max_age_ms = self._settings.timing.batch_view_ms
-        age_ms = self._ledger.tailer.age_ms()
-        if age_ms is not None and age_ms <= max_age_ms:
-            return True
-        return self._peering.has_contact_with_all(within_ms=max_age_ms)
-
     def _notify_cancelled(self, job_id: str) -> None:
         self._peering.notify_all(pm.CancelNotice(job_id=job_id))
 
-    async def _answer_report(self, peer_id: str, request: pm.Report) -> pm.Report:
-        if request.name == VM_LIST_REPORT:
-            return self._vm_list.answer(request.name)
-        return await self._answer_burn_report(peer_id, request)
-
     def _on_membership_change(self, action: MembershipAction) -> None:
         if isinstance(action, MemberJoined | MemberDead):
             joined = isinstance(action, MemberJoined)
--- a/src/foxtailbank/tasks.py
+++ b/src/foxtailbank/tasks.py
@@ -1,5 +1,6 @@
 """Periodic background tasks of the daemon."""
 
+import dataclasses
 import traceback
 import typing as t
 
@@ -12,23 +13,32 @@
 from foxtailbank.settings_sections import LogLevel
 
 
-async def run_periodically(
-    *,
-    period_ms: int,
-    work: t.Callable[[], t.Awaitable[None]],
-    name: str,
-    logs: Logs,
-) -> None:
-    """Run a coroutine function periodically; failures are logged and do not stop it.
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeriodicTask:
+    """Work that is repeated at a fixed pause.
 
-    Parameters
+    Attributes
     ----------
+    name : str
+        Name of the task in log lines.
     period_ms : int
         Pause between the end of a run and the next start, in milliseconds.
     work : callable
         Coroutine function without arguments.
-    name : str
-        Name of the task in log lines.
+    """
+
+    name: str
+    period_ms: int
+    work: t.Callable[[], t.Awaitable[None]]
+
+
+async def run_periodically(task: PeriodicTask, logs: Logs) -> None:
+    """Run a task periodically; failures are logged and do not stop it.
+
+    Parameters
+    ----------
+    task : PeriodicTask
+        Task to run.
     logs : Logs
         Receives a line when failures begin and when their reason changes.
     """
@@ -36,19 +46,19 @@
     while True:
         reason = ""
         try:
-            await work()
+            await task.work()
         except FoxtailbankError as failure:
             reason = failure.code
             if reason != last_reason:
-                fields = LogFields(task=name, reason=f"{reason}: {failure.detail}")
+                fields = LogFields(task=task.name, reason=f"{reason}: {failure.detail}")
                 logs.write(Event.TASK_FAILED, level=LogLevel.WARNING, fields=fields)
         except Exception as error:
             reason = type(error).__name__
             if reason != last_reason:
-                fields = LogFields(task=name, reason=describe_error(error))
+                fields = LogFields(task=task.name, reason=describe_error(error))
                 logs.write(Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields)
         last_reason = reason
-        await anyio.sleep(period_ms / MS_PER_S)
+        await anyio.sleep(task.period_ms / MS_PER_S)
 
 
 def describe_error(error: BaseException) -> str:
