One HTTP client behind the VM list and the weight store

The weight store's adapter took its request function from the VM list's, and both opened, bounded, decoded and closed in the same lines. HttpPlatformClient does it once.

--- a/src/foxtailbank/http_weight_store.py
+++ b/src/foxtailbank/http_weight_store.py
@@ -2,9 +2,7 @@
 
 import msgspec
 
-from foxtailbank import exceptions
-from foxtailbank.http_channel import HttpChannel
-from foxtailbank.http_vm_list import fetch_platform_resource
+from foxtailbank.http_platform import TIMEOUT_MS, HttpPlatformClient
 from foxtailbank.weight_store import Weights, WeightStore
 
 
@@ -24,13 +22,12 @@
         Bound on a request and its response, in milliseconds.
     """
 
-    def __init__(self, *, address: str, timeout_ms: int = 3_000) -> None:
-        self._channel = HttpChannel(address=address)
-        self._timeout_ms = timeout_ms
+    def __init__(self, *, address: str, timeout_ms: int = TIMEOUT_MS) -> None:
+        self._client = HttpPlatformClient(address=address, timeout_ms=timeout_ms)
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._channel.aclose()
+        await self._client.aclose()
 
     async def rate_bytes_per_s(self) -> int:
         """Return the rate limit shared by all readers, in bytes per second.
@@ -53,10 +50,4 @@
         return (await self._fetch_listing()).weights
 
     async def _fetch_listing(self) -> _StoreListing:
-        body = await fetch_platform_resource(
-            self._channel, "/weights", timeout_ms=self._timeout_ms
-        )
-        try:
-            return msgspec.json.decode(body, type=_StoreListing)
-        except msgspec.MsgspecError as error:
-            raise exceptions.PlatformUnavailable(detail=str(error)) from error
+        return await self._client.fetch("/weights", _StoreListing)
