Burn report: one property says whether a window has events

Four places added good to bad to see whether a window is empty, and two took the last window for the longest. WindowBurn.has_events and BurnRow.longest_window name it. The JSON of the report holds the fields only, as before.

--- a/src/foxtailbank/burn_merge.py
+++ b/src/foxtailbank/burn_merge.py
@@ -59,6 +59,11 @@
     bad: int
     burn_rate: float
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the window contains any events."""
+        return self.good + self.bad > 0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BurnRow:
@@ -98,6 +103,11 @@
     reasons: tuple[ReasonCount, ...]
     bad_shares: tuple[float, ...]
 
+    @property
+    def longest_window(self) -> WindowBurn:
+        """Window that the error budget covers."""
+        return self.windows[-1]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BurnReport:
@@ -217,7 +227,7 @@
 def _status(window_by_name: dict[str, WindowBurn], allowed: float) -> BurnStatus:
     rate_by_name = {name: w.burn_rate for name, w in window_by_name.items()}
     longest = window_by_name[THREE_DAYS.name]
-    if longest.good + longest.bad == 0:
+    if not longest.has_events:
         return BurnStatus.NO_EVENTS
     if longest.burn_rate >= 1:
         return BurnStatus.EXHAUSTED
--- a/src/foxtailbank/burn_plot.py
+++ b/src/foxtailbank/burn_plot.py
@@ -118,7 +118,7 @@
 
 
 def _rows_with_events(report: BurnReport) -> list[BurnRow]:
-    return [row for row in report.rows if row.windows[-1].good + row.windows[-1].bad]
+    return [row for row in report.rows if row.longest_window.has_events]
 
 
 def _new_figure(*, height_inches: float) -> t.Any:
--- a/src/foxtailbank/burn_report.py
+++ b/src/foxtailbank/burn_report.py
@@ -122,8 +122,7 @@
 
 
 def _cells(row: BurnRow) -> list[str]:
-    longest = row.windows[-1]
-    has_events = longest.good + longest.bad > 0
+    longest = row.longest_window
     reasons = ", ".join(f"{item.reason} {item.count}" for item in row.reasons)
     return [
         row.owner,
@@ -132,10 +131,10 @@
         str(longest.good),
         str(longest.bad),
         *(
-            f"{window.burn_rate:.2f}" if window.good + window.bad else "-"
+            f"{window.burn_rate:.2f}" if window.has_events else "-"
             for window in row.windows
         ),
-        f"{row.budget_left:.1%}" if has_events else "-",
+        f"{row.budget_left:.1%}" if longest.has_events else "-",
         _duration_text(row.exhausted_in_ms),
         row.status.value,
         reasons,
