Endpoint watcher: one handling of a failed poll

The polls of load and of health recorded the same failures in the same lines.

Run: ruff, mypy; tests/test_crash_inducing.py, test_proofs_draining.py, test_proofs_partition.py (endpoints that die, leave and stall).

--- a/src/foxtailbank/endpoint_watcher.py
+++ b/src/foxtailbank/endpoint_watcher.py
@@ -92,11 +92,8 @@
     async def _read_load(self, backend: Backend, endpoint: Endpoint) -> None:
         try:
             report = await endpoint.load()
-        except EndpointRefused:
-            backend.breaker.on_death(self._clock.now_ms())
-            return
-        except EndpointFailed:
-            backend.breaker.on_failure(self._clock.now_ms())
+        except (EndpointRefused, EndpointFailed) as failure:
+            self._on_failed_poll(backend, failure)
             return
         backend.breaker.on_success()
         backend.on_load_report(report, self._clock.now_ms())
@@ -105,11 +102,17 @@
     async def _read_health(self, backend: Backend) -> None:
         try:
             leaving = await backend.service.is_leaving()
-        except EndpointRefused:
-            backend.breaker.on_death(self._clock.now_ms())
-            return
-        except EndpointFailed:
-            backend.breaker.on_failure(self._clock.now_ms())
+        except (EndpointRefused, EndpointFailed) as failure:
+            self._on_failed_poll(backend, failure)
             return
         backend.breaker.on_success()
         backend.update_drain_state(DrainSource.ENDPOINT, leaving, self._clock.now_ms())
+
+    def _on_failed_poll(
+        self, backend: Backend, failure: EndpointRefused | EndpointFailed
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if isinstance(failure, EndpointRefused):
+            backend.breaker.on_death(now_ms)
+        else:
+            backend.breaker.on_failure(now_ms)
