One function percent-encodes path segments

The log's client, the engines' client and the command line each had their own. It now stands with query_string in urls.py, which the adapters can use without the command line's client.

--- a/src/foxtailbank/cli_batch.py
+++ b/src/foxtailbank/cli_batch.py
@@ -8,12 +8,13 @@
 import msgspec
 
 from foxtailbank.batch_upload import PROGRESS_INTERVAL_BYTES, open_upload
-from foxtailbank.cli_client import Client, query_string, quote_segment
+from foxtailbank.cli_client import Client
 from foxtailbank.cli_context import Context
 from foxtailbank.cli_failure import CommandFailed
 from foxtailbank.cli_group import Commands, add_command, add_group
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.exit_code import ExitCode
+from foxtailbank.urls import query_string, quote_segment
 from foxtailbank.utc_text import format_utc
 
 DEFAULT_POLL_MS = 1000
--- a/src/foxtailbank/cli_catalogue.py
+++ b/src/foxtailbank/cli_catalogue.py
@@ -10,13 +10,13 @@
 from foxtailbank.batch_upload import STDIN_NAME
 from foxtailbank.catalogue_file import parse_catalogue
 from foxtailbank.cli_check import decode_file
-from foxtailbank.cli_client import query_string, quote_segment
 from foxtailbank.cli_context import Context, Row
 from foxtailbank.cli_failure import CommandFailed
 from foxtailbank.cli_group import Commands, add_command, add_group
 from foxtailbank.entry import key_hash
 from foxtailbank.exit_code import ExitCode
 from foxtailbank.problem import CheckFailed
+from foxtailbank.urls import query_string, quote_segment
 
 _CONFLICT_NEXT_STEP = "read it with `catalogue get`, merge your change and put it again"
 
--- a/src/foxtailbank/cli_client.py
+++ b/src/foxtailbank/cli_client.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import typing as t
-import urllib.parse
 
 import httpx
 import msgspec
@@ -189,17 +188,6 @@
         return CommandFailed(exit_code=ExitCode.UNAVAILABLE, detail=detail)
 
 
-def quote_segment(name: str) -> str:
-    """Percent-encode a name as one path segment."""
-    return urllib.parse.quote(name, safe="")
-
-
-def query_string(**parameters: str | int | None) -> str:
-    """Return a query string of the parameters that are not None."""
-    present = {name: value for name, value in parameters.items() if value is not None}
-    return "?" + urllib.parse.urlencode(present) if present else ""
-
-
 def _authorization_header(key: str) -> dict[str, str]:
     return {"authorization": f"Bearer {key}"}
 
--- a/src/foxtailbank/cli_fleet.py
+++ b/src/foxtailbank/cli_fleet.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from foxtailbank.cli_client import quote_segment
 from foxtailbank.cli_context import Context, Row
 from foxtailbank.cli_group import Command, Commands, add_command, add_group
 from foxtailbank.exit_code import ExitCode
+from foxtailbank.urls import quote_segment
 
 
 class VmsReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/foxtailbank/http_endpoint.py
+++ b/src/foxtailbank/http_endpoint.py
@@ -1,7 +1,6 @@
 """HTTP adapter for model engines."""
 
 import typing as t
-import urllib.parse
 
 import msgspec
 
@@ -16,6 +15,7 @@
 )
 from foxtailbank.http_channel import CompleteResponse
 from foxtailbank.http_service import HttpPlainService
+from foxtailbank.urls import quote_segment
 
 STATUS_CONFLICT = 409
 STATUS_NOT_FOUND = 404
@@ -52,7 +52,9 @@
         EndpointFailed
             The engine did not respond, or responded with an error.
         """
-        await self._send_control("POST", f"/v1/requests/{_quote(request_id)}/cancel")
+        await self._send_control(
+            "POST", f"/v1/requests/{quote_segment(request_id)}/cancel"
+        )
 
     async def load(self) -> LoadReport:
         """Return the latest load report.
@@ -123,7 +125,7 @@
             The engine did not respond, or responded with an error.
         """
         response = await self._send_control(
-            "GET", f"/kv/{_quote(prefix)}", allow_not_found=True
+            "GET", f"/kv/{quote_segment(prefix)}", allow_not_found=True
         )
         return b"" if response.status == STATUS_NOT_FOUND else response.body
 
@@ -142,7 +144,9 @@
         EndpointFailed
             The engine did not respond, or responded with an error.
         """
-        await self._send_control("POST", f"/kv/{_quote(prefix)}", content=content)
+        await self._send_control(
+            "POST", f"/kv/{quote_segment(prefix)}", content=content
+        )
 
     async def call(self, call: EndpointCall) -> CompleteResponse:
         """Send a call and wait for its complete response; for tests and tools."""
@@ -187,7 +191,3 @@
         raise exceptions.EndpointFailed(
             detail=f"malformed response: {error}"
         ) from error
-
-
-def _quote(segment: str) -> str:
-    return urllib.parse.quote(segment, safe="")
--- a/src/foxtailbank/http_log.py
+++ b/src/foxtailbank/http_log.py
@@ -2,13 +2,13 @@
 
 import struct
 import typing as t
-import urllib.parse
 
 import msgspec
 
 from foxtailbank import exceptions
 from foxtailbank.http_channel import CompleteResponse, HttpChannel
 from foxtailbank.log_service import LogBounds, LogRecord, LogService
+from foxtailbank.urls import quote_segment
 
 CREATED = 201
 GONE = 410
@@ -69,7 +69,7 @@
             The append was not confirmed; ``ran`` says whether the record may still
             be in the stream.
         """
-        path = f"/streams/{_quote(stream)}/records"
+        path = f"/streams/{quote_segment(stream)}/records"
         response = await self._exchange(
             "POST", path, content=data, headers=OCTET_STREAM, expected_status=CREATED
         )
@@ -106,7 +106,7 @@
             The log did not respond.
         """
         query = f"offset={offset}&max_bytes={max_bytes}&wait_ms={wait_ms}"
-        path = f"/streams/{_quote(stream)}/records?{query}"
+        path = f"/streams/{quote_segment(stream)}/records?{query}"
         response = await self._exchange(
             "GET", path, wait_ms=wait_ms, expected_status=OK
         )
@@ -121,7 +121,7 @@
             The log did not respond.
         """
         response = await self._exchange(
-            "GET", f"/streams/{_quote(stream)}", expected_status=OK
+            "GET", f"/streams/{quote_segment(stream)}", expected_status=OK
         )
         return _decode(response.body, LogBounds)
 
@@ -184,7 +184,3 @@
     except msgspec.MsgspecError as error:
         detail = f"malformed response: {error}"
         raise _unavailable(detail, ran=exceptions.Ran.UNKNOWN) from error
-
-
-def _quote(part: str) -> str:
-    return urllib.parse.quote(part, safe="")
