Call table: one check of the claimant for release and completion

Both looked the call up and checked its claimant in the same five lines, with two values to test for None. _open_call returns the call or why the entry is ignored, as JobTable._resolve_items does.

--- a/src/foxtailbank/call_state.py
+++ b/src/foxtailbank/call_state.py
@@ -82,22 +82,20 @@
 
     def release(self, index: int, entry: CallReleased) -> LedgerEvent:
         """Allow the call to be claimed again."""
-        key = (entry.owner, entry.key)
-        call = self.calls_by_key.get(key)
-        reason = _ignore_reason(call, entry.claimant)
-        if call is None or reason is not None:
-            return EntryIgnored(index=index, reason=reason or _UNKNOWN)
-        self.calls_by_key[key] = dataclasses.replace(call, claimant="")
+        call = self._open_call(entry)
+        if isinstance(call, IgnoreReason):
+            return EntryIgnored(index=index, reason=call)
+        self.calls_by_key[entry.owner, entry.key] = dataclasses.replace(
+            call, claimant=""
+        )
         return CallReleasedEvent(index=index, owner=entry.owner, key=entry.key)
 
     def complete(self, index: int, entry: CallCompleted) -> LedgerEvent:
         """Record the response."""
-        key = (entry.owner, entry.key)
-        call = self.calls_by_key.get(key)
-        reason = _ignore_reason(call, entry.claimant)
-        if call is None or reason is not None:
-            return EntryIgnored(index=index, reason=reason or _UNKNOWN)
-        self.calls_by_key[key] = dataclasses.replace(
+        call = self._open_call(entry)
+        if isinstance(call, IgnoreReason):
+            return EntryIgnored(index=index, reason=call)
+        self.calls_by_key[entry.owner, entry.key] = dataclasses.replace(
             call, status=entry.status, payload_offset=entry.payload_offset
         )
         return CallDone(
@@ -113,7 +111,7 @@
         key = (entry.owner, entry.key)
         call = self.calls_by_key.get(key)
         if call is None:
-            return EntryIgnored(index=index, reason=_UNKNOWN)
+            return EntryIgnored(index=index, reason=IgnoreReason.UNKNOWN_CALL)
         if not call.completed or call.payload_offset != entry.from_offset:
             return EntryIgnored(index=index, reason=IgnoreReason.NOTHING_NEW)
         self.calls_by_key[key] = dataclasses.replace(
@@ -137,6 +135,19 @@
             del self.calls_by_key[key]
         return len(expired)
 
+    def _open_call(
+        self, entry: CallReleased | CallCompleted
+    ) -> CallState | IgnoreReason:
+        """Return the incomplete call that the entry's claimant holds."""
+        call = self.calls_by_key.get((entry.owner, entry.key))
+        if call is None:
+            return IgnoreReason.UNKNOWN_CALL
+        if call.completed:
+            return IgnoreReason.CALL_COMPLETED
+        if not entry.claimant or call.claimant != entry.claimant:
+            return IgnoreReason.NOT_CLAIMANT
+        return call
+
     def _claim_available(
         self, index: int, offset: int, entry: CallClaimed, call: CallState | None
     ) -> LedgerEvent:
@@ -153,20 +164,7 @@
         )
 
 
-_UNKNOWN = IgnoreReason.UNKNOWN_CALL
-
-
 def _conflict(index: int, entry: CallClaimed) -> CallConflict:
     return CallConflict(
         index=index, owner=entry.owner, key=entry.key, claimant=entry.claimant
     )
-
-
-def _ignore_reason(call: CallState | None, claimant: str) -> IgnoreReason | None:
-    if call is None:
-        return _UNKNOWN
-    if call.completed:
-        return IgnoreReason.CALL_COMPLETED
-    if not claimant or call.claimant != claimant:
-        return IgnoreReason.NOT_CLAIMANT
-    return None
