Tests: one fixture chooses the event loop

24 test files defined the same anyio_backend. Two files had none and ran on the installed backend, which is asyncio: their tests lose the prefix in their ids, and the 2099 collected ids are otherwise unchanged.

Run: ruff; the changed files and the two others, with -n 2 (rc 0).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,7 @@
-"""Failures listed in KNOWN-RED.txt do not fail the run and are printed at its end."""
+"""Event loop of the tests, and the failures listed in KNOWN-RED.txt.
+
+Those failures do not fail the run and are printed at its end.
+"""
 
 import pathlib
 
@@ -7,6 +10,11 @@
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
 def known_red_ids():
     """Node ids of the entries, which each have a line ``test: ID``."""
     if not KNOWN_RED.exists():
--- a/tests/test_client_channel.py
+++ b/tests/test_client_channel.py
@@ -16,11 +16,6 @@
 TIMEOUT_MS = 5_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def chunk(data):
     return b"%x\r\n%s\r\n" % (len(data), data)
 
--- a/tests/test_datagram_socket.py
+++ b/tests/test_datagram_socket.py
@@ -12,11 +12,6 @@
 WAIT_S = 10
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 async def test_receive_returns_bounded_batches_with_sources():
     with DatagramSocket(address=FIRST) as one, DatagramSocket(address=SECOND) as other:
         for number in range(MAX_DATAGRAMS_PER_READ + 1):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -31,11 +31,6 @@
 _ids = itertools.count()
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class EngineClient:
     """Endpoint adapter and control client of one engine stand-in."""
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -21,11 +21,6 @@
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def success(*parts):
     return FakeResponse(parts=parts or (b"ok",))
 
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -9,11 +9,6 @@
 SECRET = b"k" * 32
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 async def start(tasks, vm_id, *, seed="", secret=SECRET):
     socket = await heartbeat.open_socket(host="127.0.0.1", port=0)
     port = socket.extra(anyio.abc.SocketAttribute.local_port)
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -19,11 +19,6 @@
 )
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class ServerFixture:
     def __init__(self):
         self.handler_errors = []
--- a/tests/test_http_endpoint.py
+++ b/tests/test_http_endpoint.py
@@ -22,11 +22,6 @@
 CALL = EndpointCall(request_id="r1", method="POST", path="/v1/completions", body=b"{}")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class ScriptedServer:
     """Answers each request with fixed bytes, then closes or keeps the connection."""
 
--- a/tests/test_http_log.py
+++ b/tests/test_http_log.py
@@ -18,11 +18,6 @@
 LONG_MS = 20_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def log_of(app, **options):
     async with running(app) as address:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -31,11 +31,6 @@
         pass
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def make_exchange(addresses):
     fleet = FleetState(
         rng=random.Random(1),
--- a/tests/test_log_integration.py
+++ b/tests/test_log_integration.py
@@ -21,11 +21,6 @@
 LONG_MS = 30_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 async def no_snapshot(next_offset):
     raise ResyncFailed()
 
--- a/tests/test_log_tailer.py
+++ b/tests/test_log_tailer.py
@@ -12,11 +12,6 @@
 from foxtailbank.records import UnsupportedRecord
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Rig:
     """A tailer that records what it applies."""
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -17,11 +17,6 @@
 LONG_MS = 30_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Rig:
     """A writer, its log and a replay that the test advances."""
 
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -19,11 +19,6 @@
 WAIT_MS = 20_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class RecordingHandler(peer_handler.PeerHandler):
     """Echoes reports, refuses cancellations and records notices."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,11 +21,6 @@
 VM = Vm(vm_id="e1", role=VmRole.ENGINE, zone="sv-a", address="127.0.0.1:1", pool="m")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def platform(**options):
     async with running(PlatformApp(**options)) as address:
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -17,11 +17,6 @@
 GAP_S = 0.1
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.mark.parametrize(
     ("net", "later"),
     [
--- a/tests/test_records_service.py
+++ b/tests/test_records_service.py
@@ -23,11 +23,6 @@
 LOOKUP = EndpointCall(request_id="l1", method="GET", path="/contracts/c-12")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def records():
     with anyio.fail_after(TIMEOUT_S):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,11 +20,6 @@
 LOOKUP = EndpointCall(request_id="r", method="GET", path="/contracts/c1")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def relayed(target):
     link = RelayLink(name="sv-a/sv-b", host="127.0.0.1", target=target)
--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -19,11 +19,6 @@
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def run_story(*words):
     context = Context(
         stdin=io.BytesIO(),
--- a/tests/test_result_recorder.py
+++ b/tests/test_result_recorder.py
@@ -8,11 +8,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class FakeService:
     """Keeps the payloads and ledger entries appended to it."""
 
--- a/tests/test_slot_finder.py
+++ b/tests/test_slot_finder.py
@@ -19,11 +19,6 @@
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def make_world(*, far=SMALL_GROUP + 1, load=4, lifetime_ms=2_000):
     """Return a VM that knows of `load` requests on each worker."""
     answer = FakeResponse(parts=(b"id: 1\n\n",))
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -35,12 +35,6 @@
     results,
 )
 
-
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 HISTORY = [
     job("open", counts=(4, 4), key="k1"),
     job("billed", counts=(4, 4), idempotent=False),
--- a/tests/test_stream_backend.py
+++ b/tests/test_stream_backend.py
@@ -15,11 +15,6 @@
 READ_TIMEOUT_S = 1.0
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def connected():
     """Yield a connection and the blocking socket of its peer."""
--- a/tests/test_stream_pacer.py
+++ b/tests/test_stream_pacer.py
@@ -15,11 +15,6 @@
 ALL_EVENTS = b"".join(encode_event(number + 1) for number in range(EVENTS))
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class SteadyResponse(FakeResponse):
     """Response whose events arrive one by one; a read returns all that have arrived."""
 
--- a/tests/test_worker_reservation.py
+++ b/tests/test_worker_reservation.py
@@ -24,11 +24,6 @@
 TIMEOUT_MS = 5_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @contextlib.asynccontextmanager
 async def running(server):
     async with anyio.create_task_group() as group:
