--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -1,6 +1,7 @@
 """Fleet of separate processes for tests, with clients and fault injection."""
 
 import collections
+import concurrent.futures
 import contextlib
 import dataclasses
 import itertools
@@ -180,6 +181,33 @@
         choice = self.complete(vm, prompt, tokens=tokens).json()["choices"][0]
         return choice["text"], choice["finish_reason"], "[DONE]"
 
+    def expected_streams(self, prompt, *, count, tokens):
+        """Return what `running_streams` gives for uninterrupted responses."""
+        return [
+            self.expected_stream(0, f"{prompt} {index}", tokens=tokens)
+            for index in range(count)
+        ]
+
+    @contextlib.contextmanager
+    def running_streams(self, prompt, *, count, tokens, prefix, vms=(0, 1, 2)):
+        """Start streams at the VMs in turn; yield their futures when all are running.
+
+        Their request ids are `prefix` and a number.
+        """
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            streams = [
+                pool.submit(
+                    self.stream,
+                    vms[index % len(vms)],
+                    f"{prompt} {index}",
+                    tokens=tokens,
+                    request_id=f"{prefix}{index}",
+                )
+                for index in range(count)
+            ]
+            self.wait(lambda: len(self.requests_with_prefix(prefix)) == count)
+            yield streams
+
     def submit(self, vm, *, count, tokens=16, key="", prompt="Notice"):
         lines = [
             {
--- a/tests/test_proofs_batch.py
+++ b/tests/test_proofs_batch.py
@@ -1,7 +1,5 @@
 """Batch jobs under faults: each item ends exactly once."""
 
-import concurrent.futures
-
 import pytest
 
 from fleet_process import Fleet, running_fleet, slow_endpoints
@@ -42,23 +40,12 @@
 
 def test_streams_and_items_survive_the_death_of_their_engine(fleet):
     tokens = 120
-    expected = [
-        fleet.expected_stream(0, f"Stream {i}", tokens=tokens) for i in range(6)
-    ]
+    expected = fleet.expected_streams("Stream", count=6, tokens=tokens)
     job_id = fleet.submit(0, count=ITEMS).json()["id"]
     fleet.wait(lambda: fleet.requests_with_prefix(job_id))
-    with concurrent.futures.ThreadPoolExecutor() as pool:
-        streams = [
-            pool.submit(
-                fleet.stream,
-                index % 3,
-                f"Stream {index}",
-                tokens=tokens,
-                request_id=f"death-{index}",
-            )
-            for index in range(6)
-        ]
-        fleet.wait(lambda: len(fleet.requests_with_prefix("death-")) == 6)
+    with fleet.running_streams(
+        "Stream", count=6, tokens=tokens, prefix="death-"
+    ) as streams:
         killed = fleet.requests_with_prefix(job_id)[0]["endpoint"]
         assert killed in {
             entry["endpoint"] for entry in fleet.requests_with_prefix("death-")
--- a/tests/test_proofs_draining.py
+++ b/tests/test_proofs_draining.py
@@ -77,23 +77,14 @@
     name = fleet.name(1)
     job_id = fleet.submit(1, count=24, tokens=30).json()["id"]
     fleet.wait(lambda: fleet.requests_with_prefix(job_id))
-    expected = [fleet.expected_stream(0, f"Stop {i}", tokens=TOKENS) for i in range(6)]
+    expected = fleet.expected_streams("Stop", count=6, tokens=TOKENS)
     host, _, port = fleet.entries[1].http_address.rpartition(":")
     connection = http.client.HTTPConnection(host, int(port))
     connection.request("GET", "/v1/models", headers=CALLER_HEADERS)
     assert connection.getresponse().read()
-    with concurrent.futures.ThreadPoolExecutor() as pool:
-        streams = [
-            pool.submit(
-                fleet.stream,
-                1,
-                f"Stop {index}",
-                tokens=TOKENS,
-                request_id=f"stop-{index}",
-            )
-            for index in range(6)
-        ]
-        fleet.wait(lambda: len(fleet.requests_with_prefix("stop-")) == 6)
+    with fleet.running_streams(
+        "Stop", count=6, tokens=TOKENS, prefix="stop-", vms=(1,)
+    ) as streams:
         fleet.launcher.signal(name, signal.SIGTERM)
         fleet.wait(lambda: httpx.get(fleet.url(1, "/readyz")).status_code == 503)
         # Until the load balancer has seen that the VM is not ready, the VM still
--- a/tests/test_proofs_partition.py
+++ b/tests/test_proofs_partition.py
@@ -173,22 +173,11 @@
 @pytest.mark.parametrize("where", ["engine", "link"])
 def test_streams_of_stalled_connections_are_resumed(fleet, where):
     tokens = 100
-    expected = [
-        fleet.expected_stream(0, f"Stalled {i}", tokens=tokens) for i in range(4)
-    ]
+    expected = fleet.expected_streams("Stalled", count=4, tokens=tokens)
     prefix = f"stalled-{where}-"
-    with concurrent.futures.ThreadPoolExecutor() as pool:
-        streams = [
-            pool.submit(
-                fleet.stream,
-                index % 3,
-                f"Stalled {index}",
-                tokens=tokens,
-                request_id=f"{prefix}{index}",
-            )
-            for index in range(4)
-        ]
-        fleet.wait(lambda: len(fleet.requests_with_prefix(prefix)) == 4)
+    with fleet.running_streams(
+        "Stalled", count=4, tokens=tokens, prefix=prefix
+    ) as streams:
         engines = {entry["endpoint"] for entry in fleet.requests_with_prefix(prefix)}
         if where == "engine":
             for name in engines:
