--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -1,22 +1,15 @@
 import pytest
 
+from entry_samples import make_entry
 from foxtailbank.admission import Admission
 from foxtailbank.batch_admission import BatchAdmission
 from foxtailbank.clock import ManualClock
-from foxtailbank.entry import Entry, EntryKind, EntryLimits, WorkClass
+from foxtailbank.entry import EntryLimits, WorkClass
 from foxtailbank.limit_shares import LimitShares
 
 
 def make(limits):
-    entry = Entry(
-        name="notices",
-        owner="mwangaza",
-        work_class=WorkClass.BATCH,
-        kind=EntryKind.ENGINE,
-        pool="wordsmith",
-        key_hashes=(),
-        limits=limits,
-    )
+    entry = make_entry("notices", work_class=WorkClass.BATCH, limits=limits)
     clock = ManualClock()
     admission = Admission()
     share = LimitShares(vm_id="a", zone="z").share_of(entry)
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 
+from entry_samples import make_entry
 from foxtailbank.burn_classify import (
     GOOD,
     EventClass,
@@ -27,7 +28,7 @@
     SlidingWindow,
     WindowShape,
 )
-from foxtailbank.entry import Entry, EntryKind, Objective, WorkClass, key_hash
+from foxtailbank.entry import Objective
 from foxtailbank.exceptions import (
     DeadlineExceeded,
     EndpointFailed,
@@ -43,17 +44,8 @@
 BAD = Verdict(event_class=EventClass.BAD, reason="overloaded")
 
 
-def make_entry(name="tributes", *, good_share=0.9):
-    return Entry(
-        name=name,
-        owner="mwangaza",
-        work_class=WorkClass.ONLINE,
-        kind=EntryKind.ENGINE,
-        pool="wordsmith",
-        model="wordsmith",
-        key_hashes=(key_hash("k"),),
-        objective=Objective(good_share=good_share),
-    )
+def make_entry_with_objective(name="tributes", *, good_share=0.9):
+    return make_entry(name, objective=Objective(good_share=good_share))
 
 
 def record(*, good=0, bad=0, vm="vm-1", at_ms=START_MS, entry="tributes"):
@@ -65,7 +57,7 @@
 
 
 def merge(*reports, now_ms=START_MS, live=("vm-1",), good_share=0.9):
-    entries = {"tributes": make_entry(good_share=good_share)}
+    entries = {"tributes": make_entry_with_objective(good_share=good_share)}
     return merge_burn(reports, entries_by_name=entries, live_vms=live, now_ms=now_ms)
 
 
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -1,5 +1,6 @@
 import pytest
 
+from entry_samples import make_entry
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.catalogue_events import (
     ConflictReason,
@@ -21,18 +22,7 @@
     encode_envelope,
 )
 from foxtailbank.catalogue_state import decode_snapshot, encode_snapshot, state_digest
-from foxtailbank.entry import Entry, EntryKind, WorkClass, key_hash
-
-
-def make_entry(name="tributes", *, owner="mwangaza", key="demo-key", **changes):
-    values = {
-        "work_class": WorkClass.ONLINE,
-        "kind": EntryKind.ENGINE,
-        "pool": "wordsmith",
-        "model": "wordsmith",
-        "key_hashes": (key_hash(key),),
-    }
-    return Entry(name=name, owner=owner, **(values | changes))
+from foxtailbank.entry import WorkClass, key_hash
 
 
 def put(name="tributes", *, based_on=0, edit_id="e", entry=None, **changes):
--- a/tests/test_catalogue_fuzz.py
+++ b/tests/test_catalogue_fuzz.py
@@ -10,6 +10,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from entry_samples import make_entry
 from foxtailbank.catalogue import Catalogue
 from foxtailbank.catalogue_records import (
     MAX_EDITS_PER_RECORD,
@@ -22,7 +23,6 @@
 )
 from foxtailbank.catalogue_restore import catch_up
 from foxtailbank.catalogue_state import encode_snapshot, state_digest
-from foxtailbank.entry import Entry, EntryKind, WorkClass, key_hash
 from foxtailbank.log_service import LogRecord
 from foxtailbank.sentinels import Missing
 
@@ -108,15 +108,7 @@
                     EntryDeleted(name=name, based_on=based_on, edit_id="e")
                 )
                 continue
-            entry = Entry(
-                name=name,
-                owner=owner,
-                work_class=WorkClass.ONLINE,
-                kind=EntryKind.ENGINE,
-                pool="wordsmith",
-                model="wordsmith",
-                key_hashes=(key_hash(key),),
-            )
+            entry = make_entry(name, owner=owner, key=key)
             put = EntryPut(name=name, entry=entry, based_on=based_on, edit_id="e")
             envelope_edits.append(put)
         self._append(operator, envelope_edits)
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -1,7 +1,8 @@
 import pytest
 
+from entry_samples import make_entry
 from foxtailbank.admission import Admission, Admitted
-from foxtailbank.entry import Entry, EntryKind, EntryLimits, WorkClass
+from foxtailbank.entry import EntryLimits
 from foxtailbank.limit_shares import LimitShares
 
 FLEETS = [1, 2, 3, 12, 340]
@@ -10,15 +11,7 @@
 
 def entry_with(concurrency, requests_per_s):
     limits = EntryLimits(concurrency=concurrency, requests_per_s=requests_per_s)
-    return Entry(
-        name="tributes",
-        owner="mwangaza",
-        work_class=WorkClass.ONLINE,
-        kind=EntryKind.ENGINE,
-        pool="wordsmith",
-        key_hashes=(),
-        limits=limits,
-    )
+    return make_entry(limits=limits)
 
 
 def fleet(count):
--- a/tests/test_overload_guard.py
+++ b/tests/test_overload_guard.py
@@ -2,25 +2,18 @@
 
 import pytest
 
+from entry_samples import make_entry
 from foxtailbank.clock import ManualClock
 from foxtailbank.endpoint import LoadReport
 from foxtailbank.endpoint_directory import EndpointDirectory
-from foxtailbank.entry import Entry, EntryKind, WorkClass
+from foxtailbank.entry import EntryKind
 from foxtailbank.exceptions import Overloaded, Ran
 from foxtailbank.overload_guard import OverloadGuard
 from foxtailbank.quarantine import Fingerprint
 from foxtailbank.vm_list import Vm, VmRole
 from foxtailbank.work import Work
 
-ENTRY = Entry(
-    name="tributes",
-    owner="mwangaza",
-    work_class=WorkClass.ONLINE,
-    kind=EntryKind.ENGINE,
-    pool="wordsmith",
-    key_hashes=(),
-    model="wordsmith",
-)
+ENTRY = make_entry()
 WORK = Work(
     request_id="r",
     entry=ENTRY,
