--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 	$(PYTHON) -m foxtailbank_bench.experiment
 
 fuzz: env
-	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py tests/test_catalogue_fuzz.py
+	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py tests/test_catalogue_fuzz.py \
+		tests/test_ledger_replicas.py
 
 soak: env
 	PYTHONPATH=src:platform $(PYTHON) -m foxtailbank_soak --seed $(SEED) --count $(COUNT)
