Each failure and result of an item has a log key of its own

A VM that restored its state counted fewer failed attempts of an item than VMs that had followed the log, so an item could be sent to workers more often than max_attempts.

The key of a failure ended in the number of sends of this run. A process that took an item over a second time began again at 1 and replaced its earlier record, of which the newest records then showed nothing. Results are keyed by the same rule now; their old key was by item and process alone.

--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -51,6 +51,7 @@
         self._clock = clock
         self._logs = logs
         self._metrics = metrics
+        self._suffix_count = 0
 
     def record_start(self, run: ItemRun) -> None:
         """Log that an item is sent to a worker."""
@@ -95,7 +96,7 @@
         """Append to the submission log that a worker answered with an error."""
         submission_id, item_id = run.key
         record = AttemptFailed(submission_id=submission_id, item_id=item_id)
-        self._append(record, unique=f"{item_id}/{self._owner_id}/{run.send_count}")
+        self._append(record, unique=self._unique_suffix(item_id))
         self._metrics.count(Count.FAILED_ITEMS, entry=entry)
 
     def record_end(self, run: ItemRun, *, completed: bool, reason: str) -> None:
@@ -108,10 +109,15 @@
             completed=completed,
             text="\n".join(run.texts) if completed else "",
         )
-        self._append(record, unique=f"{item_id}/{self._owner_id}")
+        self._append(record, unique=self._unique_suffix(item_id))
         self._metrics.count(Count.FINISHED_ITEMS, reason=reason)
         self._logs.write(Event.ITEM_FINISHED, fields=self._fields(run, reason))
 
+    def _unique_suffix(self, item_id: str) -> str:
+        # Not derived from the run, as an item taken over again gets another run.
+        self._suffix_count += 1
+        return f"{item_id}/{self._owner_id}/{self._suffix_count}"
+
     def _append(self, record: Record, *, unique: str) -> None:
         self._appends.put((encode(record, key_suffix=unique),), urgent=False)
 
