Retirement drops only the arrival that it was meant for

A submission that was sent again after its retirement was unknown at VMs that had followed the log, and known at VMs that had restored their state, if another VM retired the earlier arrival late: dropping any Submitted record of an id forgot the id.

A submission now remembers the key of the record that created it and is forgotten only with that key. test_late_retirement_keeps_a_submission_that_came_again failed before and passes.

--- a/src/foxtailbank/submissions/retirement.py
+++ b/src/foxtailbank/submissions/retirement.py
@@ -7,7 +7,6 @@
 from foxtailbank.keyed_log import KeyedRecord
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.submissions.append_queue import AppendQueue
-from foxtailbank.submissions.records import SUBMITTED_KIND
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
@@ -46,7 +45,7 @@
         self._appends = appends
         self._logs = logs
         self._clock = clock
-        self._retired_ids: set[str] = set()
+        self._retired_keys: set[str] = set()
 
     async def run(self) -> None:
         """Retire expired submissions until cancelled."""
@@ -61,8 +60,7 @@
         as their owner may have departed.
         """
         now_ms = self._clock.wall_ms()
-        known = {s.submission_id for s in self._table.ledger.all()}
-        self._retired_ids &= known
+        self._retired_keys &= {s.created_key for s in self._table.ledger.all()}
         for submission in self._table.ledger.all():
             kept_ms = (
                 RETENTION_MS if submission.owner == self._owner_id else 2 * RETENTION_MS
@@ -70,15 +68,14 @@
             age_ms = now_ms - submission.arrived_wall_ms
             if submission.is_open or age_ms < kept_ms:
                 continue
-            if submission.submission_id not in self._retired_ids:
+            if submission.created_key not in self._retired_keys:
                 self._retire(submission)
 
     def _retire(self, submission: Submission) -> None:
-        self._retired_ids.add(submission.submission_id)
+        created_key = submission.created_key
+        self._retired_keys.add(created_key)
         # The record that created the submission is dropped last.
-        keys = sorted(
-            submission.record_keys, key=lambda key: key.startswith(SUBMITTED_KIND)
-        )
+        keys = [*sorted(submission.record_keys - {created_key}), created_key]
         records = tuple(KeyedRecord(key=key, value=b"") for key in keys)
         self._appends.put(records, urgent=False)
         fields = LogFields(job_id=submission.submission_id, count=len(records))
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -70,6 +70,8 @@
         submission = self.ledger.get(record.submission_id)
         if submission is not None:
             submission.record_keys.add(stored.key)
+            if effect is Effect.ACCEPTED:
+                submission.created_key = stored.key
         event = _EVENT_BY_EFFECT.get(effect)
         if event is None or is_replay:
             return
@@ -83,8 +85,13 @@
 
     def _forget(self, stored: KeyedRecord) -> None:
         kind, _, rest = stored.key.partition("/")
-        if kind == SUBMITTED_KIND:
-            self.ledger.forget(rest.partition("/")[0])
+        submission_id = rest.partition("/")[0]
+        submission = self.ledger.get(submission_id)
+        if kind != SUBMITTED_KIND or submission is None:
+            return
+        # Another arrival of the id may have been accepted since.
+        if submission.created_key == stored.key:
+            self.ledger.forget(submission_id)
 
     def _notify(self) -> None:
         for listener in self._listeners:
