Retirement drops the parts of a large submission too

The parts of a submission that was too large for one record stayed in the log for good, with the bodies of its items, and in the memory of each VM that restored its state. A key was remembered only if the submission existed when its record was applied, and parts come before. They are now remembered by attempt until the submission is accepted.

test_retirement_drops_parts failed before and passes.

--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -8,7 +8,14 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
-from foxtailbank.submissions.records import SUBMITTED_KIND, RecordUnreadable, decode
+from foxtailbank.submissions.records import (
+    SUBMITTED_KIND,
+    Part,
+    Record,
+    RecordUnreadable,
+    Submitted,
+    decode,
+)
 
 _EVENT_BY_EFFECT = {
     Effect.ACCEPTED: Event.SUBMISSION_ACCEPTED,
@@ -36,6 +43,7 @@
         self.ledger = Ledger()
         self._logs = logs
         self._listeners: list[t.Callable[[], None]] = []
+        self._part_keys_by_attempt: dict[tuple[str, str], set[str]] = {}
 
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function each time records have been applied."""
@@ -44,6 +52,7 @@
     def restore(self, newest: LogSlice) -> None:
         """Rebuild the ledger from the newest record of each key."""
         self.ledger = Ledger()
+        self._part_keys_by_attempt = {}
         for record in newest.records:
             self._apply(record, is_replay=True)
         self._notify()
@@ -67,11 +76,7 @@
             self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
             return
         effect = self.ledger.apply(record)
-        submission = self.ledger.get(record.submission_id)
-        if submission is not None:
-            submission.record_keys.add(stored.key)
-            if effect is Effect.ACCEPTED:
-                submission.created_key = stored.key
+        self._remember_key(stored.key, record, effect)
         event = _EVENT_BY_EFFECT.get(effect)
         if event is None or is_replay:
             return
@@ -83,6 +88,22 @@
         )
         self._logs.write(event, level=LogLevel.DEBUG, fields=fields)
 
+    def _remember_key(self, key: str, record: Record, effect: Effect) -> None:
+        if isinstance(record, Part):
+            attempt = (record.submission_id, record.attempt)
+            self._part_keys_by_attempt.setdefault(attempt, set()).add(key)
+            return
+        keys = {key}
+        if isinstance(record, Submitted):
+            attempt = (record.submission_id, record.attempt)
+            keys |= self._part_keys_by_attempt.pop(attempt, set())
+        submission = self.ledger.get(record.submission_id)
+        if submission is None:
+            return
+        submission.record_keys |= keys
+        if effect is Effect.ACCEPTED:
+            submission.created_key = key
+
     def _forget(self, stored: KeyedRecord) -> None:
         kind, _, rest = stored.key.partition("/")
         submission_id = rest.partition("/")[0]
