A refused submission stays refused after the log is replayed

VMs that restored their state after a retirement accepted, and could run, submissions that had been answered 429; other VMs did not know them. A refusal follows from the submissions waiting at that moment. Once those are retired, a replay of the newest records finds room. The refused bodies also stayed in the log for good.

The receiving VM now replaces the record of a refused attempt at its next check, under the same key, by a small RefusedAttempt without effect. A VM that retires submissions first replaces the refused attempts of others that it knows, and drops submissions one check after they expired. A repeat of an accepted submission is dropped with it, as before.

--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -11,6 +11,7 @@
     Part,
     Progress,
     Record,
+    RefusedAttempt,
     Submitted,
     TakenOver,
 )
@@ -68,6 +69,10 @@
                 return Effect.NONE
             case Submitted():
                 return self._submit(record)
+            case RefusedAttempt():
+                attempt = (record.submission_id, record.attempt)
+                self._parts_by_attempt.pop(attempt, None)
+                return Effect.NONE
             case ItemEnded():
                 return self._end_item(record)
             case AttemptFailed():
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -1,9 +1,10 @@
 """Records of the submission log.
 
 A key is written once and then only to drop it, so the newest record of each key is
-the complete history and gives every VM the same state in the same order. The exception
-is an item's progress: each record replaces the one before, as it only determines where
-the item resumes.
+the complete history and gives every VM the same state in the same order. There are two
+exceptions. Each record of an item's progress replaces the one before, as it only
+determines where the item resumes. `RefusedAttempt` replaces a `Submitted` that was
+refused, as a replay could accept it once the submissions before it are dropped.
 """
 
 import typing as t
@@ -90,6 +91,16 @@
     items: tuple[Item, ...]
 
 
+class RefusedAttempt(msgspec.Struct, frozen=True, kw_only=True, tag="refused"):
+    """An arrival of a submission that was refused for its tokens.
+
+    It has the key of the `Submitted` that it replaces.
+    """
+
+    submission_id: str
+    attempt: str
+
+
 class ItemEnded(msgspec.Struct, frozen=True, kw_only=True, tag="listed"):
     """An item ended; only the first such record of an item counts.
 
@@ -156,7 +167,14 @@
 
 
 Record: t.TypeAlias = (
-    Part | Submitted | ItemEnded | AttemptFailed | Progress | Ended | TakenOver
+    Part
+    | Submitted
+    | RefusedAttempt
+    | ItemEnded
+    | AttemptFailed
+    | Progress
+    | Ended
+    | TakenOver
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
@@ -177,6 +195,19 @@
     return KeyedRecord(key=key, value=_encoder.encode(record))
 
 
+def encode_refused(record: RefusedAttempt, *, key: str) -> KeyedRecord:
+    """Return a refused attempt encoded for the log.
+
+    Parameters
+    ----------
+    record : RefusedAttempt
+        Record to encode.
+    key : str
+        Key of the `Submitted` that it replaces.
+    """
+    return KeyedRecord(key=key, value=_encoder.encode(record))
+
+
 def decode(value: bytes) -> Record:
     """Decode a record.
 
--- a/src/foxtailbank/submissions/retirement.py
+++ b/src/foxtailbank/submissions/retirement.py
@@ -1,4 +1,8 @@
-"""Drops closed submissions from the log when their retention time has passed."""
+"""Drops closed submissions from the log when their retention time has passed.
+
+Records of refused attempts are replaced before that. A VM that replays the newest
+records would accept them once the submissions that filled the limit are dropped.
+"""
 
 import anyio
 
@@ -7,10 +11,14 @@
 from foxtailbank.keyed_log import KeyedRecord
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.records import encode_refused
 from foxtailbank.submissions.submission import Submission
-from foxtailbank.submissions.submission_table import SubmissionTable
+from foxtailbank.submissions.submission_table import (
+    SubmissionTable,
+    UnmarkedAttempt,
+)
 
-CHECK_PERIOD_MS = 5_000
+CHECK_PERIOD_MS = 5_000  # lets a running restore end before records are dropped
 RETENTION_MS = 180_000  # results must be readable for 120 s; VM clocks differ
 
 
@@ -46,6 +54,8 @@
         self._logs = logs
         self._clock = clock
         self._retired_keys: set[str] = set()
+        self._expired_keys: set[str] = set()
+        self._marked_keys: set[str] = set()
 
     async def run(self) -> None:
         """Retire expired submissions until cancelled."""
@@ -57,19 +67,39 @@
         """Retire the closed submissions whose retention time has passed.
 
         Submissions of another process are retired by any VM after twice that time,
-        as their owner may have departed.
+        as their owner may have departed. Each is retired one check after it expired;
+        refused attempts are marked in between.
         """
-        now_ms = self._clock.wall_ms()
-        self._retired_keys &= {s.created_key for s in self._table.ledger.all()}
-        for submission in self._table.ledger.all():
-            kept_ms = (
-                RETENTION_MS if submission.owner == self._owner_id else 2 * RETENTION_MS
-            )
-            age_ms = now_ms - submission.arrived_wall_ms
-            if submission.is_open or age_ms < kept_ms:
-                continue
-            if submission.created_key not in self._retired_keys:
+        expired = [s for s in self._table.ledger.all() if self._is_expired(s)]
+        self._mark_attempts(including_others=bool(expired))
+        expired_keys = {submission.created_key for submission in expired}
+        self._retired_keys &= expired_keys
+        for submission in expired:
+            is_due = submission.created_key in self._expired_keys
+            if is_due and submission.created_key not in self._retired_keys:
                 self._retire(submission)
+        self._expired_keys = expired_keys
+
+    def _is_expired(self, submission: Submission) -> bool:
+        is_own = submission.owner == self._owner_id
+        kept_ms = RETENTION_MS if is_own else 2 * RETENTION_MS
+        age_ms = self._clock.wall_ms() - submission.arrived_wall_ms
+        return not submission.is_open and age_ms >= kept_ms
+
+    def _mark_attempts(self, *, including_others: bool) -> None:
+        unmarked_by_key = self._table.unmarked_by_key
+        self._marked_keys &= unmarked_by_key.keys()
+        for attempt in unmarked_by_key.values():
+            if attempt.key in self._marked_keys:
+                continue
+            if including_others or attempt.owner == self._owner_id:
+                self._mark(attempt)
+
+    def _mark(self, attempt: UnmarkedAttempt) -> None:
+        self._marked_keys.add(attempt.key)
+        records = [KeyedRecord(key=key, value=b"") for key in sorted(attempt.part_keys)]
+        records.append(encode_refused(attempt.refused, key=attempt.key))
+        self._appends.put(tuple(records), urgent=False)
 
     def _retire(self, submission: Submission) -> None:
         created_key = submission.created_key
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -1,5 +1,6 @@
 """Copy of the ledger on one VM, updated from the log."""
 
+import dataclasses
 import typing as t
 
 from foxtailbank.events import Event
@@ -13,6 +14,7 @@
     Part,
     Record,
     RecordUnreadable,
+    RefusedAttempt,
     Submitted,
     decode,
 )
@@ -25,6 +27,28 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnmarkedAttempt:
+    """A refused `Submitted` whose key still holds that record.
+
+    Attributes
+    ----------
+    key : str
+        Its log key.
+    owner : str
+        Process that wrote it, as ``vm/incarnation``.
+    refused : RefusedAttempt
+        Record that is to replace it.
+    part_keys : frozenset of str
+        Log keys of its parts.
+    """
+
+    key: str
+    owner: str
+    refused: RefusedAttempt
+    part_keys: frozenset[str]
+
+
 class SubmissionTable(LogState):
     """Applies the log to the ledger and notifies listeners of changes.
 
@@ -37,10 +61,13 @@
     ----------
     ledger : Ledger
         All submissions, as of the last record read.
+    unmarked_by_key : dict of str to UnmarkedAttempt
+        Refused attempts that a replay could still accept, by log key.
     """
 
     def __init__(self, *, logs: Logs) -> None:
         self.ledger = Ledger()
+        self.unmarked_by_key: dict[str, UnmarkedAttempt] = {}
         self._logs = logs
         self._listeners: list[t.Callable[[], None]] = []
         self._part_keys_by_attempt: dict[tuple[str, str], set[str]] = {}
@@ -52,6 +79,7 @@
     def restore(self, newest: LogSlice) -> None:
         """Rebuild the ledger from the newest record of each key."""
         self.ledger = Ledger()
+        self.unmarked_by_key = {}
         self._part_keys_by_attempt = {}
         for record in newest.records:
             self._apply(record, is_replay=True)
@@ -64,6 +92,7 @@
         self._notify()
 
     def _apply(self, stored: KeyedRecord, *, is_replay: bool) -> None:
+        self.unmarked_by_key.pop(stored.key, None)
         if not stored.value:
             self._forget(stored)
             return
@@ -94,9 +123,18 @@
             self._part_keys_by_attempt.setdefault(attempt, set()).add(key)
             return
         keys = {key}
-        if isinstance(record, Submitted):
+        if isinstance(record, Submitted | RefusedAttempt):
             attempt = (record.submission_id, record.attempt)
             keys |= self._part_keys_by_attempt.pop(attempt, set())
+        if isinstance(record, Submitted) and effect is Effect.TOO_MANY_TOKENS:
+            self.unmarked_by_key[key] = UnmarkedAttempt(
+                key=key,
+                owner=record.owner,
+                refused=RefusedAttempt(
+                    submission_id=record.submission_id, attempt=record.attempt
+                ),
+                part_keys=frozenset(keys - {key}),
+            )
         submission = self.ledger.get(record.submission_id)
         if submission is None:
             return
