--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -1,5 +1,6 @@
 """Copy of the ledger on one VM, updated from the log."""
 
+import dataclasses
 import typing as t
 
 from foxtailbank.events import Event
@@ -8,7 +9,15 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
-from foxtailbank.submissions.records import SUBMITTED_KIND, RecordUnreadable, decode
+from foxtailbank.submissions.records import (
+    SUBMITTED_KIND,
+    Part,
+    Record,
+    RecordUnreadable,
+    RefusedAttempt,
+    Submitted,
+    decode,
+)
 
 _EVENT_BY_EFFECT = {
     Effect.ACCEPTED: Event.SUBMISSION_ACCEPTED,
@@ -18,6 +27,28 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnmarkedAttempt:
+    """A refused `Submitted` whose key still holds that record.
+
+    Attributes
+    ----------
+    key : str
+        Its log key.
+    owner : str
+        Process that wrote it, as ``vm/incarnation``.
+    refused : RefusedAttempt
+        Record that is to replace it.
+    part_keys : frozenset of str
+        Log keys of its parts.
+    """
+
+    key: str
+    owner: str
+    refused: RefusedAttempt
+    part_keys: frozenset[str]
+
+
 class SubmissionTable(LogState):
     """Applies the log to the ledger and notifies listeners of changes.
 
@@ -30,12 +61,16 @@
     ----------
     ledger : Ledger
         All submissions, as of the last record read.
+    unmarked_by_key : dict of str to UnmarkedAttempt
+        Refused attempts that a replay could still accept, by log key.
     """
 
     def __init__(self, *, logs: Logs) -> None:
         self.ledger = Ledger()
+        self.unmarked_by_key: dict[str, UnmarkedAttempt] = {}
         self._logs = logs
         self._listeners: list[t.Callable[[], None]] = []
+        self._part_keys_by_attempt: dict[tuple[str, str], set[str]] = {}
 
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function each time records have been applied."""
@@ -44,6 +79,8 @@
     def restore(self, newest: LogSlice) -> None:
         """Rebuild the ledger from the newest record of each key."""
         self.ledger = Ledger()
+        self.unmarked_by_key = {}
+        self._part_keys_by_attempt = {}
         for record in newest.records:
             self._apply(record, is_replay=True)
         self._notify()
@@ -55,6 +92,7 @@
         self._notify()
 
     def _apply(self, stored: KeyedRecord, *, is_replay: bool) -> None:
+        self.unmarked_by_key.pop(stored.key, None)
         if not stored.value:
             self._forget(stored)
             return
@@ -67,9 +105,7 @@
             self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
             return
         effect = self.ledger.apply(record)
-        submission = self.ledger.get(record.submission_id)
-        if submission is not None:
-            submission.record_keys.add(stored.key)
+        self._remember_key(stored.key, record, effect)
         event = _EVENT_BY_EFFECT.get(effect)
         if event is None or is_replay:
             return
@@ -81,10 +117,40 @@
         )
         self._logs.write(event, level=LogLevel.DEBUG, fields=fields)
 
+    def _remember_key(self, key: str, record: Record, effect: Effect) -> None:
+        if isinstance(record, Part):
+            attempt = (record.submission_id, record.attempt)
+            self._part_keys_by_attempt.setdefault(attempt, set()).add(key)
+            return
+        keys = {key}
+        if isinstance(record, Submitted | RefusedAttempt):
+            attempt = (record.submission_id, record.attempt)
+            keys |= self._part_keys_by_attempt.pop(attempt, set())
+        if isinstance(record, Submitted) and effect is Effect.TOO_MANY_TOKENS:
+            self.unmarked_by_key[key] = UnmarkedAttempt(
+                key=key,
+                owner=record.owner,
+                refused=RefusedAttempt(
+                    submission_id=record.submission_id, attempt=record.attempt
+                ),
+                part_keys=frozenset(keys - {key}),
+            )
+        submission = self.ledger.get(record.submission_id)
+        if submission is None:
+            return
+        submission.record_keys |= keys
+        if effect is Effect.ACCEPTED:
+            submission.created_key = key
+
     def _forget(self, stored: KeyedRecord) -> None:
         kind, _, rest = stored.key.partition("/")
-        if kind == SUBMITTED_KIND:
-            self.ledger.forget(rest.partition("/")[0])
+        submission_id = rest.partition("/")[0]
+        submission = self.ledger.get(submission_id)
+        if kind != SUBMITTED_KIND or submission is None:
+            return
+        # Another arrival of the id may have been accepted since.
+        if submission.created_key == stored.key:
+            self.ledger.forget(submission_id)
 
     def _notify(self) -> None:
         for listener in self._listeners:
