--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,172 @@
+"""Client of the platform's store on slow, silent and failing connections."""
+
+import base64
+import contextlib
+import json
+
+import anyio
+import pytest
+
+from foxtailbank.clock import SystemClock
+from foxtailbank.keyed_log import (
+    AppendId,
+    KeyedRecord,
+    StoreResponseLost,
+)
+from foxtailbank_platform import store
+from foxtailbank_platform.store import KeyedTopic, StoreClient
+
+pytestmark = pytest.mark.anyio
+HOST = "127.0.0.43"
+PIECE_COUNT = 6
+PIECE_GAP_S = 0.3  # below the time-out of a silent connection
+TEST_TIMEOUT_S = 20
+SLACK_MS = 900  # of a busy machine
+APPEND_ID = AppendId(producer="p", epoch=1, sequence=1)
+RECORD = KeyedRecord(key="k", value=b"v")
+EMPTY_SLICE = bytes(16)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_head(length, status=200):
+    return f"HTTP/1.1 {status} x\r\nContent-Length: {length}\r\n\r\n".encode()
+
+
+def make_page(*keys, has_more=False, end=10, first_offset=0):
+    items = [
+        {
+            "key": key,
+            "value": base64.b64encode(b"v").decode(),
+            "offset": first_offset + number,
+        }
+        for number, key in enumerate(keys)
+    ]
+    return json.dumps({"items": items, "has_more": has_more, "end": end}).encode()
+
+
+class ScriptedStore:
+    """Answers each request by the next step of a script.
+
+    A step is a body, a number for a status without a body, or a function that
+    sends an answer itself. Without steps it answers nothing.
+    """
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.targets = []
+
+    @contextlib.asynccontextmanager
+    async def topic(self):
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        client = StoreClient(address=f"{HOST}:{port}", clock=SystemClock())
+        with anyio.fail_after(TEST_TIMEOUT_S):
+            async with listener, anyio.create_task_group() as group:
+                group.start_soon(listener.serve, self.serve)
+                yield KeyedTopic(store=client, topic="keyed.t")
+                group.cancel_scope.cancel()
+
+    async def serve(self, stream):
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            async with stream:
+                while True:
+                    request = await stream.receive()
+                    self.targets.append(request.split(b" ")[1].decode())
+                    await self.answer(stream)
+
+    async def answer(self, stream):
+        step = self.script.pop(0) if self.script else send_nothing
+        if isinstance(step, bytes):
+            await stream.send(make_head(len(step)) + step)
+        elif isinstance(step, int):
+            await stream.send(make_head(0, status=step))
+        else:
+            await step(stream)
+
+
+async def send_nothing(stream):
+    await anyio.sleep_forever()
+
+
+def in_pieces(body):
+    """Send a body in pieces that together take longer than a small call may."""
+
+    async def send(stream):
+        await stream.send(make_head(len(body)))
+        step = len(body) // PIECE_COUNT + 1
+        for start in range(0, len(body), step):
+            await anyio.sleep(PIECE_GAP_S)
+            await stream.send(body[start : start + step])
+
+    return send
+
+
+def silent_after(body):
+    """Send the head and a part of a body and then nothing."""
+
+    async def send(stream):
+        await stream.send(make_head(2 * len(body)) + body)
+        await anyio.sleep_forever()
+
+    return send
+
+
+# Guards against answers that are thrown away, and asked for again, on a slow link.
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        pytest.param(lambda topic: topic.read_newest(), make_page("a"), id="newest"),
+        pytest.param(
+            lambda topic: topic.read(start=0, wait_ms=0), EMPTY_SLICE, id="read"
+        ),
+    ],
+)
+async def test_an_answer_that_keeps_arriving_is_read_to_its_end(call, body):
+    scripted = ScriptedStore(in_pieces(body))
+    async with scripted.topic() as topic:
+        await call(topic)
+    assert len(scripted.targets) == 1
+
+
+# Guards against calls that wait long for a store that is gone.
+@pytest.mark.parametrize(
+    ("call", "step"),
+    [
+        pytest.param(lambda topic: topic.read_newest(), send_nothing, id="newest"),
+        pytest.param(
+            lambda topic: topic.read_newest(),
+            silent_after(make_page("a")),
+            id="newest-within-body",
+        ),
+        pytest.param(
+            lambda topic: topic.read(start=0, wait_ms=0),
+            silent_after(EMPTY_SLICE),
+            id="read-within-body",
+        ),
+        pytest.param(
+            lambda topic: topic.append((RECORD,), append_id=APPEND_ID),
+            in_pieces(b'{"offset": 0, "end": 1}'),
+            id="append-in-pieces",
+        ),
+    ],
+)
+async def test_silence_and_slow_small_answers_are_bounded(call, step):
+    async with ScriptedStore(step).topic() as topic:
+        clock = SystemClock()
+        start_ms = clock.now_ms()
+        with pytest.raises(StoreResponseLost):
+            await call(topic)
+        assert clock.now_ms() - start_ms < store.CALL_TIMEOUT_MS + SLACK_MS
+
+
+# Guards against an answer that arrives for ever.
+async def test_a_whole_answer_is_bounded(monkeypatch):
+    monkeypatch.setattr(store, "MAX_TRANSFER_MS", 200)
+    scripted = ScriptedStore(in_pieces(make_page("a")))
+    async with scripted.topic() as topic:
+        with pytest.raises(StoreResponseLost):
+            await topic.read_newest()
