--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -11,6 +11,7 @@
 from foxtailbank.keyed_log import (
     AppendId,
     KeyedRecord,
+    StoreRefused,
     StoreResponseLost,
 )
 from foxtailbank_platform import store
@@ -170,3 +171,39 @@
     async with scripted.topic() as topic:
         with pytest.raises(StoreResponseLost):
             await topic.read_newest()
+
+
+# Guards against a start that begins anew, with all pages, after one lost answer.
+@pytest.mark.parametrize("failure", [send_nothing, 429, 503])
+async def test_a_page_that_failed_is_asked_for_again(monkeypatch, failure):
+    monkeypatch.setattr(store, "CALL_TIMEOUT_MS", 300)
+    scripted = ScriptedStore(
+        make_page("a", "b", has_more=True, end=5),
+        failure,
+        make_page("c", has_more=True, end=7, first_offset=2),
+        failure,
+        # Both records were appended after the first page.
+        make_page("d", "e", end=7, first_offset=5),
+    )
+    async with scripted.topic() as topic:
+        newest = await topic.read_newest()
+    assert [record.key for record in newest.records] == ["a", "b", "c"]
+    assert newest.end == 5
+    pages = [target.partition("after=")[2] for target in scripted.targets]
+    assert pages == ["", "b", "b", "c", "c"]
+
+
+# Guards against a failure that is not told, or told late, while the store is away.
+@pytest.mark.parametrize(
+    ("pages", "expected_calls"),
+    [
+        pytest.param((), 1, id="first-page"),
+        pytest.param((make_page("a", has_more=True),), 1 + 3, id="later-page"),
+    ],
+)
+async def test_a_store_that_stays_away_is_told(monkeypatch, pages, expected_calls):
+    scripted = ScriptedStore(*pages, *[503] * 9)
+    async with scripted.topic() as topic:
+        with pytest.raises(StoreRefused):
+            await topic.read_newest()
+    assert len(scripted.targets) == expected_calls
