Choose only VMs that have their state as successors of a lost owner

Cause: the successor was drawn among all VMs that report, also those that had not restored the submissions yet. These know of nothing to take over; the others left it to them.

Fix: a report says whether the VM has yet to restore the submissions; the field is appended and is false in reports of earlier releases, which so can take over as before. A VM that has its state chooses among the peers that have theirs and itself; without its state it takes nothing over, and it reports soon after restoring. The first claim in the log counts as before, so that two views of the peers do no harm.

The field takes at most one byte of a datagram (test_load_report.py).

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -41,6 +41,7 @@
     VM_LIST_RESTORED = "vm_list_restored"
     PEER_LOST = "peer_lost"
     PEER_JOINED = "peer_joined"
+    PEER_RESTORED = "peer_restored"
     PEER_REFUSED = "peer_refused"
     ENDPOINT_JOINED = "endpoint_joined"
     ENDPOINT_LOST = "endpoint_lost"
--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -9,6 +9,7 @@
   loads @4 :List(Load);     # only workers with requests in flight
   marks @5 :List(Mark);     # recent crash reports
   zone @6 :Text;
+  restoring @7 :Bool;       # false in reports of earlier releases
 }
 
 struct Load {
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -30,6 +30,8 @@
         Increases with each report of that process.
     stopping : bool
         Whether it is shutting down and has released its batch items.
+    restoring : bool
+        Whether it has yet to restore the submissions, so that it cannot take any over.
     load_by_worker : dict of str to WorkerLoad
         Requests in flight, without idle workers.
     marks : tuple of CrashReport
@@ -42,6 +44,7 @@
     incarnation: int
     sequence: int
     stopping: bool
+    restoring: bool
     load_by_worker: dict[str, WorkerLoad]
     marks: tuple[CrashReport, ...]
 
@@ -64,6 +67,7 @@
         incarnation=report.incarnation,
         sequence=report.sequence,
         stopping=report.stopping,
+        restoring=report.restoring,
     )
     loads = builder.init("loads", len(report.load_by_worker))
     for row, (worker_id, load) in zip(
@@ -95,6 +99,7 @@
             incarnation=reader.incarnation,
             sequence=reader.sequence,
             stopping=reader.stopping,
+            restoring=reader.restoring,
             load_by_worker={
                 row.worker: WorkerLoad(online=row.online, batch=row.batch)
                 for row in reader.loads
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -30,6 +30,8 @@
         When that report or, before the first, the address was received.
     stopping : bool
         Whether it is shutting down.
+    restoring : bool
+        Whether it has yet to restore the submissions.
     """
 
     vm_id: str
@@ -39,6 +41,7 @@
     sequence: int = 0
     last_update_ms: int
     stopping: bool = False
+    restoring: bool = False
 
 
 class PeerTable:
@@ -82,6 +85,7 @@
             sequence=report.sequence,
             last_update_ms=now_ms,
             stopping=report.stopping,
+            restoring=report.restoring,
         )
         return True
 
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -17,6 +17,7 @@
 from foxtailbank.fleet.report_intervals import PeerGroup
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import KeyedLog, KeyedRecord
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
@@ -47,6 +48,8 @@
         The other VMs.
     fleet : FleetState
         Loads and crash reports.
+    follower : LogFollower
+        Restores the submissions; reports say whether it has done so.
     logs : Logs
         Receives a line for each peer that joins or is lost.
     clock : Clock
@@ -69,6 +72,7 @@
         appends: AppendQueue,
         peers: PeerTable,
         fleet: FleetState,
+        follower: LogFollower,
         logs: Logs,
         clock: Clock,
     ) -> None:
@@ -80,6 +84,7 @@
         self._appends = appends
         self._peers = peers
         self._fleet = fleet
+        self._follower = follower
         self._logs = logs
         self._clock = clock
         self._sequence = 0
@@ -91,6 +96,7 @@
         self.stopping = False
         fleet.add_load_listener(self.report_soon)
         fleet.add_crash_listener(self._on_own_crash)
+        follower.add_restore_listener(self.report_soon)
 
     def report_soon(self) -> None:
         """Send a report as soon as the minimum interval allows."""
@@ -142,6 +148,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             stopping=self.stopping,
+            restoring=not self._follower.is_restored,
             load_by_worker=self._fleet.loads.own_by_worker(),
             marks=tuple(self._crash_reports),
         )
@@ -166,12 +173,17 @@
 
     def _apply(self, report: LoadReport, address: Address) -> None:
         now_ms = self._clock.now_ms()
+        known = self._peers.get(report.vm_id)
         if not self._peers.on_report(report, address, now_ms):
             return
+        if known is not None and known.restoring and not report.restoring:
+            fields = LogFields(peer=report.vm_id)
+            self._logs.write(Event.PEER_RESTORED, level=LogLevel.DEBUG, fields=fields)
         self._fleet.reachability.on_report(report.zone, now_ms)
         if report.vm_id not in self._known_alive and not report.stopping:
             self._known_alive.add(report.vm_id)
-            fields = LogFields(peer=report.vm_id)
+            reason = "restoring" if report.restoring else ""
+            fields = LogFields(peer=report.vm_id, reason=reason)
             self._logs.write(Event.PEER_JOINED, fields=fields)
             self.report_soon()
         load = PeerLoad(
--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -76,6 +76,7 @@
         self._logs = logs
         self._clock = clock
         self._on_recovery = on_recovery
+        self._restore_listeners: list[t.Callable[[], None]] = []
         self._changed = anyio.Event()
         self._skip_pause = anyio.Event()
         self._awaited_offset = 0
@@ -99,6 +100,10 @@
         """Whether the last read failed."""
         return self._failing_since_ms is not None
 
+    def add_restore_listener(self, listener: t.Callable[[], None]) -> None:
+        """Call a function each time the state has been restored."""
+        self._restore_listeners.append(listener)
+
     async def run(self) -> None:
         """Follow the log until cancelled."""
         history_lost = False
@@ -176,6 +181,8 @@
             duration_ms=self._clock.now_ms() - requested_ms,
         )
         self._logs.write(Event.STATE_RESTORED, fields=fields)
+        for listener in self._restore_listeners:
+            listener()
         self._notify()
 
     async def _poll(self) -> None:
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -187,6 +187,7 @@
             appends=self._address_appends,
             peers=peers,
             fleet=self.fleet,
+            follower=self._follower,
             logs=logs,
             clock=clock,
         )
@@ -216,6 +217,7 @@
             vm_id=identity.vm_id,
             owner_id=process_name,
             table=submission_table,
+            follower=self._follower,
             appends=self._appends,
             peers=peers,
             leases=leases,
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -10,6 +10,7 @@
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.lease_table import LeaseTable
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
@@ -35,10 +36,11 @@
 class Takeover:
     """Takes over this VM's share of the submissions whose owner has departed.
 
-    VMs that see the same peers choose the same successor for each submission. If they
-    see different ones, the first `TakenOver` record in the log counts. A silent owner
-    keeps its submissions while it holds its lease at the platform, as it may be cut
-    off from its peers and still be running.
+    VMs that see the same peers choose the same successor for each submission, among
+    those that have restored the ledger. If they see different ones, the first
+    `TakenOver` record in the log counts. A silent owner keeps its submissions while it
+    holds its lease at the platform, as it may be cut off from its peers and still be
+    running.
 
     Parameters
     ----------
@@ -48,6 +50,8 @@
         This process, as ``vm/incarnation``.
     table : SubmissionTable
         Holds the ledger.
+    follower : LogFollower
+        Restores the ledger.
     appends : AppendQueue
         Queue for the submission log.
     peers : PeerTable
@@ -66,6 +70,7 @@
         vm_id: str,
         owner_id: str,
         table: SubmissionTable,
+        follower: LogFollower,
         appends: AppendQueue,
         peers: PeerTable,
         leases: LeaseTable,
@@ -75,6 +80,7 @@
         self._vm_id = vm_id
         self._owner_id = owner_id
         self._table = table
+        self._follower = follower
         self._appends = appends
         self._peers = peers
         self._leases = leases
@@ -108,9 +114,13 @@
     async def take_over_orphans(self) -> None:
         """Take over the submissions of departed owners that this VM is to succeed."""
         now_ms = self._clock.now_ms()
-        if self.stopping or now_ms - self._started_ms < STARTUP_GRACE_MS:
+        if self.stopping or not self._follower.is_restored:
             return
-        alive_ids = frozenset(peer.vm_id for peer in self._peers.alive(now_ms))
+        if now_ms - self._started_ms < STARTUP_GRACE_MS:
+            return
+        alive = self._peers.alive(now_ms)
+        alive_ids = frozenset(peer.vm_id for peer in alive)
+        able_ids = frozenset(peer.vm_id for peer in alive if not peer.restoring)
         submissions_by_owner: dict[str, list[Submission]] = {}
         for submission in self._table.ledger.all():
             if submission.is_open and submission.owner != self._owner_id:
@@ -123,7 +133,7 @@
         for owner, submissions in submissions_by_owner.items():
             if not self._is_missing(owner, alive_ids, now_ms):
                 continue
-            own_share = [s for s in submissions if self._is_successor(s, alive_ids)]
+            own_share = [s for s in submissions if self._is_successor(s, able_ids)]
             if own_share and await self._has_departed(owner, alive_ids):
                 for submission in own_share:
                     self._take_over(submission)
@@ -171,10 +181,10 @@
         vm_id, _, incarnation = owner.rpartition("/")
         return not await self._leases.is_held(vm_id=vm_id, incarnation=incarnation)
 
-    def _is_successor(self, submission: Submission, alive_ids: frozenset[str]) -> bool:
-        candidates = alive_ids | {self._vm_id}
+    def _is_successor(self, submission: Submission, able_ids: frozenset[str]) -> bool:
+        """Whether this VM comes first among itself and the peers that have state."""
         key = f"{submission.submission_id}/{submission.generation}"
-        chosen = max(candidates, key=lambda vm: rendezvous.score(key, vm))
+        chosen = max(able_ids | {self._vm_id}, key=lambda vm: rendezvous.score(key, vm))
         return chosen == self._vm_id
 
     def _take_over(self, submission: Submission) -> None:
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -32,6 +32,7 @@
     StoreResponseLost,
 )
 from foxtailbank.lease_table import LeaseTable
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 
@@ -42,6 +43,16 @@
     return Logs(vm="vm-1", zone="z1", stream=io.StringIO())
 
 
+def make_follower(log, state, clock, *, is_restored=True):
+    """Return a follower that is not run, with or without its state."""
+    follower = LogFollower(
+        name="t", log=log, state=state, pause_ms=0, logs=make_logs(), clock=clock
+    )
+    if is_restored:
+        follower.next_offset = 0
+    return follower
+
+
 def make_worker(worker_id="w1", *, zone="z1", slots=2, draining=False, service="s"):
     return Worker(
         worker_id=worker_id,
@@ -59,6 +70,7 @@
         "incarnation": 1,
         "sequence": 1,
         "stopping": False,
+        "restoring": False,
         "load_by_worker": {},
         "marks": (),
     }
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -14,7 +14,14 @@
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import AppendId, KeyedRecord
 from foxtailbank.load_exchange import LoadExchange
-from serving_fakes import FakeKeyedLog, make_logs, make_report, make_routes
+from foxtailbank.log_follower import LogState
+from serving_fakes import (
+    FakeKeyedLog,
+    make_follower,
+    make_logs,
+    make_report,
+    make_routes,
+)
 
 pytestmark = pytest.mark.anyio
 CLOCK = SystemClock()
@@ -24,6 +31,8 @@
 SENDER_COUNT = 23  # VMs in one zone
 ROUNDS = 8
 WAIT_S = 10
+SETTLE_S = 0.05  # until reports that answer a join have been sent
+SOON_MS = 250  # half the gap between two reports without a change
 
 
 class NoAppends:
@@ -36,7 +45,15 @@
     return "asyncio"
 
 
-def make_exchange(addresses):
+class NoState(LogState):
+    def restore(self, newest):
+        pass
+
+    def apply_records(self, part):
+        pass
+
+
+def make_exchange(addresses, *, follower=None):
     fleet = FleetState(
         rng=random.Random(1),
         vm_id="me",
@@ -54,6 +71,7 @@
         appends=NoAppends(),
         peers=PeerTable(vm_id="me", zone="z1"),
         fleet=fleet,
+        follower=follower or make_follower(FakeKeyedLog(), NoState(), CLOCK),
         logs=make_logs(),
         clock=CLOCK,
     )
@@ -137,3 +155,30 @@
             group.cancel_scope.cancel()
     assert len(reads) <= ROUNDS * SENDER_COUNT / 2
     assert fleet.loads.total("w1").online == SENDER_COUNT
+
+
+# Guards against a VM that is chosen as a successor before it knows any submission, or
+# not chosen for long after.
+async def test_a_restored_state_is_reported_soon():
+    submissions = FakeKeyedLog()
+    follower = make_follower(submissions, NoState(), CLOCK, is_restored=False)
+    exchange, _ = make_exchange(FakeKeyedLog(), follower=follower)
+    with anyio.fail_after(WAIT_S):
+        async with (
+            await anyio.create_udp_socket(local_host=HOST) as socket,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(exchange.run)
+            await anyio.sleep(0.1)
+            report = load_report.encode(make_report("vm"))
+            await socket.sendto(report, HOST, PORT)
+            datagram, _ = await socket.receive()
+            assert load_report.decode(datagram).restoring
+            await anyio.sleep(SETTLE_S)
+            restored_ms = CLOCK.now_ms()
+            group.start_soon(follower.run)
+            async for datagram, _ in socket:
+                if not load_report.decode(datagram).restoring:
+                    break
+            assert CLOCK.now_ms() - restored_ms < SOON_MS
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_load_report.py
@@ -0,0 +1,73 @@
+"""Load reports between processes of different releases, and their size."""
+
+import capnp
+import pytest
+
+from foxtailbank.fleet import load_report
+from foxtailbank.fleet.crash_reports import CrashReport
+from foxtailbank.fleet.load_table import WorkerLoad
+from serving_fakes import make_report
+
+# The schema before reports said whether a VM has its state, under an id of its own, as
+# one process can't load two schemas with the same id.
+EARLIER_SCHEMA = """
+@0xc2d4e1f07a9b3359;
+struct LoadReport {
+  vmId @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  stopping @3 :Bool;
+  loads @4 :List(Load);
+  marks @5 :List(Mark);
+  zone @6 :Text;
+}
+struct Load { worker @0 :Text; online @1 :UInt16; batch @2 :UInt16; }
+struct Mark { fingerprint @0 :UInt64; worker @1 :Text; }
+"""
+
+
+@pytest.fixture(scope="module")
+def earlier_report(tmp_path_factory):
+    capnp.remove_import_hook()
+    path = tmp_path_factory.mktemp("schema") / "earlier.capnp"
+    path.write_text(EARLIER_SCHEMA)
+    return capnp.load(str(path)).LoadReport
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+@pytest.mark.parametrize("restoring", [False, True])
+def test_a_report_is_decoded_as_encoded(stopping, restoring):
+    report = make_report(
+        "vm",
+        stopping=stopping,
+        restoring=restoring,
+        load_by_worker={"w1": WorkerLoad(online=2, batch=1)},
+        marks=(CrashReport(fingerprint=7, worker_id="w1"),),
+    )
+    assert load_report.decode(load_report.encode(report)) == report
+
+
+# Guards against submissions that nobody takes over while two releases run.
+def test_a_vm_of_an_earlier_release_counts_as_having_its_state(earlier_report):
+    message = earlier_report.new_message(
+        vmId="vm", incarnation=1, sequence=1, stopping=True
+    )
+    report = load_report.decode(message.to_bytes_packed())
+    assert report.stopping
+    assert not report.restoring
+
+
+# Guards against reports that a VM of an earlier release can't read.
+def test_an_earlier_release_reads_a_report(earlier_report):
+    datagram = load_report.encode(make_report("vm", sequence=4, restoring=True))
+    reader = earlier_report.from_bytes_packed(datagram)
+    assert (reader.vmId, reader.sequence, reader.stopping) == ("vm", 4, False)
+
+
+# Guards against datagrams that outgrow what a path carries in one piece.
+def test_saying_that_the_state_is_missing_takes_at_most_one_byte():
+    sizes = [
+        len(load_report.encode(make_report("vm", restoring=restoring)))
+        for restoring in (False, True)
+    ]
+    assert sizes[1] <= sizes[0] + 1
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -15,7 +15,14 @@
     STARTUP_GRACE_MS,
     Takeover,
 )
-from serving_fakes import FakeKeyedLog, FakeLeases, make_logs, make_report, manual_clock
+from serving_fakes import (
+    FakeKeyedLog,
+    FakeLeases,
+    make_follower,
+    make_logs,
+    make_report,
+    manual_clock,
+)
 from test_submission_ledger import make_submitted
 
 pytestmark = pytest.mark.anyio
@@ -29,14 +36,18 @@
 class Vm:
     """A VM with a submission that is owned by process ``vm/1``."""
 
-    def __init__(self, vm_id="b"):
+    def __init__(self, vm_id="b", *, is_restored=True):
         self.clock = manual_clock()
         self.book = SubmissionTable(logs=make_logs())
         self.book.ledger.apply(make_submitted())
         self.peers = PeerTable(vm_id=vm_id, zone="z1")
         self.leases = FakeLeases()
+        log = FakeKeyedLog()
+        self.follower = make_follower(
+            log, self.book, self.clock, is_restored=is_restored
+        )
         self.appends = AppendQueue(
-            log=FakeKeyedLog(),
+            log=log,
             producer="b/1",
             call_bytes=1_000,
             logs=make_logs(),
@@ -46,6 +57,7 @@
             vm_id=vm_id,
             owner_id=f"{vm_id}/9",
             table=self.book,
+            follower=self.follower,
             appends=self.appends,
             peers=self.peers,
             leases=self.leases,
@@ -54,12 +66,15 @@
         )
         self.clock.advance(STARTUP_GRACE_MS)
 
-    def receive_report(self, vm_id="vm", *, incarnation=1, stopping=False):
+    def receive_report(
+        self, vm_id="vm", *, incarnation=1, stopping=False, restoring=False
+    ):
         report = make_report(
             vm_id,
             incarnation=incarnation,
             sequence=self.clock.now_ms(),
             stopping=stopping,
+            restoring=restoring,
         )
         self.peers.on_report(report, parse_address("127.0.0.1:1"), self.clock.now_ms())
 
@@ -137,6 +152,39 @@
     assert takeovers == 1
 
 
+# Guards against submissions that wait for a successor that does not know them yet.
+@pytest.mark.parametrize(
+    ("is_restored", "restoring_peers", "expected"),
+    [
+        pytest.param(True, "", False, id="a-peer-comes-first"),
+        pytest.param(True, "d", True, id="that-peer-has-no-state"),
+        pytest.param(True, "cde", True, id="no-peer-has-state"),
+        pytest.param(False, "cde", False, id="nobody-has-state"),
+        pytest.param(False, "d", False, id="no-state-itself"),
+    ],
+)
+async def test_only_a_vm_that_has_its_state_is_a_successor(
+    monkeypatch, is_restored, restoring_peers, expected
+):
+    # The later its name in the alphabet, the rather a VM is chosen.
+    monkeypatch.setattr(rendezvous, "score", lambda key, name: ord(name[0]))
+    vm = Vm(is_restored=is_restored)
+    for peer in {"d", *restoring_peers}:
+        vm.receive_report(peer, restoring=peer in restoring_peers)
+    vm.receive_report("vm", stopping=True)
+    assert await vm.takes_over(checks=1) is expected
+
+
+async def test_a_peer_that_got_its_state_is_a_successor_again(monkeypatch):
+    monkeypatch.setattr(rendezvous, "score", lambda key, name: ord(name[0]))
+    vm = Vm()
+    vm.receive_report("d", restoring=True)
+    vm.clock.advance(1)
+    vm.receive_report("d")
+    vm.receive_report("vm", stopping=True)
+    assert not await vm.takes_over(checks=1)
+
+
 # Guards against processor time in each check for all open submissions and peers.
 @pytest.mark.parametrize(
     ("report", "checks", "is_scored"),
