Drop an item's progress from the log with its end

Each start reads the newest record of each key; among these were the saved outputs of items that had ended, until their submission was retired 180 s later.

Fix: the append with an item's end also drops the key of its progress, if this process saved some or resumed from some or the ledger knows of some. The records of earlier releases need no change, and these skip the dropped key. A dropped key is no longer among the submission's record keys and a dropped progress not in the ledger, so that a VM that followed the log has the same state as one that restored it, and retirement drops what is left.

test_crashed_items.py decoded each record of the log; it now passes over those that drop a key, which have no value. It looks for the same results as before.

--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -16,6 +16,7 @@
     ItemEnded,
     Progress,
     Record,
+    drop_progress,
     encode,
 )
 
@@ -99,7 +100,10 @@
         self._metrics.count(Count.FAILED_ITEMS, entry=entry)
 
     def record_end(self, run: ItemRun, *, completed: bool, reason: str) -> None:
-        """Append an item's result, or that it was given up, to the submission log."""
+        """Append an item's result, or that it was given up, to the submission log.
+
+        The same append drops its saved progress, which no process needs any more.
+        """
         run.is_done = True
         submission_id, item_id = run.key
         record = ItemEnded(
@@ -108,7 +112,9 @@
             completed=completed,
             text="\n".join(run.texts) if completed else "",
         )
-        self._append(record, unique=f"{item_id}/{self._owner_id}")
+        stored = encode(record, key_suffix=f"{item_id}/{self._owner_id}")
+        dropped = (drop_progress(*run.key),) if run.has_saved_progress else ()
+        self._appends.put((stored, *dropped), urgent=False)
         self._metrics.count(Count.FINISHED_ITEMS, reason=reason)
         self._logs.write(Event.ITEM_FINISHED, fields=self._fields(run, reason))
 
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -74,6 +74,13 @@
         """Whether it is being run on a worker."""
         return self.cancel_scope is not None
 
+    @property
+    def has_saved_progress(self) -> bool:
+        """Whether this process or an earlier owner saved progress in the log."""
+        if self.saved_event_count:
+            return True
+        return self.item.item_id in self.submission.progress_by_id
+
     def stop(self) -> None:
         """Cancel the current run and keep its progress."""
         if self.cancel_scope is not None:
--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -59,6 +59,12 @@
         if dropped is not None:
             self._waiting_by_route[dropped.route] -= dropped.waiting_tokens
 
+    def forget_progress(self, submission_id: str, item_id: str) -> None:
+        """Remove an item's progress whose record was dropped."""
+        submission = self._by_id.get(submission_id)
+        if submission is not None:
+            submission.progress_by_id.pop(item_id, None)
+
     def apply(self, record: Record) -> Effect:
         """Apply the next record of the log."""
         match record:
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -3,7 +3,7 @@
 A key is written once and then only to drop it, so the newest record of each key is
 the complete history and gives every VM the same state in the same order. The exception
 is an item's progress: each record replaces the one before, as it only determines where
-the item resumes.
+the item resumes, and the key is dropped with the item's end.
 """
 
 import typing as t
@@ -14,6 +14,7 @@
 from foxtailbank.keyed_log import KeyedRecord
 
 SUBMITTED_KIND = "submitted"
+PROGRESS_KIND = "progress"
 
 
 class RecordUnreadable(FoxtailbankError):
@@ -116,7 +117,7 @@
     item_id: str
 
 
-class Progress(msgspec.Struct, frozen=True, kw_only=True, tag="progress"):
+class Progress(msgspec.Struct, frozen=True, kw_only=True, tag=PROGRESS_KIND):
     """Output of an item so far, from which another process can resume it.
 
     Attributes
@@ -177,6 +178,12 @@
     return KeyedRecord(key=key, value=_encoder.encode(record))
 
 
+def drop_progress(submission_id: str, item_id: str) -> KeyedRecord:
+    """Return the record that drops an item's progress from the log."""
+    key = f"{PROGRESS_KIND}/{submission_id}/{item_id}"
+    return KeyedRecord(key=key, value=b"")
+
+
 def decode(value: bytes) -> Record:
     """Decode a record.
 
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -8,7 +8,12 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
-from foxtailbank.submissions.records import SUBMITTED_KIND, RecordUnreadable, decode
+from foxtailbank.submissions.records import (
+    PROGRESS_KIND,
+    SUBMITTED_KIND,
+    RecordUnreadable,
+    decode,
+)
 
 _EVENT_BY_EFFECT = {
     Effect.ACCEPTED: Event.SUBMISSION_ACCEPTED,
@@ -83,8 +88,14 @@
 
     def _forget(self, stored: KeyedRecord) -> None:
         kind, _, rest = stored.key.partition("/")
+        submission_id, _, suffix = rest.partition("/")
+        submission = self.ledger.get(submission_id)
+        if submission is not None:
+            submission.record_keys.discard(stored.key)
         if kind == SUBMITTED_KIND:
-            self.ledger.forget(rest.partition("/")[0])
+            self.ledger.forget(submission_id)
+        elif kind == PROGRESS_KIND:
+            self.ledger.forget_progress(submission_id, suffix)
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/tests/test_crashed_items.py
+++ b/tests/test_crashed_items.py
@@ -121,7 +121,8 @@
 
     def results(self):
         """Return the results in the log."""
-        records = [decode(stored.value) for stored in self.log.records]
+        # A record without a value drops a key.
+        records = [decode(stored.value) for stored in self.log.records if stored.value]
         return [record for record in records if isinstance(record, ItemEnded)]
 
     @contextlib.asynccontextmanager
--- a/tests/test_submission_ledger.py
+++ b/tests/test_submission_ledger.py
@@ -157,6 +157,11 @@
         self.log.append(stored)
         self.book.apply_records(LogSlice(records=(stored,), end=len(self.log)))
 
+    def drop(self, key):
+        stored = KeyedRecord(key=key, value=b"", offset=len(self.log))
+        self.log.append(stored)
+        self.book.apply_records(LogSlice(records=(stored,), end=len(self.log)))
+
     def waiting(self):
         return sum(
             10
@@ -177,10 +182,12 @@
             self.items[submission_id] = items
             self.positions[submission_id] = []
 
-    @rule(submission_id=SUBMISSIONS, item_id=ITEMS)
-    def result(self, submission_id, item_id):
+    @rule(submission_id=SUBMISSIONS, item_id=ITEMS, drops_progress=st.booleans())
+    def result(self, submission_id, item_id, drops_progress):
         text = str(len(self.log))
         self.put(item_ended(submission_id, item_id, text), f"{item_id}/{len(self.log)}")
+        if drops_progress:
+            self.drop(f"progress/{submission_id}/{item_id}")
         known = item_id in self.items.get(submission_id, ())
         if known and item_id not in self.positions[submission_id]:
             self.positions[submission_id].append(item_id)
@@ -213,7 +220,10 @@
     @invariant()
     def the_newest_record_of_each_key_gives_the_same_state(self):
         newest = {record.key: record for record in self.log}
-        kept = sorted(newest.values(), key=lambda record: record.offset)
+        kept = sorted(
+            (record for record in newest.values() if record.value),
+            key=lambda record: record.offset,
+        )
         other = SubmissionTable(logs=make_logs())
         other.restore(LogSlice(records=tuple(kept), end=len(self.log)))
         assert {s.submission_id: s for s in other.ledger.all()} == {
