Spread claims over time while peers are restoring

With only restored VMs as successors, the first VM to restore after all have restarted would claim the open submissions of the whole fleet and run all their items alone.

Fix: while a live peer is still restoring, a check claims four submissions at most. Those that restore next choose among the VMs that have their state by then. Without a restoring peer nothing changes.

Tests: test_claims_are_spread_while_peers_are_restoring[first-check] and [second-check] failed before, with 12 claims.

--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -1,6 +1,7 @@
 """Takes over the submissions of departed processes."""
 
 import enum
+import sys
 
 import anyio
 
@@ -22,6 +23,8 @@
 # Counted from when a peer's last report is too old; a delayed report ends the silence.
 SILENCE_GRACE_MS = 900
 STARTUP_GRACE_MS = 1_000  # from the start, until reports of all peers have arrived
+# In each check; peers that have restored the ledger by the next one get their share.
+MAX_CLAIMS_WHILE_RESTORING = 4
 LEASE_PERIOD_MS = 700  # three renewals within a lease's lifetime
 
 
@@ -40,7 +43,8 @@
     those that have restored the ledger. If they see different ones, the first
     `TakenOver` record in the log counts. A silent owner keeps its submissions while it
     holds its lease at the platform, as it may be cut off from its peers and still be
-    running.
+    running. While peers are restoring the ledger, claims are spread over time, as
+    these peers are to get their share.
 
     Parameters
     ----------
@@ -87,7 +91,7 @@
         self._logs = logs
         self._clock = clock
         self._silent_since_ms: dict[str, int] = {}
-        self._taken_over: set[tuple[str, int]] = set()
+        self._claimed: set[tuple[str, int]] = set()  # submission and generation
         self._started_ms = clock.now_ms()
         self._renewed_ms = -LEASE_PERIOD_MS
         self.stopping = False
@@ -121,10 +125,9 @@
         alive = self._peers.alive(now_ms)
         alive_ids = frozenset(peer.vm_id for peer in alive)
         able_ids = frozenset(peer.vm_id for peer in alive if not peer.restoring)
-        submissions_by_owner: dict[str, list[Submission]] = {}
-        for submission in self._table.ledger.all():
-            if submission.is_open and submission.owner != self._owner_id:
-                submissions_by_owner.setdefault(submission.owner, []).append(submission)
+        submissions_by_owner = self._unclaimed_by_owner()
+        is_any_restoring = len(able_ids) < len(alive)
+        claims_left = MAX_CLAIMS_WHILE_RESTORING if is_any_restoring else sys.maxsize
         self._silent_since_ms = {
             owner: self._silent_since_ms.get(owner, now_ms)
             for owner in submissions_by_owner
@@ -134,10 +137,22 @@
             if not self._is_missing(owner, alive_ids, now_ms):
                 continue
             own_share = [s for s in submissions if self._is_successor(s, able_ids)]
-            if own_share and await self._has_departed(owner, alive_ids):
-                for submission in own_share:
+            chosen = own_share[:claims_left]
+            if chosen and await self._has_departed(owner, alive_ids):
+                claims_left -= len(chosen)
+                for submission in chosen:
                     self._take_over(submission)
 
+    def _unclaimed_by_owner(self) -> dict[str, list[Submission]]:
+        """Return the open submissions of others that this VM has not claimed."""
+        submissions_by_owner: dict[str, list[Submission]] = {}
+        for submission in self._table.ledger.all():
+            if not submission.is_open or submission.owner == self._owner_id:
+                continue
+            if _next_generation(submission) not in self._claimed:
+                submissions_by_owner.setdefault(submission.owner, []).append(submission)
+        return submissions_by_owner
+
     async def renew_lease(self) -> None:
         """Renew the lease if renewal is due and this process owns open submissions."""
         now_ms = self._clock.now_ms()
@@ -189,10 +204,7 @@
 
     def _take_over(self, submission: Submission) -> None:
         generation = submission.generation + 1
-        key = (submission.submission_id, generation)
-        if key in self._taken_over:
-            return
-        self._taken_over.add(key)
+        self._claimed.add(_next_generation(submission))
         record = TakenOver(
             submission_id=submission.submission_id,
             generation=generation,
@@ -206,3 +218,7 @@
             count=generation,
         )
         self._logs.write(Event.SUBMISSION_TAKEN_OVER, fields=fields)
+
+
+def _next_generation(submission: Submission) -> tuple[str, int]:
+    return (submission.submission_id, submission.generation + 1)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,6 @@
 """Takeover of submissions from VMs that crash, stop, restart or are cut off."""
 
+import anyio
 import msgspec
 import pytest
 
@@ -11,6 +12,7 @@
 from foxtailbank.submissions.records import Ended
 from foxtailbank.submissions.submission_table import SubmissionTable
 from foxtailbank.submissions.takeover import (
+    MAX_CLAIMS_WHILE_RESTORING,
     SILENCE_GRACE_MS,
     STARTUP_GRACE_MS,
     Takeover,
@@ -26,6 +28,7 @@
 from test_submission_ledger import make_submitted
 
 pytestmark = pytest.mark.anyio
+WAIT_S = 10
 
 
 @pytest.fixture
@@ -42,7 +45,7 @@
         self.book.ledger.apply(make_submitted())
         self.peers = PeerTable(vm_id=vm_id, zone="z1")
         self.leases = FakeLeases()
-        log = FakeKeyedLog()
+        log = self.log = FakeKeyedLog()
         self.follower = make_follower(
             log, self.book, self.clock, is_restored=is_restored
         )
@@ -66,6 +69,16 @@
         )
         self.clock.advance(STARTUP_GRACE_MS)
 
+    async def append_claims(self):
+        """Append the queued claims; return the number of all claims."""
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.appends.run)
+                while self.appends.waiting_bytes:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        return len(self.log.records)
+
     def receive_report(
         self, vm_id="vm", *, incarnation=1, stopping=False, restoring=False
     ):
@@ -236,3 +249,29 @@
     for _ in range(2):
         await vm.takeover.renew_lease()
     assert vm.leases.renewals == expected
+
+
+# Guards against the first VM that has its state taking over, and running, the items of
+# the whole fleet after all VMs have restarted.
+@pytest.mark.parametrize(
+    ("restoring", "checks", "expected"),
+    [
+        pytest.param(True, 1, MAX_CLAIMS_WHILE_RESTORING, id="first-check"),
+        pytest.param(True, 2, 2 * MAX_CLAIMS_WHILE_RESTORING, id="second-check"),
+        pytest.param(True, 9, 3 * MAX_CLAIMS_WHILE_RESTORING, id="all-in-the-end"),
+        pytest.param(False, 1, 3 * MAX_CLAIMS_WHILE_RESTORING, id="nobody-restoring"),
+    ],
+)
+async def test_claims_are_spread_while_peers_are_restoring(
+    monkeypatch, restoring, checks, expected
+):
+    monkeypatch.setattr(rendezvous, "score", lambda key, name: -ord(name[0]))
+    vm = Vm()
+    for number in range(2, 1 + 3 * MAX_CLAIMS_WHILE_RESTORING):
+        owner = f"vm/{number % 3}"
+        submitted = make_submitted(f"s{number}", limit=0)
+        vm.book.ledger.apply(msgspec.structs.replace(submitted, owner=owner))
+    vm.receive_report("vm", incarnation=9)
+    vm.receive_report("c", restoring=restoring)
+    await vm.takes_over(checks=checks, gap_ms=1)
+    assert await vm.append_claims() == expected
