--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -3,8 +3,9 @@
 A key is written once and then only to drop it, so the newest record of each key is
 the complete history and gives every VM the same state in the same order. There are two
 exceptions. Each record of an item's progress replaces the one before, as it only
-determines where the item resumes. `RefusedAttempt` replaces a `Submitted` that was
-refused, as a replay could accept it once the submissions before it are dropped.
+determines where the item resumes; the key is dropped with the item's end.
+`RefusedAttempt` replaces a `Submitted` that was refused, as a replay could accept it
+once the submissions before it are dropped.
 """
 
 import typing as t
@@ -15,6 +16,7 @@
 from foxtailbank.keyed_log import KeyedRecord
 
 SUBMITTED_KIND = "submitted"
+PROGRESS_KIND = "progress"
 
 
 class RecordUnreadable(FoxtailbankError):
@@ -127,7 +129,7 @@
     item_id: str
 
 
-class Progress(msgspec.Struct, frozen=True, kw_only=True, tag="progress"):
+class Progress(msgspec.Struct, frozen=True, kw_only=True, tag=PROGRESS_KIND):
     """Output of an item so far, from which another process can resume it.
 
     Attributes
@@ -208,6 +210,12 @@
     return KeyedRecord(key=key, value=_encoder.encode(record))
 
 
+def drop_progress(submission_id: str, item_id: str) -> KeyedRecord:
+    """Return the record that drops an item's progress from the log."""
+    key = f"{PROGRESS_KIND}/{submission_id}/{item_id}"
+    return KeyedRecord(key=key, value=b"")
+
+
 def decode(value: bytes) -> Record:
     """Decode a record.
 
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -10,6 +10,7 @@
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
 from foxtailbank.submissions.records import (
+    PROGRESS_KIND,
     SUBMITTED_KIND,
     Part,
     Record,
@@ -144,13 +145,16 @@
 
     def _forget(self, stored: KeyedRecord) -> None:
         kind, _, rest = stored.key.partition("/")
-        submission_id = rest.partition("/")[0]
+        submission_id, _, suffix = rest.partition("/")
         submission = self.ledger.get(submission_id)
-        if kind != SUBMITTED_KIND or submission is None:
+        if submission is None:
             return
+        submission.record_keys.discard(stored.key)
         # Another arrival of the id may have been accepted since.
-        if submission.created_key == stored.key:
+        if stored.key == submission.created_key:
             self.ledger.forget(submission_id)
+        elif kind == PROGRESS_KIND:
+            self.ledger.forget_progress(submission_id, suffix)
 
     def _notify(self) -> None:
         for listener in self._listeners:
