--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -11,7 +11,6 @@
 from foxtailbank.submissions.ledger import Effect, Ledger
 from foxtailbank.submissions.records import (
     PROGRESS_KIND,
-    SUBMITTED_KIND,
     Part,
     Record,
     RecordUnreadable,
--- a/tests/test_ledger_replicas.py
+++ b/tests/test_platform_ledger_replicas.py
@@ -193,7 +193,7 @@
         self._page_size = page_size
         self.last_page_end = 0
 
-    async def call(self, method, path, query, body, wait_ms):
+    async def call(self, method, path, query, body, wait_ms, *, transfer_ms=0):
         assert (method, path) == ("GET", "log-newest")
         await wait_one_step()
         after = query.get("after", "")
