--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -6,7 +6,6 @@
 import anyio.abc
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.fleet.crash_reports import request_fingerprint
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
@@ -106,7 +105,7 @@
         )
         self._runs_by_key: dict[tuple[str, str], ItemRun] = {}
         self._route_missing_since_ms: dict[str, int] = {}
-        self._no_slot_since_ms: int | None = None
+        self._no_slot_since_ms_by_route: dict[str, int] = {}
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self.stopping = False
@@ -190,14 +189,17 @@
             for run in self._runs_by_key.values()
             if not run.is_running and not run.is_done and run.not_before_ms <= now_ms
         ]
-        if not waiting:
-            self._no_slot_since_ms = None
-            return
         # Overdue items come after those that can still be on time.
         waiting.sort(key=lambda run: (run.due_ms < now_ms, run.due_ms))
+        no_slot_since_ms_by_route: dict[str, int] = {}
         for run in waiting:
+            name = run.submission.route
+            if name in no_slot_since_ms_by_route:
+                continue
             if not self._try_start(run, now_ms):
-                break
+                since_ms = self._no_slot_since_ms_by_route.get(name, now_ms)
+                no_slot_since_ms_by_route[name] = since_ms
+        self._no_slot_since_ms_by_route = no_slot_since_ms_by_route
 
     def _try_start(self, run: ItemRun, now_ms: int) -> bool:
         """Try to start an item; return false if no worker has a free slot."""
@@ -209,10 +211,6 @@
         if self._is_past_retention(run, route):
             self._recorder.record_end(run, completed=False, reason="retention")
             return True
-        fingerprint = self._fingerprint(run)
-        if self._fleet.crash_reports.is_refused(fingerprint):
-            run.not_before_ms = now_ms + ROUTE_REMOVED_MS
-            return True
         worker = self._choose_worker(run, route, now_ms)
         if worker is None:
             return False
@@ -221,35 +219,33 @@
         run.send_count += 1
         self._fleet.loads.start(worker.worker_id, LoadKind.BATCH)
         assert self._group is not None
-        self._group.start_soon(self._run, run, route, worker, fingerprint)
+        self._group.start_soon(self._run, run, route, worker)
         return True
 
     def _choose_worker(self, run: ItemRun, route: Route, now_ms: int) -> Worker | None:
-        waited_ms = 0
-        if self._no_slot_since_ms is not None:
-            waited_ms = now_ms - self._no_slot_since_ms
+        name = run.submission.route
         worker = self._capacity.choose_worker(
             self._fleet.workers.usable(route.choose_service(self._rng)),
-            avoid=run.failed_worker_ids,
-            waited_ms=waited_ms,
+            avoid=run.avoided_worker_ids,
+            waited_ms=now_ms - self._no_slot_since_ms_by_route.get(name, now_ms),
             now_ms=now_ms,
         )
-        if worker is not None:
-            self._no_slot_since_ms = None
-        elif self._no_slot_since_ms is None:
-            self._no_slot_since_ms = now_ms
+        if worker is None:
+            return None
+        self._no_slot_since_ms_by_route.pop(name, None)
+        if worker.worker_id in run.avoided_worker_ids:
+            # All free workers have been tried, so each gets another try in turn.
+            run.avoided_worker_ids.clear()
         return worker
 
-    async def _run(
-        self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
-    ) -> None:
+    async def _run(self, run: ItemRun, route: Route, worker: Worker) -> None:
         scope = run.cancel_scope
         assert scope is not None
         self._recorder.record_start(run)
         self._fleet.notify_load()
         try:
             with scope:
-                await self._exchange(run, route, worker, fingerprint)
+                await self._exchange(run, route, worker)
         finally:
             run.cancel_scope = None
             run.event_buffer.discard_partial_event()
@@ -258,9 +254,7 @@
         if scope.cancelled_caught:
             run.not_before_ms = self._clock.now_ms() + PREEMPTION_PAUSE_MS
 
-    async def _exchange(
-        self, run: ItemRun, route: Route, worker: Worker, fingerprint: int
-    ) -> None:
+    async def _exchange(self, run: ItemRun, route: Route, worker: Worker) -> None:
         call = Call(
             request_id=run.item.item_id,
             method="POST",
@@ -280,7 +274,7 @@
             ) as answer:
                 await self._handle_answer(run, route, worker, answer)
         except ExchangeFailed as failure:
-            self._on_failure(run, worker, fingerprint, failure)
+            self._on_failure(run, worker, failure)
 
     async def _handle_answer(
         self, run: ItemRun, route: Route, worker: Worker, answer: WorkerResponse
@@ -288,6 +282,7 @@
         now_ms = self._clock.now_ms()
         if answer.not_run:
             self._fleet.on_not_run(worker, answer)
+            run.avoided_worker_ids.add(worker.worker_id)
             run.not_before_ms = now_ms + FULL_RETRY_MS
             load = self._fleet.loads.total(worker.worker_id)
             self._recorder.record_refusal(run, answer, load)
@@ -300,7 +295,7 @@
         if answer.status == STATUS_CANNOT_RUN:
             self._recorder.record_end(run, completed=False, reason="cannot_run")
             return
-        run.failed_worker_ids.add(worker.worker_id)
+        run.avoided_worker_ids.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
         if answer.status == STATUS_FAILED:
             self._on_attempt_failed(run, route)
@@ -322,12 +317,12 @@
             self._recorder.record_end(run, completed=False, reason="attempts")
 
     def _on_failure(
-        self, run: ItemRun, worker: Worker, fingerprint: int, failure: ExchangeFailed
+        self, run: ItemRun, worker: Worker, failure: ExchangeFailed
     ) -> None:
         now_ms = self._clock.now_ms()
-        run.failed_worker_ids.add(worker.worker_id)
+        run.avoided_worker_ids.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
-        self._fleet.on_exchange_failure(worker, fingerprint, failure)
+        self._fleet.on_exchange_failure(worker, failure)
         self._recorder.record_exchange_failure(run, failure)
 
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
@@ -364,8 +359,3 @@
                 load = self._fleet.loads.total(worker_id)
                 self._recorder.record_preemption(run, worker, load)
                 run.stop()
-
-    def _fingerprint(self, run: ItemRun) -> int:
-        return request_fingerprint(
-            host=run.submission.host, target=run.item.target, body=run.item.body
-        )
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -1,6 +1,7 @@
 """Takes over the submissions of departed processes."""
 
 import enum
+import sys
 
 import anyio
 
@@ -8,8 +9,9 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError
-from foxtailbank.fleet.peer_table import Peer, PeerTable
+from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.lease_table import LeaseTable
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
@@ -21,6 +23,8 @@
 # Counted from when a peer's last report is too old; a delayed report ends the silence.
 SILENCE_GRACE_MS = 900
 STARTUP_GRACE_MS = 1_000  # from the start, until reports of all peers have arrived
+# In each check; peers that have restored the ledger by the next one get their share.
+MAX_CLAIMS_WHILE_RESTORING = 4
 LEASE_PERIOD_MS = 700  # three renewals within a lease's lifetime
 
 
@@ -35,10 +39,12 @@
 class Takeover:
     """Takes over this VM's share of the submissions whose owner has departed.
 
-    VMs that see the same peers choose the same successor for each submission. If they
-    see different ones, the first `TakenOver` record in the log counts. A silent owner
-    keeps its submissions while it holds its lease at the platform, as it may be cut
-    off from its peers and still be running.
+    VMs that see the same peers choose the same successor for each submission, among
+    those that have restored the ledger. If they see different ones, the first
+    `TakenOver` record in the log counts. A silent owner keeps its submissions while it
+    holds its lease at the platform, as it may be cut off from its peers and still be
+    running. While peers are restoring the ledger, claims are spread over time, as
+    these peers are to get their share.
 
     Parameters
     ----------
@@ -48,6 +54,8 @@
         This process, as ``vm/incarnation``.
     table : SubmissionTable
         Holds the ledger.
+    follower : LogFollower
+        Restores the ledger.
     appends : AppendQueue
         Queue for the submission log.
     peers : PeerTable
@@ -66,6 +74,7 @@
         vm_id: str,
         owner_id: str,
         table: SubmissionTable,
+        follower: LogFollower,
         appends: AppendQueue,
         peers: PeerTable,
         leases: LeaseTable,
@@ -75,13 +84,14 @@
         self._vm_id = vm_id
         self._owner_id = owner_id
         self._table = table
+        self._follower = follower
         self._appends = appends
         self._peers = peers
         self._leases = leases
         self._logs = logs
         self._clock = clock
         self._silent_since_ms: dict[str, int] = {}
-        self._taken_over: set[tuple[str, int]] = set()
+        self._claimed: set[tuple[str, int]] = set()  # submission and generation
         self._started_ms = clock.now_ms()
         self._renewed_ms = -LEASE_PERIOD_MS
         self.stopping = False
@@ -108,24 +118,41 @@
     async def take_over_orphans(self) -> None:
         """Take over the submissions of departed owners that this VM is to succeed."""
         now_ms = self._clock.now_ms()
-        if self.stopping or now_ms - self._started_ms < STARTUP_GRACE_MS:
+        if self.stopping or not self._follower.is_restored:
+            return
+        if now_ms - self._started_ms < STARTUP_GRACE_MS:
             return
         alive = self._peers.alive(now_ms)
-        submissions_by_owner: dict[str, list[Submission]] = {}
-        for submission in self._table.ledger.all():
-            if submission.is_open and submission.owner != self._owner_id:
-                submissions_by_owner.setdefault(submission.owner, []).append(submission)
+        alive_ids = frozenset(peer.vm_id for peer in alive)
+        able_ids = frozenset(peer.vm_id for peer in alive if not peer.restoring)
+        submissions_by_owner = self._unclaimed_by_owner()
+        is_any_restoring = len(able_ids) < len(alive)
+        claims_left = MAX_CLAIMS_WHILE_RESTORING if is_any_restoring else sys.maxsize
         self._silent_since_ms = {
             owner: self._silent_since_ms.get(owner, now_ms)
             for owner in submissions_by_owner
-            if self._state_of(owner, alive) is OwnerState.SILENT
+            if self._state_of(owner, alive_ids) is OwnerState.SILENT
         }
         for owner, submissions in submissions_by_owner.items():
-            own_share = [s for s in submissions if self._is_successor(s, alive)]
-            if own_share and await self._has_departed(owner, alive, now_ms):
-                for submission in own_share:
+            if not self._is_missing(owner, alive_ids, now_ms):
+                continue
+            own_share = [s for s in submissions if self._is_successor(s, able_ids)]
+            chosen = own_share[:claims_left]
+            if chosen and await self._has_departed(owner, alive_ids):
+                claims_left -= len(chosen)
+                for submission in chosen:
                     self._take_over(submission)
 
+    def _unclaimed_by_owner(self) -> dict[str, list[Submission]]:
+        """Return the open submissions of others that this VM has not claimed."""
+        submissions_by_owner: dict[str, list[Submission]] = {}
+        for submission in self._table.ledger.all():
+            if not submission.is_open or submission.owner == self._owner_id:
+                continue
+            if _next_generation(submission) not in self._claimed:
+                submissions_by_owner.setdefault(submission.owner, []).append(submission)
+        return submissions_by_owner
+
     async def renew_lease(self) -> None:
         """Renew the lease if renewal is due and this process owns open submissions."""
         now_ms = self._clock.now_ms()
@@ -143,7 +170,7 @@
             for submission in self._table.ledger.all()
         )
 
-    def _state_of(self, owner: str, alive: tuple[Peer, ...]) -> OwnerState:
+    def _state_of(self, owner: str, alive_ids: frozenset[str]) -> OwnerState:
         vm_id, _, incarnation = owner.rpartition("/")
         if vm_id == self._vm_id:
             return OwnerState.DEPARTED
@@ -152,31 +179,32 @@
             return OwnerState.SILENT
         if str(peer.incarnation) != incarnation or peer.stopping:
             return OwnerState.DEPARTED
-        return OwnerState.ALIVE if peer in alive else OwnerState.SILENT
-
-    async def _has_departed(
-        self, owner: str, alive: tuple[Peer, ...], now_ms: int
-    ) -> bool:
-        state = self._state_of(owner, alive)
-        if state is not OwnerState.SILENT:
-            return state is OwnerState.DEPARTED
-        if now_ms - self._silent_since_ms.get(owner, now_ms) < SILENCE_GRACE_MS:
-            return False
+        return OwnerState.ALIVE if vm_id in alive_ids else OwnerState.SILENT
+
+    def _is_missing(self, owner: str, alive_ids: frozenset[str], now_ms: int) -> bool:
+        """Whether an owner has departed or has been silent for the grace time."""
+        state = self._state_of(owner, alive_ids)
+        if state is OwnerState.SILENT:
+            silent_ms = now_ms - self._silent_since_ms.get(owner, now_ms)
+            return silent_ms >= SILENCE_GRACE_MS
+        return state is OwnerState.DEPARTED
+
+    async def _has_departed(self, owner: str, alive_ids: frozenset[str]) -> bool:
+        """Whether a missing owner is known to have departed or holds no lease."""
+        if self._state_of(owner, alive_ids) is OwnerState.DEPARTED:
+            return True
         vm_id, _, incarnation = owner.rpartition("/")
         return not await self._leases.is_held(vm_id=vm_id, incarnation=incarnation)
 
-    def _is_successor(self, submission: Submission, alive: tuple[Peer, ...]) -> bool:
-        candidates = [peer.vm_id for peer in alive] + [self._vm_id]
+    def _is_successor(self, submission: Submission, able_ids: frozenset[str]) -> bool:
+        """Whether this VM comes first among itself and the peers that have state."""
         key = f"{submission.submission_id}/{submission.generation}"
-        chosen = max(candidates, key=lambda vm: rendezvous.score(key, vm))
+        chosen = max(able_ids | {self._vm_id}, key=lambda vm: rendezvous.score(key, vm))
         return chosen == self._vm_id
 
     def _take_over(self, submission: Submission) -> None:
         generation = submission.generation + 1
-        key = (submission.submission_id, generation)
-        if key in self._taken_over:
-            return
-        self._taken_over.add(key)
+        self._claimed.add(_next_generation(submission))
         record = TakenOver(
             submission_id=submission.submission_id,
             generation=generation,
@@ -190,3 +218,7 @@
             count=generation,
         )
         self._logs.write(Event.SUBMISSION_TAKEN_OVER, fields=fields)
+
+
+def _next_generation(submission: Submission) -> tuple[str, int]:
+    return (submission.submission_id, submission.generation + 1)
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -32,6 +32,7 @@
     StoreResponseLost,
 )
 from foxtailbank.lease_table import LeaseTable
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 
@@ -42,6 +43,16 @@
     return Logs(vm="vm-1", zone="z1", stream=io.StringIO())
 
 
+def make_follower(log, state, clock, *, is_restored=True):
+    """Return a follower that is not run, with or without its state."""
+    follower = LogFollower(
+        name="t", log=log, state=state, pause_ms=0, logs=make_logs(), clock=clock
+    )
+    if is_restored:
+        follower.next_offset = 0
+    return follower
+
+
 def make_worker(worker_id="w1", *, zone="z1", slots=2, draining=False, service="s"):
     return Worker(
         worker_id=worker_id,
@@ -59,6 +70,7 @@
         "incarnation": 1,
         "sequence": 1,
         "stopping": False,
+        "restoring": False,
         "load_by_worker": {},
         "marks": (),
     }
@@ -109,7 +121,10 @@
     next `lose_answers` appends take effect but are not confirmed. The next
     `delayed_append_count` appends are held back until `apply_delayed_appends`. The
     next `unnotified_polls` polls get no notification of records that are appended
-    while they wait.
+    while they wait. A read returns at most `read_limit` records. The next
+    `truncated_reads` reads find their records expired. While `held_reads` or
+    `held_newest` is an event, reads without a wait or reads of the newest records take
+    their records at once but return them only when the event is set.
     """
 
     def __init__(self):
@@ -120,6 +135,11 @@
         self.delayed_append_count = 0
         self.delayed_appends = []
         self.unnotified_polls = 0
+        self.read_limit = None
+        self.held_reads = None
+        self.held_newest = None
+        self.truncated_reads = 0
+        self.reads = 0
         self.appends = 0
         self._steps = {}
         self._appended = anyio.Event()
@@ -130,10 +150,17 @@
         kept = sorted(
             (r for r in newest.values() if r.value), key=lambda record: record.offset
         )
-        return LogSlice(records=tuple(kept), end=len(self.records))
+        newest = LogSlice(records=tuple(kept), end=len(self.records))
+        if self.held_newest is not None:
+            await self.held_newest.wait()
+        return newest
 
     async def read(self, *, start, wait_ms):
+        self.reads += 1
         self._check()
+        if self.truncated_reads:
+            self.truncated_reads -= 1
+            raise HistoryTruncated()
         if start < self.first:
             raise HistoryTruncated()
         if start >= len(self.records):
@@ -145,7 +172,11 @@
             if is_unnotified:
                 return LogSlice(records=(), end=start)
         self._check()
-        return LogSlice(records=tuple(self.records[start:]), end=len(self.records))
+        found = self.records[start:][: self.read_limit]
+        part = LogSlice(records=tuple(found), end=len(self.records))
+        if self.held_reads is not None and not wait_ms:
+            await self.held_reads.wait()
+        return part
 
     async def append(self, records, *, append_id):
         await anyio.sleep(0)
