Tell the online share of the slots and whether peers are heard

WorkerView.online_share sums what LoadTable knows; hears_peers compares the peers whose reports have not expired with those to which reports are sent. No behaviour changes.

--- a/src/foxtailbank/fleet/distance_tiers.py
+++ b/src/foxtailbank/fleet/distance_tiers.py
@@ -67,6 +67,11 @@
         """Return the number of other VMs in a group."""
         return self._peer_count_by_group[group]
 
+    @property
+    def total_peer_count(self) -> int:
+        """Number of other VMs in all groups."""
+        return sum(self._peer_count_by_group.values())
+
     def for_workers(self, workers: tuple[Worker, ...]) -> Tiers:
         """Return the workers in tiers; no tier is empty.
 
--- a/src/foxtailbank/fleet/load_table.py
+++ b/src/foxtailbank/fleet/load_table.py
@@ -92,6 +92,11 @@
             self._add_peer(self._peer_load_by_vm.pop(vm_id), -1)
         return silent
 
+    @property
+    def reporting_peer_count(self) -> int:
+        """Number of peers whose last report has not expired."""
+        return len(self._received_ms_by_vm)
+
     def own(self, worker_id: str) -> WorkerLoad:
         """Return the requests of this VM in flight on a worker."""
         return self._own.get(worker_id, NO_LOAD)
@@ -108,6 +113,11 @@
             batch=own.batch + self._peer_batch[worker_id],
         )
 
+    def online(self, worker_id: str) -> int:
+        """Return the online requests of all VMs in flight on a worker."""
+        own = self._own.get(worker_id, NO_LOAD)
+        return own.online + self._peer_online[worker_id]
+
     def batch_by_peer(self, worker_id: str) -> dict[str, int]:
         """Return the batch requests of each peer on a worker."""
         return {
--- a/src/foxtailbank/fleet/worker_table.py
+++ b/src/foxtailbank/fleet/worker_table.py
@@ -1,6 +1,7 @@
 """Workers that may receive new requests."""
 
 import collections
+import typing as t
 
 from foxtailbank.fleet.worker import Worker
 
@@ -71,6 +72,10 @@
         """Return the workers of a service that accept new requests."""
         return self._usable_by_service.get(service, ())
 
+    def usable_by_service(self) -> t.Mapping[str, tuple[Worker, ...]]:
+        """Return the workers of each service that accept new requests."""
+        return self._usable_by_service
+
     def get(self, worker_id: str) -> Worker | None:
         """Return the worker with an id, also if it is draining."""
         return self._by_id.get(worker_id)
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -1,11 +1,16 @@
 """View of the workers that online and batch scheduling share."""
 
+import typing as t
+
 from foxtailbank.fleet.distance_tiers import DistanceTiers
 from foxtailbank.fleet.load_table import LoadTable
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.zone_reachability import ZoneReachability
 
+# Of the known peers; a VM that hears only its own zone of several hears fewer.
+MIN_REPORTING_SHARE = 0.5
+
 
 class WorkerView:
     """Combines load, health and reachability of the workers.
@@ -50,6 +55,33 @@
             return False
         return not self._health.is_avoided(worker.worker_id, now_ms)
 
+    @property
+    def hears_peers(self) -> bool:
+        """Whether enough peers report for the known load to be about complete."""
+        peers = self.tiers.total_peer_count
+        return self.loads.reporting_peer_count >= MIN_REPORTING_SHARE * peers
+
+    def online_share(self, workers: t.Iterable[Worker], now_ms: int) -> float | None:
+        """Return the online requests on healthy workers divided by their slots.
+
+        Parameters
+        ----------
+        workers : iterable of Worker
+            Workers of one service.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        float or None
+            Above 1 if requests wait at workers; None if no worker is healthy.
+        """
+        healthy = [worker for worker in workers if self.is_healthy(worker, now_ms)]
+        slots = sum(worker.slots for worker in healthy)
+        if not slots:
+            return None
+        return sum(self.loads.online(worker.worker_id) for worker in healthy) / slots
+
     def has_free_slot(self, worker: Worker, now_ms: int, *, reserve: int = 0) -> bool:
         """Return whether a worker has a free slot.
 
