Let batch items use slots that online requests left free for 8 s

Cause: in a large fleet items left 55% of each worker's slots free at all times, 4 of 7. Items run for about 5 s there, so 66 workers ended 40 a second, and 38 a second were submitted.

Fix: the reserve is 1.5 times the peak of the online share of a service's slots in the last 8 s, never above the former 55% nor below one slot. Bursts recur within the window, so the full reserve holds between them. It also holds until a whole window was observed without a gap, and while fewer than half of the peers report, so that a VM that is cut off doesn't take silence for calm. Preemption keeps fewer slots free than the reserve: with two of seven, one online request beside six items would have preempted two of them, and the slots would have been filled and preempted in turn. With the full reserve the headroom is as before. Small fleets keep their rule.

Evidence: tests/test_online_peak.py plays the waves and the calm after them on six workers. With the former reserve the backlog test fails: 37 items wait 20 s after the last online request (now less than one). With the former headroom test_one_more_online_request_preempts_no_item fails (two items preempted, and one); with a window of 2 s items take the slots between two waves; without the check of the peers three cases fail; without the runner's call the last test does. A sample over 66 workers took 0.08 ms, four times a second for each service.

--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -122,6 +122,7 @@
                 with anyio.move_on_after(tick_ms / MS_PER_S):
                     await self._wake.wait()
                 self._wake = anyio.Event()
+                self._observe_online_load()
                 self._preempt_items()
                 await anyio.sleep(self._rng.uniform(0, START_JITTER_MS) / MS_PER_S)
                 self._start_waiting()
@@ -138,6 +139,11 @@
         """Number of items running on workers."""
         return sum(1 for run in self._runs_by_key.values() if run.is_running)
 
+    def _observe_online_load(self) -> None:
+        self._capacity.observe_online_load(
+            self._fleet.workers.usable_by_service(), self._clock.now_ms()
+        )
+
     def _on_table_change(self) -> None:
         self._sync_runs()
         self._wake.set()
