Items and takeovers wait until a restored state has caught up

A VM started the items that this state gave it, also of submissions that had ended or that another VM had taken over since, and peers chose it as a successor. Fix: LogFollower.has_caught_up is false from a restore until a read reached the end of the log; until then no item is started, nothing is taken over and load reports say so.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -56,6 +56,7 @@
     STORE_LOST = "store_lost"
     STORE_RESTORED = "store_restored"
     STATE_RESTORED = "state_restored"
+    STATE_CAUGHT_UP = "state_caught_up"
     SUBMISSION_ACCEPTED = "submission_accepted"
     SUBMISSION_REFUSED = "submission_refused"
     SUBMISSION_ENDED = "submission_ended"
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -96,7 +96,7 @@
         self.stopping = False
         fleet.add_load_listener(self.report_soon)
         fleet.add_crash_listener(self._on_own_crash)
-        follower.add_restore_listener(self.report_soon)
+        follower.add_catch_up_listener(self.report_soon)
 
     def report_soon(self) -> None:
         """Send a report as soon as the minimum interval allows."""
@@ -148,7 +148,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             stopping=self.stopping,
-            restoring=not self._follower.is_restored,
+            restoring=not self._follower.has_caught_up,
             load_by_worker=self._fleet.loads.own_by_worker(),
             marks=tuple(self._crash_reports),
         )
--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -78,7 +78,7 @@
         self._logs = logs
         self._clock = clock
         self._on_recovery = on_recovery
-        self._restore_listeners: list[t.Callable[[], None]] = []
+        self._catch_up_listeners: list[t.Callable[[], None]] = []
         self._changed = anyio.Event()
         self._skip_pause = anyio.Event()
         self._awaited_offset = 0
@@ -99,6 +99,11 @@
         """Whether the state has been restored."""
         return self.next_offset >= 0
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether the state has held the whole log since it was last restored."""
+        return self._complete_ms is not None
+
     @property
     def age_ms(self) -> int:
         """Milliseconds since the store last answered."""
@@ -120,9 +125,9 @@
         """Whether the last read failed."""
         return self._failing_since_ms is not None
 
-    def add_restore_listener(self, listener: t.Callable[[], None]) -> None:
-        """Call a function each time the state has been restored."""
-        self._restore_listeners.append(listener)
+    def add_catch_up_listener(self, listener: t.Callable[[], None]) -> None:
+        """Call a function each time the state has caught up after a restore."""
+        self._catch_up_listeners.append(listener)
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -232,13 +237,12 @@
             duration_ms=self._clock.now_ms() - requested_ms,
         )
         self._logs.write(Event.STATE_RESTORED, fields=fields)
-        for listener in self._restore_listeners:
-            listener()
         self._notify()
 
     async def _poll(self) -> None:
         sent_ms = self._clock.now_ms()
-        part = await self._log.read(start=self.next_offset, wait_ms=LONG_POLL_MS)
+        wait_ms = LONG_POLL_MS if self.has_caught_up else 0
+        part = await self._log.read(start=self.next_offset, wait_ms=wait_ms)
         self._on_success()
         self._apply_new(part, sent_ms=sent_ms)
         if part.records and self.next_offset >= max(part.end, self._awaited_offset):
@@ -264,10 +268,20 @@
             self.next_offset = new_records[-1].offset + 1
             self._state.apply_records(LogSlice(records=new_records, end=part.end))
         if self.next_offset >= part.end:
-            self._complete_ms = max(sent_ms, self._complete_ms or 0)
+            self._on_complete(sent_ms)
         if new_records:
             self._notify()
 
+    def _on_complete(self, sent_ms: int) -> None:
+        had_caught_up = self.has_caught_up
+        self._complete_ms = max(sent_ms, self._complete_ms or 0)
+        if had_caught_up:
+            return
+        fields = LogFields(task=self._name, offset=self.next_offset)
+        self._logs.write(Event.STATE_CAUGHT_UP, fields=fields)
+        for listener in self._catch_up_listeners:
+            listener()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -203,6 +203,7 @@
         self.runner = Runner(
             owner_id=process_name,
             table=submission_table,
+            follower=self._follower,
             appends=self._appends,
             client=client,
             fleet=self.fleet,
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -18,6 +18,7 @@
     ConnectionBroken,
     ExchangeFailed,
 )
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 from foxtailbank.submissions.append_queue import AppendQueue
@@ -56,6 +57,8 @@
         This process, as ``vm/incarnation``.
     table : SubmissionTable
         Holds the ledger.
+    follower : LogFollower
+        Keeps the ledger up to date.
     appends : AppendQueue
         Queue for the submission log.
     client : WorkerClient
@@ -81,6 +84,7 @@
         *,
         owner_id: str,
         table: SubmissionTable,
+        follower: LogFollower,
         appends: AppendQueue,
         client: WorkerClient,
         fleet: FleetState,
@@ -93,6 +97,7 @@
     ) -> None:
         self._owner_id = owner_id
         self._table = table
+        self._follower = follower
         self._appends = appends
         self._client = client
         self._fleet = fleet
@@ -189,6 +194,8 @@
     def _start_waiting(self) -> None:
         if self.stopping or not self._appends.has_capacity:
             return
+        if not self._follower.has_caught_up:
+            return  # submissions may have ended or have another owner by now
         now_ms = self._clock.now_ms()
         waiting = [
             run
--- a/src/foxtailbank/submissions/takeover.py
+++ b/src/foxtailbank/submissions/takeover.py
@@ -118,7 +118,7 @@
     async def take_over_orphans(self) -> None:
         """Take over the submissions of departed owners that this VM is to succeed."""
         now_ms = self._clock.now_ms()
-        if self.stopping or not self._follower.is_restored:
+        if self.stopping or not self._follower.has_caught_up:
             return
         if now_ms - self._started_ms < STARTUP_GRACE_MS:
             return
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -43,13 +43,14 @@
     return Logs(vm="vm-1", zone="z1", stream=io.StringIO())
 
 
-def make_follower(log, state, clock, *, is_restored=True):
+def make_follower(log, state, clock, *, has_caught_up=True):
     """Return a follower that is not run, with or without its state."""
     follower = LogFollower(
         name="t", log=log, state=state, pause_ms=0, logs=make_logs(), clock=clock
     )
-    if is_restored:
+    if has_caught_up:
         follower.next_offset = 0
+        follower._on_complete(clock.now_ms())
     return follower
 
 
--- a/tests/test_crashed_items.py
+++ b/tests/test_crashed_items.py
@@ -36,6 +36,7 @@
     FakeResponse,
     FakeWorkerClient,
     ServingWorld,
+    make_follower,
     make_logs,
     make_route,
     make_routes,
@@ -63,7 +64,9 @@
 class ItemVm:
     """A VM that runs batch items on scripted workers."""
 
-    def __init__(self, *script, workers=None, routes=None, client=None):
+    def __init__(
+        self, *script, workers=None, routes=None, client=None, has_caught_up=True
+    ):
         self.clock = manual_clock()
         logs = make_logs()
         self.routes = RouteTable()
@@ -81,6 +84,9 @@
         self.client = client or FakeWorkerClient(*script)
         self.table = SubmissionTable(logs=logs)
         self.log = FakeKeyedLog()
+        self.follower = make_follower(
+            self.log, self.table, self.clock, has_caught_up=has_caught_up
+        )
         self.appends = AppendQueue(
             log=self.log,
             producer="vm1/1",
@@ -91,6 +97,7 @@
         self.runner = Runner(
             owner_id="vm1/1",
             table=self.table,
+            follower=self.follower,
             appends=self.appends,
             client=self.client,
             fleet=self.fleet,
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -156,7 +156,7 @@
 # not chosen for long after.
 async def test_a_restored_state_is_reported_soon():
     submissions = FakeKeyedLog()
-    follower = make_follower(submissions, NoState(), CLOCK, is_restored=False)
+    follower = make_follower(submissions, NoState(), CLOCK, has_caught_up=False)
     exchange, _ = make_exchange(FakeKeyedLog(), follower=follower)
     with anyio.fail_after(WAIT_S):
         async with (
--- /dev/null
+++ b/tests/test_restored_items.py
@@ -0,0 +1,69 @@
+"""Items of a VM whose state was restored and has not caught up with the log yet."""
+
+import anyio
+import pytest
+
+from foxtailbank.keyed_log import AppendId
+from foxtailbank.submissions.records import Ended, Submitted, TakenOver, encode
+from serving_fakes import FakeResponse
+from test_crashed_items import HOST, TARGET, ItemVm
+from test_submission_ledger import make_item
+
+pytestmark = pytest.mark.anyio
+SUBMITTED = Submitted(
+    submission_id="s1",
+    attempt="1",
+    route="r",
+    host=HOST,
+    target=TARGET,
+    arrived_wall_ms=1_000,
+    waiting_limit=0,
+    owner="vm1/1",
+    items=(make_item("i"),),
+)
+ENDED = Ended(submission_id="s1")
+TAKEN_OVER = TakenOver(submission_id="s1", generation=1, owner="vm2/1")
+
+
+class RestoringVm(ItemVm):
+    """A VM that restores its state slowly while the log goes on."""
+
+    def __init__(self):
+        answer = FakeResponse(parts=(b"id: 0\ndata: x\n\n",))
+        super().__init__(answer, has_caught_up=False)
+        self.log.held_newest = anyio.Event()
+        self._sequence = 0
+
+    async def append_elsewhere(self, record):
+        self._sequence += 1
+        step = AppendId(producer="vm2/1", epoch=1, sequence=self._sequence)
+        stored = encode(record, key_suffix=str(self._sequence))
+        await self.log.append((stored,), append_id=step)
+
+
+# An item was run whose submission had ended, or had another owner, while the VM still
+# read its state.
+@pytest.mark.parametrize(
+    ("later_record", "is_run"),
+    [
+        pytest.param(ENDED, False, id="ended"),
+        pytest.param(TAKEN_OVER, False, id="taken-over"),
+        pytest.param(None, True, id="still-owned"),
+    ],
+)
+async def test_items_wait_until_a_restored_state_has_caught_up(later_record, is_run):
+    vm = RestoringVm()
+    await vm.append_elsewhere(SUBMITTED)
+    async with vm.running(), anyio.create_task_group() as group:
+        group.start_soon(vm.follower.run)
+        await anyio.sleep(0.05)
+        if later_record is not None:
+            await vm.append_elsewhere(later_record)
+        held = vm.log.held_reads = anyio.Event()
+        vm.log.held_newest.set()
+        await anyio.sleep(0.5)
+        assert vm.client.sent == []
+        held.set()
+        await anyio.sleep(0.6)
+        assert bool(vm.client.sent) is is_run
+        group.cancel_scope.cancel()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -39,7 +39,7 @@
 class Vm:
     """A VM with a submission that is owned by process ``vm/1``."""
 
-    def __init__(self, vm_id="b", *, is_restored=True):
+    def __init__(self, vm_id="b", *, has_caught_up=True):
         self.clock = manual_clock()
         self.book = SubmissionTable(logs=make_logs())
         self.book.ledger.apply(make_submitted())
@@ -47,7 +47,7 @@
         self.leases = FakeLeases()
         log = self.log = FakeKeyedLog()
         self.follower = make_follower(
-            log, self.book, self.clock, is_restored=is_restored
+            log, self.book, self.clock, has_caught_up=has_caught_up
         )
         self.appends = AppendQueue(
             log=log,
@@ -167,7 +167,7 @@
 
 # Guards against submissions that wait for a successor that does not know them yet.
 @pytest.mark.parametrize(
-    ("is_restored", "restoring_peers", "expected"),
+    ("has_caught_up", "restoring_peers", "expected"),
     [
         pytest.param(True, "", False, id="a-peer-comes-first"),
         pytest.param(True, "d", True, id="that-peer-has-no-state"),
@@ -177,11 +177,11 @@
     ],
 )
 async def test_only_a_vm_that_has_its_state_is_a_successor(
-    monkeypatch, is_restored, restoring_peers, expected
+    monkeypatch, has_caught_up, restoring_peers, expected
 ):
     # The later its name in the alphabet, the rather a VM is chosen.
     monkeypatch.setattr(rendezvous, "score", lambda key, name: ord(name[0]))
-    vm = Vm(is_restored=is_restored)
+    vm = Vm(has_caught_up=has_caught_up)
     for peer in {"d", *restoring_peers}:
         vm.receive_report(peer, restoring=peer in restoring_peers)
     vm.receive_report("vm", stopping=True)
