A caller's read leaves a known backlog to the follower

A VM that is behind the log by more than one answer of the store read the same records twice, by its follower and for the caller that needed a recent state, and both over one link. The caller's read now waits for the follower, which reads on without a pause, and reads only what came after. test_a_sync_leaves_a_known_backlog_to_the_follower failed before.

--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -215,12 +215,20 @@
         while True:
             if not self.is_restored:
                 raise HistoryTruncated(detail="the state has not been read yet")
+            if self.next_offset < self.known_end:
+                await self._wait_for_backlog()
+                continue
             sent_ms = self._clock.now_ms()
             part = await self._log.read(start=self.next_offset, wait_ms=0)
             self._apply_new(part, sent_ms=sent_ms)
             if self.next_offset >= part.end:
                 return
 
+    async def _wait_for_backlog(self) -> None:
+        """Wait for the next read of `run`, which a second read would slow down."""
+        self._await_offset(self.known_end)
+        await self._changed.wait()
+
     async def _restore(self) -> None:
         requested_ms = self._clock.now_ms()
         newest = await self._log.read_newest()
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -141,6 +141,7 @@
         self.held_newest = None
         self.truncated_reads = 0
         self.reads = 0
+        self.immediate_reads = 0
         self.appends = 0
         self._steps = {}
         self._appended = anyio.Event()
@@ -158,6 +159,7 @@
 
     async def read(self, *, start, wait_ms):
         self.reads += 1
+        self.immediate_reads += not wait_ms
         self._check()
         if self.truncated_reads:
             self.truncated_reads -= 1
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -237,6 +237,24 @@
         group.cancel_scope.cancel()
 
 
+# Guards against reading a backlog twice over one link: by the follower and by a caller.
+async def test_a_sync_leaves_a_known_backlog_to_the_follower():
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await anyio.sleep(0.05)
+        await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        harness.log.read_limit = 1
+        await harness.put_all(6)
+        reads = harness.log.immediate_reads
+        await harness.follower.sync()
+        assert harness.state.keys == ["a", *harness.expected_keys(6)]
+        # The first finds the backlog, the second that nothing came after it.
+        assert harness.log.immediate_reads - reads <= 2
+        group.cancel_scope.cancel()
+
+
 # Guards against a pause between reads while the log holds records that were not read.
 @pytest.mark.parametrize("record_count", [3, 6, 7])
 @pytest.mark.parametrize("read_limit", [1, 2])
