--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -15,6 +15,7 @@
 
 RETRY_MS = 200
 LONG_POLL_MS = 800  # bounds the delay if the store misses new records for a poll
+BACKLOG_WAIT_MS = 350  # leaves a caller time for a read of its own
 SYNC_TIMEOUT_MS = 700  # two fit into the time that callers wait beyond their limit
 
 
@@ -85,6 +86,7 @@
         self._failing_since_ms: int | None = None
         self._last_read_ms = 0
         self._complete_ms: int | None = None
+        self._restore_count = 0
         self._shared_read = SharedRead(
             read=self._read_to_end,
             timeout_ms=SYNC_TIMEOUT_MS,
@@ -131,6 +133,11 @@
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._shared_read.serve)
+            group.start_soon(self._follow)
+
+    async def _follow(self) -> None:
         history_lost = False
         while True:
             try:
@@ -215,24 +222,28 @@
         while True:
             if not self.is_restored:
                 raise HistoryTruncated(detail="the state has not been read yet")
-            if self.next_offset < self.known_end:
-                await self._wait_for_backlog()
-                continue
+            await self._wait_for_backlog()
             sent_ms = self._clock.now_ms()
+            restore_count = self._restore_count
             part = await self._log.read(start=self.next_offset, wait_ms=0)
+            if restore_count != self._restore_count:
+                raise HistoryTruncated(detail="the state was restored during the read")
             self._apply_new(part, sent_ms=sent_ms)
             if self.next_offset >= part.end:
                 return
 
     async def _wait_for_backlog(self) -> None:
-        """Wait for the next read of `run`, which a second read would slow down."""
+        """Leave a known backlog to `run`, whose reads a second one would slow down."""
         self._await_offset(self.known_end)
-        await self._changed.wait()
+        with anyio.move_on_after(BACKLOG_WAIT_MS / MS_PER_S):
+            while self.next_offset < self.known_end and not self.is_failing:
+                await self._changed.wait()
 
     async def _restore(self) -> None:
         requested_ms = self._clock.now_ms()
         newest = await self._log.read_newest()
         self._state.restore(newest)
+        self._restore_count += 1
         self.next_offset = self.known_end = newest.end
         # The newest records come in pages that are no snapshot: a key that is replaced
         # meanwhile is missing until the records after them are read.
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -80,6 +80,13 @@
     async def wait_for(self, offset, outcomes):
         outcomes.append(await self.follower.wait_for_offset(offset, 5_000))
 
+    async def wait_until_caught_up(self):
+        """Wait until the poll that follows a restore waits for new records."""
+        with anyio.fail_after(10):
+            while not self.follower.has_caught_up:
+                await anyio.sleep(0.01)
+        await anyio.sleep(0.01)
+
     async def wait_until_keys(self, keys):
         with anyio.fail_after(10):
             while self.state.keys != keys:
@@ -215,6 +222,41 @@
         group.cancel_scope.cancel()
 
 
+# A read that was sent before a restore marked the restored state, which is no snapshot,
+# as complete.
+async def test_a_read_sent_before_a_restore_does_not_complete_it():
+    harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.run)
+        await harness.wait_until_caught_up()
+        await harness.put("a")
+        await harness.wait_until_keys(["a"])
+        held = harness.log.held_reads = anyio.Event()
+        failures = []
+
+        async def sync():
+            try:
+                await harness.follower.sync()
+            except FoxtailbankError as failure:
+                failures.append(type(failure))
+
+        async with anyio.create_task_group() as syncs:
+            syncs.start_soon(sync)
+            await anyio.sleep(0.05)
+            await harness.put("b")
+            harness.log.truncated_reads = 1
+            harness.log.held_reads = anyio.Event()
+            await harness.follower.wait_for_offset(2, 300)
+            assert harness.state.restore_count == 2
+            assert not harness.follower.has_caught_up
+            held.set()
+            await anyio.sleep(0.05)
+            assert not harness.follower.has_caught_up
+            harness.log.held_reads.set()
+        assert failures == [HistoryTruncated]
+        group.cancel_scope.cancel()
+
+
 # A caller was told that an id is unknown from a read that was sent before the id was
 # accepted.
 async def test_a_sync_uses_no_read_that_was_sent_before_it():
@@ -274,11 +316,12 @@
     harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
     async with anyio.create_task_group() as group:
         group.start_soon(harness.follower.run)
-        await harness.wait_until_keys([])
+        await harness.wait_until_caught_up()
+        reads = harness.log.reads
         for number in range(1, 6):
             await harness.put(f"k{number}")
             await anyio.sleep(0.02)
-        assert harness.log.reads == 1
+        assert harness.log.reads == reads
         group.cancel_scope.cancel()
 
 
@@ -324,13 +367,14 @@
     harness = Harness(pause_ms=ENDLESS_PAUSE_MS)
     async with anyio.create_task_group() as group:
         group.start_soon(harness.follower.run)
-        await harness.wait_until_keys([])
+        await harness.wait_until_caught_up()
+        reads = harness.log.reads
         end = await harness.put("a")
         await harness.wait_until_keys(["a"])
         assert await harness.follower.wait_for_offset(end, 5_000)
         await harness.put("b")
         await anyio.sleep(0.05)
-        assert harness.log.reads == 1
+        assert harness.log.reads == reads
         group.cancel_scope.cancel()
 
 
