An item is given up for its route only by a recent configuration

What could happen: an item was listed as given up, for good and at every VM, by a VM that had taken over its submission and had not read the configuration that added the route. Cause: the runner asked whether any configuration was loaded, not its age.

--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -25,6 +25,22 @@
         self.limits = ServerLimits()
         self._routes_by_host: dict[str, list[Route]] = {}
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
+        self._age_ms: t.Callable[[], int | None] = lambda: 0
+
+    def set_age_source(self, age_ms: t.Callable[[], int | None]) -> None:
+        """Set the function that tells how old the routes may be.
+
+        Parameters
+        ----------
+        age_ms : callable
+            Returns milliseconds, or None if the age is not known.
+        """
+        self._age_ms = age_ms
+
+    def is_recent(self, max_age_ms: int) -> bool:
+        """Whether the routes are known to be at most so many milliseconds old."""
+        age_ms = self._age_ms()
+        return self.is_loaded and age_ms is not None and age_ms <= max_age_ms
 
     @property
     def is_loaded(self) -> bool:
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -341,7 +341,9 @@
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
         submission_id = run.submission.submission_id
         since_ms = self._route_missing_since_ms.setdefault(submission_id, now_ms)
-        if self._routes.is_loaded and now_ms - since_ms > ROUTE_REMOVED_MS:
+        is_missing_long = now_ms - since_ms > ROUTE_REMOVED_MS
+        # Routes of an old configuration can lack one that was added since.
+        if is_missing_long and self._routes.is_recent(ROUTE_REMOVED_MS):
             self._recorder.record_end(run, completed=False, reason="route_removed")
         else:
             run.not_before_ms = now_ms + RETRY_MS
--- a/tests/test_restored_items.py
+++ b/tests/test_restored_items.py
@@ -5,7 +5,8 @@
 
 from foxtailbank.keyed_log import AppendId
 from foxtailbank.submissions.records import Ended, Submitted, TakenOver, encode
-from serving_fakes import FakeResponse
+from foxtailbank.submissions.runner import ROUTE_REMOVED_MS
+from serving_fakes import FakeResponse, make_route
 from test_crashed_items import HOST, TARGET, ItemVm
 from test_submission_ledger import make_item
 
@@ -67,3 +68,23 @@
         await anyio.sleep(0.6)
         assert bool(vm.client.sent) is is_run
         group.cancel_scope.cancel()
+
+
+# An item was given up for good since a VM had an old configuration, without its route.
+@pytest.mark.parametrize(
+    ("age_ms", "is_given_up"),
+    [
+        pytest.param(100, True, id="recent"),
+        pytest.param(ROUTE_REMOVED_MS + 1, False, id="old"),
+        pytest.param(None, False, id="unknown"),
+    ],
+)
+async def test_an_item_is_given_up_only_by_a_recent_configuration(age_ms, is_given_up):
+    vm = ItemVm(routes=(make_route(path_prefix="/other/"),))
+    vm.routes.set_age_source(lambda: age_ms)
+    vm.submit()
+    async with vm.running():
+        for _ in range(4):
+            vm.clock.advance(ROUTE_REMOVED_MS)
+            await anyio.sleep(0.3)
+    assert [result.completed for result in vm.results()] == [False] * is_given_up
