--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -15,6 +15,7 @@
 
 RETRY_MS = 200
 LONG_POLL_MS = 800  # bounds the delay if the store misses new records for a poll
+BACKLOG_WAIT_MS = 350  # leaves a caller time for a read of its own
 SYNC_TIMEOUT_MS = 700  # two fit into the time that callers wait beyond their limit
 
 
@@ -78,13 +79,14 @@
         self._logs = logs
         self._clock = clock
         self._on_recovery = on_recovery
-        self._restore_listeners: list[t.Callable[[], None]] = []
+        self._catch_up_listeners: list[t.Callable[[], None]] = []
         self._changed = anyio.Event()
         self._skip_pause = anyio.Event()
         self._awaited_offset = 0
         self._failing_since_ms: int | None = None
         self._last_read_ms = 0
         self._complete_ms: int | None = None
+        self._restore_count = 0
         self._shared_read = SharedRead(
             read=self._read_to_end,
             timeout_ms=SYNC_TIMEOUT_MS,
@@ -99,6 +101,11 @@
         """Whether the state has been restored."""
         return self.next_offset >= 0
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether the state has held the whole log since it was last restored."""
+        return self._complete_ms is not None
+
     @property
     def age_ms(self) -> int:
         """Milliseconds since the store last answered."""
@@ -120,12 +127,17 @@
         """Whether the last read failed."""
         return self._failing_since_ms is not None
 
-    def add_restore_listener(self, listener: t.Callable[[], None]) -> None:
-        """Call a function each time the state has been restored."""
-        self._restore_listeners.append(listener)
+    def add_catch_up_listener(self, listener: t.Callable[[], None]) -> None:
+        """Call a function each time the state has caught up after a restore."""
+        self._catch_up_listeners.append(listener)
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._shared_read.serve)
+            group.start_soon(self._follow)
+
+    async def _follow(self) -> None:
         history_lost = False
         while True:
             try:
@@ -210,16 +222,28 @@
         while True:
             if not self.is_restored:
                 raise HistoryTruncated(detail="the state has not been read yet")
+            await self._wait_for_backlog()
             sent_ms = self._clock.now_ms()
+            restore_count = self._restore_count
             part = await self._log.read(start=self.next_offset, wait_ms=0)
+            if restore_count != self._restore_count:
+                raise HistoryTruncated(detail="the state was restored during the read")
             self._apply_new(part, sent_ms=sent_ms)
             if self.next_offset >= part.end:
                 return
 
+    async def _wait_for_backlog(self) -> None:
+        """Leave a known backlog to `run`, whose reads a second one would slow down."""
+        self._await_offset(self.known_end)
+        with anyio.move_on_after(BACKLOG_WAIT_MS / MS_PER_S):
+            while self.next_offset < self.known_end and not self.is_failing:
+                await self._changed.wait()
+
     async def _restore(self) -> None:
         requested_ms = self._clock.now_ms()
         newest = await self._log.read_newest()
         self._state.restore(newest)
+        self._restore_count += 1
         self.next_offset = self.known_end = newest.end
         # The newest records come in pages that are no snapshot: a key that is replaced
         # meanwhile is missing until the records after them are read.
@@ -232,13 +256,12 @@
             duration_ms=self._clock.now_ms() - requested_ms,
         )
         self._logs.write(Event.STATE_RESTORED, fields=fields)
-        for listener in self._restore_listeners:
-            listener()
         self._notify()
 
     async def _poll(self) -> None:
         sent_ms = self._clock.now_ms()
-        part = await self._log.read(start=self.next_offset, wait_ms=LONG_POLL_MS)
+        wait_ms = LONG_POLL_MS if self.has_caught_up else 0
+        part = await self._log.read(start=self.next_offset, wait_ms=wait_ms)
         self._on_success()
         self._apply_new(part, sent_ms=sent_ms)
         if part.records and self.next_offset >= max(part.end, self._awaited_offset):
@@ -264,10 +287,20 @@
             self.next_offset = new_records[-1].offset + 1
             self._state.apply_records(LogSlice(records=new_records, end=part.end))
         if self.next_offset >= part.end:
-            self._complete_ms = max(sent_ms, self._complete_ms or 0)
+            self._on_complete(sent_ms)
         if new_records:
             self._notify()
 
+    def _on_complete(self, sent_ms: int) -> None:
+        had_caught_up = self.has_caught_up
+        self._complete_ms = max(sent_ms, self._complete_ms or 0)
+        if had_caught_up:
+            return
+        fields = LogFields(task=self._name, offset=self.next_offset)
+        self._logs.write(Event.STATE_CAUGHT_UP, fields=fields)
+        for listener in self._catch_up_listeners:
+            listener()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -18,6 +18,7 @@
     ConnectionBroken,
     ExchangeFailed,
 )
+from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 from foxtailbank.submissions.append_queue import AppendQueue
@@ -56,6 +57,8 @@
         This process, as ``vm/incarnation``.
     table : SubmissionTable
         Holds the ledger.
+    follower : LogFollower
+        Keeps the ledger up to date.
     appends : AppendQueue
         Queue for the submission log.
     client : WorkerClient
@@ -81,6 +84,7 @@
         *,
         owner_id: str,
         table: SubmissionTable,
+        follower: LogFollower,
         appends: AppendQueue,
         client: WorkerClient,
         fleet: FleetState,
@@ -93,6 +97,7 @@
     ) -> None:
         self._owner_id = owner_id
         self._table = table
+        self._follower = follower
         self._appends = appends
         self._client = client
         self._fleet = fleet
@@ -122,6 +127,7 @@
                 with anyio.move_on_after(tick_ms / MS_PER_S):
                     await self._wake.wait()
                 self._wake = anyio.Event()
+                self._observe_online_load()
                 self._preempt_items()
                 await anyio.sleep(self._rng.uniform(0, START_JITTER_MS) / MS_PER_S)
                 self._start_waiting()
@@ -138,6 +144,11 @@
         """Number of items running on workers."""
         return sum(1 for run in self._runs_by_key.values() if run.is_running)
 
+    def _observe_online_load(self) -> None:
+        self._capacity.observe_online_load(
+            self._fleet.workers.usable_by_service(), self._clock.now_ms()
+        )
+
     def _on_table_change(self) -> None:
         self._sync_runs()
         self._wake.set()
@@ -183,6 +194,8 @@
     def _start_waiting(self) -> None:
         if self.stopping or not self._appends.has_capacity:
             return
+        if not self._follower.has_caught_up:
+            return  # submissions may have ended or have another owner by now
         now_ms = self._clock.now_ms()
         waiting = [
             run
@@ -328,7 +341,9 @@
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
         submission_id = run.submission.submission_id
         since_ms = self._route_missing_since_ms.setdefault(submission_id, now_ms)
-        if self._routes.is_loaded and now_ms - since_ms > ROUTE_REMOVED_MS:
+        is_missing_long = now_ms - since_ms > ROUTE_REMOVED_MS
+        # Routes of an old configuration can lack one that was added since.
+        if is_missing_long and self._routes.is_recent(ROUTE_REMOVED_MS):
             self._recorder.record_end(run, completed=False, reason="route_removed")
         else:
             run.not_before_ms = now_ms + RETRY_MS
