An item's failures count before they are read back from the log

The runner counted failures in its copy of the log, which was behind in the rush after the traffic. Fix: the run counts its failures itself, from those that the log held when it began; the greater of both counts. test_failures_count_before_they_are_read_back failed before for no and for one earlier failure.

--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -36,6 +36,8 @@
         again because no other is free.
     send_count : int
         Number of times it was sent to a worker.
+    failure_count : int
+        Number of errors that workers answered, those of earlier owners included.
     saved_event_count : int
         Number of events whose data is in the submission log.
     saved_ms : int
@@ -54,6 +56,7 @@
     not_before_ms: int = 0
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
+    failure_count: int = 0
     saved_event_count: int = 0
     saved_ms: int = 0
     is_done: bool = False
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -179,6 +179,7 @@
             item=item,
             due_ms=self._due_ms(submission.host, submission),
             saved_ms=self._clock.now_ms(),
+            failure_count=submission.failures_by_id.get(item.item_id, 0),
         )
         progress = submission.progress_by_id.get(item.item_id)
         if progress is not None:
@@ -325,8 +326,10 @@
 
     def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
         self._recorder.record_attempt_failure(run, route.name)
-        failures = run.submission.failures_by_id.get(run.item.item_id, 0) + 1
-        if failures >= route.max_attempts:
+        # The ledger may not hold this run's latest failures yet.
+        known_count = run.submission.failures_by_id.get(run.item.item_id, 0)
+        run.failure_count = max(run.failure_count, known_count) + 1
+        if run.failure_count >= route.max_attempts:
             self._recorder.record_end(run, completed=False, reason="attempts")
 
     def _on_failure(
--- a/tests/test_restored_items.py
+++ b/tests/test_restored_items.py
@@ -3,8 +3,15 @@
 import anyio
 import pytest
 
+from foxtailbank.forward.route import RouteKind
 from foxtailbank.keyed_log import AppendId
-from foxtailbank.submissions.records import Ended, Submitted, TakenOver, encode
+from foxtailbank.submissions.records import (
+    AttemptFailed,
+    Ended,
+    Submitted,
+    TakenOver,
+    encode,
+)
 from foxtailbank.submissions.runner import ROUTE_REMOVED_MS
 from serving_fakes import FakeResponse, make_route
 from test_crashed_items import HOST, TARGET, ItemVm
@@ -88,3 +95,24 @@
             vm.clock.advance(ROUTE_REMOVED_MS)
             await anyio.sleep(0.3)
     assert [result.completed for result in vm.results()] == [False] * is_given_up
+
+
+# An item that failed at each run was sent again and again, as its failures were counted
+# in a copy of the log that was behind.
+@pytest.mark.parametrize("earlier_failures", [0, 1, 2])
+async def test_failures_count_before_they_are_read_back(earlier_failures):
+    max_attempts = 3
+    vm = ItemVm(
+        *(FakeResponse(status=500) for _ in range(2 * max_attempts)),
+        routes=(make_route(kind=RouteKind.BATCH, max_attempts=max_attempts),),
+    )
+    vm.submit()
+    failed = AttemptFailed(submission_id="s1", item_id="s1-i")
+    for _ in range(earlier_failures):
+        vm.table.ledger.apply(failed)
+    async with vm.running():
+        for _ in range(2 * max_attempts):
+            vm.clock.advance(1_000)
+            await anyio.sleep(0.3)
+    assert len(vm.client.sent) == max_attempts - earlier_failures
+    assert [result.completed for result in vm.results()] == [False]
