--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -160,8 +160,7 @@
         SubmissionTooLarge
             It exceeds the entry's token limit; this attempt runs none of its items.
         StateUnknown
-            The store is unavailable, or the log could not be read to its end to confirm
-            that the submission is too large; nothing was written.
+            The store is unavailable or was not read in time; nothing was written.
         OutcomeUnknown
             The submission may still be accepted.
         """
@@ -186,8 +185,7 @@
     ) -> ResultPage:
         """Return results, waiting up to `wait_ms` for the first one.
 
-        Results that this VM knows are returned at once, as they never change. Before
-        it returns none, the log is read to its end unless the state is recent.
+        Known results are returned at once; to return none takes a recent state.
 
         Raises
         ------
