--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -139,6 +139,7 @@
             resume_after=self._event_buffer.last_event_id,
             reservation=assignment.reservation,
         ) as response:
+            self._recorder.on_response_head(response)
             if response.not_run:
                 self._on_refused(worker, response)
                 return False
@@ -190,7 +191,8 @@
     async def _forward_stream(self, response: WorkerResponse) -> None:
         responder = self._responder
         while (part := await response.next_chunk(self._event_timeout_ms())) is not None:
-            data = self._event_buffer.feed(part) if self._route.resumable else part
+            events = self._event_buffer.feed(part)
+            data = events if self._route.resumable else part
             if not data:
                 continue
             if not responder.started:
@@ -203,7 +205,9 @@
         if not responder.started:
             await responder.start(status=response.status, headers=response.headers)
         await responder.finish()
-        self._recorder.on_finished(response.status, reason="")
+        is_whole = self._event_buffer.is_at_event_boundary
+        reason = "" if is_whole else "stream_ended_within_event"
+        self._recorder.on_finished(response.status, reason=reason)
 
     async def _pause_to_coalesce(self, response: WorkerResponse) -> None:
         """Pause so that events are sent together.
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -37,12 +37,18 @@
         self._endpoint = ""
         self._load_at_assignment: int | None = None
         self._first_byte_ms: int | None = None
+        self._framing = ""
 
     def on_assigned(self, worker: Worker) -> None:
         """Remember the chosen worker and its load as known to this VM."""
         self._endpoint = worker.worker_id
+        self._framing = ""
         self._load_at_assignment = self._fleet.loads.total(worker.worker_id).total
 
+    def on_response_head(self, response: WorkerResponse) -> None:
+        """Remember how the worker's response is framed."""
+        self._framing = response.framing.value
+
     def on_first_byte(self) -> None:
         """Record the time to the first byte sent to the client."""
         if self._first_byte_ms is not None:
@@ -85,6 +91,7 @@
             request_id=self._call.request_id,
             endpoint=worker.worker_id,
             reason=reason,
+            framing=self._framing,
             count=attempts,
         )
         self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
@@ -126,6 +133,7 @@
             first_byte_ms=self._first_byte_ms,
             duration_ms=duration_ms,
             wait_ms=wait_ms or None,
+            framing=self._framing,
             version=self._fleet.routes_version(),
         )
         self._logs.write(event, fields=fields)
--- a/src/foxtailbank/forward/worker_client.py
+++ b/src/foxtailbank/forward/worker_client.py
@@ -7,7 +7,7 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.headers import Headers
-from foxtailbank.http1.body_source import BodySource
+from foxtailbank.http1.body_source import BodyFraming, BodySource
 
 
 class ReservationRefused(FoxtailbankError):
@@ -29,12 +29,15 @@
         Whether the response states that the request was not run.
     misdirected : bool
         Whether the address now belongs to another worker.
+    framing : BodyFraming
+        What marks the end of the body.
     """
 
     status: int
     headers: Headers
     not_run: bool
     misdirected: bool
+    framing: BodyFraming
 
     @property
     def is_success(self) -> bool:
--- a/src/foxtailbank/http1/body_source.py
+++ b/src/foxtailbank/http1/body_source.py
@@ -1,6 +1,15 @@
 """Response body that is received in chunks."""
 
 import abc
+import enum
+
+
+class BodyFraming(enum.Enum):
+    """What marks the end of a response body; the value is used in log lines."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_END = "connection_end"
 
 
 class BodySource(abc.ABC):
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -10,7 +10,7 @@
 from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.headers import Headers
-from foxtailbank.http1.body_source import BodySource
+from foxtailbank.http1.body_source import BodyFraming, BodySource
 from foxtailbank.http1.failures import (
     ConnectionBroken,
     MalformedResponse,
@@ -26,6 +26,7 @@
 MAX_HEAD_BYTES = 65_536
 DEFAULT_MAX_IDLE_MS = 4_000  # below the idle timeout of common servers
 IDLE_TIMEOUT_FRACTION = 0.8  # of the timeout that the server announces
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class ResponseHead:
@@ -48,6 +49,15 @@
         """Return a header's value, or an empty string; `name` is in lower case."""
         return self._value_by_name.get(name, "")
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body."""
+        if self.get("transfer-encoding"):
+            return BodyFraming.CHUNKED
+        if self.get("content-length") or self.status in _BODILESS_STATUSES:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION_END
+
 
 class ClientChannel(BodySource):
     """Connection to a server.
--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -55,6 +55,8 @@
         Expected wait or pause, in milliseconds.
     age_ms : int
         Age of the information that a decision was based on, in milliseconds.
+    framing : str
+        What marks the end of the endpoint's answer.
     version : int
         Catalogue version.
     offset : int
@@ -76,6 +78,7 @@
     first_byte_ms: int | None = None
     wait_ms: int | None = None
     age_ms: int | None = None
+    framing: str = ""
     version: int | None = None
     offset: int | None = None
     count: int | None = None
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -20,6 +20,7 @@
     WorkerClient,
     WorkerResponse,
 )
+from foxtailbank.http1.body_source import BodyFraming
 from foxtailbank.http1.responder import Responder
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.keyed_log import (
@@ -245,8 +246,17 @@
 class FakeResponse(WorkerResponse):
     """Response whose parts are bytes or exceptions to raise."""
 
-    def __init__(self, *, status=200, parts=(), not_run=False, misdirected=False):
+    def __init__(
+        self,
+        *,
+        status=200,
+        parts=(),
+        not_run=False,
+        misdirected=False,
+        framing=BodyFraming.CHUNKED,
+    ):
         self.status = status
+        self.framing = framing
         self.headers = (("x-proof", "p"),)
         self.not_run = not_run
         self.misdirected = misdirected
--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -12,6 +12,7 @@
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.report_intervals import SMALL_GROUP, PeerGroup
 from foxtailbank.forward.route import RouteKind
+from foxtailbank.http1.body_source import BodyFraming
 from foxtailbank.http1.failures import ConnectionBroken, ResponseTimeout
 from foxtailbank.logs import Logs
 from serving_fakes import FakeResponse, ServingWorld, make_route, make_routes
@@ -73,6 +74,18 @@
             ["attempt_failed", "connection_broken: reset", "endpoint=w", "status=0"],
             id="broken-off",
         ),
+        pytest.param(
+            STREAM,
+            [
+                FakeResponse(
+                    parts=(b"id: 1\ndata: a\n\nid: 2",),
+                    framing=BodyFraming.CONNECTION_END,
+                )
+            ],
+            None,
+            ["stream_ended_within_event", "framing=connection_end", "endpoint=w"],
+            id="broken-off-without-a-length",
+        ),
         pytest.param(
             make_route(max_attempts=2),
             [FakeResponse(status=500), ResponseTimeout(detail="nothing")],
