--- /dev/null
+++ b/tests/raw_worker.py
@@ -0,0 +1,196 @@
+"""Workers that send scripted bytes, and a VM that forwards requests to them."""
+
+import contextlib
+import dataclasses
+import enum
+import socket
+import struct
+
+import anyio
+import anyio.abc
+
+from foxtailbank.clock import SystemClock
+from foxtailbank.http1.client_channel import ClientChannel
+from foxtailbank.http1.failures import ExchangeFailed
+from foxtailbank.http1.server_connection import ServerConnection
+from foxtailbank.http1.server_limits import ServerLimits
+from foxtailbank_platform.worker_client import HttpWorkerClient
+from serving_fakes import ServingWorld, make_call
+
+HOST = "127.0.0.45"
+CLOCK = SystemClock()
+TIMEOUT_MS = 5_000
+MAX_ENDLESS_BYTES = 128 << 20  # stops an endless answer that nobody cuts off
+ENDLESS_PIECE_BYTES = 1 << 16
+REQUEST_ID = "q1"
+HEADERS = b"X-Request-Id: q1\r\nX-Response-Stamp: s\r\n"
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n" + HEADERS + b"\r\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\n" + HEADERS + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class End(enum.Enum):
+    """What a server does with its connection after an answer."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    KEEP = "keep"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RawAnswer:
+    """Bytes that a server sends, and what it does with its connection then.
+
+    `endless` is sent over and over until the other side closes the connection.
+    """
+
+    data: bytes = b""
+    end: End = End.CLOSE
+    endless: bytes = b""
+
+
+def unframed(body, *, end=End.CLOSE):
+    return RawAnswer(data=UNFRAMED_HEAD + body, end=end)
+
+
+def chunked(body, *, last=b"0\r\n\r\n", end=End.KEEP):
+    return RawAnswer(
+        data=CHUNKED_HEAD + b"%x\r\n%s\r\n" % (len(body), body) + last, end=end
+    )
+
+
+def sized(body, *, length=None, end=End.KEEP, status=200):
+    length = len(body) if length is None else length
+    head = b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n" % (status, length)
+    return RawAnswer(data=head + HEADERS + b"\r\n" + body, end=end)
+
+
+class RawServer:
+    """Server that sends the next answer of a script on each request.
+
+    Attributes
+    ----------
+    requests : list of bytes
+        What was received before each answer.
+    endless_bytes : int
+        Bytes sent of endless answers.
+    """
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = []
+        self.endless_bytes = 0
+        self.address = ""
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"{HOST}:{port}"
+        async with listener:
+            task_status.started()
+            await listener.serve(self._serve)
+
+    async def _serve(self, stream):
+        ended = (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        )
+        with contextlib.suppress(*ended):
+            async with stream:
+                while True:
+                    self.requests.append(await stream.receive())
+                    if not await self._answer(stream, self.script.pop(0)):
+                        return
+
+    async def _answer(self, stream, answer):
+        if answer.data:
+            await stream.send(answer.data)
+        while answer.endless and self.endless_bytes < MAX_ENDLESS_BYTES:
+            await stream.send(answer.endless)
+            self.endless_bytes += len(answer.endless)
+        if answer.end is End.RESET:
+            await anyio.sleep(0.05)  # the reset would overtake the data
+            linger = struct.pack("ii", 1, 0)
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        return answer.end is End.KEEP
+
+
+class RawWorkerVm(ServingWorld):
+    """A VM whose only workers are raw servers, reached over sockets."""
+
+    def __init__(self, *servers, route):
+        client = HttpWorkerClient(clock=CLOCK)
+        super().__init__(worker_count=len(servers), client=client)
+        self._route = route
+        for number, server in enumerate(servers):
+            worker = self.fleet.workers.get(f"w{number}")
+            worker = dataclasses.replace(worker, address=server.address)
+            self.fleet.workers.put(worker)
+
+    async def serve_connections(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener:
+            task_status.started(f"{HOST}:{port}")
+            await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream):
+        connection = ServerConnection(
+            stream=stream,
+            handler=self._handle,
+            limits=ServerLimits,
+            draining=lambda: False,
+            clock=CLOCK,
+        )
+        await connection.serve()
+
+    async def _handle(self, request, responder):
+        call = make_call(self.clock, body=request.body)
+        await self.forwarder.serve(call, self._route, responder)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClientAnswer:
+    """What a client received: the status, its body, and whether it looked complete."""
+
+    status: int
+    body: bytes
+    complete: bool
+
+
+async def ask(address):
+    """Send one request to a VM and return what its client sees."""
+    channel = await ClientChannel.connect(
+        address=address, clock=CLOCK, timeout_ms=TIMEOUT_MS
+    )
+    headers = (("Host", "h"), ("X-Request-Id", REQUEST_ID))
+    await channel.send(method="POST", target="/p/x", headers=headers, body=b"b")
+    head = await channel.receive_head(TIMEOUT_MS)
+    body = b""
+    try:
+        while (part := await channel.next_chunk(TIMEOUT_MS)) is not None:
+            body += part
+    except ExchangeFailed:
+        return ClientAnswer(status=head.status, body=body, complete=False)
+    finally:
+        await channel.aclose()
+    return ClientAnswer(status=head.status, body=body, complete=True)
+
+
+@contextlib.asynccontextmanager
+async def running_servers(*servers):
+    """Run servers, whose addresses are known from then on."""
+    async with anyio.create_task_group() as group:
+        for server in servers:
+            await group.start(server.run)
+        yield group
+        group.cancel_scope.cancel()
+
+
+async def ask_through_vm(route, *servers):
+    """Return what a client of a VM sees whose workers are these servers."""
+    async with running_servers(*servers) as group:
+        vm = RawWorkerVm(*servers, route=route)
+        address = await group.start(vm.serve_connections)
+        return await ask(address)
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -340,7 +340,7 @@
 class ServingWorld:
     """A forwarder with scripted workers."""
 
-    def __init__(self, *script, worker_count=3, slots=2, logs=None):
+    def __init__(self, *script, worker_count=3, slots=2, logs=None, client=None):
         self.clock = SystemClock()
         logs = logs or make_logs()
         self.routes = RouteTable()
@@ -354,7 +354,7 @@
         )
         for number in range(worker_count):
             self.fleet.workers.put(make_worker(f"w{number}", slots=slots))
-        self.client = FakeWorkerClient(*script)
+        self.client = client or FakeWorkerClient(*script)
         self.responder = FakeResponder()
         self.forwarder = Forwarder(
             context=ForwardContext(
