A stream that ends within an event is broken off, on every route

Cause: whether the last event is whole was only asked on routes that may be resumed. On the others the end of the response was the end of the stream. A response with neither a length nor chunks ends with its connection, so HTTP cannot tell a cut one from a whole one; only the events can.

Fix: one reader of events, EventSource, decides where a stream ends, for online streams and batch items alike; it releases whole events only, however the response is framed. A response without a length that ends before its first event is broken off too. Lines may end with carriage returns, since streams of all routes are now split. The wait between events is the wait for a whole event, no longer for any byte.

--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -9,18 +9,14 @@
 from foxtailbank.forward import wait_limits
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.call_recorder import TRUNCATED, CallRecorder
-from foxtailbank.forward.event_stream import EventBuffer
+from foxtailbank.forward.event_stream import EventBuffer, EventSource
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route, RouteKind
 from foxtailbank.forward.slot_finder import Assignment, SlotFinder
 from foxtailbank.forward.stream_pacer import StreamPacer
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.headers import Headers
-from foxtailbank.http1.failures import (
-    ConnectionBroken,
-    ExchangeFailed,
-    NotConnected,
-)
+from foxtailbank.http1.failures import ExchangeFailed, NotConnected
 from foxtailbank.http1.responder import Responder
 
 MAX_EVENT_GAP_MS = 900  # several times the longest step of a fully loaded engine
@@ -190,24 +186,19 @@
 
     async def _forward_stream(self, response: WorkerResponse) -> None:
         responder = self._responder
-        while (part := await response.next_chunk(self._event_timeout_ms())) is not None:
-            events = self._event_buffer.feed(part)
-            data = events if self._route.resumable else part
-            if not data:
-                continue
+        source = EventSource(
+            response=response, buffer=self._event_buffer, clock=self._clock
+        )
+        while (events := await source.next_chunk(self._event_timeout_ms())) is not None:
             if not responder.started:
                 await responder.start(status=response.status, headers=response.headers)
             self._recorder.on_first_byte()
-            await responder.send(data)
+            await responder.send(events)
             await self._pause_to_coalesce(response)
-        if self._route.resumable and not self._event_buffer.is_at_event_boundary:
-            raise ConnectionBroken(detail="stream ended within an event")
         if not responder.started:
             await responder.start(status=response.status, headers=response.headers)
         await responder.finish()
-        is_whole = self._event_buffer.is_at_event_boundary
-        reason = "" if is_whole else "stream_ended_within_event"
-        self._recorder.on_finished(response.status, reason=reason)
+        self._recorder.on_finished(response.status, reason="")
 
     async def _pause_to_coalesce(self, response: WorkerResponse) -> None:
         """Pause so that events are sent together.
--- a/src/foxtailbank/forward/event_stream.py
+++ b/src/foxtailbank/forward/event_stream.py
@@ -1,8 +1,17 @@
-"""Buffering and parsing of server-sent events."""
+"""Reading, buffering and parsing of server-sent events."""
 
 import dataclasses
+import re
 
-_END = b"\n\n"
+from foxtailbank.clock import Clock
+from foxtailbank.forward.worker_client import WorkerResponse
+from foxtailbank.http1.body_source import BodyFraming, BodySource
+from foxtailbank.http1.failures import ConnectionBroken
+
+_BLANK_LINE = b"\n\n"
+# A line may also end with a carriage return, alone or before the line feed.
+_ANY_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+_LINE_END = re.compile(rb"[\r\n]")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -42,12 +51,10 @@
     def feed(self, data: bytes) -> bytes:
         """Append bytes, split anywhere, and return all complete events."""
         buffered = self._partial + data
-        last_end = buffered.rfind(_END)
-        if last_end < 0:
-            self._partial = buffered
-            return b""
-        end = last_end + len(_END)
+        end = _end_of_last_event(buffered)
         self._partial = buffered[end:]
+        if not end:
+            return b""
         complete = buffered[:end]
         self.last_event_id = _last_id(complete) or self.last_event_id
         return complete
@@ -57,13 +64,83 @@
         self._partial = b""
 
 
+class EventSource(BodySource):
+    """Complete events of a worker's response.
+
+    A response that ends within an event was broken off, however it is framed.
+
+    Parameters
+    ----------
+    response : WorkerResponse
+        Response whose body is a stream of events.
+    buffer : EventBuffer
+        Holds the event that is incomplete so far.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, *, response: WorkerResponse, buffer: EventBuffer, clock: Clock
+    ) -> None:
+        self._response = response
+        self._buffer = buffer
+        self._clock = clock
+        self._has_events = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the end of the body was received with the last events."""
+        return self._response.is_complete
+
+    async def next_chunk(self, timeout_ms: float) -> bytes | None:
+        """Return the next complete events, or None at the regular end of the stream.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Bound on the wait for the end of an event, in milliseconds.
+
+        Raises
+        ------
+        ConnectionBroken
+            The stream ended within an event.
+        ExchangeFailed
+            As for `BodySource.next_chunk`.
+        """
+        give_up_ms = self._clock.now_ms() + timeout_ms
+        while (part := await self._response.next_chunk(timeout_ms)) is not None:
+            events = self._buffer.feed(part)
+            if events:
+                self._has_events = True
+                return events
+            timeout_ms = max(0.0, give_up_ms - self._clock.now_ms())
+        self._check_end()
+        return None
+
+    def _check_end(self) -> None:
+        if not self._buffer.is_at_event_boundary:
+            raise ConnectionBroken(detail="stream ended within an event")
+        is_framed = self._response.framing is not BodyFraming.CONNECTION_END
+        if not is_framed and not self._has_events:
+            raise ConnectionBroken(detail="connection ended before the first event")
+
+
+def _end_of_last_event(buffered: bytes) -> int:
+    """Return the position after the last blank line; 0 if there is none."""
+    if b"\r" not in buffered:
+        at = buffered.rfind(_BLANK_LINE)
+        return at + len(_BLANK_LINE) if at >= 0 else 0
+    end = 0
+    for match in _ANY_BLANK_LINE.finditer(buffered):
+        end = match.end()
+    return end
+
+
 def _last_id(events: bytes) -> str:
-    at = events.rfind(b"\nid:")
-    if at < 0 and events.startswith(b"id:"):
-        at = -1
-    elif at < 0:
+    at = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"))
+    if at < 0 and not events.startswith(b"id:"):
         return ""
-    line = events[at + 1 :].split(b"\n", 1)[0]
+    line = _LINE_END.split(events[at + 1 :], maxsplit=1)[0]
     return line.partition(b":")[2].strip().decode("latin-1")
 
 
@@ -76,7 +153,10 @@
         Events as `EventBuffer` returns them.
     """
     events = []
-    for block in encoded.decode("utf-8", "replace").split("\n\n"):
+    text = encoded.decode("utf-8", "replace")
+    if "\r" in text:
+        text = text.replace("\r\n", "\n").replace("\r", "\n")
+    for block in text.split("\n\n"):
         event_id = ""
         data: list[str] = []
         for line in block.split("\n"):
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -9,15 +9,12 @@
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
-from foxtailbank.forward.event_stream import parse_events
+from foxtailbank.forward.event_stream import EventSource, parse_events
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient, WorkerResponse
-from foxtailbank.http1.failures import (
-    ConnectionBroken,
-    ExchangeFailed,
-)
+from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -315,14 +312,13 @@
             self._on_attempt_failed(run, route)
 
     async def _read_output(self, run: ItemRun, answer: WorkerResponse) -> None:
-        async for part in read_paced(answer, gap_ms=GAP_TIMEOUT_MS):
-            events = run.event_buffer.feed(part)
-            if events:
-                run.texts.extend(event.data for event in parse_events(events))
-                if self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS:
-                    self._recorder.save_progress(run)
-        if not run.event_buffer.is_at_event_boundary:
-            raise ConnectionBroken(detail="stream ended within an event")
+        source = EventSource(
+            response=answer, buffer=run.event_buffer, clock=self._clock
+        )
+        async for events in read_paced(source, gap_ms=GAP_TIMEOUT_MS):
+            run.texts.extend(event.data for event in parse_events(events))
+            if self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS:
+                self._recorder.save_progress(run)
 
     def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
         self._recorder.record_attempt_failure(run, route.name)
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from foxtailbank.clock import SystemClock
+from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.http1.client_channel import ClientChannel
 from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank.http1.server_connection import ServerConnection
@@ -188,9 +189,15 @@
         group.cancel_scope.cancel()
 
 
-async def ask_through_vm(route, *servers):
-    """Return what a client of a VM sees whose workers are these servers."""
+async def ask_through_vm(route, *servers, first=None):
+    """Return what a client of a VM sees whose workers are these servers.
+
+    `first` is the server that is asked before the others.
+    """
     async with running_servers(*servers) as group:
         vm = RawWorkerVm(*servers, route=route)
+        for number, server in enumerate(servers):
+            if first not in (None, server):
+                vm.fleet.add_in_flight(f"w{number}", LoadKind.ONLINE)
         address = await group.start(vm.serve_connections)
         return await ask(address)
--- a/tests/test_request_timeline.py
+++ b/tests/test_request_timeline.py
@@ -83,7 +83,7 @@
                 )
             ],
             None,
-            ["stream_ended_within_event", "framing=connection_end", "endpoint=w"],
+            ["stream ended within an event", "framing=connection_end", "status=0"],
             id="broken-off-without-a-length",
         ),
         pytest.param(
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -2,9 +2,12 @@
 
 import pytest
 
+from foxtailbank.forward.event_stream import parse_events
 from foxtailbank.forward.route import RouteKind
+from foxtailbank.http1.body_source import BodyFraming
 from raw_worker import End, RawServer, ask_through_vm, chunked, sized, unframed
-from serving_fakes import make_route
+from serving_fakes import FakeResponse, make_route
+from test_crashed_items import ItemVm
 
 pytestmark = pytest.mark.anyio
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -12,6 +15,7 @@
 SAFE = make_route(max_attempts=1)
 UNSAFE = make_route(kind=RouteKind.UNSAFE, max_attempts=1)
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
+RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True)
 RESUMABLE_ONCE = make_route(kind=RouteKind.STREAM, resumable=True, max_attempts=1)
 
 
@@ -48,10 +52,66 @@
     assert EVENTS.startswith(seen.body)
 
 
+# Guards against a stream that is refused for its framing or its line ends.
 @pytest.mark.parametrize("route", [STREAM, RESUMABLE_ONCE])
-async def test_unframed_stream_with_whole_events_is_complete(route):
-    seen = await ask_through_vm(route, RawServer(unframed(EVENTS)))
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(EVENTS, id="line-feeds"),
+        pytest.param(EVENTS.replace(b"\n", b"\r\n"), id="carriage-returns-too"),
+        pytest.param(EVENTS.replace(b"\n", b"\r"), id="only-carriage-returns"),
+    ],
+)
+async def test_unframed_stream_with_whole_events_is_complete(route, body):
+    seen = await ask_through_vm(route, RawServer(unframed(body)))
+    assert (seen.status, seen.body, seen.complete) == (200, body, True)
+
+
+# Guards against an empty stream that is complete for its client after a crash.
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE_ONCE])
+async def test_unframed_stream_without_an_event_fails(route):
+    seen = await ask_through_vm(route, RawServer(unframed(b"")))
+    assert (seen.status, seen.body) == (502, b"")
+
+
+async def test_cut_stream_is_resumed_after_its_last_whole_event():
+    cut, resumed = RawServer(unframed(CUT)), RawServer(unframed(EVENTS[15:]))
+    seen = await ask_through_vm(RESUMABLE, cut, resumed, first=cut)
     assert (seen.status, seen.body, seen.complete) == (200, EVENTS, True)
+    assert b"last-event-id: 1\r\n" in resumed.requests[0].lower()
+
+
+# Guards against a batch result that lacks the end of its item's output.
+@pytest.mark.parametrize(
+    "cut",
+    [
+        pytest.param(b"id: 1\ndata: a\n\nid: 2\nda", id="within-an-event"),
+        pytest.param(b"", id="before-the-first-event"),
+    ],
+)
+async def test_batch_item_cut_without_a_length_runs_on(cut):
+    rest = EVENTS[15:] if cut else EVENTS
+    framing = BodyFraming.CONNECTION_END
+    vm = ItemVm(
+        FakeResponse(parts=(cut,) if cut else (), framing=framing),
+        FakeResponse(parts=(rest,), framing=framing),
+    )
+    vm.submit()
+    async with vm.running():
+        await vm.send_all()
+        await vm.finish_items()
+    (result,) = vm.results()
+    assert (result.completed, result.text) == (True, "a\nb")
+    assert [sent[3] for sent in vm.client.sent] == ["", "1" if cut else ""]
+
+
+@pytest.mark.parametrize("line_end", ["\n", "\r\n", "\r"])
+def test_events_are_parsed_with_any_line_end(line_end):
+    events = parse_events(EVENTS.replace(b"\n", line_end.encode()))
+    assert [(event.event_id, event.data) for event in events] == [
+        ("1", "a"),
+        ("2", "b"),
+    ]
 
 
 # Guards against an answer without a length that is dropped, or passed on after a reset.
