Bytes without end are read up to a bound, in a head and in a body

Cause: HTTP parsing bounded one head and one chunk header, and nothing else: interim responses, plain bodies, error and refusal bodies, an event, a stream, an item's output and a store's response were collected until their deadline; an item has none. Time-outs were those of one receive, so a head that came byte by byte had none either.

What exceeds one fails as answer_too_large and is tried elsewhere where the request may be repeated; its connection is closed. An item that exceeds its bound starts from its first event again, as what was received is not its output.

--- a/src/foxtailbank/forward/event_stream.py
+++ b/src/foxtailbank/forward/event_stream.py
@@ -6,8 +6,10 @@
 from foxtailbank.clock import Clock
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.http1.body_source import BodyFraming, BodySource
-from foxtailbank.http1.failures import ConnectionBroken
+from foxtailbank.http1.failures import ConnectionBroken, ResponseTooLarge
 
+MAX_EVENT_BYTES = 256 << 10
+MAX_STREAM_BYTES = 16 << 20  # a million tokens
 _BLANK_LINE = b"\n\n"
 # A line may also end with a carriage return, alone or before the line feed.
 _ANY_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
@@ -43,6 +45,11 @@
         self.last_event_id = ""
         self._partial = b""
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._partial)
+
     @property
     def is_at_event_boundary(self) -> bool:
         """Whether no incomplete event is buffered."""
@@ -86,6 +93,7 @@
         self._buffer = buffer
         self._clock = clock
         self._has_events = False
+        self._received_bytes = 0
 
     @property
     def is_complete(self) -> bool:
@@ -104,12 +112,15 @@
         ------
         ConnectionBroken
             The stream ended within an event.
+        ResponseTooLarge
+            An event or the stream is longer than the bounds of this module.
         ExchangeFailed
             As for `BodySource.next_chunk`.
         """
         give_up_ms = self._clock.now_ms() + timeout_ms
         while (part := await self._response.next_chunk(timeout_ms)) is not None:
             events = self._buffer.feed(part)
+            self._check_size(len(part))
             if events:
                 self._has_events = True
                 return events
@@ -117,6 +128,13 @@
         self._check_end()
         return None
 
+    def _check_size(self, added_bytes: int) -> None:
+        self._received_bytes += added_bytes
+        if self._received_bytes > MAX_STREAM_BYTES:
+            raise ResponseTooLarge(detail=f"stream over {MAX_STREAM_BYTES} bytes")
+        if self._buffer.partial_bytes > MAX_EVENT_BYTES:
+            raise ResponseTooLarge(detail=f"event over {MAX_EVENT_BYTES} bytes")
+
     def _check_end(self) -> None:
         if not self._buffer.is_at_event_boundary:
             raise ConnectionBroken(detail="stream ended within an event")
--- a/src/foxtailbank/http1/body_source.py
+++ b/src/foxtailbank/http1/body_source.py
@@ -3,6 +3,10 @@
 import abc
 import enum
 
+from foxtailbank.http1.failures import ResponseTooLarge
+
+MAX_BODY_BYTES = 4 << 20  # a VM holds dozens of bodies at a time
+
 
 class BodyFraming(enum.Enum):
     """What marks the end of a response body; the value is used in log lines."""
@@ -30,20 +34,30 @@
             The response was truncated or malformed, or timed out.
         """
 
-    async def read_all(self, timeout_ms: float) -> bytes:
+    async def read_all(
+        self, timeout_ms: float, *, max_bytes: int = MAX_BODY_BYTES
+    ) -> bytes:
         """Return the remainder of the body.
 
         Parameters
         ----------
         timeout_ms : float
             Bound on the wait for each chunk, in milliseconds.
+        max_bytes : int
+            Bound on the size of the remainder, in bytes.
 
         Raises
         ------
+        ResponseTooLarge
+            The body is longer than `max_bytes`.
         ExchangeFailed
             As for `next_chunk`.
         """
         chunks = []
+        size = 0
         while (chunk := await self.next_chunk(timeout_ms)) is not None:
+            size += len(chunk)
+            if size > max_bytes:
+                raise ResponseTooLarge(detail=f"body over {max_bytes} bytes")
             chunks.append(chunk)
         return b"".join(chunks)
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -16,6 +16,7 @@
     MalformedResponse,
     NotConnected,
     ResponseTimeout,
+    ResponseTooLarge,
 )
 from foxtailbank.http1.socket_options import (
     enable_dead_peer_detection,
@@ -80,6 +81,7 @@
         self._idle_since_ms = clock.now_ms()
         self._body_sent = True
         self._pending_event: t.Any = None  # event or error after the last chunk
+        self._received_bytes = 0
         self.opened_ms = clock.now_ms()
 
     @classmethod
@@ -165,15 +167,21 @@
         Raises
         ------
         ResponseTimeout
-            Nothing was received in time.
+            The head was not received in time.
         ConnectionBroken
             The connection ended before the head was complete.
         MalformedResponse
             The received bytes are not an HTTP response.
+        ResponseTooLarge
+            The interim responses before the head are too many.
         """
+        give_up_ms = self._clock.now_ms() + timeout_ms
+        max_received_bytes = self._received_bytes + MAX_HEAD_BYTES
         while True:
-            event = await self._next_event(timeout_ms)
+            event = await self._next_event(give_up_ms)
             if isinstance(event, h11.InformationalResponse):
+                if self._received_bytes > max_received_bytes:
+                    raise ResponseTooLarge(detail=f"head over {MAX_HEAD_BYTES} bytes")
                 continue
             if isinstance(event, h11.Response):
                 return self._parse_head(event)
@@ -189,7 +197,7 @@
         ResponseTimeout, ConnectionBroken, MalformedResponse
             As for `receive_head`.
         """
-        event = await self._next_event(timeout_ms)
+        event = await self._next_event(self._clock.now_ms() + timeout_ms)
         if isinstance(event, h11.Data):
             return bytes(event.data) + self._read_buffered_chunks()
         if isinstance(event, h11.EndOfMessage):
@@ -254,7 +262,7 @@
         self._max_idle_ms = _max_idle_ms(head.get("keep-alive"))
         return head
 
-    async def _next_event(self, timeout_ms: float) -> t.Any:
+    async def _next_event(self, give_up_ms: float) -> t.Any:
         try:
             if self._pending_event is not None:
                 return self._pop_pending_event()
@@ -262,7 +270,9 @@
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(await self._receive(timeout_ms))
+                data = await self._receive(give_up_ms - self._clock.now_ms())
+                self._received_bytes += len(data)
+                self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
             if "closed" in str(error).lower():
                 raise ConnectionBroken(detail=str(error)) from error
@@ -276,7 +286,7 @@
 
     async def _receive(self, timeout_ms: float) -> bytes:
         try:
-            with anyio.fail_after(timeout_ms / MS_PER_S):
+            with anyio.fail_after(max(0.0, timeout_ms) / MS_PER_S):
                 return await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             return b""
--- a/src/foxtailbank/http1/failures.py
+++ b/src/foxtailbank/http1/failures.py
@@ -34,6 +34,15 @@
         super().__init__(detail=detail, ran=Ran.UNKNOWN)
 
 
+class ResponseTooLarge(ExchangeFailed):
+    """The response exceeds what is accepted of one; the rest was not read."""
+
+    code = "answer_too_large"
+
+    def __init__(self, *, detail: str = "") -> None:
+        super().__init__(detail=detail, ran=Ran.UNKNOWN)
+
+
 class ResponseTimeout(ExchangeFailed):
     """The server sent nothing within the time allowed."""
 
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -209,6 +209,7 @@
             fleet=self.fleet,
             capacity=BatchCapacity(vm_id=identity.vm_id, view=self.fleet.view),
             routes=self.routes,
+            max_output_bytes=store_limits.max_record_bytes,
             clock=clock,
             logs=logs,
             metrics=metrics,
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -67,6 +67,17 @@
         self.event_buffer.last_event_id = progress.after_event
         self.saved_event_count = len(self.texts)
 
+    def discard_output(self) -> None:
+        """Start again from the first event."""
+        self.texts = []
+        self.event_buffer.last_event_id = ""
+        self.saved_event_count = 0
+
+    @property
+    def output_bytes(self) -> int:
+        """Size of the output so far; at least one byte a character."""
+        return sum(len(text) for text in self.texts)
+
     @property
     def key(self) -> tuple[str, str]:
         """Submission id and item id."""
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -14,7 +14,7 @@
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient, WorkerResponse
-from foxtailbank.http1.failures import ExchangeFailed
+from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -66,6 +66,8 @@
         Assigns worker slots to items.
     routes : RouteTable
         Current routes.
+    max_output_bytes : int
+        Bound on the output of an item, in bytes.
     clock : Clock
         Source of time.
     logs : Logs
@@ -87,6 +89,7 @@
         fleet: FleetState,
         capacity: BatchCapacity,
         routes: RouteTable,
+        max_output_bytes: int,
         clock: Clock,
         logs: Logs,
         metrics: Metrics,
@@ -100,6 +103,7 @@
         self._fleet = fleet
         self._capacity = capacity
         self._routes = routes
+        self._max_output_bytes = max_output_bytes
         self._clock = clock
         self._rng = rng
         self._recorder = ItemRecorder(
@@ -317,6 +321,11 @@
         )
         async for events in read_paced(source, gap_ms=GAP_TIMEOUT_MS):
             run.texts.extend(event.data for event in parse_events(events))
+            if run.output_bytes > self._max_output_bytes:
+                run.discard_output()
+                raise ResponseTooLarge(
+                    detail=f"output over {self._max_output_bytes} bytes"
+                )
             if self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS:
                 self._recorder.save_progress(run)
 
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -16,13 +16,12 @@
 from foxtailbank.http1.server_connection import ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank_platform.worker_client import HttpWorkerClient
-from serving_fakes import ServingWorld, make_call
+from serving_fakes import ServingWorld, make_call, make_worker
 
 HOST = "127.0.0.45"
 CLOCK = SystemClock()
 TIMEOUT_MS = 5_000
-MAX_ENDLESS_BYTES = 128 << 20  # stops an endless answer that nobody cuts off
-ENDLESS_PIECE_BYTES = 1 << 16
+MAX_ENDLESS_BYTES = 48 << 20  # stops an endless answer that nobody cuts off
 REQUEST_ID = "q1"
 HEADERS = b"X-Request-Id: q1\r\nX-Response-Stamp: s\r\n"
 UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n" + HEADERS + b"\r\n"
@@ -74,12 +73,15 @@
         What was received before each answer.
     endless_bytes : int
         Bytes sent of endless answers.
+    endless_pause_s : float
+        Pause after each piece of an endless answer.
     """
 
     def __init__(self, *script):
         self.script = list(script)
         self.requests = []
         self.endless_bytes = 0
+        self.endless_pause_s = 0.0
         self.address = ""
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
@@ -109,6 +111,7 @@
         while answer.endless and self.endless_bytes < MAX_ENDLESS_BYTES:
             await stream.send(answer.endless)
             self.endless_bytes += len(answer.endless)
+            await anyio.sleep(self.endless_pause_s)
         if answer.end is End.RESET:
             await anyio.sleep(0.05)  # the reset would overtake the data
             linger = struct.pack("ii", 1, 0)
@@ -117,6 +120,10 @@
         return answer.end is End.KEEP
 
 
+def worker_at(server, worker_id="w0"):
+    return dataclasses.replace(make_worker(worker_id), address=server.address)
+
+
 class RawWorkerVm(ServingWorld):
     """A VM whose only workers are raw servers, reached over sockets."""
 
@@ -125,9 +132,7 @@
         super().__init__(worker_count=len(servers), client=client)
         self._route = route
         for number, server in enumerate(servers):
-            worker = self.fleet.workers.get(f"w{number}")
-            worker = dataclasses.replace(worker, address=server.address)
-            self.fleet.workers.put(worker)
+            self.fleet.workers.put(worker_at(server, f"w{number}"))
 
     async def serve_connections(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         listener = await anyio.create_tcp_listener(local_host=HOST)
--- a/tests/test_crashed_items.py
+++ b/tests/test_crashed_items.py
@@ -103,6 +103,7 @@
             fleet=self.fleet,
             capacity=BatchCapacity(vm_id="vm1", view=self.fleet.view),
             routes=self.routes,
+            max_output_bytes=10_000,
             clock=self.clock,
             logs=logs,
             metrics=Metrics(),
