--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -15,6 +15,7 @@
 from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank.http1.server_connection import ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
+from foxtailbank_platform import headers as header_names
 from foxtailbank_platform.worker_client import HttpWorkerClient
 from serving_fakes import ServingWorld, make_call, make_worker
 
@@ -23,7 +24,9 @@
 TIMEOUT_MS = 5_000
 MAX_ENDLESS_BYTES = 48 << 20  # stops an endless answer that nobody cuts off
 REQUEST_ID = "q1"
-HEADERS = b"X-Request-Id: q1\r\nX-Response-Stamp: s\r\n"
+HEADERS = (
+    f"{header_names.REQUEST_ID}: q1\r\n{header_names.RESPONSE_STAMP}: s\r\n".encode()
+)
 UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n" + HEADERS + b"\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\n" + HEADERS + b"Transfer-Encoding: chunked\r\n\r\n"
 
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -14,6 +14,7 @@
 from foxtailbank.http1.client_channel import MAX_HEAD_BYTES
 from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
 from foxtailbank.keyed_log import StoreResponseLost
+from foxtailbank_platform.headers import NOT_EXECUTED
 from foxtailbank_platform.store import MAX_RESPONSE_BYTES, KeyedTopic, StoreClient
 from foxtailbank_platform.worker_client import MAX_REFUSAL_BYTES, HttpWorkerClient
 from raw_worker import (
@@ -43,7 +44,7 @@
 SAFE_ONCE = make_route(max_attempts=1)
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True)
-REFUSED_HEAD = b"HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\n" + HEADERS
+REFUSED_HEAD = b"HTTP/1.1 503 x\r\n%s: 1\r\n%s" % (NOT_EXECUTED.encode(), HEADERS)
 EVENT = b"id: 1\ndata: a\n\n"
 HEADS = [
     pytest.param(RawAnswer(endless=PIECE), id="no-answer"),
