Engine answers and log responses without end are read up to a bound

The same fault as in the platform's worker client, on the product's own interface: a buffered answer, the body of a refusal, a load report, a read of the log, an event or a stream was collected as long as the engine sent; interim responses had no bound in bytes. The bounds stand in one module, response_limits. An engine that answers with a switch of protocols fails its request; the connection that the HTTP library then hands out has no read time-out.

--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -21,8 +21,11 @@
     OutcomeUnknown,
     Ran,
 )
+from foxtailbank.http_channel import read_body
 from foxtailbank.isolation import Isolation
 from foxtailbank.quarantine import Quarantine
+from foxtailbank.response_check import check_stream_size
+from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.routing import Router, RouteRequest
 from foxtailbank.sentinels import Missing
@@ -255,7 +258,7 @@
     async def _relay_buffered(
         self, work: Work, sink: Sink, backend: Backend, response: EndpointResponse
     ) -> None:
-        body = b"".join([chunk async for chunk in response.chunks()])
+        body = await read_body(response.chunks(), max_bytes=MAX_BODY_BYTES)
         if response.status >= FIRST_SERVER_ERROR_STATUS and work.is_for_engine:
             raise EndpointFailed(
                 detail=f"{backend.endpoint_id} answered with status {response.status}"
@@ -278,9 +281,12 @@
         new_tokens = 0
         tail = TokenEventBuffer()
         last_content_ms = 0
+        received_bytes = 0
         try:
             async for chunk in response.chunks():
                 events = tail.feed(chunk)
+                received_bytes += len(chunk)
+                check_stream_size(received_bytes, tail)
                 if not events:
                     continue
                 now_ms = self._clock.now_ms()
--- a/src/foxtailbank/endpoint.py
+++ b/src/foxtailbank/endpoint.py
@@ -140,10 +140,13 @@
         HTTP status.
     headers : tuple of (str, str)
         Response headers.
+    ends_with_connection : bool
+        Whether neither a length nor chunks mark the end of the body.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    ends_with_connection: bool = False
 
     @abc.abstractmethod
     def chunks(self) -> t.AsyncIterator[bytes]:
--- a/src/foxtailbank/forward/event_stream.py
+++ b/src/foxtailbank/forward/event_stream.py
@@ -7,9 +7,8 @@
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.http1.body_source import BodyFraming, BodySource
 from foxtailbank.http1.failures import ConnectionBroken, ResponseTooLarge
+from foxtailbank.response_limits import MAX_EVENT_BYTES, MAX_STREAM_BYTES
 
-MAX_EVENT_BYTES = 256 << 10
-MAX_STREAM_BYTES = 16 << 20  # a million tokens
 _BLANK_LINE = b"\n\n"
 # A line may also end with a carriage return, alone or before the line feed.
 _ANY_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
@@ -113,7 +112,7 @@
         ConnectionBroken
             The stream ended within an event.
         ResponseTooLarge
-            An event or the stream is longer than the bounds of this module.
+            An event or the stream is longer than its bound.
         ExchangeFailed
             As for `BodySource.next_chunk`.
         """
--- a/src/foxtailbank/http1/body_source.py
+++ b/src/foxtailbank/http1/body_source.py
@@ -4,8 +4,7 @@
 import enum
 
 from foxtailbank.http1.failures import ResponseTooLarge
-
-MAX_BODY_BYTES = 4 << 20  # a VM holds dozens of bodies at a time
+from foxtailbank.response_limits import MAX_BODY_BYTES
 
 
 class BodyFraming(enum.Enum):
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -22,9 +22,9 @@
     enable_dead_peer_detection,
     has_pending_input,
 )
+from foxtailbank.response_limits import MAX_HEAD_BYTES
 
 READ_BYTES = 65_536
-MAX_HEAD_BYTES = 65_536
 DEFAULT_MAX_IDLE_MS = 4_000  # below the idle timeout of common servers
 IDLE_TIMEOUT_FRACTION = 0.8  # of the timeout that the server announces
 _BODILESS_STATUSES = frozenset((204, 304))
--- a/src/foxtailbank/http_channel.py
+++ b/src/foxtailbank/http_channel.py
@@ -10,10 +10,13 @@
 from foxtailbank import exceptions
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.headers import Headers, strip_hop_by_hop
+from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.stream_backend import StreamBackend, TimedStream
 
 KEEP_ALIVE_S = 4.0  # below the idle timeout of common servers
 MAX_KEEP_ALIVE_CONNECTIONS = 64
+SWITCHING_PROTOCOLS = 101
+_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 _METHODS_WITH_BODY = frozenset(("PATCH", "POST", "PUT"))
 _GENERATED_HEADERS = frozenset(("host", "content-length"))
 _NOT_CONNECTED = (
@@ -62,16 +65,21 @@
         HTTP status.
     headers : tuple of (str, str)
         End-to-end headers.
+    ends_with_connection : bool
+        Whether neither a length nor chunks mark the end of the body.
     """
 
     def __init__(self, *, response: httpcore.Response) -> None:
         self.status = response.status
+        names = {name.lower() for name, _ in response.headers}
+        self.ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
         self.headers = strip_hop_by_hop(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers
         )
         self._body = t.cast(t.AsyncIterable[bytes], response.stream)
         self._connection: TimedStream = response.extensions["network_stream"]
+        self._connection.end_head()
 
     def set_read_timeout(self, timeout_ms: int) -> None:
         """Set the timeout of each later wait for content.
@@ -101,6 +109,35 @@
             async for chunk in self._body:
                 yield chunk
 
+    async def read_all(self, *, max_bytes: int) -> bytes:
+        """Return the whole body; see `read_body`."""
+        return await read_body(self.chunks(), max_bytes=max_bytes)
+
+
+async def read_body(chunks: t.AsyncIterable[bytes], *, max_bytes: int) -> bytes:
+    """Return a whole body.
+
+    Parameters
+    ----------
+    chunks : async iterable of bytes
+        The body as it is received.
+    max_bytes : int
+        Bound on its size, in bytes.
+
+    Raises
+    ------
+    EndpointFailed
+        The body is longer, or the connection broke.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in chunks:
+        size += len(chunk)
+        if size > max_bytes:
+            raise exceptions.EndpointFailed(detail=f"response over {max_bytes} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
+
 
 class HttpChannel:
     """Sends requests to one address over pooled or single-use connections.
@@ -199,6 +236,7 @@
         headers: Headers = (),
         content: bytes = b"",
         timeout_ms: int,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> CompleteResponse:
         """Send a request and wait for the complete response.
 
@@ -208,6 +246,8 @@
             As in `open`.
         timeout_ms : int
             Bound on the request and its response, in milliseconds.
+        max_bytes : int
+            Bound on the body of the response, in bytes.
 
         Returns
         -------
@@ -227,7 +267,7 @@
             async with self.open(
                 method, path, headers=headers, content=content, head_ms=timeout_ms
             ) as response:
-                body = b"".join([chunk async for chunk in response.chunks()])
+                body = await response.read_all(max_bytes=max_bytes)
                 return CompleteResponse(
                     status=response.status, headers=response.headers, body=body
                 )
@@ -299,7 +339,11 @@
     connections: httpcore.AsyncConnectionPool, request: httpcore.Request
 ) -> httpcore.Response:
     with _translate_errors():
-        return await connections.handle_async_request(request)
+        response = await connections.handle_async_request(request)
+    if response.status == SWITCHING_PROTOCOLS:
+        await response.aclose()
+        raise exceptions.EndpointFailed(detail="unexpected switch of protocols")
+    return response
 
 
 def _encode(text: str) -> bytes:
--- a/src/foxtailbank/http_endpoint.py
+++ b/src/foxtailbank/http_endpoint.py
@@ -13,8 +13,9 @@
     LoadReport,
     Order,
 )
-from foxtailbank.http_channel import CompleteResponse
+from foxtailbank.http_channel import CompleteResponse, read_body
 from foxtailbank.http_service import HttpPlainService
+from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.urls import quote_segment
 
 STATUS_CONFLICT = 409
@@ -151,7 +152,7 @@
     async def call(self, call: EndpointCall) -> CompleteResponse:
         """Send a call and wait for its complete response; for tests and tools."""
         async with self.open(call) as response:
-            body = b"".join([chunk async for chunk in response.chunks()])
+            body = await read_body(response.chunks(), max_bytes=MAX_BODY_BYTES)
             return CompleteResponse(
                 status=response.status, headers=response.headers, body=body
             )
--- a/src/foxtailbank/http_log.py
+++ b/src/foxtailbank/http_log.py
@@ -8,6 +8,7 @@
 from foxtailbank import exceptions
 from foxtailbank.http_channel import CompleteResponse, HttpChannel
 from foxtailbank.log_service import LogBounds, LogRecord, LogService
+from foxtailbank.response_limits import MAX_RECORDS_BYTES
 from foxtailbank.urls import quote_segment
 
 CREATED = 201
@@ -142,6 +143,7 @@
                 headers=headers,
                 content=content,
                 timeout_ms=self._timeout_ms + wait_ms,
+                max_bytes=MAX_RECORDS_BYTES,
             )
         except exceptions.EndpointStalled as error:
             self._channel.drop_connections()
--- a/src/foxtailbank/http_service.py
+++ b/src/foxtailbank/http_service.py
@@ -6,7 +6,8 @@
 from foxtailbank import exceptions
 from foxtailbank.endpoint import EndpointCall, EndpointResponse, PlainService
 from foxtailbank.headers import Headers
-from foxtailbank.http_channel import HttpChannel, StreamedResponse
+from foxtailbank.http_channel import HttpChannel, StreamedResponse, read_body
+from foxtailbank.response_limits import MAX_REFUSAL_BYTES
 
 NOT_ADMITTED_HEADER = "x-not-admitted"
 REQUEST_ID_HEADER = "x-request-id"
@@ -146,6 +147,7 @@
     ) -> None:
         self.status = response.status
         self.headers = response.headers
+        self.ends_with_connection = response.ends_with_connection
         self._response = response
         self._first_chunk_ms = first_chunk_ms
         self._stall_ms = stall_ms
@@ -189,8 +191,7 @@
 async def _discard_body(response: HttpResponse) -> None:
     # A connection returns to the pool only after its response was read to the end.
     with contextlib.suppress(exceptions.EndpointFailed):
-        async for _ in response.chunks():
-            pass
+        await read_body(response.chunks(), max_bytes=MAX_REFUSAL_BYTES)
 
 
 def _is_not_admitted(response: StreamedResponse) -> bool:
--- a/src/foxtailbank/sse.py
+++ b/src/foxtailbank/sse.py
@@ -105,6 +105,11 @@
             self.done = CANCELLED_REASON not in events
         return events
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._partial)
+
     def drop_partial(self) -> None:
         """Discard the incomplete event left by a broken connection."""
         self._partial = b""
--- a/src/foxtailbank/stream_backend.py
+++ b/src/foxtailbank/stream_backend.py
@@ -7,6 +7,8 @@
 import anyio
 import httpcore
 
+from foxtailbank.response_limits import MAX_HEAD_BYTES
+
 READ_LIMIT_BYTES = 1 << 16
 
 
@@ -28,6 +30,7 @@
         self._writer = writer
         self._loop = asyncio.get_running_loop()
         self._read_timeout_s: float | None = None
+        self._head_bytes: int | None = None  # None within a body
         self._deadline_s: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timed_out = False
@@ -42,6 +45,10 @@
         """
         self._read_timeout_s = timeout_s
 
+    def end_head(self) -> None:
+        """Do not bound what is read until the next request is sent."""
+        self._head_bytes = None
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return received bytes; empty at the end of the connection.
 
@@ -63,6 +70,7 @@
             self._deadline_s = None
         if self._timed_out:
             raise httpcore.ReadTimeout
+        self._check_head(len(data))
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -77,6 +85,7 @@
         """
         if not buffer:
             return
+        self._head_bytes = 0
         try:
             self._writer.write(buffer)
             with anyio.fail_after(timeout):
@@ -106,6 +115,14 @@
         """Return whether the connection is readable; None for other properties."""
         return self._reader.has_unread if info == "is_readable" else None
 
+    def _check_head(self, added_bytes: int) -> None:
+        if self._head_bytes is None:
+            return
+        # The read that ends the head may contain a part of the body.
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise httpcore.ReadError(f"response head over {MAX_HEAD_BYTES} bytes")
+        self._head_bytes += added_bytes
+
     # The timer is reused, since cancelling and creating one for each read would cost
     # more than the rest of the read.
     def _start_timer(self, timeout_s: float | None) -> None:
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -68,7 +68,7 @@
 
 
 class RawServer:
-    """Server that sends the next answer of a script on each request.
+    """Server that sends the next answer of a script on each request, then none.
 
     Attributes
     ----------
@@ -105,6 +105,8 @@
             async with stream:
                 while True:
                     self.requests.append(await stream.receive())
+                    if not self.script:
+                        return
                     if not await self._answer(stream, self.script.pop(0)):
                         return
 
--- a/tests/test_crashed_batch_items.py
+++ b/tests/test_crashed_batch_items.py
@@ -26,12 +26,14 @@
 from foxtailbank.sse import DONE_EVENT
 from foxtailbank.suspect_gate import SuspectGate
 from foxtailbank.vm_list import Vm, VmRole
+from foxtailbank.work import Work, fingerprint_of
 from serving_fakes import make_logs
 
 pytestmark = pytest.mark.anyio
 POOL = "wordsmith"
 TOKENS = 1_000
 ENGINE_COUNT = 24
+DEADLINE_MS = 10_000
 ENTRY = Entry(
     name="notices",
     owner="mwangaza",
@@ -49,6 +51,25 @@
 )
 
 
+def make_work(**changes):
+    fields = {
+        "request_id": "q",
+        "entry": ENTRY,
+        "method": "POST",
+        "path": "/v1/completions",
+        "headers": (),
+        "body": b"{}",
+        "streamed": True,
+        "batch": True,
+        "idempotent": True,
+        "fingerprint": fingerprint_of("mwangaza", b"{}"),
+        "prefix_digest": 0,
+        "max_tokens": TOKENS,
+        "deadline_at_ms": SystemClock().now_ms() + DEADLINE_MS,
+    }
+    return Work(**{**fields, **changes})
+
+
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
@@ -116,13 +137,13 @@
 class Fleet:
     """One VM and engines, of which the first that run the item crash."""
 
-    def __init__(self, *crashes):
+    def __init__(self, *crashes, engines_by_id=None):
         clock = SystemClock()
         logs = make_logs()
         peering = FakePeering()
         quarantine = Quarantine()
         remaining = list(crashes)
-        self.engines_by_id = {
+        self.engines_by_id = engines_by_id or {
             f"e{number}": FakeEngine(remaining) for number in range(ENGINE_COUNT)
         }
         self.directory = EndpointDirectory(
@@ -155,7 +176,7 @@
             exchange=exchange,
             logs=logs,
         )
-        dispatcher = Dispatcher(
+        self.dispatcher = Dispatcher(
             clock=clock,
             zone="z1",
             directory=self.directory,
@@ -167,7 +188,7 @@
         )
         self.runner = ItemRunner(
             clock=clock,
-            dispatcher=dispatcher,
+            dispatcher=self.dispatcher,
             order=BatchOrder(tokens_per_s=1_000.0),
         )
 
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -4,19 +4,22 @@
 import pytest
 
 from foxtailbank.forward.event_stream import (
-    MAX_EVENT_BYTES,
-    MAX_STREAM_BYTES,
     EventBuffer,
     EventSource,
 )
 from foxtailbank.forward.route import RouteKind
-from foxtailbank.http1.body_source import MAX_BODY_BYTES
-from foxtailbank.http1.client_channel import MAX_HEAD_BYTES
 from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
 from foxtailbank.keyed_log import StoreResponseLost
+from foxtailbank.response_limits import (
+    MAX_BODY_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_REFUSAL_BYTES,
+    MAX_STREAM_BYTES,
+)
 from foxtailbank_platform.headers import NOT_EXECUTED
 from foxtailbank_platform.store import MAX_RESPONSE_BYTES, KeyedTopic, StoreClient
-from foxtailbank_platform.worker_client import MAX_REFUSAL_BYTES, HttpWorkerClient
+from foxtailbank_platform.worker_client import HttpWorkerClient
 from raw_worker import (
     CHUNKED_HEAD,
     CLOCK,
