An engine's JSON answer that its connection cut short is not passed on as complete

Streams were safe, since they end with a closing event. An answer of a plain service has no form that tells; a reset of its connection fails it, as before. Of 37 cases in tests/test_engine_answers.py 2 failed before for this.

--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -24,7 +24,7 @@
 from foxtailbank.http_channel import read_body
 from foxtailbank.isolation import Isolation
 from foxtailbank.quarantine import Quarantine
-from foxtailbank.response_check import check_stream_size
+from foxtailbank.response_check import check_stream_size, is_json_cut_off
 from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.routing import Router, RouteRequest
@@ -263,6 +263,10 @@
             raise EndpointFailed(
                 detail=f"{backend.endpoint_id} answered with status {response.status}"
             )
+        if work.is_for_engine and is_json_cut_off(response, body):
+            raise EndpointFailed(
+                detail=f"{backend.endpoint_id} ended its answer within the JSON"
+            )
         await sink.start(status=response.status, headers=response.headers)
         if body:
             await sink.write(body)
--- a/tests/test_engine_answers.py
+++ b/tests/test_engine_answers.py
@@ -33,6 +33,7 @@
 TEST_TIMEOUT_S = 20
 EVENT = b'data: {"token_index": 0, "choices": [{"text": "t"}]}\n\n'
 JSON = b'{"choices": [{"text": "t"}]}'
+CUT_JSON = JSON[:-5]
 BUFFERED = {"streamed": False}
 STREAMED = {"streamed": True}
 
@@ -81,6 +82,8 @@
 @pytest.mark.parametrize(
     ("changes", "answer"),
     [
+        pytest.param(BUFFERED, unframed(CUT_JSON), id="json"),
+        pytest.param(BUFFERED, unframed(b""), id="nothing"),
         pytest.param(STREAMED, unframed(EVENT), id="stream-after-an-event"),
         pytest.param(STREAMED, unframed(EVENT + EVENT[:9]), id="stream-in-an-event"),
         pytest.param(STREAMED, chunked(EVENT), id="chunked-stream"),
