--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -12,6 +12,7 @@
 from foxtailbank.http1.responder import Responder
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.http1.server_request import ServerRequest
+from foxtailbank.http1.socket_options import reset_on_close
 
 READ_BYTES = 65_536
 Handler: t.TypeAlias = t.Callable[[ServerRequest, Responder], t.Awaitable[None]]
@@ -89,6 +90,8 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
         finally:
+            if self._is_unframed_response_cut_off():
+                reset_on_close(self._stream)
             with anyio.CancelScope(shield=True):
                 await self._stream.aclose()
 
@@ -97,6 +100,11 @@
         if self._idle_scope is not None:
             self._idle_scope.cancel()
 
+    def _is_unframed_response_cut_off(self) -> bool:
+        """Return whether a response ends early whose end only the close marks."""
+        is_unfinished = self._http.our_state is h11.SEND_BODY
+        return is_unfinished and self._http.their_http_version == b"1.0"
+
     async def _serve_one(self) -> bool:
         responder = _H11Responder(
             http=self._http, stream=self._stream, draining=self._draining
--- a/src/foxtailbank/http1/socket_options.py
+++ b/src/foxtailbank/http1/socket_options.py
@@ -1,7 +1,9 @@
 """Socket options for the detection of unresponsive peers."""
 
+import contextlib
 import select
 import socket
+import struct
 
 import anyio.abc
 
@@ -9,6 +11,7 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+_LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 def raw_socket(stream: anyio.abc.SocketStream) -> socket.socket:
@@ -33,6 +36,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def reset_on_close(stream: anyio.abc.SocketStream) -> None:
+    """Make closing the connection reset it, so that its peer sees no regular end.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        TCP stream; one that the peer has closed stays as it is.
+    """
+    with contextlib.suppress(OSError):
+        raw_socket(stream).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+
+
 def has_pending_input(stream: anyio.abc.SocketStream) -> bool:
     """Return whether data, end of stream or an error is ready to be read.
 
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -3,8 +3,6 @@
 import contextlib
 import dataclasses
 import enum
-import socket
-import struct
 
 import anyio
 import anyio.abc
@@ -15,6 +13,7 @@
 from foxtailbank.http1.failures import ExchangeFailed
 from foxtailbank.http1.server_connection import ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
+from foxtailbank.http1.socket_options import reset_on_close
 from foxtailbank_platform import headers as header_names
 from foxtailbank_platform.worker_client import HttpWorkerClient
 from serving_fakes import ServingWorld, make_call, make_worker
@@ -119,9 +118,7 @@
             await anyio.sleep(self.endless_pause_s)
         if answer.end is End.RESET:
             await anyio.sleep(0.05)  # the reset would overtake the data
-            linger = struct.pack("ii", 1, 0)
-            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_on_close(stream)
         return answer.end is End.KEEP
 
 
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -88,6 +88,27 @@
             await exchange(await fixture.connect(), "/early-end")
 
 
+# Guards against a cut response that its client takes as complete: one of HTTP/1.0 is
+# sent without a length, so that only a reset tells.
+@pytest.mark.parametrize(
+    ("target", "is_reset"),
+    [
+        pytest.param("/early-end", True, id="cut"),
+        pytest.param("/x", False, id="whole"),
+    ],
+)
+async def test_cut_response_is_reset_for_a_client_without_chunks(target, is_reset):
+    async with running_server() as fixture:
+        await (await fixture.connect()).aclose()
+        host, _, port = ADDRESS.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(f"GET {target} HTTP/1.0\r\n\r\n".encode())
+            ended = anyio.BrokenResourceError if is_reset else anyio.EndOfStream
+            with pytest.raises(ended), anyio.fail_after(10):
+                while True:
+                    await stream.receive()
+
+
 async def test_handler_error_closes_only_its_connection():
     async with running_server() as fixture:
         with pytest.raises(ConnectionBroken):
