--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -5,13 +5,26 @@
 from foxtailbank.forward.event_stream import parse_events
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.http1.body_source import BodyFraming
-from raw_worker import End, RawServer, ask_through_vm, chunked, sized, unframed
+from foxtailbank.keyed_log import AppendId, KeyedRecord, StoreResponseLost
+from foxtailbank_platform.framing import encode_records
+from foxtailbank_platform.store import KeyedTopic, StoreClient
+from raw_worker import (
+    CLOCK,
+    End,
+    RawServer,
+    ask_through_vm,
+    chunked,
+    running_servers,
+    sized,
+    unframed,
+)
 from serving_fakes import FakeResponse, make_route
 from test_crashed_items import ItemVm
 
 pytestmark = pytest.mark.anyio
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 CUT = EVENTS[:-8]
+RECORD = KeyedRecord(key="k", value=b"v")
 SAFE = make_route(max_attempts=1)
 UNSAFE = make_route(kind=RouteKind.UNSAFE, max_attempts=1)
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
@@ -126,3 +139,44 @@
 async def test_unframed_plain_answer(route, answer, status, body):
     seen = await ask_through_vm(route, RawServer(answer))
     assert (seen.status, seen.body, seen.complete) == (status, body, True)
+
+
+def store_read(topic):
+    return topic.read(start=0, wait_ms=0)
+
+
+def store_page(topic):
+    return topic.read_newest()
+
+
+def store_append(topic):
+    append_id = AppendId(producer="p", epoch=1, sequence=1)
+    return topic.append((RECORD,), append_id=append_id)
+
+
+# Guards against a store's response that was cut and is taken for the whole one.
+@pytest.mark.parametrize(
+    ("call", "whole"),
+    [
+        pytest.param(
+            store_read,
+            bytes(7) + b"\x01" + bytes(8) + encode_records((RECORD,)),
+            id="read",
+        ),
+        pytest.param(
+            store_page, b'{"items": [], "has_more": false, "end": 0}', id="page"
+        ),
+        pytest.param(store_append, b'{"offset": 0, "end": 1}', id="append"),
+    ],
+)
+async def test_store_response_without_a_length(call, whole):
+    for body in (whole, whole[:-1], whole[:5], b""):
+        server = RawServer(unframed(body))
+        async with running_servers(server):
+            store = StoreClient(address=server.address, clock=CLOCK)
+            topic = KeyedTopic(store=store, topic="keyed.t")
+            if body == whole:
+                await call(topic)
+                continue
+            with pytest.raises(StoreResponseLost):
+                await call(topic)
