--- a/src/foxtailbank/forward/event_stream.py
+++ b/src/foxtailbank/forward/event_stream.py
@@ -1,17 +1,15 @@
-"""Reading, buffering and parsing of server-sent events."""
+"""Reading and parsing of server-sent events."""
 
 import dataclasses
 import re
 
 from foxtailbank.clock import Clock
+from foxtailbank.event_splitter import EventSplitter
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.http1.body_source import BodyFraming, BodySource
 from foxtailbank.http1.failures import ConnectionBroken, ResponseTooLarge
 from foxtailbank.response_limits import MAX_EVENT_BYTES, MAX_STREAM_BYTES
 
-_BLANK_LINE = b"\n\n"
-# A line may also end with a carriage return, alone or before the line feed.
-_ANY_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
 _LINE_END = re.compile(rb"[\r\n]")
 
 
@@ -31,8 +29,8 @@
     data: str
 
 
-class EventBuffer:
-    """Buffers a byte stream and releases only complete events.
+class EventBuffer(EventSplitter):
+    """Releases complete events and knows the id of the last one.
 
     Attributes
     ----------
@@ -41,33 +39,15 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.last_event_id = ""
-        self._partial = b""
-
-    @property
-    def partial_bytes(self) -> int:
-        """Size of the incomplete event."""
-        return len(self._partial)
-
-    @property
-    def is_at_event_boundary(self) -> bool:
-        """Whether no incomplete event is buffered."""
-        return not self._partial.strip()
 
     def feed(self, data: bytes) -> bytes:
         """Append bytes, split anywhere, and return all complete events."""
-        buffered = self._partial + data
-        end = _end_of_last_event(buffered)
-        self._partial = buffered[end:]
-        if not end:
-            return b""
-        complete = buffered[:end]
-        self.last_event_id = _last_id(complete) or self.last_event_id
-        return complete
-
-    def discard_partial_event(self) -> None:
-        """Discard the event that a broken connection left incomplete."""
-        self._partial = b""
+        events = super().feed(data)
+        if events:
+            self.last_event_id = _last_id(events) or self.last_event_id
+        return events
 
 
 class EventSource(BodySource):
@@ -142,17 +122,6 @@
             raise ConnectionBroken(detail="connection ended before the first event")
 
 
-def _end_of_last_event(buffered: bytes) -> int:
-    """Return the position after the last blank line; 0 if there is none."""
-    if b"\r" not in buffered:
-        at = buffered.rfind(_BLANK_LINE)
-        return at + len(_BLANK_LINE) if at >= 0 else 0
-    end = 0
-    for match in _ANY_BLANK_LINE.finditer(buffered):
-        end = match.end()
-    return end
-
-
 def _last_id(events: bytes) -> str:
     at = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"))
     if at < 0 and not events.startswith(b"id:"):
--- a/src/foxtailbank/http_channel.py
+++ b/src/foxtailbank/http_channel.py
@@ -109,10 +109,6 @@
             async for chunk in self._body:
                 yield chunk
 
-    async def read_all(self, *, max_bytes: int) -> bytes:
-        """Return the whole body; see `read_body`."""
-        return await read_body(self.chunks(), max_bytes=max_bytes)
-
 
 async def read_body(chunks: t.AsyncIterable[bytes], *, max_bytes: int) -> bytes:
     """Return a whole body.
@@ -267,7 +263,7 @@
             async with self.open(
                 method, path, headers=headers, content=content, head_ms=timeout_ms
             ) as response:
-                body = await response.read_all(max_bytes=max_bytes)
+                body = await read_body(response.chunks(), max_bytes=max_bytes)
                 return CompleteResponse(
                     status=response.status, headers=response.headers, body=body
                 )
--- a/src/foxtailbank/sse.py
+++ b/src/foxtailbank/sse.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from foxtailbank.event_splitter import EventSplitter
+
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -61,8 +63,8 @@
 _decoder = msgspec.json.Decoder(TokenEvent)
 
 
-class TokenEventBuffer:
-    """Splits a token stream into complete events.
+class TokenEventBuffer(EventSplitter):
+    """Releases complete events of a token stream and knows where it ends.
 
     Only complete events are forwarded, so that another endpoint can continue a stream
     that breaks off in the middle of an event.
@@ -74,46 +76,21 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.done = False
-        self._partial = b""
         self._last_events = b""
 
-    def feed(self, part: bytes) -> bytes:
-        """Add received bytes and return the events that they complete.
-
-        Parameters
-        ----------
-        part : bytes
-            Bytes, split at arbitrary positions.
-
-        Returns
-        -------
-        bytes
-            All complete events not returned before.
-        """
-        data = self._partial + part if self._partial else part
-        cut = data.rfind(EVENT_END)
-        if cut < 0:
-            self._partial = data
+    def feed(self, data: bytes) -> bytes:
+        """Append bytes, split anywhere, and return all complete events."""
+        events = super().feed(data)
+        if not events:
             return b""
-        end = cut + len(EVENT_END)
-        events = data[:end]
-        self._partial = data[end:]
         self._last_events = events
         if events.endswith(DONE_EVENT):
             # Engines send a regular closing event for cancelled streams as well.
             self.done = CANCELLED_REASON not in events
         return events
 
-    @property
-    def partial_bytes(self) -> int:
-        """Size of the incomplete event."""
-        return len(self._partial)
-
-    def drop_partial(self) -> None:
-        """Discard the incomplete event left by a broken connection."""
-        self._partial = b""
-
     def next_index(self, start: int) -> int:
         """Return the index of the first token not yet forwarded.
 
