A worker whose answers never end is avoided like one that breaks off

Each such answer costs its requests up to 4 MiB of a VM's link before it is given up. The test failed before: the worker stayed the first choice.

--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -22,6 +22,7 @@
     ExchangeFailed,
     NotConnected,
     ResponseTimeout,
+    ResponseTooLarge,
 )
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
@@ -184,7 +185,7 @@
         """Update worker health after a failed exchange."""
         if isinstance(failure, (NotConnected, ResponseTimeout)):
             self.on_worker_failure(worker, failure, self._clock.now_ms())
-        if isinstance(failure, ConnectionBroken):
+        if isinstance(failure, (ConnectionBroken, ResponseTooLarge)):
             self.on_worker_error(worker, failure.code)
 
     def on_request_failure(
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -35,7 +35,13 @@
     sized,
     worker_at,
 )
-from serving_fakes import FakeResponse, make_call, make_route
+from serving_fakes import (
+    FakeResponder,
+    FakeResponse,
+    ServingWorld,
+    make_call,
+    make_route,
+)
 from test_crashed_items import ItemVm
 
 pytestmark = pytest.mark.anyio
@@ -148,6 +154,18 @@
     assert MAX_STREAM_BYTES - len(part) <= passed_on <= MAX_STREAM_BYTES
 
 
+# Guards against a worker that is chosen again and again although each answer of it
+# takes the time and the link of a body without end.
+async def test_worker_is_avoided_after_answers_without_end():
+    script = [ResponseTooLarge(detail="x"), ResponseTooLarge(detail="x")]
+    world = ServingWorld(*script, worker_count=1)
+    for _ in script:
+        assert not world.fleet.health.is_avoided("w0", CLOCK.now_ms())
+        world.responder = FakeResponder()
+        await world.serve(SAFE_ONCE)
+    assert world.fleet.health.is_avoided("w0", CLOCK.now_ms())
+
+
 # Guards against an unbounded read of the body of a refusal, or of an error.
 @pytest.mark.parametrize(
     ("head", "status", "max_bytes"),
