--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -185,6 +185,24 @@
         assert body == b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in (1, 2, 3))
 
 
+# Guards against a cut stream that is complete for its client, or for a batch result.
+async def test_streams_that_end_within_an_event_are_not_whole():
+    async with running_deployment() as deployment:
+        deployment.publish()
+        deployment.start_vm()
+        await deployment.until_ready()
+        for worker in deployment.workers:
+            worker.cut_share = 1.0
+        assert await call("POST", "/st/x") is None
+        assert await submit("s1") == 202
+        await anyio.sleep(0.5)
+        for worker in deployment.workers:
+            worker.cut_share = 0.0
+        page = await read_all(deployment, "s1", 3)
+        texts = {result["text"] for result in page["results"]}
+        assert texts == {"e1\ne2\ne3"}
+
+
 @pytest.mark.parametrize(
     ("method", "target", "body", "headers", "status"),
     [
