--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -21,9 +21,9 @@
     OutcomeUnknown,
     Ran,
 )
-from foxtailbank.http_channel import read_body
 from foxtailbank.isolation import Isolation
 from foxtailbank.quarantine import Quarantine
+from foxtailbank.response_body import read_body
 from foxtailbank.response_check import check_stream_size, is_json_cut_off
 from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.retry_budget import RetryBudget
--- a/src/foxtailbank/http_channel.py
+++ b/src/foxtailbank/http_channel.py
@@ -10,12 +10,12 @@
 from foxtailbank import exceptions
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.headers import Headers, strip_hop_by_hop
+from foxtailbank.response_body import read_body
 from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.stream_backend import StreamBackend, TimedStream
 
 KEEP_ALIVE_S = 4.0  # below the idle timeout of common servers
 MAX_KEEP_ALIVE_CONNECTIONS = 64
-SWITCHING_PROTOCOLS = 101
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 _METHODS_WITH_BODY = frozenset(("PATCH", "POST", "PUT"))
 _GENERATED_HEADERS = frozenset(("host", "content-length"))
@@ -110,31 +110,6 @@
                 yield chunk
 
 
-async def read_body(chunks: t.AsyncIterable[bytes], *, max_bytes: int) -> bytes:
-    """Return a whole body.
-
-    Parameters
-    ----------
-    chunks : async iterable of bytes
-        The body as it is received.
-    max_bytes : int
-        Bound on its size, in bytes.
-
-    Raises
-    ------
-    EndpointFailed
-        The body is longer, or the connection broke.
-    """
-    parts: list[bytes] = []
-    size = 0
-    async for chunk in chunks:
-        size += len(chunk)
-        if size > max_bytes:
-            raise exceptions.EndpointFailed(detail=f"response over {max_bytes} bytes")
-        parts.append(chunk)
-    return b"".join(parts)
-
-
 class HttpChannel:
     """Sends requests to one address over pooled or single-use connections.
 
@@ -335,11 +310,7 @@
     connections: httpcore.AsyncConnectionPool, request: httpcore.Request
 ) -> httpcore.Response:
     with _translate_errors():
-        response = await connections.handle_async_request(request)
-    if response.status == SWITCHING_PROTOCOLS:
-        await response.aclose()
-        raise exceptions.EndpointFailed(detail="unexpected switch of protocols")
-    return response
+        return await connections.handle_async_request(request)
 
 
 def _encode(text: str) -> bytes:
--- a/src/foxtailbank/http_endpoint.py
+++ b/src/foxtailbank/http_endpoint.py
@@ -13,8 +13,9 @@
     LoadReport,
     Order,
 )
-from foxtailbank.http_channel import CompleteResponse, read_body
+from foxtailbank.http_channel import CompleteResponse
 from foxtailbank.http_service import HttpPlainService
+from foxtailbank.response_body import read_body
 from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.urls import quote_segment
 
--- a/src/foxtailbank/http_service.py
+++ b/src/foxtailbank/http_service.py
@@ -6,7 +6,8 @@
 from foxtailbank import exceptions
 from foxtailbank.endpoint import EndpointCall, EndpointResponse, PlainService
 from foxtailbank.headers import Headers
-from foxtailbank.http_channel import HttpChannel, StreamedResponse, read_body
+from foxtailbank.http_channel import HttpChannel, StreamedResponse
+from foxtailbank.response_body import read_body
 from foxtailbank.response_limits import MAX_REFUSAL_BYTES
 
 NOT_ADMITTED_HEADER = "x-not-admitted"
