A client's reset while a response is sent is no defect of the handler

On an entry VM it writes a line of a defect for an ordinary reset. Cause: a write may notice the reset before the watching task does, and it fails within the task group of the request. The test failed before.

--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -125,10 +125,18 @@
         return self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        failure: Exception | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_for_disconnect, group.cancel_scope)
-            await self._handler(request, responder)
+            try:
+                await self._handler(request, responder)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                failure = error
             group.cancel_scope.cancel()
+        if failure is not None:
+            raise ClientDisconnected(
+                detail=f"connection lost while responding: {failure!r}"
+            ) from failure
 
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
         """Cancel the handler when the client disconnects; buffer pipelined data."""
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -9,7 +9,9 @@
 from foxtailbank.http1.client_channel import ClientChannel
 from foxtailbank.http1.failures import ConnectionBroken
 from foxtailbank.http1.server import Server
+from foxtailbank.http1.server_connection import READ_BYTES
 from foxtailbank.http1.server_limits import ServerLimits
+from foxtailbank.http1.socket_options import reset_on_close
 
 pytestmark = pytest.mark.anyio
 ADDRESS = "127.0.0.41:18200"
@@ -44,6 +46,10 @@
             except anyio.get_cancelled_exc_class():
                 self.cancelled += 1
                 raise
+        if request.path == "/endless":
+            await responder.start(status=200, headers=())
+            while True:
+                await responder.send(b"x" * 65_536)
         await responder.respond(status=200, body=request.body or b"ok")
 
     async def connect(self):
@@ -131,6 +137,25 @@
                 await anyio.sleep(0.02)
 
 
+# Guards against a reset by a client that is taken for a defect of the handler. After
+# this much pipelined data nothing but the next write notices the reset.
+async def test_reset_while_a_response_is_sent_is_no_handler_error():
+    async with running_server() as fixture:
+        await (await fixture.connect()).aclose()
+        host, _, port = ADDRESS.rpartition(":")
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(b"GET /endless HTTP/1.1\r\nHost: h\r\n\r\n")
+        await stream.send(b"x" * (READ_BYTES + 1))
+        await stream.receive()
+        await anyio.sleep(0.2)
+        reset_on_close(stream)
+        await stream.aclose()
+        with anyio.fail_after(10):
+            while fixture.server.active_request_count:
+                await anyio.sleep(0.02)
+        assert fixture.handler_errors == []
+
+
 async def test_draining_server_answers_with_connection_close():
     async with running_server() as fixture:
         channel = await fixture.connect()
