An item's output is bounded in bytes, below the largest record

The bound counted characters and left no room for keys and names, so that an output of other scripts could still exceed a record of the store, which no append then holds. One share of the largest record serves the parts of submissions and the outputs. The new case of the test failed before.

--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -31,6 +31,7 @@
 SUBMISSIONS_READ_PAUSE_MS = 500  # results are visible at each VM within a second
 EXPIRY_PERIOD_MS = 250  # short against the grace time of lapsed worker entries
 FLUSH_POLL_MS = 100
+CONTENT_SHARE = 0.8  # of the largest record; keys and names take the rest
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -73,6 +74,11 @@
     max_record_bytes: int
     max_append_bytes: int
 
+    @property
+    def max_content_bytes(self) -> int:
+        """Bytes of bodies or output that fit into a record."""
+        return int(self.max_record_bytes * CONTENT_SHARE)
+
 
 class ServingVm:
     """Creates, connects and runs the components of an entry VM.
@@ -196,7 +202,7 @@
             table=submission_table,
             follower=self._follower,
             appends=self._appends,
-            record_bytes=store_limits.max_record_bytes,
+            part_bytes=store_limits.max_content_bytes,
             logs=logs,
             clock=clock,
         )
@@ -209,7 +215,7 @@
             fleet=self.fleet,
             capacity=BatchCapacity(vm_id=identity.vm_id, view=self.fleet.view),
             routes=self.routes,
-            max_output_bytes=store_limits.max_record_bytes,
+            max_output_bytes=store_limits.max_content_bytes,
             clock=clock,
             logs=logs,
             metrics=metrics,
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -75,8 +75,8 @@
 
     @property
     def output_bytes(self) -> int:
-        """Size of the output so far; at least one byte a character."""
-        return sum(len(text) for text in self.texts)
+        """Size of the output so far, as it is stored."""
+        return sum(len(text.encode()) for text in self.texts)
 
     @property
     def key(self) -> tuple[str, str]:
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -26,7 +26,6 @@
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 APPEND_WAIT_MS = 3_000  # shorter than a caller's deadline for a submission
-PART_SIZE_SHARE = 0.8  # of the largest record; keys and names take the rest
 ITEM_OVERHEAD_BYTES = 512  # of an item in a record, beside its body
 RESULT_OVERHEAD_BYTES = 200  # of a result in a page, beside its text
 MAX_PAGE_BYTES = 900_000
@@ -124,8 +123,8 @@
         Applies new log records to the ledger.
     appends : AppendQueue
         Queue for the submission log.
-    record_bytes : int
-        Maximum size of a record in bytes.
+    part_bytes : int
+        Size at which the items of a submission are split into records, in bytes.
     logs : Logs
         Receives a line for each answer that has no result at the asked position.
     clock : Clock
@@ -139,7 +138,7 @@
         table: SubmissionTable,
         follower: LogFollower,
         appends: AppendQueue,
-        record_bytes: int,
+        part_bytes: int,
         logs: Logs,
         clock: Clock,
     ) -> None:
@@ -147,7 +146,7 @@
         self._table = table
         self._follower = follower
         self._appends = appends
-        self._part_bytes = int(record_bytes * PART_SIZE_SHARE)
+        self._part_bytes = part_bytes
         self._logs = logs
         self._clock = clock
         self._suffix_count = 0
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -75,7 +75,7 @@
             table=self.table,
             follower=self.follower,
             appends=self.appends,
-            record_bytes=10_000,
+            part_bytes=8_000,
             logs=logs,
             clock=self.clock,
         )
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -233,10 +233,17 @@
                 pass
 
 
-# Guards against a batch item that collects a stream without end.
-async def test_batch_item_with_output_without_end_runs_elsewhere():
-    endless = [EVENT * 4_000] * 100
-    vm = ItemVm(FakeResponse(parts=endless), FakeResponse(parts=(EVENT,)))
+# Guards against a batch item that collects a stream without end, or an output that no
+# record of the log can hold.
+@pytest.mark.parametrize(
+    "parts",
+    [
+        pytest.param([EVENT * 4_000] * 100, id="without-end"),
+        pytest.param([f"data: {'é' * 6_000}\n\n".encode()], id="too-many-bytes"),
+    ],
+)
+async def test_batch_item_with_too_much_output_runs_elsewhere(parts):
+    vm = ItemVm(FakeResponse(parts=parts), FakeResponse(parts=(EVENT,)))
     vm.submit()
     async with vm.running():
         await vm.send_all()
