An empty read of the log without a length is not taken for no record

A payload then counts as past its retention, and the replay as caught up. Such a response is now unavailable and read again; a cut between later records only brings fewer of them.

--- a/src/foxtailbank/http_channel.py
+++ b/src/foxtailbank/http_channel.py
@@ -44,11 +44,14 @@
         End-to-end headers.
     body : bytes
         Response body.
+    ends_with_connection : bool
+        Whether neither a length nor chunks marked the end of the body.
     """
 
     status: int
     headers: Headers
     body: bytes
+    ends_with_connection: bool = False
 
 
 class StreamedResponse:
@@ -240,7 +243,10 @@
             ) as response:
                 body = await read_body(response.chunks(), max_bytes=max_bytes)
                 return CompleteResponse(
-                    status=response.status, headers=response.headers, body=body
+                    status=response.status,
+                    headers=response.headers,
+                    body=body,
+                    ends_with_connection=response.ends_with_connection,
                 )
         raise exceptions.EndpointStalled(
             detail=f"no complete response from {self.address} in {timeout_ms} ms"
--- a/src/foxtailbank/http_log.py
+++ b/src/foxtailbank/http_log.py
@@ -111,6 +111,9 @@
         response = await self._exchange(
             "GET", path, wait_ms=wait_ms, expected_status=OK
         )
+        if response.ends_with_connection and not response.body:
+            # "No record" decides that a payload is gone or a replay has caught up.
+            raise _unavailable("empty response without a length", ran=exceptions.Ran.NO)
         return _parse_frames(response.body)
 
     async def bounds(self, *, stream: str) -> LogBounds:
--- a/tests/test_engine_answers.py
+++ b/tests/test_engine_answers.py
@@ -9,7 +9,7 @@
 from foxtailbank.completion_collector import CompletionCollector
 from foxtailbank.exceptions import EndpointFailed, EndpointRefused, LogUnavailable
 from foxtailbank.http_endpoint import HttpEndpoint
-from foxtailbank.http_log import HttpLogService
+from foxtailbank.http_log import FRAME_HEADER, HttpLogService
 from foxtailbank.response_limits import (
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -20,10 +20,12 @@
 from raw_worker import (
     CHUNKED_HEAD,
     UNFRAMED_HEAD,
+    End,
     RawAnswer,
     RawServer,
     chunked,
     running_servers,
+    sized,
     unframed,
 )
 from test_crashed_batch_items import Fleet, make_work
@@ -34,6 +36,7 @@
 EVENT = b'data: {"token_index": 0, "choices": [{"text": "t"}]}\n\n'
 JSON = b'{"choices": [{"text": "t"}]}'
 CUT_JSON = JSON[:-5]
+FRAME = FRAME_HEADER.pack(0, 1) + b"v"
 BUFFERED = {"streamed": False}
 STREAMED = {"streamed": True}
 
@@ -120,6 +123,31 @@
     assert_bounded(server, MAX_HEAD_BYTES)
 
 
+# Guards against a read that was cut before its first record and says that there is
+# none: the payload would be lost, and the replay would count as caught up.
+@pytest.mark.parametrize(
+    ("answer", "count"),
+    [
+        pytest.param(sized(b""), 0, id="none"),
+        pytest.param(unframed(FRAME), 1, id="whole"),
+        pytest.param(unframed(FRAME[:-1]), None, id="within-a-record"),
+        pytest.param(unframed(b""), None, id="before-the-first-record"),
+        pytest.param(unframed(FRAME, end=End.RESET), None, id="reset"),
+    ],
+)
+async def test_log_read_that_was_cut_short(answer, count):
+    server = RawServer(answer)
+    async with running_servers(server):
+        log = HttpLogService(address=server.address)
+        try:
+            records = await log.read(stream="s", offset=0, max_bytes=1)
+        except LogUnavailable:
+            assert count is None
+        else:
+            assert len(records) == count
+        await log.aclose()
+
+
 @pytest.mark.parametrize("head", [UNFRAMED_HEAD, CHUNKED_HEAD])
 async def test_log_records_without_end_are_cut_off(head):
     piece = b"4000\r\n" + b"x" * 16_384 + b"\r\n"
