--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailbank.fleet.crash_reports import CRASHED_WORKERS_LIMIT
 from foxtailbank.forward.event_stream import parse_events
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.http1.body_source import BodyFraming
@@ -18,12 +19,19 @@
     sized,
     unframed,
 )
-from serving_fakes import FakeResponse, make_route
+from serving_fakes import (
+    FakeResponder,
+    FakeResponse,
+    ServingWorld,
+    make_call,
+    make_route,
+)
 from test_crashed_items import ItemVm
 
 pytestmark = pytest.mark.anyio
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 CUT = EVENTS[:-8]
+SENDS = 30  # enough to reach each of a few workers
 RECORD = KeyedRecord(key="k", value=b"v")
 SAFE = make_route(max_attempts=1)
 UNSAFE = make_route(kind=RouteKind.UNSAFE, max_attempts=1)
@@ -94,6 +102,20 @@
     assert b"last-event-id: 1\r\n" in resumed.requests[0].lower()
 
 
+# Guards against a request that is sent to ever more workers, each of which crashes and
+# cuts its stream by a regular close.
+async def test_request_whose_workers_cut_its_stream_is_refused():
+    framing = BodyFraming.CONNECTION_END
+    script = [FakeResponse(parts=(CUT,), framing=framing) for _ in range(SENDS)]
+    world = ServingWorld(*script, worker_count=CRASHED_WORKERS_LIMIT)
+    reports = world.fleet.crash_reports
+    call = make_call(CLOCK)
+    while world.client.script and not reports.is_refused(call.fingerprint):
+        world.responder = FakeResponder()
+        await world.serve(STREAM)
+    assert reports.is_refused(call.fingerprint)
+
+
 # Guards against a batch result that lacks the end of its item's output.
 @pytest.mark.parametrize(
     "cut",
