--- a/tests/test_ledger_fuzz.py
+++ b/tests/test_ledger_fuzz.py
@@ -11,22 +11,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from fakes import FakeLog
-from foxtailbank import ledger_events as ev
 from foxtailbank import records
 from foxtailbank.item_set import bitmap_positions, bitmap_to_ranges, ranges_to_bitmap
-from foxtailbank.ledger import Ledger
-from foxtailbank.ledger_replay import LedgerReplay
-from foxtailbank.ledger_resync import LedgerResync, LogSnapshotSource
 from foxtailbank.log_service import LogRecord
 from foxtailbank.payload_store import PayloadStore
 from foxtailbank.snapshot import image_of
 from foxtailbank.snapshot_store import SnapshotStore
-from ledger_entries import abandon, call, cancel, claim, complete, job, ranges, release
+from ledger_entries import abandon, call, cancel, claim, job, ranges
 from ledger_oracle import Oracle, ledger_view, without_retired_details
+from ledger_vm import LEDGER, Vm
 
 LONG = os.environ.get("FUZZ_LONG") == "1"
 VM_COUNT = 3
-LEDGER = "ledger"
 OFFSETS_PER_NAME_GROUP = 120
 OUTCOMES = ("ok", "ok", "ok", "lost", "refused", "late")
 
@@ -37,96 +33,6 @@
 )
 
 
-class Vm:
-    """A VM: its replay and a writer with one append in flight."""
-
-    def __init__(self, incarnation, store):
-        self.incarnation = incarnation
-        self.replay = LedgerReplay(ledger=Ledger())
-        self.replay.add_listener(self._on_record)
-        self.resync = LedgerResync(
-            replay=self.replay, sources=[LogSnapshotSource(store=store)]
-        )
-        self.queue = collections.deque()
-        self.sequence = 0
-        self.in_flight = None
-        self.image = None
-        self.dispatched = []
-
-    @property
-    def next_offset(self):
-        return self.replay.ledger.next_offset
-
-    def record(self, size):
-        """Return the record in flight, creating one if there is none."""
-        if self.in_flight is None:
-            entries = [self.queue.popleft() for _ in range(size) if self.queue]
-            self.sequence += 1
-            self.in_flight = records.encode(
-                records.Envelope(
-                    schema=records.SCHEMA,
-                    incarnation=self.incarnation,
-                    sequence=self.sequence,
-                    entries=tuple(entries),
-                )
-            )
-        return self.in_flight
-
-    def _on_record(self, envelope, events):
-        if envelope.incarnation != self.incarnation:
-            return
-        if envelope.sequence == self.sequence:
-            self.in_flight = None
-        for event in events:
-            if isinstance(event, ev.CallClaimWon):
-                self._on_call_claimed(event)
-            if isinstance(event, ev.ItemsClaimWon):
-                self._on_items_claimed(event)
-
-    def _on_call_claimed(self, event):
-        """Either release the call unrun, or dispatch it and maybe record completion."""
-        outcome = self.next_offset % 3
-        if outcome == 0:
-            self.queue.append(release(self.incarnation, key=event.key))
-            return
-        self.dispatched.append(("call", event.key))
-        if outcome == 1:
-            self.queue.append(
-                complete(self.incarnation, event.key, at=self.next_offset + 95)
-            )
-            self.queue.append(
-                complete(self.incarnation, event.key, at=self.next_offset + 900)
-            )
-
-    def _on_items_claimed(self, event):
-        """Either release the items unrun, or dispatch them and maybe record results."""
-        if self.next_offset % 3 == 0:
-            self.queue.append(
-                records.ItemsReleased(
-                    job_id=event.job_id,
-                    chunk=event.chunk,
-                    items=event.items,
-                    claimant=self.incarnation,
-                )
-            )
-            return
-        for item_range in event.items:
-            for position in range(
-                item_range.first, item_range.first + item_range.count
-            ):
-                self.dispatched.append((event.job_id, event.chunk, position))
-        if self.next_offset % 2:
-            self.queue.append(
-                records.ChunkResults(
-                    job_id=event.job_id,
-                    chunk=event.chunk,
-                    items=event.items,
-                    payload_offset=95 + self.next_offset,
-                    claimant=self.incarnation,
-                )
-            )
-
-
 class LedgerMachine(RuleBasedStateMachine):
     def __init__(self, with_history_expiry=False):
         super().__init__()
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -3,16 +3,13 @@
 import anyio
 import pytest
 
-from foxtailbank.clock import SystemClock
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.keyed_log import (
-    AppendId,
     HistoryTruncated,
-    KeyedRecord,
     StoreRefused,
 )
-from foxtailbank.log_follower import LONG_POLL_MS, RETRY_MS, LogFollower, LogState
-from serving_fakes import FakeKeyedLog, make_logs
+from foxtailbank.log_follower import LONG_POLL_MS, RETRY_MS
+from log_follower_harness import ENDLESS_PAUSE_MS, Harness
 
 pytestmark = pytest.mark.anyio
 
@@ -22,77 +19,6 @@
     return "asyncio"
 
 
-# Longer than any test: a pause that is not skipped fails the test.
-ENDLESS_PAUSE_MS = 60_000
-
-
-class KeyList(LogState):
-    def __init__(self):
-        self.keys = []
-        self.restore_count = 0
-
-    def restore(self, newest):
-        self.restore_count += 1
-        self.keys = [record.key for record in newest.records]
-
-    def apply_records(self, part):
-        self.keys += [record.key for record in part.records]
-
-
-class Harness:
-    def __init__(self, pause_ms=10):
-        self.log = FakeKeyedLog()
-        self.state = KeyList()
-        self.recoveries = 0
-        self.follower = LogFollower(
-            name="test",
-            log=self.log,
-            state=self.state,
-            pause_ms=pause_ms,
-            logs=make_logs(),
-            clock=SystemClock(),
-            on_recovery=self._on_recovery,
-        )
-        self._sequence = 0
-
-    def _on_recovery(self):
-        self.recoveries += 1
-
-    async def put(self, key):
-        self._sequence += 1
-        step = AppendId(producer="p", epoch=1, sequence=self._sequence)
-        return await self.log.append(
-            (KeyedRecord(key=key, value=b"v"),), append_id=step
-        )
-
-    async def put_all(self, count):
-        self._sequence += 1
-        step = AppendId(producer="p", epoch=1, sequence=self._sequence)
-        records = tuple(
-            KeyedRecord(key=key, value=b"v") for key in self.expected_keys(count)
-        )
-        await self.log.append(records, append_id=step)
-
-    @staticmethod
-    def expected_keys(count):
-        return [f"k{number}" for number in range(count)]
-
-    async def wait_for(self, offset, outcomes):
-        outcomes.append(await self.follower.wait_for_offset(offset, 5_000))
-
-    async def wait_until_caught_up(self):
-        """Wait until the poll that follows a restore waits for new records."""
-        with anyio.fail_after(10):
-            while not self.follower.has_caught_up:
-                await anyio.sleep(0.01)
-        await anyio.sleep(0.01)
-
-    async def wait_until_keys(self, keys):
-        with anyio.fail_after(10):
-            while self.state.keys != keys:
-                await anyio.sleep(0.01)
-
-
 async def test_records_are_applied_once_and_in_order():
     harness = Harness()
     await harness.put("a")
