Events of a stream over its bound are not counted as received

The size of a stream was checked after its buffer had taken the part, so that a resumed stream would have left out the events of that part: on the platform's streams and on the product's own.

--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -24,7 +24,11 @@
 from foxtailbank.isolation import Isolation
 from foxtailbank.quarantine import Quarantine
 from foxtailbank.response_body import read_body
-from foxtailbank.response_check import check_stream_size, is_json_cut_off
+from foxtailbank.response_check import (
+    check_event_size,
+    check_stream_size,
+    is_json_cut_off,
+)
 from foxtailbank.response_limits import MAX_BODY_BYTES
 from foxtailbank.retry_budget import RetryBudget
 from foxtailbank.routing import Router, RouteRequest
@@ -288,10 +292,11 @@
         received_bytes = 0
         try:
             async for chunk in response.chunks():
-                events = tail.feed(chunk)
                 received_bytes += len(chunk)
-                check_stream_size(received_bytes, tail)
+                check_stream_size(received_bytes)
+                events = tail.feed(chunk)
                 if not events:
+                    check_event_size(tail)
                     continue
                 now_ms = self._clock.now_ms()
                 if not last_content_ms:
--- a/src/foxtailbank/forward/event_stream.py
+++ b/src/foxtailbank/forward/event_stream.py
@@ -98,19 +98,23 @@
         """
         give_up_ms = self._clock.now_ms() + timeout_ms
         while (part := await self._response.next_chunk(timeout_ms)) is not None:
+            self._add_size(len(part))
             events = self._buffer.feed(part)
-            self._check_size(len(part))
             if events:
                 self._has_events = True
                 return events
+            self._check_partial()
             timeout_ms = max(0.0, give_up_ms - self._clock.now_ms())
         self._check_end()
         return None
 
-    def _check_size(self, added_bytes: int) -> None:
+    def _add_size(self, added_bytes: int) -> None:
+        # Before the buffer takes a part, so that it has released no event in vain.
         self._received_bytes += added_bytes
         if self._received_bytes > MAX_STREAM_BYTES:
             raise ResponseTooLarge(detail=f"stream over {MAX_STREAM_BYTES} bytes")
+
+    def _check_partial(self) -> None:
         if self._buffer.partial_bytes > MAX_EVENT_BYTES:
             raise ResponseTooLarge(detail=f"event over {MAX_EVENT_BYTES} bytes")
 
--- a/src/foxtailbank/response_check.py
+++ b/src/foxtailbank/response_check.py
@@ -29,15 +29,13 @@
     return False
 
 
-def check_stream_size(received_bytes: int, buffer: TokenEventBuffer) -> None:
-    """Raise an error if a stream or its latest event is too long.
+def check_stream_size(received_bytes: int) -> None:
+    """Raise an error if a stream is too long.
 
     Parameters
     ----------
     received_bytes : int
-        Size of the stream so far.
-    buffer : TokenEventBuffer
-        Holds the incomplete event.
+        Size of the stream, with the part that its buffer does not hold yet.
 
     Raises
     ------
@@ -46,5 +44,15 @@
     """
     if received_bytes > MAX_STREAM_BYTES:
         raise EndpointFailed(detail=f"stream over {MAX_STREAM_BYTES} bytes")
+
+
+def check_event_size(buffer: TokenEventBuffer) -> None:
+    """Raise an error if the incomplete event of a stream is too long.
+
+    Raises
+    ------
+    EndpointFailed
+        It is longer than its bound.
+    """
     if buffer.partial_bytes > MAX_EVENT_BYTES:
         raise EndpointFailed(detail=f"event over {MAX_EVENT_BYTES} bytes")
--- a/tests/test_engine_answers.py
+++ b/tests/test_engine_answers.py
@@ -7,7 +7,12 @@
 import pytest
 
 from foxtailbank.completion_collector import CompletionCollector
-from foxtailbank.exceptions import EndpointFailed, EndpointRefused, LogUnavailable
+from foxtailbank.exceptions import (
+    EndpointFailed,
+    EndpointRefused,
+    LogUnavailable,
+    NoEndpoint,
+)
 from foxtailbank.http_endpoint import HttpEndpoint
 from foxtailbank.http_log import FRAME_HEADER, HttpLogService
 from foxtailbank.response_limits import (
@@ -15,6 +20,7 @@
     MAX_EVENT_BYTES,
     MAX_HEAD_BYTES,
     MAX_RECORDS_BYTES,
+    MAX_STREAM_BYTES,
 )
 from foxtailbank.sse import DONE_EVENT
 from raw_worker import (
@@ -96,6 +102,29 @@
     assert isinstance(await run_work(RawServer(answer), **changes), EndpointFailed)
 
 
+# Guards against tokens that are counted as received and reach nobody: the stream would
+# be resumed after them.
+async def test_stream_that_is_too_long_is_resumed_after_what_was_passed_on():
+    text = "x" * 65_000
+    events = [
+        b"data: "
+        + msgspec.json.encode({"token_index": n, "choices": [{"text": text}]})
+        + b"\n\n"
+        for n in range(MAX_STREAM_BYTES // len(text) + 1)
+    ]
+    too_long = chunked(b"".join(events))
+    servers = [RawServer(too_long), RawServer(too_long)]
+    collector = CompletionCollector(path="/v1/completions")
+    async with endpoint_of(servers[0]) as first, endpoint_of(servers[1]) as second:
+        fleet = Fleet(engines_by_id={"e0": first, "e1": second})
+        with contextlib.suppress(EndpointFailed, EndpointRefused, NoEndpoint):
+            await fleet.dispatcher.run(make_work(), collector)
+    requests = [server.requests[0].lower() for server in servers]
+    (resumed,) = [request for request in requests if b"x-resume-at" in request]
+    assert 0 < collector.next_index < len(events)
+    assert b"x-resume-at: %d\r\n" % collector.next_index in resumed
+
+
 # Guards against a daemon that reads an engine's answer until its memory is used up.
 @pytest.mark.parametrize("answer", [*HEADS, *BODIES])
 @pytest.mark.parametrize("changes", [BUFFERED, STREAMED])
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -154,6 +154,18 @@
     assert MAX_STREAM_BYTES - len(part) <= passed_on <= MAX_STREAM_BYTES
 
 
+# Guards against events that are counted as received and reach nobody: the stream would
+# be resumed after them.
+async def test_stream_that_is_too_long_is_resumed_after_the_last_event_passed_on():
+    size = 1 << 18
+    count = MAX_STREAM_BYTES // size + 1
+    events = [b"id: %d\ndata: %s\n\n" % (n, b"x" * size) for n in range(1, count + 1)]
+    world = ServingWorld(FakeResponse(parts=events), FakeResponse(parts=(EVENT,)))
+    seen = await world.serve(RESUMABLE)
+    last_id = seen.body.count(b"id: ") - 1
+    assert world.client.sent[1][3] == str(last_id)
+
+
 # Guards against a worker that is chosen again and again although each answer of it
 # takes the time and the link of a body without end.
 async def test_worker_is_avoided_after_answers_without_end():
