--- a/src/foxtailbank/fleet/worker.py
+++ b/src/foxtailbank/fleet/worker.py
@@ -23,6 +23,8 @@
         Whether it is shutting down and accepts no new requests.
     started_wall_ms : int
         Start of the process, in milliseconds of wall clock; 0 if unknown.
+    software_version : str
+        Version of its software, not of the model's weights; empty if unknown.
     """
 
     worker_id: str
@@ -32,6 +34,7 @@
     slots: int
     draining: bool
     started_wall_ms: int = 0
+    software_version: str = ""
 
     @property
     def process_id(self) -> str:
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -126,7 +126,8 @@
         """Send to one worker; true if the request needs no further attempt."""
         worker = assignment.choice.worker
         self._tried.add(worker.worker_id)
-        self._recorder.on_assigned(worker)
+        after_event = self._event_buffer.last_event_id
+        self._recorder.on_assigned(worker, after_event=after_event)
         self._fleet.add_in_flight(worker.worker_id, LoadKind.ONLINE)
         self._attempts += 1
         self._progress = AttemptProgress(sent_wall_ms=self._clock.wall_ms())
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -35,16 +35,39 @@
         self._logs = context.logs
         self._metrics = context.metrics
         self._endpoint = ""
+        self._software_version = ""
         self._load_at_assignment: int | None = None
         self._first_byte_ms: int | None = None
         self._framing = ""
 
-    def on_assigned(self, worker: Worker) -> None:
-        """Remember the chosen worker and its load as known to this VM."""
+    def on_assigned(self, worker: Worker, *, after_event: str) -> None:
+        """Remember the chosen worker and its load as known to this VM.
+
+        Parameters
+        ----------
+        worker : Worker
+            Where the request is sent.
+        after_event : str
+            Id of the event after which it continues a stream; empty for a new one.
+        """
         self._endpoint = worker.worker_id
+        self._software_version = worker.software_version
+        if after_event:
+            self._log_resumed(worker, after_event)
         self._framing = ""
         self._load_at_assignment = self._fleet.loads.total(worker.worker_id).total
 
+    def _log_resumed(self, worker: Worker, after_event: str) -> None:
+        self._metrics.count(Count.RESUMED_STREAMS, entry=self._route.name)
+        fields = LogFields(
+            request_id=self._call.request_id,
+            entry=self._route.name,
+            endpoint=worker.worker_id,
+            after_event=after_event,
+            software_version=worker.software_version,
+        )
+        self._logs.write(Event.STREAM_RESUMED, fields=fields)
+
     def on_response_head(self, response: WorkerResponse) -> None:
         """Remember how the worker's response is framed."""
         self._framing = response.framing.value
@@ -108,6 +131,7 @@
             framing=self._framing,
             parts=format_digests(self._call.prompt_parts),
             events=events,
+            software_version=worker.software_version,
             count=attempts,
         )
         self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
@@ -163,6 +187,7 @@
             duration_ms=duration_ms,
             wait_ms=wait_ms or None,
             framing=self._framing,
+            software_version=self._software_version,
             version=self._fleet.routes_version(),
         )
         self._logs.write(event, fields=fields)
--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -63,6 +63,10 @@
         Digests of the shared parts of a request's prompt, in hexadecimal.
     events : int
         Events of a stream that were received in one attempt.
+    after_event : str
+        Id of the event after which a stream is continued.
+    software_version : str
+        Version of the endpoint's software.
     per_s : float
         Requests a second.
     version : int
@@ -90,6 +94,8 @@
     fingerprint: str = ""
     parts: str = ""
     events: int | None = None
+    after_event: str = ""
+    software_version: str = ""
     per_s: float | None = None
     version: int | None = None
     offset: int | None = None
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -1,5 +1,7 @@
 """Records events of batch items in the submission log, log lines and metrics."""
 
+import dataclasses
+
 from foxtailbank.clock import Clock
 from foxtailbank.events import Event
 from foxtailbank.fleet.load_table import WorkerLoad
@@ -54,10 +56,16 @@
         self._metrics = metrics
         self._suffix_count = 0
 
-    def record_start(self, run: ItemRun) -> None:
+    def record_start(self, run: ItemRun, worker: Worker) -> None:
         """Log that an item is sent to a worker."""
-        reason = f"after event {run.event_buffer.last_event_id}" if run.texts else ""
-        fields = self._fields(run, reason)
+        fields = dataclasses.replace(
+            self._fields(run, ""),
+            after_event=run.event_buffer.last_event_id,
+            software_version=worker.software_version,
+        )
+        if run.texts:
+            self._logs.write(Event.STREAM_RESUMED, fields=fields)
+            return
         self._logs.write(Event.ITEM_STARTED, level=LogLevel.DEBUG, fields=fields)
 
     def save_progress(self, run: ItemRun) -> None:
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -268,7 +268,7 @@
     async def _run(self, run: ItemRun, route: Route, worker: Worker) -> None:
         scope = run.cancel_scope
         assert scope is not None
-        self._recorder.record_start(run)
+        self._recorder.record_start(run, worker)
         self._fleet.notify_load()
         try:
             with scope:
