--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -32,6 +32,13 @@
     routes = [
         {**route, "name": "plain", "path_prefix": "/plain/", "type": "safe"},
         {**route, "name": "st", "path_prefix": "/st/", "type": "streaming"},
+        {
+            **route,
+            "name": "res",
+            "path_prefix": "/res/",
+            "type": "streaming",
+            "resumable": True,
+        },
         {**route, "name": "b", "path_prefix": "/b/", **batch, "retention_s": 60},
     ]
     limits = {"header_bytes": 4_096, "body_bytes": 100_000}
@@ -39,9 +46,12 @@
 
 
 class Deployment:
-    """A store, two workers and entry VMs in one event loop."""
+    """A store, workers and entry VMs in one event loop.
+
+    `versions` are the software versions of the workers.
+    """
 
-    def __init__(self, group, *, net=NET):
+    def __init__(self, group, *, net=NET, versions=("v1", "v1")):
         self.group = group
         self.net = net
         self.store_address = f"{net}.21:18142"
@@ -49,8 +59,10 @@
         self.store.page_keys = 2
         self.workers = [
             WorkerStandIn(f"w{number}", f"{net}.3{number}:18080", clock=CLOCK)
-            for number in (1, 2)
+            for number in range(1, len(versions) + 1)
         ]
+        for worker, version in zip(self.workers, versions, strict=True):
+            worker.software_version = version
         group.start_soon(self.store.server.run)
         for worker in self.workers:
             group.start_soon(worker.server.run)
@@ -101,9 +113,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_deployment(*, net=NET):
+async def running_deployment(*, net=NET, **options):
     async with anyio.create_task_group() as group:
-        yield Deployment(group, net=net)
+        yield Deployment(group, net=net, **options)
         group.cancel_scope.cancel()
 
 
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -55,7 +55,15 @@
     return follower
 
 
-def make_worker(worker_id="w1", *, zone="z1", slots=2, draining=False, service="s"):
+def make_worker(
+    worker_id="w1",
+    *,
+    zone="z1",
+    slots=2,
+    draining=False,
+    service="s",
+    software_version="v1",
+):
     return Worker(
         worker_id=worker_id,
         service=service,
@@ -63,6 +71,7 @@
         zone=zone,
         slots=slots,
         draining=draining,
+        software_version=software_version,
     )
 
 
