A stream goes on only at the software version that began it

Cause: continuing was decided by service and load alone. Worker had no software version, a request with Last-Event-Id was placed like a new one, and saved output of a batch item named no version.

Now each continuation is asked one question, StreamOrigin.may_continue_at: a retry within an answer, a client that returns (Resumes) and an item. VMs tell each other which streams they begin; one that does not know asks; what nobody knows is refused with a time to come back. If one version alone has been listed for longer than streams last, by a list read to its end just then, it is the one. An item starts again if its version is gone or stays full.

--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -12,6 +12,8 @@
   restoring @7 :Bool;       # false in reports of earlier releases
   completions @8 :List(Completion);
   limits @9 :List(Limit);   # only workers that name one
+  streams @10 :List(Origin);
+  questions @11 :List(UInt64); # streams whose origin the sender asks for
 }
 
 struct Load {
@@ -35,6 +37,13 @@
   sentCount @3 :UInt64;     # of this incarnation
 }
 
+struct Origin {
+  service @0 :Text;
+  softwareVersion @1 :Text; # empty if unknown
+  process @2 :Text;         # only if the version is unknown
+  streams @3 :List(UInt64); # that this software began
+}
+
 struct Completion {
   part @0 :UInt64;
   wallMs @1 :UInt64;
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -1,5 +1,6 @@
 """Datagram with which an entry VM reports its requests in flight to its peers."""
 
+import collections
 import dataclasses
 import importlib.resources
 import typing as t
@@ -9,11 +10,13 @@
 from foxtailbank.exceptions import FrameInvalid
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
 from foxtailbank.fleet.load_table import WorkerLoad
+from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
 from foxtailbank.fleet.worker_limits import LimitReport
 
 MAX_DATAGRAM_BYTES = 1_400
 MAX_CRASH_REPORTS = 10  # with what else there is, a datagram stays in one piece
 MAX_COMPLETIONS = 8
+MAX_STREAMS = 8
 _NO_LIMIT = -1.0
 
 
@@ -45,6 +48,11 @@
         are encoded.
     limits : tuple of LimitReport
         Limits that workers named, and requests sent to these workers.
+    streams : tuple of StreamReport
+        Which software began streams, oldest first; only the last `MAX_STREAMS` are
+        encoded.
+    questions : tuple of int
+        Streams of which the VM asks which software began them.
     """
 
     vm_id: str
@@ -57,6 +65,8 @@
     marks: tuple[CrashReport, ...]
     completions: tuple[PartCompletion, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    streams: tuple[StreamReport, ...] = ()
+    questions: tuple[int, ...] = ()
 
 
 def _load_schema() -> t.Any:
@@ -104,9 +114,35 @@
         row.perS = _NO_LIMIT if limit.per_s is None else limit.per_s
         row.ageMs = limit.age_ms
         row.sentCount = limit.sent_count
+    _encode_streams(builder, report.streams[-MAX_STREAMS:])
+    builder.questions = list(report.questions)
     return t.cast(bytes, builder.to_bytes_packed())
 
 
+def _encode_streams(builder: t.Any, streams: tuple[StreamReport, ...]) -> None:
+    keys_by_origin: dict[StreamOrigin, list[int]] = collections.defaultdict(list)
+    for stream in streams:
+        keys_by_origin[stream.origin].append(stream.key)
+    rows = builder.init("streams", len(keys_by_origin))
+    for row, (origin, keys) in zip(rows, keys_by_origin.items(), strict=True):
+        row.service = origin.service
+        row.softwareVersion = origin.software_version
+        row.process = origin.process_id
+        row.streams = keys
+
+
+def _decode_streams(reader: t.Any) -> tuple[StreamReport, ...]:
+    streams = []
+    for row in reader.streams:
+        origin = StreamOrigin(
+            service=row.service,
+            software_version=row.softwareVersion,
+            process_id=row.process,
+        )
+        streams += [StreamReport(key=key, origin=origin) for key in row.streams]
+    return tuple(streams)
+
+
 def decode(datagram: bytes) -> LoadReport:
     """Decode a datagram.
 
@@ -151,6 +187,8 @@
                 )
                 for row in reader.limits
             ),
+            streams=_decode_streams(reader),
+            questions=tuple(reader.questions),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise FrameInvalid(detail="not a load report") from error
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -121,6 +121,10 @@
             and now_ms - peer.last_update_ms < timeout_ms_by_group[self._group_of(peer)]
         )
 
+    def is_near(self, peer: Peer) -> bool:
+        """Return whether a peer is in the zone of this VM."""
+        return self._group_of(peer) is PeerGroup.NEAR
+
     def _group_of(self, peer: Peer) -> PeerGroup:
         return PeerGroup.NEAR if peer.zone == self._zone else PeerGroup.FAR
 
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -14,6 +14,7 @@
 
 from foxtailbank import rendezvous
 from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_view import WorkerView
 
@@ -30,6 +31,8 @@
     NO_WORKERS = "no_workers"
     OVERLOADED = "overloaded"
     LIMITED = "limited"
+    NO_SAME_VERSION = "no_same_version"
+    ORIGIN_UNKNOWN = "origin_unknown"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -87,6 +90,7 @@
         mean_ms: float,
         max_wait_ms: float,
         now_ms: int,
+        origin: StreamOrigin | None = None,
     ) -> Choice | Refusal:
         """Choose a worker.
 
@@ -104,10 +108,16 @@
             Longest acceptable wait for a slot, in milliseconds.
         now_ms : int
             Present time.
+        origin : StreamOrigin, optional
+            Software that began the stream which the request continues.
         """
         untried = [worker for worker in workers if worker.worker_id not in tried]
         if not untried:
             return Refusal(reason=RefusalReason.NO_WORKERS, wait_ms=mean_ms)
+        if origin is not None:
+            untried = [worker for worker in untried if origin.may_continue_at(worker)]
+        if not untried:
+            return Refusal(reason=RefusalReason.NO_SAME_VERSION, wait_ms=mean_ms)
         tiers = self._tiers.for_workers(workers)
         accepting = [w for w in untried if not self._limit_wait_ms(w, now_ms)]
         if not accepting:
--- a/src/foxtailbank/fleet/worker_table.py
+++ b/src/foxtailbank/fleet/worker_table.py
@@ -72,6 +72,10 @@
         """Return the workers of a service that accept new requests."""
         return self._usable_by_service.get(service, ())
 
+    def all(self) -> tuple[Worker, ...]:
+        """Return all workers, also those that are draining."""
+        return tuple(self._by_id.values())
+
     def usable_by_service(self) -> t.Mapping[str, tuple[Worker, ...]]:
         """Return the workers of each service that accept new requests."""
         return self._usable_by_service
--- a/src/foxtailbank/forward/call.py
+++ b/src/foxtailbank/forward/call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from foxtailbank.fleet.stream_origin import stream_key
 from foxtailbank.headers import Headers
 
 
@@ -27,6 +28,9 @@
         How long the client waits from `arrived_ms` on; 0 if it did not state it.
     resume_after : str
         Id of the last event that the client received; empty for a complete stream.
+    stream_id : str
+        Id of the attempt that brought the first event of the stream; empty if it is
+        this one.
     tokens : int
         Prompt tokens plus the maximum of output tokens; 0 if unknown.
     affinity : str
@@ -46,7 +50,13 @@
     arrived_ms: int
     max_wait_ms: int = 0
     resume_after: str = ""
+    stream_id: str = ""
     tokens: int = 0
     affinity: str = ""
     fingerprint: int = 0
     prompt_parts: tuple[int, ...] = ()
+
+    @property
+    def stream_key(self) -> int:
+        """Digest that identifies the stream over all attempts of the client."""
+        return stream_key(host=self.host, request_id=self.stream_id or self.request_id)
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -6,7 +6,8 @@
 
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.fleet.load_table import LoadKind
-from foxtailbank.fleet.placement import Choice, Refusal
+from foxtailbank.fleet.placement import Choice, Refusal, RefusalReason
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.attempt_progress import AttemptProgress
 from foxtailbank.forward.call import Call
@@ -71,6 +72,8 @@
         self._last_failure = ""
         self._event_buffer = EventBuffer()
         self._event_buffer.last_event_id = call.resume_after
+        # Software that wrote the events which the client has.
+        self._origin: StreamOrigin | None = None
 
     async def run(self) -> None:
         """Respond to the request before its deadline."""
@@ -93,9 +96,13 @@
         return self._attempts < self._route.max_attempts
 
     async def _try_workers(self) -> None:
+        if self._continues_stream and not await self._find_origin():
+            return
         while not await self._stop_if_crashing():
             assignment = await self._finder.find(
-                tried=self._tried, remaining_ms=self._remaining_ms
+                tried=self._tried,
+                remaining_ms=self._remaining_ms,
+                origin=self._origin,
             )
             # Workers may have crashed while the request waited for a slot.
             if await self._stop_if_crashing():
@@ -110,6 +117,27 @@
                 await self._give_up(self._fleet.no_attempts_left(service))
                 return
 
+    @property
+    def _continues_stream(self) -> bool:
+        return bool(self._call.resume_after) and self._route.kind is RouteKind.STREAM
+
+    async def _find_origin(self) -> bool:
+        """Find out which software began the stream; if unknown, refuse the request."""
+        self._origin = await self._fleet.origins.find(
+            self._call.stream_key, self._route.services
+        )
+        if self._origin is None:
+            refusal = Refusal(reason=RefusalReason.ORIGIN_UNKNOWN, wait_ms=0)
+            await self._give_up(refusal)
+        return self._origin is not None
+
+    def _on_first_events(self, worker: Worker) -> None:
+        """Record which software writes a stream, before its first events are sent."""
+        if self._origin is None:
+            self._origin = StreamOrigin.of(worker)
+        if self._route.resumable:
+            self._fleet.origins.record(self._call.stream_key, self._origin)
+
     async def _stop_if_crashing(self) -> bool:
         """End a request that crashes workers; return whether it was ended."""
         refused_ms = self._fleet.crashes.refused_ms(self._call)
@@ -180,7 +208,7 @@
     async def _forward_response(self, worker: Worker, response: WorkerResponse) -> bool:
         """Send the response to the client; false to retry on another worker."""
         if self._route.kind is RouteKind.STREAM and response.is_success:
-            await self._forward_stream(response)
+            await self._forward_stream(worker, response)
             return True
         body = await response.read_all(self._remaining_ms)
         is_error = response.status >= 500 or response.status in NOT_RUN_STATUSES
@@ -211,12 +239,14 @@
         self._recorder.on_finished(response.status, reason="")
         return True
 
-    async def _forward_stream(self, response: WorkerResponse) -> None:
+    async def _forward_stream(self, worker: Worker, response: WorkerResponse) -> None:
         responder = self._responder
         source = EventSource(
             response=response, buffer=self._event_buffer, clock=self._clock
         )
         while (events := await source.next_chunk(self._event_timeout_ms())) is not None:
+            if not self._progress.events:
+                self._on_first_events(worker)
             self._progress = dataclasses.replace(
                 self._progress, events=source.event_count
             )
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -9,6 +9,8 @@
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.service_time import ServiceTimes
+from foxtailbank.fleet.stream_origin import StreamOrigin
+from foxtailbank.fleet.version_history import VersionHistory
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import ERROR_PAUSE_MS, WorkerHealth
 from foxtailbank.fleet.worker_limits import WorkerLimits
@@ -19,6 +21,7 @@
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.crash_tracker import CrashTracker
 from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.stream_origins import StreamOrigins
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.http1.failures import (
     ConnectionBroken,
@@ -51,7 +54,8 @@
 
     Attributes
     ----------
-    workers, loads, health, limits, service_times, crashes, reachability, tiers, view
+    workers, loads, health, limits, service_times, crashes, reachability, tiers, view,
+    versions, origins
         The components of the state.
     """
 
@@ -71,6 +75,8 @@
         self.limits = WorkerLimits(logs=logs)
         self.service_times = ServiceTimes()
         self.crashes = CrashTracker(logs=logs, clock=clock)
+        self.versions = VersionHistory(workers=self.workers)
+        self.origins = StreamOrigins(versions=self.versions, clock=clock)
         self._routes = routes
         self._logs = logs
         self._clock = clock
@@ -139,6 +145,7 @@
         affinity: str,
         max_wait_ms: float,
         now_ms: int,
+        origin: StreamOrigin | None = None,
     ) -> Choice | Refusal:
         """Choose a worker for an online request; see `Placement.choose`."""
         return self._placement.choose(
@@ -148,6 +155,7 @@
             mean_ms=self.service_times.mean_ms(service),
             max_wait_ms=max_wait_ms,
             now_ms=now_ms,
+            origin=origin,
         )
 
     def no_attempts_left(self, service: str) -> Refusal:
--- a/src/foxtailbank/forward/route.py
+++ b/src/foxtailbank/forward/route.py
@@ -90,6 +90,11 @@
         """Whether a request may run more than once."""
         return self.kind is RouteKind.SAFE or self.resumable
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of the services that may run its requests."""
+        return frozenset(backend.service for backend in self.backends)
+
     def choose_service(self, rng: random.Random) -> str:
         """Draw the service of the next request by weight.
 
--- a/src/foxtailbank/forward/slot_finder.py
+++ b/src/foxtailbank/forward/slot_finder.py
@@ -12,7 +12,8 @@
 
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.exceptions import FoxtailbankError
-from foxtailbank.fleet.placement import Choice, Refusal
+from foxtailbank.fleet.placement import Choice, Refusal, RefusalReason
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward import wait_limits
 from foxtailbank.forward.call import Call
@@ -78,9 +79,14 @@
         self._fleet = context.fleet
         self._clock = context.clock
         self._rng = context.rng
+        self._origin: StreamOrigin | None = None
 
     async def find(
-        self, *, tried: set[str], remaining_ms: float
+        self,
+        *,
+        tried: set[str],
+        remaining_ms: float,
+        origin: StreamOrigin | None = None,
     ) -> Assignment | Refusal:
         """Return an assignment, or the reason why there is none.
 
@@ -90,8 +96,13 @@
             Ids of workers that the request must not be sent to again.
         remaining_ms : float
             Remaining time of the caller.
+        origin : StreamOrigin, optional
+            Software that began the stream which the request continues.
         """
-        service = self._route.choose_service(self._rng)
+        self._origin = origin
+        service = self._choose_service(origin)
+        if not service:
+            return Refusal(reason=RefusalReason.NO_SAME_VERSION, wait_ms=0)
         search_until_ms = self._clock.now_ms() + SEARCH_SHARE * self._route.target_ms
         while True:
             assignment = await self._search_round(service, tried, remaining_ms)
@@ -104,6 +115,12 @@
         choice = self._choose(service, tried, remaining_ms)
         return choice if isinstance(choice, Refusal) else Assignment(choice=choice)
 
+    def _choose_service(self, origin: StreamOrigin | None) -> str:
+        """Return the service to use; empty if the route has moved from a stream's."""
+        if origin is None:
+            return self._route.choose_service(self._rng)
+        return origin.service if origin.service in self._route.services else ""
+
     async def _search_round(
         self, service: str, tried: set[str], remaining_ms: float
     ) -> Assignment | Refusal | None:
@@ -131,6 +148,7 @@
             target_ms=self._route.target_ms,
             timeout_ms=self._route.timeout_ms,
             remaining_ms=remaining_ms,
+            is_repeat=self._origin is not None,
         )
         return self._fleet.choose(
             service=service,
@@ -138,6 +156,7 @@
             affinity=self._call.affinity,
             max_wait_ms=max_wait_ms,
             now_ms=self._clock.now_ms(),
+            origin=self._origin,
         )
 
     def _needs_reservation(self, worker: Worker) -> bool:
--- /dev/null
+++ b/src/foxtailbank/forward/stream_origins.py
@@ -0,0 +1,136 @@
+"""Origins of the streams that clients may take up again, at any VM."""
+
+import collections
+import typing as t
+
+import anyio
+
+from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.fleet.load_report import MAX_STREAMS as MAX_REPORTED_STREAMS
+from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
+from foxtailbank.fleet.version_history import VersionHistory
+
+MAX_STREAMS = 10_000  # some minutes of the busiest fleet
+RECENT_MS = 3_000  # several load reports, of which some may be lost
+FIND_TIMEOUT_MS = 150  # several round trips between availability zones
+
+ListSync: t.TypeAlias = t.Callable[[], t.Awaitable[None]]
+
+
+class StreamOrigins:
+    """Knows which software began a stream, or finds it out.
+
+    Each VM tells the others which streams it begins. One that has not heard of a stream
+    asks them, unless a single version has been listed for longer than a stream lasts.
+    What cannot be found out is not guessed.
+
+    Parameters
+    ----------
+    versions : VersionHistory
+        Versions that have been listed.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, versions: VersionHistory, clock: Clock) -> None:
+        self._versions = versions
+        self._clock = clock
+        self._origin_by_key: dict[int, StreamOrigin] = {}
+        self._own: collections.deque[tuple[int, StreamReport]] = collections.deque(
+            maxlen=MAX_REPORTED_STREAMS
+        )
+        self._found_by_key: dict[int, anyio.Event] = {}
+        self._begin_listeners: list[t.Callable[[], None]] = []
+        self._question_listeners: list[t.Callable[[], None]] = []
+        self._sync_list: ListSync | None = None
+
+    def set_list_sync(self, sync: ListSync) -> None:
+        """Set the function that reads the list of workers to its end."""
+        self._sync_list = sync
+
+    def add_begin_listener(self, listener: t.Callable[[], None]) -> None:
+        """Add a function to call when this VM begins to pass on a stream."""
+        self._begin_listeners.append(listener)
+
+    def add_question_listener(self, listener: t.Callable[[], None]) -> None:
+        """Add a function to call when the other VMs are to be asked."""
+        self._question_listeners.append(listener)
+
+    def record(self, key: int, origin: StreamOrigin) -> None:
+        """Record the origin of a stream that this VM passes on."""
+        self._put(key, origin)
+        report = StreamReport(key=key, origin=origin)
+        self._own.append((self._clock.now_ms(), report))
+        for listener in self._begin_listeners:
+            listener()
+
+    def on_report(self, report: StreamReport) -> None:
+        """Apply what another VM says of a stream."""
+        self._put(report.key, report.origin)
+
+    def get(self, key: int) -> StreamOrigin | None:
+        """Return the origin of a stream; None if this VM does not know it."""
+        return self._origin_by_key.get(key)
+
+    def recent(self) -> tuple[StreamReport, ...]:
+        """Return the newest streams of this VM, which load reports repeat."""
+        since_ms = self._clock.now_ms() - RECENT_MS
+        return tuple(report for begun_ms, report in self._own if begun_ms > since_ms)
+
+    def questions(self) -> tuple[int, ...]:
+        """Return the streams of which this VM needs to know the origin."""
+        return tuple(self._found_by_key)
+
+    async def find(self, key: int, services: t.Collection[str]) -> StreamOrigin | None:
+        """Return the origin of a stream, or None if it cannot be found out.
+
+        Parameters
+        ----------
+        key : int
+            The stream.
+        services : collection of str
+            Services that may have begun it.
+        """
+        if key not in self._origin_by_key:
+            with anyio.move_on_after(FIND_TIMEOUT_MS / MS_PER_S):
+                if origin := await self._sole_origin(services):
+                    return origin
+                await self._ask(key)
+        return self.get(key)
+
+    async def _sole_origin(self, services: t.Collection[str]) -> StreamOrigin | None:
+        if self._sync_list is None or len(services) != 1:
+            return None
+        (service,) = services
+        if not self._sole_version(service):
+            return None
+        try:
+            # A worker that this VM has not heard of may have begun the stream.
+            await self._sync_list()
+        except FoxtailbankError:
+            return None
+        version = self._sole_version(service)
+        if not version:
+            return None
+        return StreamOrigin(service=service, software_version=version)
+
+    def _sole_version(self, service: str) -> str:
+        return self._versions.sole_version(service, self._clock.now_ms())
+
+    async def _ask(self, key: int) -> None:
+        found = self._found_by_key.setdefault(key, anyio.Event())
+        try:
+            for listener in self._question_listeners:
+                listener()
+            await found.wait()
+        finally:
+            self._found_by_key.pop(key, None)
+
+    def _put(self, key: int, origin: StreamOrigin) -> None:
+        self._origin_by_key.pop(key, None)
+        self._origin_by_key[key] = origin
+        if len(self._origin_by_key) > MAX_STREAMS:
+            del self._origin_by_key[next(iter(self._origin_by_key))]
+        if found := self._found_by_key.get(key):
+            found.set()
--- a/src/foxtailbank/forward/wait_limits.py
+++ b/src/foxtailbank/forward/wait_limits.py
@@ -13,7 +13,9 @@
 MAX_RETRY_AFTER_MS = 1_400
 
 
-def max_wait_ms(*, target_ms: int, timeout_ms: int, remaining_ms: float) -> float:
+def max_wait_ms(
+    *, target_ms: int, timeout_ms: int, remaining_ms: float, is_repeat: bool = False
+) -> float:
     """Return the longest wait for a slot that still leaves time for the run.
 
     Parameters
@@ -24,8 +26,10 @@
         Timeout of the route.
     remaining_ms : float
         Remaining time of the caller.
+    is_repeat : bool
+        Whether the request is known to continue an earlier one.
     """
-    if remaining_ms < RETRY_BELOW_SHARE * timeout_ms:
+    if is_repeat or remaining_ms < RETRY_BELOW_SHARE * timeout_ms:
         return RETRY_WAIT_SHARE * remaining_ms
     return FIRST_ATTEMPT_WAIT_SHARE * target_ms
 
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -1,6 +1,8 @@
 """Exchanges load reports with the other entry VMs over UDP."""
 
 import collections
+import dataclasses
+import typing as t
 
 import anyio
 
@@ -15,11 +17,13 @@
 from foxtailbank.fleet.load_table import PeerLoad
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.fleet.report_intervals import PeerGroup
+from foxtailbank.fleet.stream_origin import StreamReport
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.keyed_log import KeyedLog, KeyedRecord
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
+from foxtailbank.stream_exchange import ReportSender, StreamExchange
 from foxtailbank.submissions.append_queue import AppendQueue
 
 ADDRESS_POLL_FAST_MS = 1_000  # until all known addresses belong to live peers
@@ -29,7 +33,7 @@
 RECENT_MS = 10_000
 
 
-class LoadExchange:
+class LoadExchange(ReportSender):
     """Keeps the load table up to date with the other entry VMs.
 
     Parameters
@@ -98,8 +102,18 @@
             maxlen=load_report.MAX_COMPLETIONS
         )
         self._known_alive: set[str] = set()
+        self._socket: DatagramSocket | None = None
+        self._streams = StreamExchange(
+            vm_id=vm_id,
+            origins=fleet.origins,
+            peers=peers,
+            tiers=fleet.tiers,
+            sender=self,
+            clock=clock,
+        )
         self.stopping = False
         fleet.add_load_listener(self.report_soon)
+        fleet.origins.add_begin_listener(self.report_soon)
         fleet.crashes.add_report_listener(self._on_own_crash)
         fleet.crashes.add_completion_listener(self._on_own_completion)
         follower.add_catch_up_listener(self.report_soon)
@@ -112,12 +126,31 @@
     async def run(self) -> None:
         """Exchange reports until cancelled."""
         with DatagramSocket(address=self._address) as socket:
+            self._socket = socket
             await self._exchange(socket)
 
+    def send_report(
+        self,
+        targets: t.Iterable[Address],
+        *,
+        streams: tuple[StreamReport, ...] = (),
+        questions: tuple[int, ...] = (),
+    ) -> None:
+        """Send a report at once; see `ReportSender.send_report`."""
+        if self._socket is None:
+            return
+        report = dataclasses.replace(self._report(), questions=questions)
+        if streams:
+            report = dataclasses.replace(report, streams=streams)
+        datagram = load_report.encode(report)
+        for target in targets:
+            self._send_one(self._socket, datagram, target)
+
     async def _exchange(self, socket: DatagramSocket) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self._receive, socket)
             group.start_soon(self._poll_addresses)
+            group.start_soon(self._streams.run)
             for peer_group in PeerGroup:
                 group.start_soon(self._send, socket, peer_group)
 
@@ -169,6 +202,7 @@
                 if completion.completed_wall_ms > recent_wall_ms
             ),
             limits=self._fleet.limits.reports(self._clock.now_ms()),
+            streams=self._fleet.origins.recent(),
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
@@ -210,6 +244,7 @@
             load_by_worker=report.load_by_worker,
         )
         self._fleet.apply_peer_load(load, now_ms)
+        self._streams.on_report(report, address)
         for crash in report.marks:
             self._fleet.crashes.on_peer_report(crash, vm_id=report.vm_id)
         for completion in report.completions:
--- a/src/foxtailbank/submissions/batch_capacity.py
+++ b/src/foxtailbank/submissions/batch_capacity.py
@@ -13,6 +13,7 @@
 
 from foxtailbank import rendezvous
 from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_view import WorkerView
 from foxtailbank.submissions.online_peak import OnlinePeak
@@ -94,6 +95,7 @@
         avoid: t.Container[str],
         waited_ms: int,
         now_ms: int,
+        origin: StreamOrigin | None = None,
     ) -> Worker | None:
         """Return the least loaded worker with a free slot, or None if there is none.
 
@@ -109,11 +111,15 @@
             each `TIER_WAIT_MS` the next distance tier is included.
         now_ms : int
             Current time.
+        origin : StreamOrigin, optional
+            Software that wrote the output that the item has.
         """
         tiers = self._neighbourhood.for_workers(workers)
         tier_count = 1 + waited_ms // TIER_WAIT_MS
         for number, tier in enumerate(tiers[:tier_count]):
             available = [w for w in tier if self._has_capacity(w, now_ms)]
+            if origin is not None:
+                available = [w for w in available if origin.may_continue_at(w)]
             preferred = [w for w in available if w.worker_id not in avoid]
             candidates = self._neighbourhood.sample(preferred or available, number)
             if candidates:
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -80,6 +80,7 @@
             item_id=item_id,
             after_event=run.event_buffer.last_event_id,
             texts=tuple(run.texts),
+            origin=run.origin,
         )
         self._append(record, unique=item_id)
 
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.forward.event_stream import EventBuffer
 from foxtailbank.submissions.records import Item, Progress
 from foxtailbank.submissions.submission import Submission
@@ -25,6 +26,8 @@
         Digests of the prompt's parts that other requests may share.
     texts : list of str
         Data of the events received so far.
+    origin : StreamOrigin or None
+        Software that wrote these events; None without any.
     event_buffer : EventBuffer
         Splits the stream into events; holds the id of the last complete one.
     worker_id : str
@@ -33,6 +36,8 @@
         Cancels the current run; None while the item waits.
     not_before_ms : int
         Earliest time of the next send.
+    blocked_since_ms : int or None
+        Since when only workers of other software versions have free slots.
     avoided_worker_ids : set of str
         Ids of workers that failed or refused the item, until one of them is chosen
         again because no other is free.
@@ -53,10 +58,12 @@
     due_ms: int
     prompt_parts: tuple[int, ...] = ()
     texts: list[str] = dataclasses.field(default_factory=list)
+    origin: StreamOrigin | None = None
     event_buffer: EventBuffer = dataclasses.field(default_factory=EventBuffer)
     worker_id: str = ""
     cancel_scope: anyio.CancelScope | None = None
     not_before_ms: int = 0
+    blocked_since_ms: int | None = None
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
     failure_count: int = 0
@@ -65,14 +72,19 @@
     is_done: bool = False
 
     def resume_from(self, progress: Progress) -> None:
-        """Resume from saved progress."""
+        """Resume from saved progress, unless the software that made it is unknown."""
+        if progress.origin is None:
+            return
+        self.origin = progress.origin
         self.texts = list(progress.texts)
         self.event_buffer.last_event_id = progress.after_event
         self.saved_event_count = len(self.texts)
 
     def discard_output(self) -> None:
         """Start again from the first event."""
+        self.blocked_since_ms = None
         self.texts = []
+        self.origin = None
         self.event_buffer.last_event_id = ""
         self.saved_event_count = 0
 
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.keyed_log import KeyedRecord
 
 SUBMITTED_KIND = "submitted"
@@ -138,12 +139,15 @@
         Id of the last event in `texts`.
     texts : tuple of str
         Data of the events.
+    origin : StreamOrigin or None
+        Software that wrote them; None in records of earlier releases.
     """
 
     submission_id: str
     item_id: str
     after_event: str
     texts: tuple[str, ...]
+    origin: StreamOrigin | None = None
 
 
 class Ended(msgspec.Struct, frozen=True, kw_only=True, tag="ended"):
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -7,6 +7,7 @@
 
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventSource, parse_events
@@ -20,6 +21,7 @@
 from foxtailbank.metrics import Metrics
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_capacity import BatchCapacity
+from foxtailbank.submissions.item_placement import ItemPlacement
 from foxtailbank.submissions.item_recorder import ItemRecorder
 from foxtailbank.submissions.item_run import ItemRun
 from foxtailbank.submissions.paced_reading import read_paced
@@ -105,6 +107,7 @@
         self._client = client
         self._fleet = fleet
         self._capacity = capacity
+        self._placement = ItemPlacement(fleet=fleet, capacity=capacity, rng=rng)
         self._routes = routes
         self._max_output_bytes = max_output_bytes
         self._clock = clock
@@ -234,6 +237,9 @@
             run.not_before_ms = now_ms + pause_ms
             return True
         worker = self._choose_worker(run, route, now_ms)
+        if worker is None and self._placement.is_blocked_by_version(run):
+            run.not_before_ms = now_ms + FULL_RETRY_MS
+            return True
         if worker is None:
             return False
         run.cancel_scope = anyio.CancelScope()
@@ -251,11 +257,9 @@
 
     def _choose_worker(self, run: ItemRun, route: Route, now_ms: int) -> Worker | None:
         name = run.submission.route
-        worker = self._capacity.choose_worker(
-            self._fleet.workers.usable(route.choose_service(self._rng)),
-            avoid=run.avoided_worker_ids,
-            waited_ms=now_ms - self._no_slot_since_ms_by_route.get(name, now_ms),
-            now_ms=now_ms,
+        since_ms = self._no_slot_since_ms_by_route.get(name, now_ms)
+        worker = self._placement.choose(
+            run, route, waited_ms=now_ms - since_ms, now_ms=now_ms
         )
         if worker is None:
             return None
@@ -316,7 +320,7 @@
             self._recorder.record_refusal(run, answer, load)
             return
         if answer.is_success:
-            await self._read_output(run, answer)
+            await self._read_output(run, worker, answer)
             self._fleet.health.on_success(worker.worker_id)
             self._fleet.crashes.on_parts_completed(run.prompt_parts)
             self._recorder.record_end(run, completed=True, reason="completed")
@@ -329,11 +333,15 @@
         if answer.status == STATUS_FAILED:
             self._on_attempt_failed(run, route)
 
-    async def _read_output(self, run: ItemRun, answer: WorkerResponse) -> None:
+    async def _read_output(
+        self, run: ItemRun, worker: Worker, answer: WorkerResponse
+    ) -> None:
         source = EventSource(
             response=answer, buffer=run.event_buffer, clock=self._clock
         )
         async for events in read_paced(source, gap_ms=GAP_TIMEOUT_MS):
+            if run.origin is None:
+                run.origin = StreamOrigin.of(worker)
             run.texts.extend(event.data for event in parse_events(events))
             if run.output_bytes > self._max_output_bytes:
                 run.discard_output()
