A VM that lost all workers has its requests carried out by others

Cause: a VM knew no way to a worker but its own connections. Evidence: not_connected for each worker, then call_refused, while other VMs had free slots.

Now such a VM hands each attempt to a peer that reaches the workers. What is sent and answered stays byte for byte; the peer's header tells answered, refused (not run), failed (may have run) apart, and the first VM counts attempts, deadline and cancellation as for a worker. An attempt is what differs, so workers and peers are now two AttemptTargets.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -46,6 +46,8 @@
     ENDPOINT_JOINED = "endpoint_joined"
     ENDPOINT_LOST = "endpoint_lost"
     ENDPOINT_DRAINING = "endpoint_draining"
+    SERVICE_LOST = "service_lost"
+    SERVICE_RESTORED = "service_restored"
     ENDPOINT_AVOIDED = "endpoint_avoided"
     WORKER_REFUSED = "worker_refused"
     WORKER_LIMITED = "worker_limited"
--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -14,6 +14,7 @@
   limits @9 :List(Limit);   # only workers that name one
   streams @10 :List(Origin);
   questions @11 :List(UInt64); # streams whose origin the sender asks for
+  lostServices @12 :List(Text); # of which the sender reaches no worker
 }
 
 struct Load {
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -53,6 +53,8 @@
         encoded.
     questions : tuple of int
         Streams of which the VM asks which software began them.
+    lost_services : tuple of str
+        Services of which the VM reaches no worker.
     """
 
     vm_id: str
@@ -67,6 +69,7 @@
     limits: tuple[LimitReport, ...] = ()
     streams: tuple[StreamReport, ...] = ()
     questions: tuple[int, ...] = ()
+    lost_services: tuple[str, ...] = ()
 
 
 def _load_schema() -> t.Any:
@@ -116,6 +119,7 @@
         row.sentCount = limit.sent_count
     _encode_streams(builder, report.streams[-MAX_STREAMS:])
     builder.questions = list(report.questions)
+    builder.lostServices = list(report.lost_services)
     return t.cast(bytes, builder.to_bytes_packed())
 
 
@@ -189,6 +193,7 @@
             ),
             streams=_decode_streams(reader),
             questions=tuple(reader.questions),
+            lost_services=tuple(reader.lostServices),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise FrameInvalid(detail="not a load report") from error
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -32,6 +32,8 @@
         Whether it is shutting down.
     restoring : bool
         Whether it has yet to restore the submissions.
+    lost_services : frozenset of str
+        Services of which it reaches no worker.
     """
 
     vm_id: str
@@ -42,6 +44,7 @@
     last_update_ms: int
     stopping: bool = False
     restoring: bool = False
+    lost_services: frozenset[str] = frozenset()
 
 
 class PeerTable:
@@ -86,6 +89,7 @@
             last_update_ms=now_ms,
             stopping=report.stopping,
             restoring=report.restoring,
+            lost_services=frozenset(report.lost_services),
         )
         return True
 
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -5,22 +5,24 @@
 import anyio
 
 from foxtailbank.clock import MS_PER_S
-from foxtailbank.fleet.load_table import LoadKind
-from foxtailbank.fleet.placement import Choice, Refusal, RefusalReason
+from foxtailbank.fleet.placement import Refusal, RefusalReason
 from foxtailbank.fleet.stream_origin import StreamOrigin
-from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.attempt_progress import AttemptProgress
+from foxtailbank.forward.attempt_target import AttemptTarget
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.call_recorder import CallRecorder
 from foxtailbank.forward.event_stream import EventBuffer, EventSource
 from foxtailbank.forward.final_response import FinalResponse
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route, RouteKind
-from foxtailbank.forward.slot_finder import Assignment, SlotFinder
 from foxtailbank.forward.stream_pacer import StreamPacer
+from foxtailbank.forward.target_finder import TargetFinder
 from foxtailbank.forward.worker_client import WorkerResponse
+from foxtailbank.headers import Headers
 from foxtailbank.http1.failures import ExchangeFailed, NotConnected
 from foxtailbank.http1.responder import Responder
+from foxtailbank.relay import relay_messages
+from foxtailbank.relay.relay_messages import RelayedAttempt, RelayOutcome, RelayResult
 
 MAX_EVENT_GAP_MS = 900  # several times the longest step of a fully loaded engine
 MIN_SAFE_TIMEOUT_MS = 250
@@ -44,28 +46,45 @@
         Sends the response to the client.
     context : ForwardContext
         Components shared by all requests.
+    relayed : RelayedAttempt, optional
+        Given if another VM asks for one attempt of the request.
     """
 
     def __init__(
-        self, *, call: Call, route: Route, responder: Responder, context: ForwardContext
+        self,
+        *,
+        call: Call,
+        route: Route,
+        responder: Responder,
+        context: ForwardContext,
+        relayed: RelayedAttempt | None = None,
     ) -> None:
+        if relayed is not None:
+            route = dataclasses.replace(route, max_attempts=1)
         self._call = call
         self._route = route
+        self._relayed = relayed
         self._responder = responder
-        self._client = context.client
         self._fleet = context.fleet
         self._clock = context.clock
         self._recorder = CallRecorder(call=call, route=route, context=context)
         self._final = FinalResponse(
-            responder=responder, recorder=self._recorder, rng=context.rng
+            responder=responder,
+            recorder=self._recorder,
+            rng=context.rng,
+            is_relayed=relayed is not None,
         )
-        self._finder = SlotFinder(
-            call=call, route=route, recorder=self._recorder, context=context
+        self._finder = TargetFinder(
+            call=call,
+            route=route,
+            recorder=self._recorder,
+            context=context,
+            tried=relayed.tried if relayed is not None else (),
+            may_relay=relayed is None,
         )
         wait_ms = min(call.max_wait_ms or route.timeout_ms, route.timeout_ms)
         self._deadline_ms = call.arrived_ms + wait_ms
         self._pacer = StreamPacer(pass_ms=context.pass_ms)
-        self._tried: set[str] = set()
         self._attempts = 0
         self._progress = AttemptProgress()
         self._may_have_run = False
@@ -74,6 +93,9 @@
         self._event_buffer.last_event_id = call.resume_after
         # Software that wrote the events which the client has.
         self._origin: StreamOrigin | None = None
+        if relayed is not None:
+            self._event_buffer.last_event_id = relayed.resume_after
+            self._origin = relayed.origin
 
     async def run(self) -> None:
         """Respond to the request before its deadline."""
@@ -99,26 +121,25 @@
         if self._continues_stream and not await self._find_origin():
             return
         while not await self._stop_if_crashing():
-            assignment = await self._finder.find(
-                tried=self._tried,
-                remaining_ms=self._remaining_ms,
-                origin=self._origin,
+            target = await self._finder.find(
+                remaining_ms=self._remaining_ms, origin=self._origin
             )
             # Workers may have crashed while the request waited for a slot.
             if await self._stop_if_crashing():
                 return
-            if isinstance(assignment, Refusal):
-                await self._give_up(assignment)
+            if isinstance(target, Refusal):
+                await self._give_up(target)
                 return
-            if await self._attempt(assignment):
+            if await self._attempt(target):
                 return
             if not self._has_attempts_left:
-                service = assignment.choice.worker.service
-                await self._give_up(self._fleet.no_attempts_left(service))
+                await self._give_up(self._fleet.no_attempts_left(target.service))
                 return
 
     @property
     def _continues_stream(self) -> bool:
+        if self._origin is not None:
+            return False  # another VM knows it
         return bool(self._call.resume_after) and self._route.kind is RouteKind.STREAM
 
     async def _find_origin(self) -> bool:
@@ -131,10 +152,10 @@
             await self._give_up(refusal)
         return self._origin is not None
 
-    def _on_first_events(self, worker: Worker) -> None:
+    def _on_first_events(self, target: AttemptTarget, response: WorkerResponse) -> None:
         """Record which software writes a stream, before its first events are sent."""
         if self._origin is None:
-            self._origin = StreamOrigin.of(worker)
+            self._origin = target.origin_of(response)
         if self._route.resumable:
             self._fleet.origins.record(self._call.stream_key, self._origin)
 
@@ -150,73 +171,73 @@
             await self._final.refuse_for(CRASHES_WORKERS, refused_ms)
         return True
 
-    async def _attempt(self, assignment: Assignment) -> bool:
-        """Send to one worker; true if the request needs no further attempt."""
-        worker = assignment.choice.worker
-        self._tried.add(worker.worker_id)
+    async def _attempt(self, target: AttemptTarget) -> bool:
+        """Send to one target; true if the request needs no further attempt."""
         after_event = self._event_buffer.last_event_id
-        self._recorder.on_assigned(worker, after_event=after_event)
-        self._fleet.add_in_flight(worker.worker_id, LoadKind.ONLINE)
+        self._recorder.on_assigned(target, after_event=after_event)
+        target.on_start()
         self._attempts += 1
         self._progress = AttemptProgress(sent_wall_ms=self._clock.wall_ms())
         try:
-            return await self._exchange(assignment)
+            return await self._exchange(target)
         except NotConnected as failure:
             self._attempts -= 1
-            self._on_failure(worker, failure)
+            self._finder.on_not_connected(target)
+            self._on_failure(target, failure)
             return False
         except ExchangeFailed as failure:
             self._may_have_run = True
-            self._on_failure(worker, failure)
+            self._on_failure(target, failure)
             return not await self._may_retry_after(failure)
         finally:
-            self._fleet.remove_in_flight(worker.worker_id, LoadKind.ONLINE)
+            target.on_end()
+            self._finder.on_ended(target)
 
-    async def _exchange(self, assignment: Assignment) -> bool:
-        worker = assignment.choice.worker
+    async def _exchange(self, target: AttemptTarget) -> bool:
         started_ms = self._clock.now_ms()
-        async with self._client.exchange(
-            worker,
+        async with target.exchange(
             self._call,
             remaining_ms=int(self._remaining_ms),
-            head_timeout_ms=self._head_timeout_ms(assignment.choice),
+            head_timeout_ms=self._head_timeout_ms(target),
             resume_after=self._event_buffer.last_event_id,
-            reservation=assignment.reservation,
+            origin=self._origin,
         ) as response:
-            self._recorder.on_response_head(response)
+            self._recorder.on_response_head(target, response)
             self._progress = dataclasses.replace(self._progress, answered=True)
-            self._fleet.on_answer(worker, response)
+            target.on_answer(response)
             if response.not_run:
-                self._on_refused(worker, response)
+                self._on_refused(target, response)
                 return False
             self._may_have_run = True
-            done = await self._forward_response(worker, response)
-        if done:
-            self._on_completed(worker, response, started_ms)
+            done = await self._forward_response(target, response)
+        if done and response.is_success:
+            target.on_success(self._call, self._clock.now_ms() - started_ms)
         return done
 
-    def _head_timeout_ms(self, choice: Choice) -> float:
+    def _head_timeout_ms(self, target: AttemptTarget) -> float:
         remaining_ms = self._remaining_ms
         if not self._route.is_repeatable or not self._has_attempts_left:
             return remaining_ms
         if self._route.kind is RouteKind.SAFE:
-            mean_ms = self._fleet.service_times.mean_ms(choice.worker.service)
+            mean_ms = self._fleet.service_times.mean_ms(target.service)
             wait_ms = max(SAFE_TIMEOUT_FACTOR * mean_ms, MIN_SAFE_TIMEOUT_MS)
-            return min(remaining_ms, choice.wait_ms + wait_ms)
-        return min(remaining_ms, choice.wait_ms + MAX_EVENT_GAP_MS)
+            return min(remaining_ms, target.wait_ms + wait_ms)
+        return min(remaining_ms, target.wait_ms + MAX_EVENT_GAP_MS)
 
-    async def _forward_response(self, worker: Worker, response: WorkerResponse) -> bool:
+    async def _forward_response(
+        self, target: AttemptTarget, response: WorkerResponse
+    ) -> bool:
         """Send the response to the client; false to retry on another worker."""
         if self._route.kind is RouteKind.STREAM and response.is_success:
-            await self._forward_stream(worker, response)
+            await self._forward_stream(target, response)
             return True
         body = await response.read_all(self._remaining_ms)
         is_error = response.status >= 500 or response.status in NOT_RUN_STATUSES
         if is_error:
             self._last_failure = f"status {response.status}"
-            self._fleet.on_worker_error(worker, self._last_failure)
+            target.on_error(self._last_failure)
             self._recorder.on_attempt_failed(
-                worker,
+                target,
                 self._last_failure,
                 attempts=self._attempts,
                 events=self._progress.events,
@@ -234,29 +255,48 @@
             await self._final.fail(502, reason)
             return True
         await self._responder.respond(
-            status=response.status, headers=response.headers, body=body
+            status=response.status,
+            headers=self._response_headers(target, response),
+            body=body,
         )
         self._recorder.on_finished(response.status, reason="")
         return True
 
-    async def _forward_stream(self, worker: Worker, response: WorkerResponse) -> None:
+    def _response_headers(
+        self, target: AttemptTarget, response: WorkerResponse
+    ) -> Headers:
+        """Return a response's headers, with a result for a VM that asked for it."""
+        if self._relayed is None:
+            return response.headers
+        result = RelayResult(
+            outcome=RelayOutcome.ANSWERED,
+            worker_id=target.endpoint_id,
+            origin=target.origin_of(response),
+        )
+        header = (relay_messages.RESULT_HEADER, relay_messages.encode(result))
+        return (*response.headers, header)
+
+    async def _forward_stream(
+        self, target: AttemptTarget, response: WorkerResponse
+    ) -> None:
         responder = self._responder
+        headers = self._response_headers(target, response)
         source = EventSource(
             response=response, buffer=self._event_buffer, clock=self._clock
         )
         while (events := await source.next_chunk(self._event_timeout_ms())) is not None:
             if not self._progress.events:
-                self._on_first_events(worker)
+                self._on_first_events(target, response)
             self._progress = dataclasses.replace(
                 self._progress, events=source.event_count
             )
             if not responder.started:
-                await responder.start(status=response.status, headers=response.headers)
+                await responder.start(status=response.status, headers=headers)
             self._recorder.on_first_byte()
             await responder.send(events)
             await self._pause_to_coalesce(response)
         if not responder.started:
-            await responder.start(status=response.status, headers=response.headers)
+            await responder.start(status=response.status, headers=headers)
         await responder.finish()
         self._recorder.on_finished(response.status, reason="")
 
@@ -293,33 +333,20 @@
             return False
         return not self._fleet.crashes.refused_ms(self._call)
 
-    def _on_refused(self, worker: Worker, response: WorkerResponse) -> None:
-        self._fleet.on_not_run(worker, response)
+    def _on_refused(self, target: AttemptTarget, response: WorkerResponse) -> None:
+        if not target.on_not_run(response):
+            self._attempts -= 1
         self._last_failure = f"refused {response.status}"
-        self._recorder.on_worker_refused(worker, response)
+        self._recorder.on_worker_refused(target, response)
 
-    def _on_failure(self, worker: Worker, failure: ExchangeFailed) -> None:
+    def _on_failure(self, target: AttemptTarget, failure: ExchangeFailed) -> None:
         self._last_failure = failure.code
-        self._fleet.on_request_failure(
-            worker,
-            self._call,
-            failure,
-            progress=self._progress,
-        )
+        target.on_failure(self._call, failure, self._progress)
         reason = f"{failure.code}: {failure.detail}"
         self._recorder.on_attempt_failed(
-            worker, reason, attempts=self._attempts, events=self._progress.events
+            target, reason, attempts=self._attempts, events=self._progress.events
         )
 
-    def _on_completed(
-        self, worker: Worker, response: WorkerResponse, started_ms: int
-    ) -> None:
-        duration_ms = self._clock.now_ms() - started_ms
-        if response.is_success:
-            self._fleet.health.on_success(worker.worker_id)
-            self._fleet.service_times.record(worker.service, duration_ms)
-            self._fleet.crashes.on_completed(self._call)
-
     async def _give_up(self, refusal: Refusal) -> None:
         if not self._may_have_run:
             await self._final.refuse(
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -2,6 +2,7 @@
 
 from foxtailbank.events import Event
 from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward.attempt_target import AttemptTarget
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route
@@ -35,42 +36,54 @@
         self._logs = context.logs
         self._metrics = context.metrics
         self._endpoint = ""
+        self._peer = ""
         self._software_version = ""
         self._load_at_assignment: int | None = None
         self._first_byte_ms: int | None = None
         self._framing = ""
 
-    def on_assigned(self, worker: Worker, *, after_event: str) -> None:
-        """Remember the chosen worker and its load as known to this VM.
+    @property
+    def asked_worker_id(self) -> str:
+        """Worker that the request was sent to last; empty for none."""
+        return self._endpoint
+
+    def on_assigned(self, target: AttemptTarget, *, after_event: str) -> None:
+        """Remember the chosen target and its load as known to this VM.
 
         Parameters
         ----------
-        worker : Worker
+        target : AttemptTarget
             Where the request is sent.
         after_event : str
             Id of the event after which it continues a stream; empty for a new one.
         """
-        self._endpoint = worker.worker_id
-        self._software_version = worker.software_version
+        self._endpoint = target.endpoint_id
+        self._peer = target.peer_id
+        self._software_version = target.software_version
         if after_event:
-            self._log_resumed(worker, after_event)
+            self._log_resumed(target, after_event)
         self._framing = ""
-        self._load_at_assignment = self._fleet.loads.total(worker.worker_id).total
+        self._load_at_assignment = self._fleet.loads.total(target.endpoint_id).total
 
-    def _log_resumed(self, worker: Worker, after_event: str) -> None:
+    def _log_resumed(self, target: AttemptTarget, after_event: str) -> None:
         self._metrics.count(Count.RESUMED_STREAMS, entry=self._route.name)
         fields = LogFields(
             request_id=self._call.request_id,
             entry=self._route.name,
-            endpoint=worker.worker_id,
+            endpoint=target.endpoint_id,
+            peer=target.peer_id,
             after_event=after_event,
-            software_version=worker.software_version,
+            software_version=target.software_version,
         )
         self._logs.write(Event.STREAM_RESUMED, fields=fields)
 
-    def on_response_head(self, response: WorkerResponse) -> None:
-        """Remember how the worker's response is framed."""
+    def on_response_head(self, target: AttemptTarget, response: WorkerResponse) -> None:
+        """Remember who responds and how the response is framed."""
         self._framing = response.framing.value
+        self._endpoint = target.endpoint_id
+        self._software_version = target.software_version
+        if target.peer_id:
+            self._metrics.count(Count.RELAYED_CALLS, entry=self._route.name)
 
     def on_first_byte(self) -> None:
         """Record the time to the first byte sent to the client."""
@@ -87,13 +100,16 @@
         """Record that the request is retried on another worker."""
         self._metrics.count(Count.RETRIES, entry=self._route.name)
 
-    def on_worker_refused(self, worker: Worker, response: WorkerResponse) -> None:
-        """Record that a worker refused to run the request."""
+    def on_worker_refused(
+        self, target: AttemptTarget, response: WorkerResponse
+    ) -> None:
+        """Record that a worker, or another VM, refused to run the request."""
         fields = LogFields(
             request_id=self._call.request_id,
-            endpoint=worker.worker_id,
+            endpoint=target.endpoint_id,
+            peer=target.peer_id,
             status=response.status,
-            count=self._fleet.loads.total(worker.worker_id).total,
+            count=self._fleet.loads.total(target.endpoint_id).total,
         )
         self._logs.write(Event.WORKER_REFUSED, fields=fields)
 
@@ -109,13 +125,13 @@
         self._logs.write(Event.PLACE_REFUSED, fields=fields)
 
     def on_attempt_failed(
-        self, worker: Worker, reason: str, *, attempts: int, events: int
+        self, target: AttemptTarget, reason: str, *, attempts: int, events: int
     ) -> None:
         """Record a failed attempt.
 
         Parameters
         ----------
-        worker : Worker
+        target : AttemptTarget
             Where it was made.
         reason : str
             Why it failed.
@@ -126,12 +142,13 @@
         """
         fields = LogFields(
             request_id=self._call.request_id,
-            endpoint=worker.worker_id,
+            endpoint=target.endpoint_id,
+            peer=target.peer_id,
             reason=reason,
             framing=self._framing,
             parts=format_digests(self._call.prompt_parts),
             events=events,
-            software_version=worker.software_version,
+            software_version=target.software_version,
             count=attempts,
         )
         self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
@@ -181,6 +198,7 @@
             entry=name,
             reason=reason,
             endpoint=self._endpoint,
+            peer=self._peer,
             count=self._load_at_assignment,
             status=status,
             first_byte_ms=self._first_byte_ms,
--- a/src/foxtailbank/forward/final_response.py
+++ b/src/foxtailbank/forward/final_response.py
@@ -7,6 +7,8 @@
 from foxtailbank.forward.call_recorder import TRUNCATED, CallRecorder
 from foxtailbank.headers import Headers
 from foxtailbank.http1.responder import Responder
+from foxtailbank.relay import relay_messages
+from foxtailbank.relay.relay_messages import RelayOutcome, RelayResult
 
 
 class FinalResponse:
@@ -20,14 +22,22 @@
         Notified of the outcome.
     rng : random.Random
         Draws ``Retry-After`` times.
+    is_relayed : bool
+        Whether another VM asked for one attempt of the request.
     """
 
     def __init__(
-        self, *, responder: Responder, recorder: CallRecorder, rng: random.Random
+        self,
+        *,
+        responder: Responder,
+        recorder: CallRecorder,
+        rng: random.Random,
+        is_relayed: bool = False,
     ) -> None:
         self._responder = responder
         self._recorder = recorder
         self._rng = rng
+        self._is_relayed = is_relayed
 
     async def refuse(self, reason: str, *, wait_ms: float, remaining_ms: float) -> None:
         """Tell the client that its request has not run, and when to retry.
@@ -67,11 +77,25 @@
             self._recorder.on_finished(TRUNCATED, reason=reason)
             return
         self._recorder.on_finished(status, reason=reason)
-        await self._responder.respond(status=status)
+        headers = self._result_headers(RelayOutcome.FAILED, reason)
+        await self._responder.respond(status=status, headers=headers)
 
     async def _send_refusal(
         self, reason: str, wait_ms: float, retry_after_ms: int
     ) -> None:
         headers: Headers = (("Retry-After", f"{retry_after_ms / MS_PER_S:.3f}"),)
+        headers += self._result_headers(RelayOutcome.REFUSED, reason, int(wait_ms))
         self._recorder.on_refused(reason=reason, wait_ms=wait_ms)
         await self._responder.respond(status=503, headers=headers)
+
+    def _result_headers(
+        self, outcome: RelayOutcome, reason: str, wait_ms: int = 0
+    ) -> Headers:
+        """Return the header for a VM that asked for the attempt, if one did."""
+        if not self._is_relayed:
+            return ()
+        worker_id = self._recorder.asked_worker_id
+        result = RelayResult(
+            outcome=outcome, worker_id=worker_id, reason=reason, wait_ms=wait_ms
+        )
+        return ((relay_messages.RESULT_HEADER, relay_messages.encode(result)),)
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -14,6 +14,7 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import ERROR_PAUSE_MS, WorkerHealth
 from foxtailbank.fleet.worker_limits import WorkerLimits
+from foxtailbank.fleet.worker_reach import WorkerReach
 from foxtailbank.fleet.worker_table import WorkerTable
 from foxtailbank.fleet.worker_view import WorkerView
 from foxtailbank.fleet.zone_reachability import ZoneReachability
@@ -55,7 +56,7 @@
     Attributes
     ----------
     workers, loads, health, limits, service_times, crashes, reachability, tiers, view,
-    versions, origins
+    versions, origins, reach
         The components of the state.
     """
 
@@ -73,6 +74,7 @@
         self.loads = LoadTable()
         self.health = WorkerHealth()
         self.limits = WorkerLimits(logs=logs)
+        self.reach = WorkerReach(workers=self.workers, logs=logs)
         self.service_times = ServiceTimes()
         self.crashes = CrashTracker(logs=logs, clock=clock)
         self.versions = VersionHistory(workers=self.workers)
@@ -197,6 +199,8 @@
 
     def on_exchange_failure(self, worker: Worker, failure: ExchangeFailed) -> None:
         """Update worker health after a failed exchange."""
+        if isinstance(failure, NotConnected):
+            self.reach.on_unreachable(worker)
         if isinstance(failure, (NotConnected, ResponseTimeout)):
             self.on_worker_failure(worker, failure, self._clock.now_ms())
         if isinstance(failure, (ConnectionBroken, ResponseTooLarge)):
@@ -229,20 +233,29 @@
         """
         if isinstance(failure, ConnectionBroken):
             self.crashes.on_connection_broken(worker, call, progress)
+            if not progress.answered:
+                self.reach.on_unreachable(worker)
         self.on_exchange_failure(worker, failure)
 
     def forget_worker(self, worker_id: str) -> None:
         """Drop the state of a removed worker."""
+        self.reach.forget_departed()
         self.health.forget(worker_id)
         self.limits.forget(worker_id)
 
     def on_answer(self, worker: Worker, response: WorkerResponse) -> None:
         """Apply what the head of any answer says of its worker."""
+        self.reach.on_answer(worker)
         if not response.misdirected:
             self.limits.on_answer(
                 worker.worker_id, response.rate_limit_per_s, self._clock.now_ms()
             )
 
+    def on_reached(self, worker: Worker) -> None:
+        """Use a worker again that was unreachable and accepts connections now."""
+        self.reach.on_answer(worker)
+        self.health.on_success(worker.worker_id)
+
     def on_not_run(self, worker: Worker, response: WorkerResponse) -> None:
         """Update the state of a worker that refused to run a request."""
         if response.misdirected:
--- a/src/foxtailbank/forward/forward_context.py
+++ b/src/foxtailbank/forward/forward_context.py
@@ -5,6 +5,7 @@
 
 from foxtailbank.clock import Clock
 from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.peer_relay import PeerRelay
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -30,6 +31,8 @@
         Draws services and ``Retry-After`` times.
     pass_ms : int
         Upper limit of the deployment on the delay of a stream's event.
+    relay : PeerRelay or None
+        Ways to the workers through other VMs, if there are any.
     """
 
     client: WorkerClient
@@ -39,3 +42,4 @@
     metrics: Metrics
     rng: random.Random
     pass_ms: int
+    relay: PeerRelay | None = None
--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -5,6 +5,7 @@
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route
 from foxtailbank.http1.responder import Responder
+from foxtailbank.relay.relay_messages import RelayedAttempt
 
 
 class Forwarder:
@@ -19,7 +20,14 @@
     def __init__(self, *, context: ForwardContext) -> None:
         self._context = context
 
-    async def serve(self, call: Call, route: Route, responder: Responder) -> None:
+    async def serve(
+        self,
+        call: Call,
+        route: Route,
+        responder: Responder,
+        *,
+        relayed: RelayedAttempt | None = None,
+    ) -> None:
         """Forward one request and send its response.
 
         Parameters
@@ -30,8 +38,14 @@
             Route that it matched.
         responder : Responder
             Sends the response to the client.
+        relayed : RelayedAttempt, optional
+            Given if another VM asks for one attempt of the request.
         """
         handler = CallHandler(
-            call=call, route=route, responder=responder, context=self._context
+            call=call,
+            route=route,
+            responder=responder,
+            context=self._context,
+            relayed=relayed,
         )
         await handler.run()
--- a/src/foxtailbank/forward/worker_client.py
+++ b/src/foxtailbank/forward/worker_client.py
@@ -101,6 +101,16 @@
             The request may have run.
         """
 
+    @abc.abstractmethod
+    async def probe(self, worker: Worker) -> None:
+        """Open a connection to a worker and send nothing.
+
+        Raises
+        ------
+        ExchangeFailed
+            The worker does not accept a connection, or closes it at once.
+        """
+
     @abc.abstractmethod
     async def reserve(
         self, worker: Worker, *, tokens: int, lifetime_ms: int, timeout_ms: int
--- a/src/foxtailbank/http1/channel_pool.py
+++ b/src/foxtailbank/http1/channel_pool.py
@@ -46,6 +46,21 @@
             if self._is_usable(channel):
                 return channel
             await channel.aclose()
+        return await self.connect(address)
+
+    async def connect(self, address: str) -> ClientChannel:
+        """Open a new connection.
+
+        Parameters
+        ----------
+        address : str
+            IP number and port.
+
+        Raises
+        ------
+        NotConnected
+            No connection could be made.
+        """
         return await ClientChannel.connect(
             address=address, clock=self._clock, timeout_ms=self._connect_ms
         )
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -203,6 +203,7 @@
             ),
             limits=self._fleet.limits.reports(self._clock.now_ms()),
             streams=self._fleet.origins.recent(),
+            lost_services=self._fleet.reach.lost_services(),
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -46,6 +46,7 @@
     REFUSALS = "refusals"
     RESUMED_STREAMS = "resumed_streams"
     RETRIES = "retries"
+    RELAYED_CALLS = "relayed_calls"
     RESERVATIONS_REFUSED = "reservations_refused"
     PREEMPTED_ITEMS = "preempted_items"
     FINISHED_ITEMS = "finished_items"
--- /dev/null
+++ b/src/foxtailbank/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Carries requests of a VM that has lost its workers to VMs that reach them."""
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -14,6 +14,8 @@
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.forwarder import Forwarder
+from foxtailbank.forward.peer_relay import PeerRelay
+from foxtailbank.forward.reach_prober import ReachProber
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.key_router import KeyRouter
@@ -23,6 +25,7 @@
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.metrics import Gauge, Metrics
+from foxtailbank.relay.relay_client import RelayClient
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_capacity import BatchCapacity
 from foxtailbank.submissions.retirement import Retirement
@@ -123,6 +126,8 @@
         Serves batch submissions.
     runner : Runner
         Runs batch items.
+    relay : PeerRelay
+        Carries requests to other VMs, and bounds what it carries out for them.
     """
 
     def __init__(
@@ -152,6 +157,16 @@
             clock=clock,
             rng=rng,
         )
+        peers = PeerTable(vm_id=identity.vm_id, zone=identity.zone)
+        self.relay = PeerRelay(
+            vm_id=identity.vm_id,
+            reach=self.fleet.reach,
+            peers=peers,
+            client=RelayClient(clock=clock),
+            clock=clock,
+            rng=rng,
+        )
+        self._reach_prober = ReachProber(fleet=self.fleet, client=client)
         self.forwarder = Forwarder(
             context=ForwardContext(
                 client=client,
@@ -161,6 +176,7 @@
                 metrics=metrics,
                 rng=rng,
                 pass_ms=pass_ms,
+                relay=self.relay,
             )
         )
         submission_table = SubmissionTable(logs=logs)
@@ -196,7 +212,6 @@
             logs=logs,
             clock=clock,
         )
-        peers = PeerTable(vm_id=identity.vm_id, zone=identity.zone)
         self._exchange = LoadExchange(
             vm_id=identity.vm_id,
             zone=identity.zone,
@@ -271,6 +286,7 @@
             group.start_soon(self._retirement.run)
             group.start_soon(self._crash_report_log.run)
             group.start_soon(self._expire_workers)
+            group.start_soon(self._reach_prober.run)
 
     async def hand_over(self, timeout_ms: int) -> None:
         """Stop batch items so that other VMs continue them.
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -57,6 +57,7 @@
         self.store_address = f"{net}.21:18142"
         self.store = StoreStandIn(self.store_address, clock=CLOCK)
         self.store.page_keys = 2
+        self.process_by_number = {}
         self.workers = [
             WorkerStandIn(f"w{number}", f"{net}.3{number}:18080", clock=CLOCK)
             for number in range(1, len(versions) + 1)
@@ -80,6 +81,7 @@
             f"port_range=17660,17675\nplatform.address={self.store_address}\n"
         )
         process = Process(settings=settings, path="", clock=CLOCK, logs=make_logs())
+        self.process_by_number[number] = process
         scope = anyio.CancelScope()
         self.group.start_soon(self._run, process, scope)
         return scope
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -297,6 +297,9 @@
     def prompt_parts(self, headers):
         return self.parts
 
+    async def probe(self, worker):
+        self.asked_worker_ids.append(worker.worker_id)
+
     async def reserve(self, worker, *, tokens, lifetime_ms, timeout_ms):
         self.asked_worker_ids.append(worker.worker_id)
         self.lifetimes_ms.append(lifetime_ms)
