The product's engines: output goes on only at the version that began it

The dispatcher resumed a broken stream on any endpoint of the pool, and an item went on with its partial output wherever it was placed next. The VM list now names the version of an endpoint's software; endpoints that do not run the one that wrote are excluded, and an item starts again. An endpoint of unknown version continues nothing.

--- a/src/foxtailbank/batch_item.py
+++ b/src/foxtailbank/batch_item.py
@@ -9,6 +9,7 @@
 from foxtailbank.entry import Entry, EntryKind
 from foxtailbank.exceptions import InvalidRequest
 from foxtailbank.quarantine import Fingerprint
+from foxtailbank.vm_list import Vm
 from foxtailbank.work import Work, fingerprint_of
 
 JSON_HEADERS = (("content-type", "application/json"),)
@@ -61,6 +62,7 @@
         request_id: str,
         deadline_at_ms: int,
         resume_at: int,
+        writer: Vm | None = None,
     ) -> Work:
         """Return the unit of work that runs the item.
 
@@ -74,6 +76,8 @@
             Time on `Clock.now_ms` after which the response is not needed.
         resume_at : int
             Index of the first token to return; earlier ones were received before.
+        writer : Vm, optional
+            Endpoint that wrote the earlier ones.
         """
         return Work(
             request_id=request_id,
@@ -90,6 +94,7 @@
             max_tokens=self.tokens,
             deadline_at_ms=deadline_at_ms,
             resume_at=resume_at,
+            writer=writer,
         )
 
 
--- a/src/foxtailbank/completion_collector.py
+++ b/src/foxtailbank/completion_collector.py
@@ -7,6 +7,7 @@
 from foxtailbank.completion import CHAT_PATH
 from foxtailbank.sink import Sink
 from foxtailbank.sse import DATA_PREFIX, EVENT_END, TokenEvent, parse_event
+from foxtailbank.vm_list import Vm
 
 FIRST_ERROR_STATUS = 400
 _EMPTY: dict[str, t.Any] = {}
@@ -28,12 +29,15 @@
         Index of the first token not yet collected.
     finished : bool
         Whether the finish reason has been received.
+    writer : Vm or None
+        Endpoint that wrote the last tokens; None without any.
     """
 
     def __init__(self, *, path: str) -> None:
         self.status = 0
         self.next_index = 0
         self.finished = False
+        self.writer: Vm | None = None
         self._path = path
         self._texts: list[str] = []
         self._finish_reason: str | None = None
@@ -41,6 +45,10 @@
         self._metadata = TokenEvent()
         self._raw_body = b""
 
+    def on_writer(self, endpoint: Vm) -> None:
+        """Remember the endpoint that writes."""
+        self.writer = endpoint
+
     async def start(self, *, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Record the response head."""
         self.started = True
--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -36,6 +36,7 @@
 from foxtailbank.sink import Sink
 from foxtailbank.sse import EVENT_END, TokenEventBuffer
 from foxtailbank.suspect_gate import Assignment, SuspectGate
+from foxtailbank.vm_list import Vm
 from foxtailbank.work import Work
 
 MAX_ATTEMPTS = 4
@@ -79,6 +80,7 @@
     """State of one piece of work across its attempts."""
 
     resume_at: int
+    writer: Vm | None = None
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
     stalled: frozenset[str] = frozenset()
@@ -171,7 +173,7 @@
         FoxtailbankError
             The response is incomplete; `ran` says whether the work may have run.
         """
-        progress = _Progress(resume_at=work.resume_at)
+        progress = _Progress(resume_at=work.resume_at, writer=work.writer)
         self._retry_budget.on_request(self._clock.now_ms())
         remaining_ms = work.deadline_at_ms - self._clock.now_ms()
         with anyio.move_on_after(max(0, remaining_ms) / MS_PER_S) as scope:
@@ -213,7 +215,8 @@
         self, work: Work, progress: _Progress, first_backend: Backend | None
     ) -> Assignment:
         if self._is_suspect(work):
-            return await self._gate.acquire(work, progress.tried, progress.ran)
+            excluded = self._excluded(work, progress)
+            return await self._gate.acquire(work, excluded, progress.ran)
         return Assignment(
             backend=first_backend or self._choose(work, progress), reservation=None
         )
@@ -223,7 +226,7 @@
         request = RouteRequest(
             zone=self._zone,
             prefix_digest=work.prefix_digest,
-            tried=progress.tried,
+            tried=self._excluded(work, progress),
         )
         views = [
             b.view(now_ms) for b in self._directory.backends_in_pool(work.entry.pool)
@@ -233,6 +236,17 @@
             raise self._no_endpoint_error(work, progress, chosen)
         return self._directory.backends_by_id[chosen.endpoint_id]
 
+    def _excluded(self, work: Work, progress: _Progress) -> frozenset[str]:
+        """Return the endpoints that must not get the work, or not go on with it."""
+        if progress.writer is None:
+            return progress.tried
+        writer = progress.writer
+        return progress.tried | {
+            backend.endpoint_id
+            for backend in self._directory.backends_in_pool(work.entry.pool)
+            if not backend.vm.may_continue_output_of(writer)
+        }
+
     def _no_endpoint_error(
         self, work: Work, progress: _Progress, reason: Missing
     ) -> FoxtailbankError:
@@ -304,6 +318,8 @@
                 else:
                     self._observer.on_chunk_gap(backend, work, now_ms - last_content_ms)
                 last_content_ms = now_ms
+                progress.writer = backend.vm
+                sink.on_writer(backend.vm)
                 if not sink.started:
                     await sink.start(status=response.status, headers=response.headers)
                 await sink.write(events)
--- a/src/foxtailbank/item_runner.py
+++ b/src/foxtailbank/item_runner.py
@@ -143,12 +143,14 @@
             self._fail(chunk, position, line, failure)
             return False
         collector = chunk.partial_by_position.pop(position, None)
-        collector = collector or CompletionCollector(path=item.path)
+        if collector is None or not _may_continue(collector, batch):
+            collector = CompletionCollector(path=item.path)
         work = item.work(
             entry=entry,
             request_id=request_id,
             deadline_at_ms=self._clock.now_ms() + ITEM_DEADLINE_MS,
             resume_at=collector.next_index,
+            writer=collector.writer,
         )
         active = ActiveItem(
             chunk=chunk,
@@ -243,3 +245,9 @@
     ) -> None:
         custom_id = parse_custom_id(line, number=position + 1)
         chunk.finish(position, failure_line(custom_id, failure), failed=True)
+
+
+def _may_continue(collector: CompletionCollector, batch: EndpointBatch) -> bool:
+    """Return whether an endpoint runs the software that wrote an item's output."""
+    writer = collector.writer
+    return writer is None or batch.backend.vm.may_continue_output_of(writer)
--- a/src/foxtailbank/sink.py
+++ b/src/foxtailbank/sink.py
@@ -2,6 +2,8 @@
 
 import abc
 
+from foxtailbank.vm_list import Vm
+
 
 class Sink(abc.ABC):
     """Receives one response: its head once, then its body in chunks.
@@ -15,6 +17,15 @@
 
     started = False
 
+    def on_writer(self, endpoint: Vm) -> None:  # noqa: B027 (optional)
+        """Handle that the next chunks are the output of an endpoint.
+
+        Parameters
+        ----------
+        endpoint : Vm
+            The endpoint.
+        """
+
     @abc.abstractmethod
     async def start(self, *, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Accept the response head.
--- a/src/foxtailbank/vm_list.py
+++ b/src/foxtailbank/vm_list.py
@@ -38,6 +38,8 @@
         Live or leaving.
     pool : str
         Model or service that an endpoint VM serves; empty for entry VMs.
+    software_version : str
+        Version of an endpoint's software, not of the model; empty if unknown.
     """
 
     vm_id: str
@@ -46,6 +48,16 @@
     address: str
     state: VmState = VmState.LIVE
     pool: str = ""
+    software_version: str = ""
+
+    def may_continue_output_of(self, other: "Vm") -> bool:
+        """Return whether an endpoint runs the software that wrote an output.
+
+        What two software versions write does not fit together.
+        """
+        if not self.software_version or self.pool != other.pool:
+            return False
+        return self.software_version == other.software_version
 
 
 class VmList(abc.ABC):
--- a/src/foxtailbank/work.py
+++ b/src/foxtailbank/work.py
@@ -7,6 +7,7 @@
 from foxtailbank.endpoint import EndpointCall
 from foxtailbank.entry import Entry, EntryKind
 from foxtailbank.quarantine import Fingerprint
+from foxtailbank.vm_list import Vm
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,6 +42,8 @@
         Deadline for the response, on the time scale of `Clock.now_ms`.
     resume_at : int
         Index of the first requested token.
+    writer : Vm or None
+        Endpoint that wrote the tokens before; None without any.
     """
 
     request_id: str
@@ -57,6 +60,7 @@
     max_tokens: int
     deadline_at_ms: int
     resume_at: int = 0
+    writer: Vm | None = None
 
     @property
     def is_for_engine(self) -> bool:
--- a/src/foxtailbank_bench/launcher.py
+++ b/src/foxtailbank_bench/launcher.py
@@ -20,6 +20,7 @@
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 15.0
+ENDPOINT_VERSION = "1"  # all endpoints run the software of this repository
 ADMIN_KEY = "demo-admin"
 PEER_SECRET = "demo-peer-secret"
 
@@ -259,6 +260,7 @@
             zone=spec.zone,
             address=self.address(spec.name),
             pool=spec.pool,
+            software_version=ENDPOINT_VERSION,
         )
 
     def _write_secret(self, name: str, content: str) -> None:
@@ -284,6 +286,7 @@
         "address": vm.address,
         "state": vm.state.value,
         "pool": vm.pool,
+        "software_version": vm.software_version,
     }
 
 
--- a/tests/test_crashed_batch_items.py
+++ b/tests/test_crashed_batch_items.py
@@ -1,6 +1,7 @@
 """A sound item of a batch job under which several engines crash is still completed."""
 
 import contextlib
+import itertools
 
 import anyio
 import msgspec
@@ -137,7 +138,7 @@
 class Fleet:
     """One VM and engines, of which the first that run the item crash."""
 
-    def __init__(self, *crashes, engines_by_id=None):
+    def __init__(self, *crashes, engines_by_id=None, versions=("1",)):
         clock = SystemClock()
         logs = make_logs()
         peering = FakePeering()
@@ -150,8 +151,17 @@
             factory=lambda vm: self.engines_by_id[vm.vm_id]
         )
         vms = [
-            Vm(vm_id=vm_id, role=VmRole.ENGINE, zone="z1", address="a:1", pool=POOL)
-            for vm_id in self.engines_by_id
+            Vm(
+                vm_id=vm_id,
+                role=VmRole.ENGINE,
+                zone="z1",
+                address="a:1",
+                pool=POOL,
+                software_version=version,
+            )
+            for vm_id, version in zip(
+                self.engines_by_id, itertools.cycle(versions), strict=False
+            )
         ]
         self.directory.apply(vms, clock.now_ms())
         router = RoundRobinRouter()
