A worker that says in its answers that it leaves gets no more requests

Nothing read the header: a worker that reports nothing to the store, or while this VM does not hear the store, kept getting requests until its entry went.

--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -15,6 +15,7 @@
   streams @10 :List(Origin);
   questions @11 :List(UInt64); # streams whose origin the sender asks for
   lostServices @12 :List(Text); # of which the sender reaches no worker
+  draining @13 :List(Draining);
 }
 
 struct Load {
@@ -45,6 +46,11 @@
   streams @3 :List(UInt64); # that this software began
 }
 
+struct Draining {
+  process @0 :Text;
+  ageMs @1 :UInt32;         # since it first said so
+}
+
 struct Completion {
   part @0 :UInt64;
   wallMs @1 :UInt64;
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -9,6 +9,7 @@
 
 from foxtailbank.exceptions import FrameInvalid
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
+from foxtailbank.fleet.draining_workers import DrainingReport
 from foxtailbank.fleet.load_table import WorkerLoad
 from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
 from foxtailbank.fleet.worker_limits import LimitReport
@@ -55,6 +56,8 @@
         Streams of which the VM asks which software began them.
     lost_services : tuple of str
         Services of which the VM reaches no worker.
+    draining : tuple of DrainingReport
+        Workers that said that they are shutting down.
     """
 
     vm_id: str
@@ -70,6 +73,7 @@
     streams: tuple[StreamReport, ...] = ()
     questions: tuple[int, ...] = ()
     lost_services: tuple[str, ...] = ()
+    draining: tuple[DrainingReport, ...] = ()
 
 
 def _load_schema() -> t.Any:
@@ -120,6 +124,10 @@
     _encode_streams(builder, report.streams[-MAX_STREAMS:])
     builder.questions = list(report.questions)
     builder.lostServices = list(report.lost_services)
+    draining_rows = builder.init("draining", len(report.draining))
+    for row, draining in zip(draining_rows, report.draining, strict=True):
+        row.process = draining.process_id
+        row.ageMs = draining.age_ms
     return t.cast(bytes, builder.to_bytes_packed())
 
 
@@ -194,6 +202,10 @@
             streams=_decode_streams(reader),
             questions=tuple(reader.questions),
             lost_services=tuple(reader.lostServices),
+            draining=tuple(
+                DrainingReport(process_id=row.process, age_ms=row.ageMs)
+                for row in reader.draining
+            ),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise FrameInvalid(detail="not a load report") from error
--- a/src/foxtailbank/fleet/worker_table.py
+++ b/src/foxtailbank/fleet/worker_table.py
@@ -6,6 +6,7 @@
 from foxtailbank.fleet.worker import Worker
 
 RECOVERY_GRACE_MS = 2_000  # live workers write their lapsed entries again within it
+MAX_DRAINING = 1_000  # more processes than leave within the life of a stale entry
 
 
 class WorkerTable:
@@ -14,6 +15,9 @@
     An entry that disappears is normally dropped immediately. After an outage of the
     store it is kept until `RECOVERY_GRACE_MS` after the recovery, since live workers
     whose entries lapsed during the outage write them again within that time.
+
+    A process that said itself that it is shutting down stays so, whatever its entry
+    says.
     """
 
     def __init__(self) -> None:
@@ -21,6 +25,7 @@
         self._usable_by_service: dict[str, tuple[Worker, ...]] = {}
         self._drop_at_ms_by_id: dict[str, int] = {}
         self._grace_until_ms = 0
+        self._draining_process_ids: dict[str, None] = {}  # oldest first
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -34,6 +39,16 @@
         self._rebuild_index()
         return True
 
+    def set_draining(self, process_id: str) -> bool:
+        """Handle that a process shuts down; return whether this was not known."""
+        if process_id in self._draining_process_ids:
+            return False
+        self._draining_process_ids[process_id] = None
+        if len(self._draining_process_ids) > MAX_DRAINING:
+            del self._draining_process_ids[next(iter(self._draining_process_ids))]
+        self._rebuild_index()
+        return True
+
     def remove(self, worker_id: str, now_ms: int) -> bool:
         """Handle the disappearance of an entry; return whether it was dropped."""
         if worker_id not in self._by_id:
@@ -92,8 +107,9 @@
     def _rebuild_index(self) -> None:
         grouped: dict[str, list[Worker]] = collections.defaultdict(list)
         for worker in self._by_id.values():
-            if not worker.draining:
-                grouped[worker.service].append(worker)
+            if worker.draining or worker.process_id in self._draining_process_ids:
+                continue
+            grouped[worker.service].append(worker)
         self._usable_by_service = {
             service: tuple(sorted(workers, key=lambda worker: worker.worker_id))
             for service, workers in grouped.items()
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -6,6 +6,7 @@
 from foxtailbank.clock import Clock
 from foxtailbank.events import Event
 from foxtailbank.fleet.distance_tiers import DistanceTiers
+from foxtailbank.fleet.draining_workers import DrainingWorkers
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.service_time import ServiceTimes
@@ -56,7 +57,7 @@
     Attributes
     ----------
     workers, loads, health, limits, service_times, crashes, reachability, tiers, view,
-    versions, origins, reach
+    versions, origins, reach, draining
         The components of the state.
     """
 
@@ -72,6 +73,8 @@
     ) -> None:
         self.workers = WorkerTable()
         self.loads = LoadTable()
+        self.draining = DrainingWorkers(workers=self.workers, logs=logs, clock=clock)
+        self._invalid_process_ids: set[str] = set()
         self.health = WorkerHealth()
         self.limits = WorkerLimits(logs=logs)
         self.reach = WorkerReach(workers=self.workers, logs=logs)
@@ -246,10 +249,26 @@
     def on_answer(self, worker: Worker, response: WorkerResponse) -> None:
         """Apply what the head of any answer says of its worker."""
         self.reach.on_answer(worker)
-        if not response.misdirected:
-            self.limits.on_answer(
-                worker.worker_id, response.rate_limit_per_s, self._clock.now_ms()
-            )
+        if response.misdirected:
+            return  # another worker answered
+        self.limits.on_answer(
+            worker.worker_id, response.rate_limit_per_s, self._clock.now_ms()
+        )
+        if response.draining:
+            self.on_draining(worker)
+        elif response.draining is None:
+            self._on_invalid_draining(worker)
+
+    def on_draining(self, worker: Worker) -> None:
+        """Send nothing more to a worker that says that it is shutting down."""
+        self.draining.on_own_report(worker.process_id)
+
+    def _on_invalid_draining(self, worker: Worker) -> None:
+        if worker.process_id in self._invalid_process_ids:
+            return
+        self._invalid_process_ids.add(worker.process_id)
+        fields = LogFields(endpoint=worker.worker_id, reason="invalid draining header")
+        self._logs.write(Event.ENTRY_SKIPPED, level=LogLevel.WARNING, fields=fields)
 
     def on_reached(self, worker: Worker) -> None:
         """Use a worker again that was unreachable and accepts connections now."""
--- a/src/foxtailbank/forward/slot_finder.py
+++ b/src/foxtailbank/forward/slot_finder.py
@@ -182,6 +182,8 @@
                 timeout_ms=RESERVE_TIMEOUT_MS,
             )
         except ReservationRefused as failure:
+            if failure.draining:
+                self._fleet.on_draining(worker)
             self._fleet.health.on_full(worker.worker_id, self._clock.now_ms())
             self._record_refusal(worker, failure)
         except ConnectionBroken as failure:
--- a/src/foxtailbank/forward/worker_client.py
+++ b/src/foxtailbank/forward/worker_client.py
@@ -11,10 +11,22 @@
 
 
 class ReservationRefused(FoxtailbankError):
-    """The worker has no free slot to reserve."""
+    """The worker has no free slot to reserve.
+
+    Parameters
+    ----------
+    detail : str
+        What it answered.
+    draining : bool
+        Whether it says that it is shutting down.
+    """
 
     code = "place_refused"
 
+    def __init__(self, *, detail: str = "", draining: bool = False) -> None:
+        super().__init__(detail=detail)
+        self.draining = draining
+
 
 class WorkerResponse(BodySource):
     """A response whose head has arrived.
@@ -34,6 +46,9 @@
     rate_limit_per_s : float or None
         Requests a second that the worker takes from all VMs together; None if it names
         no limit.
+    draining : bool or None
+        Whether the worker says that it is shutting down; None if what it says of it
+        is not valid.
     """
 
     status: int
@@ -42,6 +57,7 @@
     misdirected: bool
     framing: BodyFraming
     rate_limit_per_s: float | None = None
+    draining: bool | None = False
 
     @property
     def is_success(self) -> bool:
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -204,6 +204,7 @@
             limits=self._fleet.limits.reports(self._clock.now_ms()),
             streams=self._fleet.origins.recent(),
             lost_services=self._fleet.reach.lost_services(),
+            draining=self._fleet.draining.reports(),
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
@@ -250,6 +251,8 @@
             self._fleet.crashes.on_peer_report(crash, vm_id=report.vm_id)
         for completion in report.completions:
             self._fleet.crashes.reports.add_completion(completion)
+        for draining in report.draining:
+            self._fleet.draining.on_peer_report(draining, vm_id=report.vm_id)
         for limit in report.limits:
             self._fleet.limits.on_report(
                 limit,
--- a/tests/test_load_report.py
+++ b/tests/test_load_report.py
@@ -5,7 +5,9 @@
 
 from foxtailbank.fleet import load_report
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
+from foxtailbank.fleet.draining_workers import MAX_REPORTED, DrainingReport
 from foxtailbank.fleet.load_table import WorkerLoad
+from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
 from foxtailbank.fleet.worker_limits import LimitReport
 from serving_fakes import make_report
 
@@ -101,10 +103,31 @@
         )
         for number in range(8)
     )
+    streams = tuple(
+        StreamReport(
+            key=2**63 + number,
+            origin=StreamOrigin(
+                service="wordsmith", software_version=f"v1.{number % 2}"
+            ),
+        )
+        for number in range(40)
+    )
+    draining = tuple(
+        DrainingReport(process_id=f"i-{number:010x}/1790000000000", age_ms=900)
+        for number in range(MAX_REPORTED)
+    )
     report = make_report(
-        "front-nairobi-a-22", marks=crashes, completions=completions, limits=limits
+        "front-nairobi-a-22",
+        marks=crashes,
+        completions=completions,
+        limits=limits,
+        streams=streams,
+        questions=tuple(2**63 + number for number in range(load_report.MAX_STREAMS)),
+        draining=draining,
+        lost_services=("wordsmith", "ledger-app"),
     )
-    assert len(load_report.encode(report)) <= load_report.MAX_DATAGRAM_BYTES
+    size_bytes = len(load_report.encode(report))
+    assert size_bytes <= load_report.MAX_DATAGRAM_BYTES
 
 
 # Guards against datagrams that outgrow what a path carries in one piece.
