A stream of a worker that is silent for a second is not cut

A resumable stream was cut after 900 ms without an event, and its worker avoided; callers give up after two seconds.

--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -24,7 +24,7 @@
 from foxtailbank.relay import relay_messages
 from foxtailbank.relay.relay_messages import RelayedAttempt, RelayOutcome, RelayResult
 
-MAX_EVENT_GAP_MS = 900  # several times the longest step of a fully loaded engine
+MAX_EVENT_GAP_MS = 1_500  # callers give up after two seconds
 MIN_SAFE_TIMEOUT_MS = 250
 SAFE_TIMEOUT_FACTOR = 5  # times the mean run time; few requests take longer
 # A client takes these statuses to mean that its request has not been run.
