--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -113,7 +113,6 @@
         )
         self.stopping = False
         fleet.add_load_listener(self.report_soon)
-        fleet.origins.add_begin_listener(self.report_soon)
         fleet.crashes.add_report_listener(self._on_own_crash)
         fleet.crashes.add_completion_listener(self._on_own_completion)
         follower.add_catch_up_listener(self.report_soon)
--- a/src/foxtailbank/stream_exchange.py
+++ b/src/foxtailbank/stream_exchange.py
@@ -15,7 +15,7 @@
 from foxtailbank.fleet.stream_origin import StreamReport
 from foxtailbank.forward.stream_origins import StreamOrigins
 
-# In a large fleet, peers that hear of a stream at once; the others ask.
+# In a large fleet, peers that hear of a stream; the others ask.
 INFORMED_PEERS = 3
 REPEAT_MS = 50  # an answer arrives sooner unless a datagram was lost
 
@@ -79,16 +79,16 @@
         self._tiers = tiers
         self._sender = sender
         self._clock = clock
-        self._begun = anyio.Event()
         self._asked = anyio.Event()
-        origins.add_begin_listener(lambda: self._begun.set())
+        origins.add_begin_listener(self._inform_peers)
         origins.add_question_listener(lambda: self._asked.set())
 
     async def run(self) -> None:
-        """Tell and ask until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._inform_near_peers)
-            group.start_soon(self._ask)
+        """Ask until cancelled."""
+        while True:
+            await self._asked.wait()
+            self._asked = anyio.Event()
+            await self._ask()
 
     def on_report(self, report: LoadReport, address: Address) -> None:
         """Apply what a report says of streams, and answer what it asks."""
@@ -102,29 +102,23 @@
         if known:
             self._sender.send_report((address,), streams=known)
 
-    async def _inform_near_peers(self) -> None:
-        while True:
-            await self._begun.wait()
-            self._begun = anyio.Event()
-            if self._tiers.is_large_fleet:
-                alive = self._peers.alive(self._clock.now_ms())
-                nearest = sorted(alive, key=self._distance)[:INFORMED_PEERS]
-                self._sender.send_report(peer.address for peer in nearest)
-            await anyio.sleep(MIN_INTERVAL_MS / MS_PER_S)
+    def _inform_peers(self) -> None:
+        """Tell peers before the client has an event, as this VM may be killed then."""
+        peers = self._peers.alive(self._clock.now_ms())
+        if self._tiers.is_large_fleet:
+            peers = tuple(sorted(peers, key=self._distance)[:INFORMED_PEERS])
+        self._sender.send_report(peer.address for peer in peers)
 
     def _distance(self, peer: Peer) -> tuple[bool, float]:
         is_far = not self._peers.is_near(peer)
         return (is_far, rendezvous.score(self._vm_id, peer.vm_id))
 
     async def _ask(self) -> None:
-        while True:
-            await self._asked.wait()
-            self._asked = anyio.Event()
-            while questions := self._origins.questions()[:MAX_STREAMS]:
-                alive = self._peers.alive(self._clock.now_ms())
-                targets = [peer.address for peer in alive]
-                self._sender.send_report(targets, questions=questions)
-                with anyio.move_on_after(REPEAT_MS / MS_PER_S):
-                    await self._asked.wait()
-                    self._asked = anyio.Event()
-                    await anyio.sleep(MIN_INTERVAL_MS / MS_PER_S)
+        while questions := self._origins.questions()[:MAX_STREAMS]:
+            alive = self._peers.alive(self._clock.now_ms())
+            targets = [peer.address for peer in alive]
+            self._sender.send_report(targets, questions=questions)
+            with anyio.move_on_after(REPEAT_MS / MS_PER_S):
+                await self._asked.wait()
+                self._asked = anyio.Event()
+                await anyio.sleep(MIN_INTERVAL_MS / MS_PER_S)
