--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -105,8 +105,8 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no records wait to be sent."""
-        return not self._waiting
+        """Whether no records wait to be sent or to be confirmed."""
+        return not self.waiting_bytes
 
     def put(self, records: tuple[KeyedRecord, ...], *, urgent: bool) -> PendingAppend:
         """Queue records to be appended together.
--- a/tests/test_append_queue.py
+++ b/tests/test_append_queue.py
@@ -121,3 +121,21 @@
             await last.done.wait()
         group.cancel_scope.cancel()
     assert log.appends == 3
+
+
+# Guards against a stop that does not wait for the last results, since their append,
+# which has no answer yet, is taken for done.
+async def test_queue_is_not_empty_while_an_append_is_unanswered():
+    log = FakeKeyedLog()
+    log.up = False
+    queue = make_queue(log)
+    async with anyio.create_task_group() as group:
+        group.start_soon(queue.run)
+        last = queue.put(record("a"), urgent=False)
+        await anyio.sleep(0.2)
+        assert not queue.is_empty
+        log.up = True
+        with anyio.fail_after(10):
+            await last.done.wait()
+        assert queue.is_empty
+        group.cancel_scope.cancel()
