--- a/src/foxtailbank/dispatcher.py
+++ b/src/foxtailbank/dispatcher.py
@@ -1,7 +1,6 @@
 """Runs work on endpoints: endpoint choice, attempts, retries and resumption."""
 
 import contextlib
-import dataclasses
 import typing as t
 
 import anyio
@@ -9,6 +8,7 @@
 from foxtailbank.backend import Backend
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.crash_check import has_crashed
+from foxtailbank.dispatch_progress import DispatchProgress
 from foxtailbank.endpoint import Endpoint, EndpointResponse
 from foxtailbank.endpoint_directory import EndpointDirectory
 from foxtailbank.exceptions import (
@@ -36,7 +36,6 @@
 from foxtailbank.sink import Sink
 from foxtailbank.sse import EVENT_END, TokenEventBuffer
 from foxtailbank.suspect_gate import Assignment, SuspectGate
-from foxtailbank.vm_list import Vm
 from foxtailbank.work import Work
 
 MAX_ATTEMPTS = 4
@@ -75,33 +74,6 @@
         """Handle the decision to retry or resume work after a failed attempt."""
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Progress:
-    """State of one piece of work across its attempts."""
-
-    resume_at: int
-    writer: Vm | None = None
-    may_have_run: bool = False
-    tried: frozenset[str] = frozenset()
-    stalled: frozenset[str] = frozenset()
-
-    def record_failure(self, endpoint_id: str, failure: FoxtailbankError) -> None:
-        """Exclude an endpoint, except after its first stall there.
-
-        An endpoint that stalled once may be tried again on a new connection.
-        """
-        first_stall = endpoint_id not in self.stalled
-        if isinstance(failure, EndpointStalled) and first_stall:
-            self.stalled |= {endpoint_id}
-        else:
-            self.tried |= {endpoint_id}
-
-    @property
-    def ran(self) -> Ran:
-        """Whether the work may have run on an endpoint."""
-        return Ran.UNKNOWN if self.may_have_run else Ran.NO
-
-
 class Dispatcher:
     """Runs work on endpoints until the response is complete or a typed error occurs.
 
@@ -173,7 +145,7 @@
         FoxtailbankError
             The response is incomplete; `ran` says whether the work may have run.
         """
-        progress = _Progress(resume_at=work.resume_at, writer=work.writer)
+        progress = DispatchProgress(resume_at=work.resume_at, writer=work.writer)
         self._retry_budget.on_request(self._clock.now_ms())
         remaining_ms = work.deadline_at_ms - self._clock.now_ms()
         with anyio.move_on_after(max(0, remaining_ms) / MS_PER_S) as scope:
@@ -185,7 +157,7 @@
         self,
         work: Work,
         sink: Sink,
-        progress: _Progress,
+        progress: DispatchProgress,
         first_backend: Backend | None,
         may_retry: bool,
     ) -> None:
@@ -212,7 +184,7 @@
                 self._gate.release(placement)
 
     async def _acquire_placement(
-        self, work: Work, progress: _Progress, first_backend: Backend | None
+        self, work: Work, progress: DispatchProgress, first_backend: Backend | None
     ) -> Assignment:
         if self._is_suspect(work):
             excluded = self._excluded(work, progress)
@@ -221,7 +193,7 @@
             backend=first_backend or self._choose(work, progress), reservation=None
         )
 
-    def _choose(self, work: Work, progress: _Progress) -> Backend:
+    def _choose(self, work: Work, progress: DispatchProgress) -> Backend:
         now_ms = self._clock.now_ms()
         request = RouteRequest(
             zone=self._zone,
@@ -236,7 +208,7 @@
             raise self._no_endpoint_error(work, progress, chosen)
         return self._directory.backends_by_id[chosen.endpoint_id]
 
-    def _excluded(self, work: Work, progress: _Progress) -> frozenset[str]:
+    def _excluded(self, work: Work, progress: DispatchProgress) -> frozenset[str]:
         """Return the endpoints that must not get the work, or not go on with it."""
         if progress.writer is None:
             return progress.tried
@@ -248,7 +220,7 @@
         }
 
     def _no_endpoint_error(
-        self, work: Work, progress: _Progress, reason: Missing
+        self, work: Work, progress: DispatchProgress, reason: Missing
     ) -> FoxtailbankError:
         return NoEndpoint(
             detail=f"no endpoint available for {work.entry.name}: {reason.reason}",
@@ -257,7 +229,7 @@
         )
 
     async def _attempt(
-        self, work: Work, sink: Sink, progress: _Progress, placement: Assignment
+        self, work: Work, sink: Sink, progress: DispatchProgress, placement: Assignment
     ) -> None:
         backend = placement.backend
         with self._track_in_flight(work, backend):
@@ -293,7 +265,7 @@
         self,
         work: Work,
         sink: Sink,
-        progress: _Progress,
+        progress: DispatchProgress,
         placement: Assignment,
         response: EndpointResponse,
         started_ms: int,
@@ -364,7 +336,7 @@
     def _raise_unless_retryable(
         self,
         work: Work,
-        progress: _Progress,
+        progress: DispatchProgress,
         failure: FoxtailbankError,
         may_retry: bool,
     ) -> None:
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -41,7 +41,7 @@
         Whether it has yet to restore the submissions, so that it cannot take any over.
     load_by_worker : dict of str to WorkerLoad
         Requests in flight, without idle workers.
-    marks : tuple of CrashReport
+    crash_reports : tuple of CrashReport
         Recent crash reports, oldest first; only the last `MAX_CRASH_REPORTS`
         are encoded.
     completions : tuple of PartCompletion
@@ -67,7 +67,7 @@
     stopping: bool
     restoring: bool
     load_by_worker: dict[str, WorkerLoad]
-    marks: tuple[CrashReport, ...]
+    crash_reports: tuple[CrashReport, ...]
     completions: tuple[PartCompletion, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     streams: tuple[StreamReport, ...] = ()
@@ -103,8 +103,12 @@
         row.worker = worker_id
         row.online = load.online
         row.batch = load.batch
-    crash_rows = builder.init("marks", min(len(report.marks), MAX_CRASH_REPORTS))
-    for row, crash in zip(crash_rows, report.marks[-MAX_CRASH_REPORTS:], strict=True):
+    crash_rows = builder.init(
+        "marks", min(len(report.crash_reports), MAX_CRASH_REPORTS)
+    )
+    for row, crash in zip(
+        crash_rows, report.crash_reports[-MAX_CRASH_REPORTS:], strict=True
+    ):
         row.fingerprint = crash.fingerprint
         row.worker = crash.worker_id
         row.crashedWallMs = crash.crashed_wall_ms
@@ -176,7 +180,7 @@
                 row.worker: WorkerLoad(online=row.online, batch=row.batch)
                 for row in reader.loads
             },
-            marks=tuple(
+            crash_reports=tuple(
                 CrashReport(
                     fingerprint=row.fingerprint,
                     worker_id=row.worker,
--- a/src/foxtailbank/forward/route.py
+++ b/src/foxtailbank/forward/route.py
@@ -7,6 +7,8 @@
 
 from foxtailbank.http1.server_limits import ServerLimits
 
+GIVE_UP_MARGIN_MS = 5_000  # VM clocks differ
+
 
 class RouteKind(enum.Enum):
     """How the requests of a route are run and whether they may be repeated."""
@@ -95,6 +97,12 @@
         """Names of the services that may run its requests."""
         return frozenset(backend.service for backend in self.backends)
 
+    def may_give_up(self, age_ms: int) -> bool:
+        """Return whether an item may be given up so long after its submission."""
+        if not self.give_up_ms:
+            return False
+        return age_ms > self.give_up_ms + GIVE_UP_MARGIN_MS
+
     def choose_service(self, rng: random.Random) -> str:
         """Draw the service of the next request by weight.
 
--- a/src/foxtailbank/forward/stream_origins.py
+++ b/src/foxtailbank/forward/stream_origins.py
@@ -14,6 +14,7 @@
 MAX_STREAMS = 10_000  # some minutes of the busiest fleet
 RECENT_MS = 3_000  # several load reports, of which some may be lost
 FIND_TIMEOUT_MS = 150  # several round trips between availability zones
+SYNC_TIMEOUT_MS = 60  # leaves time to ask the other VMs
 
 ListSync: t.TypeAlias = t.Callable[[], t.Awaitable[None]]
 
@@ -105,16 +106,25 @@
         (service,) = services
         if not self._sole_version(service):
             return None
-        try:
-            # A worker that this VM has not heard of may have begun the stream.
-            await self._sync_list()
-        except FoxtailbankError:
+        # A worker that this VM has not heard of may have begun the stream.
+        if not await self._read_list():
             return None
         version = self._sole_version(service)
         if not version:
             return None
         return StreamOrigin(service=service, software_version=version)
 
+    async def _read_list(self) -> bool:
+        """Read the list of workers to its end; return whether it was done in time."""
+        assert self._sync_list is not None
+        with anyio.move_on_after(SYNC_TIMEOUT_MS / MS_PER_S):
+            try:
+                await self._sync_list()
+            except FoxtailbankError:
+                return False  # the follower of the list has logged it
+            return True
+        return False
+
     def _sole_version(self, service: str) -> str:
         return self._versions.sole_version(service, self._clock.now_ms())
 
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -190,7 +190,7 @@
             stopping=self.stopping,
             restoring=not self._follower.has_caught_up,
             load_by_worker=self._fleet.loads.own_by_worker(),
-            marks=tuple(
+            crash_reports=tuple(
                 crash
                 for crash in self._crash_reports
                 if crash.crashed_wall_ms > recent_wall_ms
@@ -246,7 +246,7 @@
         )
         self._fleet.apply_peer_load(load, now_ms)
         self._streams.on_report(report, address)
-        for crash in report.marks:
+        for crash in report.crash_reports:
             self._fleet.crashes.on_peer_report(crash, vm_id=report.vm_id)
         for completion in report.completions:
             self._fleet.crashes.reports.add_completion(completion)
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -26,6 +26,7 @@
 from foxtailbank.submissions.item_run import ItemRun
 from foxtailbank.submissions.paced_reading import read_paced
 from foxtailbank.submissions.records import Item
+from foxtailbank.submissions.removed_routes import RemovedRoutes
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
@@ -43,9 +44,6 @@
 # About half an item's run. Output is seldom lost, and saving more often would append
 # more bytes.
 SAVE_PERIOD_MS = 2_500
-GIVE_UP_MARGIN_MS = 5_000  # VM clocks differ
-# A route missing for longer has been removed; until then its update may be delayed.
-ROUTE_REMOVED_MS = 3_000
 STATUS_CANNOT_RUN = 422
 STATUS_FAILED = 500
 
@@ -109,6 +107,7 @@
         self._capacity = capacity
         self._placement = ItemPlacement(fleet=fleet, capacity=capacity, rng=rng)
         self._routes = routes
+        self._removed_routes = RemovedRoutes(routes=routes)
         self._max_output_bytes = max_output_bytes
         self._clock = clock
         self._rng = rng
@@ -116,7 +115,6 @@
             owner_id=owner_id, appends=appends, clock=clock, logs=logs, metrics=metrics
         )
         self._runs_by_key: dict[tuple[str, str], ItemRun] = {}
-        self._route_missing_since_ms: dict[str, int] = {}
         self._no_slot_since_ms_by_route: dict[str, int] = {}
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
@@ -229,7 +227,7 @@
         if route is None:
             self._on_route_missing(run, now_ms)
             return True
-        self._route_missing_since_ms.pop(run.submission.submission_id, None)
+        self._removed_routes.on_found(run.submission.submission_id)
         if self._is_past_retention(run, route):
             self._recorder.record_end(run, completed=False, reason="retention")
             return True
@@ -371,20 +369,14 @@
         self._recorder.record_exchange_failure(run, failure)
 
     def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
-        submission_id = run.submission.submission_id
-        since_ms = self._route_missing_since_ms.setdefault(submission_id, now_ms)
-        is_missing_long = now_ms - since_ms > ROUTE_REMOVED_MS
-        # Routes of an old configuration can lack one that was added since.
-        if is_missing_long and self._routes.is_recent(ROUTE_REMOVED_MS):
+        if self._removed_routes.is_removed(run.submission.submission_id, now_ms):
             self._recorder.record_end(run, completed=False, reason="route_removed")
         else:
             run.not_before_ms = now_ms + RETRY_MS
 
     def _is_past_retention(self, run: ItemRun, route: Route) -> bool:
-        if not route.give_up_ms:
-            return False
         age_ms = self._clock.wall_ms() - run.submission.arrived_wall_ms
-        return age_ms > route.give_up_ms + GIVE_UP_MARGIN_MS
+        return route.may_give_up(age_ms)
 
     def _preempt_items(self) -> None:
         now_ms = self._clock.now_ms()
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -83,7 +83,7 @@
         "stopping": False,
         "restoring": False,
         "load_by_worker": {},
-        "marks": (),
+        "crash_reports": (),
     }
     return LoadReport(vm_id=vm_id, **{**fields, **changes})
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -133,7 +133,7 @@
         for number in range(3)
     )
     completion = PartCompletion(part=9, completed_wall_ms=wall_ms + 1)
-    crashed = make_report("vm0", sequence=1, marks=crashes)
+    crashed = make_report("vm0", sequence=1, crash_reports=crashes)
     cleared = make_report("vm0", sequence=2, completions=(completion,))
     with anyio.fail_after(WAIT_S):
         async with (
--- a/tests/test_load_report.py
+++ b/tests/test_load_report.py
@@ -45,7 +45,7 @@
         stopping=stopping,
         restoring=restoring,
         load_by_worker={"w1": WorkerLoad(online=2, batch=1)},
-        marks=(
+        crash_reports=(
             CrashReport(
                 fingerprint=7,
                 worker_id="w1",
@@ -118,7 +118,7 @@
     )
     report = make_report(
         "front-nairobi-a-22",
-        marks=crashes,
+        crash_reports=crashes,
         completions=completions,
         limits=limits,
         streams=streams,
--- a/tests/test_restored_items.py
+++ b/tests/test_restored_items.py
@@ -12,7 +12,7 @@
     TakenOver,
     encode,
 )
-from foxtailbank.submissions.runner import ROUTE_REMOVED_MS
+from foxtailbank.submissions.removed_routes import ROUTE_REMOVED_MS
 from item_vm import HOST, TARGET, ItemVm
 from serving_fakes import FakeResponse, make_route
 from test_submission_ledger import make_item
