--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -264,8 +264,9 @@
             if names and spec.name not in names:
                 continue
             file = self.launcher.journal(spec.name)
-            lines = file.read_bytes().splitlines() if file.exists() else []
-            for line in lines:
+            written = file.read_bytes() if file.exists() else b""
+            # The endpoint may be writing the last line just now.
+            for line in written.split(b"\n")[:-1]:
                 entry = json.loads(line)
                 key = (spec.name, entry["request_id"], entry["at_ms"])
                 entries_by_key[key] = entry | {"endpoint": spec.name}
