--- a/tests/fleet_process.py
+++ b/tests/fleet_process.py
@@ -244,7 +244,8 @@
         lines = self.results(vm, job_id)
         counts = collections.Counter(line["custom_id"] for line in lines)
         assert counts == {f"item-{index}": 1 for index in range(count)}
-        assert [line for line in lines if line["error"]] == []
+        bad = [line for line in lines if line["error"]]
+        assert bad == [], bad[:2]
         assert len(lines) == count
         return lines
 
