How long a stream may be taken up follows from routes and clients

A VM took a version to be the only one that can have begun a stream once it had been listed alone for 20 s, whatever the routes allow. On a deployment whose routes or clients wait longer than 5 s, a client that returns after 20 s to a VM that was started since got the rest of its stream from the new version, with 200.

Cause: a constant that rests on the deadlines of today's callers.

Now four attempts of the longest timeout of a resumable route of the service, or of the longest wait that a client of it named, never less than 20 s and never falling while the process runs. With today's routes that is the 20 s from before.

Ruled out: the client's remaining time alone, as it says nothing of what has passed.

--- a/src/foxtailbank/fleet/version_history.py
+++ b/src/foxtailbank/fleet/version_history.py
@@ -1,10 +1,9 @@
 """Which software versions of a service have been listed of late."""
 
+from foxtailbank.fleet.stream_lifetimes import StreamLifetimes
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_table import WorkerTable
 
-STREAM_LIFETIME_MS = 20_000  # callers give up a stream within a few seconds
-
 
 class VersionHistory:
     """Remembers when workers of each software version were last listed.
@@ -16,10 +15,13 @@
     ----------
     workers : WorkerTable
         The workers that are listed.
+    lifetimes : StreamLifetimes
+        Greatest age of a stream.
     """
 
-    def __init__(self, *, workers: WorkerTable) -> None:
+    def __init__(self, *, workers: WorkerTable, lifetimes: StreamLifetimes) -> None:
         self._workers = workers
+        self._lifetimes = lifetimes
         self._listed_ms_by_version: dict[tuple[str, str], int] = {}
         self._complete_since_ms: int | None = None
 
@@ -56,7 +58,7 @@
         self.on_listed(now_ms)
         if self._complete_since_ms is None:
             return ""
-        oldest_ms = now_ms - STREAM_LIFETIME_MS
+        oldest_ms = now_ms - self._lifetimes.lifetime_ms(service)
         if self._complete_since_ms > oldest_ms:
             return ""
         versions = [
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -84,6 +84,8 @@
         )
         wait_ms = min(call.max_wait_ms or route.timeout_ms, route.timeout_ms)
         self._deadline_ms = call.arrived_ms + wait_ms
+        if route.resumable:
+            self._fleet.lifetimes.on_wait(route.services, call.max_wait_ms)
         self._pacer = StreamPacer(pass_ms=context.pass_ms)
         self._attempts = 0
         self._progress = AttemptProgress()
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -57,7 +57,7 @@
     Attributes
     ----------
     workers, loads, health, limits, service_times, crashes, reachability, tiers, view,
-    versions, origins, reach, draining
+    lifetimes, versions, origins, reach, draining
         The components of the state.
     """
 
@@ -80,7 +80,8 @@
         self.reach = WorkerReach(workers=self.workers, logs=logs)
         self.service_times = ServiceTimes()
         self.crashes = CrashTracker(logs=logs, clock=clock)
-        self.versions = VersionHistory(workers=self.workers)
+        self.lifetimes = routes.stream_lifetimes
+        self.versions = VersionHistory(workers=self.workers, lifetimes=self.lifetimes)
         self.origins = StreamOrigins(versions=self.versions, clock=clock)
         self._routes = routes
         self._logs = logs
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -3,6 +3,7 @@
 import collections
 import typing as t
 
+from foxtailbank.fleet.stream_lifetimes import StreamLifetimes
 from foxtailbank.forward.route import Route, RouteSet
 from foxtailbank.http1.server_limits import ServerLimits
 
@@ -18,11 +19,14 @@
         Current version; -1 before the first is applied.
     limits : ServerLimits
         Limits of that version.
+    stream_lifetimes : StreamLifetimes
+        Greatest age of a stream that a client may take up again.
     """
 
     def __init__(self) -> None:
         self.version = -1
         self.limits = ServerLimits()
+        self.stream_lifetimes = StreamLifetimes()
         self._routes_by_host: dict[str, list[Route]] = {}
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
         self._age_ms: t.Callable[[], int | None] = lambda: 0
@@ -54,6 +58,8 @@
         routes_by_host: dict[str, list[Route]] = collections.defaultdict(list)
         for route in routes.routes:
             routes_by_host[route.host].append(route)
+            if route.resumable:
+                self.stream_lifetimes.on_wait(route.services, route.timeout_ms)
         for host_routes in routes_by_host.values():
             host_routes.sort(key=lambda route: -len(route.path_prefix))
         self._routes_by_host = dict(routes_by_host)
--- a/tests/test_platform_resumed_streams.py
+++ b/tests/test_platform_resumed_streams.py
@@ -181,9 +181,8 @@
 # Guards against refusals after a restart of all VMs, when one version alone serves.
 async def test_stream_goes_on_where_one_version_has_served_for_long(monkeypatch):
     async with running_release(("v1", "v1")):
-        monkeypatch.setattr(
-            "foxtailbank.fleet.version_history.STREAM_LIFETIME_MS", 1_000
-        )
+        monkeypatch.setattr("foxtailbank.fleet.stream_lifetimes.MIN_LIFETIME_MS", 1_000)
+        monkeypatch.setattr("foxtailbank.fleet.stream_lifetimes.CLIENT_ATTEMPTS", 0)
         await anyio.sleep(1)
         stream = Stream(request_id="unheard-of", channel=None, received=encode_event(1))
         head, received = await take_up(stream, 0)
