Software versions outlive the VMs: after all were killed, streams go on where one version served

Seen: the report on streams of two versions after all front machines were killed at once.

Cause: which versions had served was known from the list of workers since the VM began to look, and from nowhere else.

A record in the log of submissions, which each VM follows anyway, says which versions are listed and when the last worker of a version left. One VM, drawn by rendezvous hashing, writes it; the next one does if it does not appear. A VM that was just started takes a version to be the only one if neither the list nor the records, read to their end, name another within the life of a stream and 10 s for the clocks. Two versions, one that has just left, one that is not recorded yet or an unknown one: refused, as before.

Ruled out: the history of the list itself (20 s are kept, without times; it may be forgotten any moment), and a record for each stream (a write for each, although few break). Left: with two versions in service the streams of the moment of a kill are refused.

--- a/src/foxtailbank/forward/stream_origins.py
+++ b/src/foxtailbank/forward/stream_origins.py
@@ -126,7 +126,9 @@
         return False
 
     def _sole_version(self, service: str) -> str:
-        return self._versions.sole_version(service, self._clock.now_ms())
+        return self._versions.sole_version(
+            service, now_ms=self._clock.now_ms(), wall_ms=self._clock.wall_ms()
+        )
 
     async def _ask(self, key: int) -> None:
         found = self._found_by_key.setdefault(key, anyio.Event())
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -26,6 +26,8 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.metrics import Gauge, Metrics
 from foxtailbank.relay.relay_client import RelayClient
+from foxtailbank.software_version_log import KEY_PREFIX as VERSION_KEY_PREFIX
+from foxtailbank.software_version_log import SoftwareVersionLog
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_capacity import BatchCapacity
 from foxtailbank.submissions.retirement import Retirement
@@ -96,7 +98,8 @@
     client : WorkerClient
         Connections to workers.
     submissions : KeyedLog
-        Log of batch submissions, which also carries the crash reports.
+        Log of batch submissions, which also carries the crash reports
+        and software versions.
     addresses : KeyedLog
         Addresses of the entry VMs.
     leases : LeaseTable
@@ -201,17 +204,29 @@
             logs=logs,
             clock=clock,
         )
+        self._version_log = SoftwareVersionLog(
+            vm_id=identity.vm_id,
+            history=self.fleet.versions,
+            peers=peers,
+            appends=self._appends,
+            logs=logs,
+            clock=clock,
+        )
         self._follower = LogFollower(
             name="submissions",
             log=submissions,
             state=KeyRouter(
                 default=submission_table,
-                by_prefix={CRASH_KEY_PREFIX: self._crash_report_log},
+                by_prefix={
+                    CRASH_KEY_PREFIX: self._crash_report_log,
+                    VERSION_KEY_PREFIX: self._version_log,
+                },
             ),
             pause_ms=SUBMISSIONS_READ_PAUSE_MS,
             logs=logs,
             clock=clock,
         )
+        self._follower.add_catch_up_listener(self.fleet.versions.on_records_complete)
         self._exchange = LoadExchange(
             vm_id=identity.vm_id,
             zone=identity.zone,
@@ -285,6 +300,7 @@
             group.start_soon(self._takeover.run)
             group.start_soon(self._retirement.run)
             group.start_soon(self._crash_report_log.run)
+            group.start_soon(self._version_log.run)
             group.start_soon(self._expire_workers)
             group.start_soon(self._reach_prober.run)
 
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -58,6 +58,7 @@
         self.store = StoreStandIn(self.store_address, clock=CLOCK)
         self.store.page_keys = 2
         self.process_by_number = {}
+        self.scope_by_number = {}
         self.workers = [
             WorkerStandIn(f"w{number}", f"{net}.3{number}:18080", clock=CLOCK)
             for number in range(1, len(versions) + 1)
@@ -82,7 +83,7 @@
         )
         process = Process(settings=settings, path="", clock=CLOCK, logs=make_logs())
         self.process_by_number[number] = process
-        scope = anyio.CancelScope()
+        scope = self.scope_by_number[number] = anyio.CancelScope()
         self.group.start_soon(self._run, process, scope)
         return scope
 
--- a/tests/test_platform_resumed_streams.py
+++ b/tests/test_platform_resumed_streams.py
@@ -6,7 +6,9 @@
 import anyio
 import pytest
 
+from foxtailbank.clock import MS_PER_S
 from foxtailbank.http1.client_channel import ClientChannel
+from foxtailbank.software_version_log import FIRST_CHECK_MS
 from foxtailbank_platform import headers as names
 from foxtailbank_soak.worker import encode_event
 from platform_deployment import CLOCK, running_deployment
@@ -187,3 +189,35 @@
         stream = Stream(request_id="unheard-of", channel=None, received=encode_event(1))
         head, received = await take_up(stream, 0)
         assert (head.status, received) == (200, whole_stream())
+
+
+# Guards against a stream of two versions, or refusals for 20 s, after all VMs lost
+# power at once: none of them remembers it.
+@pytest.mark.parametrize(
+    ("versions", "status"),
+    [
+        pytest.param(("v1", "v1"), 200, id="one-version-all-along"),
+        pytest.param(("v1", "v2"), 503, id="two-serve"),
+        pytest.param(("v1", "v2", "left"), 503, id="old-version-has-just-left"),
+    ],
+)
+async def test_streams_are_taken_up_after_all_vms_were_killed(versions, status):
+    async with running_release(versions[:2]) as (deployment, first_vm):
+        second_vm = deployment.scope_by_number[2]
+        await anyio.sleep(FIRST_CHECK_MS / MS_PER_S + 0.5)
+        stream = await begin(0)
+        first_vm.cancel()
+        second_vm.cancel()
+        await stream.channel.aclose()
+        if "left" in versions:
+            deployment.store.put("keyed.servers", deployment.workers[0].worker_id, None)
+        deployment.start_vm(3)
+        await deployment.until_ready(3)
+        await anyio.sleep(0.5)
+        head, received = await take_up(stream, 0, vm=3)
+        assert head.status == status
+        if status == 200:
+            assert received == whole_stream()
+        else:
+            assert versions_by_stream(deployment)["0"] <= {"v1", "v2"}
+            assert len(versions_by_stream(deployment)["0"]) == 1
--- a/tests/test_stream_lifetimes.py
+++ b/tests/test_stream_lifetimes.py
@@ -50,7 +50,7 @@
     workers.put(make_worker("w1", software_version="v2"))
     history = VersionHistory(workers=workers, lifetimes=routes.stream_lifetimes)
     history.on_list_restored(NOW_MS - followed_ms)
-    assert history.sole_version("s", NOW_MS) == expected
+    assert history.sole_version("s", now_ms=NOW_MS, wall_ms=0) == expected
 
 
 def test_bound_on_the_age_of_streams_does_not_fall_with_a_new_configuration():
