Frames are numbered only once the whole write is known to fit

PeerLink.send sealed its messages one by one. If a later one was too large, nothing was sent, but those before it had used up numbers, so that the peer refused the next frame and the connection broke.

Cause: a frame was numbered before the write that holds it was decided.

seal_all encodes and measures all messages first. Test: test_frames_open_after_a_write_with_an_oversized_message; with the former loop in its place the opener raises FrameInvalid, as the sequence is ahead.

--- a/src/foxtailbank/peer_codec.py
+++ b/src/foxtailbank/peer_codec.py
@@ -267,14 +267,32 @@
         FrameTooLarge
             The message exceeds `MAX_FRAME_BYTES`.
         """
-        data = encode(envelope)
-        if len(data) + MAC_BYTES > MAX_FRAME_BYTES:
-            raise exceptions.FrameTooLarge(detail=f"{len(data)} bytes")
+        return self.seal_all((envelope,))
+
+    def seal_all(self, envelopes: t.Iterable[Envelope]) -> bytes:
+        """Return the next frames, one a message.
+
+        Raises
+        ------
+        FrameTooLarge
+            A message exceeds `MAX_FRAME_BYTES`; no frame was numbered.
+        """
+        bodies = [_encode_body(envelope) for envelope in envelopes]
+        return b"".join([self._seal_body(data) for data in bodies])
+
+    def _seal_body(self, data: bytes) -> bytes:
         mac = _frame_mac(self._key, self._direction, self._sequence, data)
         self._sequence += 1
         return LENGTH_STRUCT.pack(len(data) + MAC_BYTES) + mac + data
 
 
+def _encode_body(envelope: Envelope) -> bytes:
+    data = encode(envelope)
+    if len(data) + MAC_BYTES > MAX_FRAME_BYTES:
+        raise exceptions.FrameTooLarge(detail=f"{len(data)} bytes")
+    return data
+
+
 class FrameOpener:
     """Verifies and decodes the frames of one direction of a connection.
 
--- a/src/foxtailbank/peer_link.py
+++ b/src/foxtailbank/peer_link.py
@@ -59,7 +59,7 @@
         PeerUnreachable
             The connection broke.
         """
-        data = b"".join([self.sealer.seal(envelope) for envelope in envelopes])
+        data = self.sealer.seal_all(envelopes)
         try:
             await self.stream.send(data)
         except CONNECTION_ERRORS as error:
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -187,6 +187,19 @@
     assert opener.open(frame_body(sealer)).message == MESSAGES[0]
 
 
+# Guards against a connection that the peer closes after a message that was not sent:
+# the messages before it in the same write had used up numbers.
+@pytest.mark.parametrize("before", [1, 3])
+def test_frames_open_after_a_write_with_an_oversized_message(before):
+    sealer, opener = link()
+    sound = peer_codec.Envelope(message=MESSAGES[0])
+    content = bytes(range(256)) * (peer_codec.MAX_FRAME_BYTES // 256)
+    oversized = peer_codec.Envelope(message=pm.Report(name="r", content=content))
+    with pytest.raises(exceptions.FrameTooLarge):
+        sealer.seal_all([*[sound] * before, oversized])
+    assert opener.open(frame_body(sealer)).message == MESSAGES[0]
+
+
 def test_old_schema_version_is_unsupported_and_keeps_the_correlation():
     envelope = peer_codec.Envelope(message=pm.Ping(), correlation=4)
     data = peer_codec.encode(envelope, schema_version=peer_codec.MIN_SCHEMA_VERSION - 1)
