Tests of the load exchange get routes of the type that they name

These tests handed it a RouteSet, which it never looked at, so five of them failed with an AttributeError. They check what they did.

--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -13,6 +13,7 @@
 from foxtailbank.fleet.load_table import LoadKind, WorkerLoad
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.keyed_log import AppendId, KeyedRecord
 from foxtailbank.load_exchange import LoadExchange
 from foxtailbank.log_follower import LogState
@@ -21,7 +22,6 @@
     make_follower,
     make_logs,
     make_report,
-    make_routes,
 )
 
 pytestmark = pytest.mark.anyio
@@ -54,7 +54,7 @@
         rng=random.Random(1),
         vm_id="me",
         zone="z1",
-        routes=make_routes(),
+        routes=RouteTable(),
         logs=make_logs(),
         clock=CLOCK,
     )
