Found, not mended: batch items wait beside idle slots between bursts; the large site's log is read too late

Cause of the first: items leave over half of each worker free, as a VM learns late of a burst, and reach other workers than their owner's first two only when the pause between two bursts is over. Cause of the second: not traced to its end; reads of the log do not end within 700 ms from 14.6 s on.

--- /dev/null
+++ b/tests/burst_fleet.py
@@ -0,0 +1,241 @@
+"""A large fleet in simulated time: bursts of online requests over long batch items.
+
+The decisions are those of the product (`FleetState`, `BatchCapacity`); workers,
+messages and time are simulated, with load reports as late as between VMs.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+from foxtailbank.clock import ManualClock
+from foxtailbank.fleet import report_intervals
+from foxtailbank.fleet.load_table import LoadKind, PeerLoad
+from foxtailbank.fleet.report_intervals import PeerGroup
+from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.slot_finder import ROUND_PAUSE_MS, TRIES_PER_ROUND
+from foxtailbank.submissions.batch_capacity import BatchCapacity
+from foxtailbank.submissions.runner import PREEMPTION_PAUSE_MS, TICK_MS
+from serving_fakes import make_logs
+
+ZONES = ("z1", "z2", "z3")
+SLOTS = 7
+RESERVE_MS = 3  # a reservation's round trip
+BUSY_TICK_MS = 50  # a runner wakes on changes of the load
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Request:
+    """An online request or an item, and what it has run of its time."""
+
+    kind: LoadKind
+    arrived_ms: float
+    run_ms: float
+    vm: "SimVm"
+    worker_id: str = ""
+    began_ms: float | None = None
+    first_wait_ms: float | None = None
+    done_ms: float | None = None
+    not_before_ms: float = 0.0
+    preempted_count: int = 0
+
+
+class SimVm:
+    """One entry VM."""
+
+    def __init__(self, *, vm_id, zone, workers, clock, rng, peers):
+        self.vm_id = vm_id
+        self.zone = zone
+        self.items = []
+        self.waiting_since_ms = None
+        self.fleet = FleetState(
+            vm_id=vm_id,
+            zone=zone,
+            routes=RouteTable(),
+            logs=make_logs(),
+            clock=clock,
+            rng=rng,
+        )
+        for worker in workers:
+            self.fleet.workers.put(worker)
+        for group, count in peers.items():
+            self.fleet.tiers.set_peer_count(group, count)
+        self.capacity = BatchCapacity(vm_id=vm_id, view=self.fleet.view)
+
+
+class BurstFleet:
+    """Plays arrivals, runs, reports and preemptions as events in simulated time."""
+
+    def __init__(self, *, vms=79, workers=30, seed=1):
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(start_ms=1_000_000)
+        self.start_ms = self.clock.now_ms()
+        self._events = []
+        self._numbers = itertools.count()
+        self.online = []
+        self.items = []
+        self.running = {f"w{n}": [] for n in range(workers)}
+        listed = [
+            Worker(
+                worker_id=f"w{n}",
+                service="s",
+                address="127.0.0.1:9",
+                zone=ZONES[n % 3],
+                slots=SLOTS,
+                draining=False,
+            )
+            for n in range(workers)
+        ]
+        near = vms // 3
+        peers = {PeerGroup.NEAR: near - 1, PeerGroup.FAR: vms - near}
+        self.vms = [
+            SimVm(
+                vm_id=f"vm{n}",
+                zone=ZONES[n % 3],
+                workers=listed,
+                clock=self.clock,
+                rng=self.rng,
+                peers=peers,
+            )
+            for n in range(vms)
+        ]
+        for vm in self.vms:
+            self._after(self.rng.uniform(0, TICK_MS), self._tick, vm)
+            for group, count in peers.items():
+                interval_ms = report_intervals.min_interval_ms(count)
+                self._after(
+                    self.rng.uniform(0, interval_ms),
+                    self._report,
+                    vm,
+                    group,
+                    interval_ms,
+                )
+
+    @property
+    def now_ms(self):
+        return self.clock.now_ms() - self.start_ms
+
+    def play(self, *, until_ms):
+        while self._events and self._events[0][0] <= until_ms:
+            at_ms, _, action, arguments = heapq.heappop(self._events)
+            self.clock.advance(max(0, int(at_ms) - self.now_ms))
+            action(*arguments)
+
+    def add_online(self, at_ms, run_ms):
+        vm = self.rng.choice(self.vms)
+        request = Request(kind=LoadKind.ONLINE, arrived_ms=at_ms, run_ms=run_ms, vm=vm)
+        self.online.append(request)
+        self._at(at_ms, self._search, request)
+
+    def add_items(self, at_ms, count, run_ms):
+        vm = self.rng.choice(self.vms)
+        for _ in range(count):
+            item = Request(kind=LoadKind.BATCH, arrived_ms=at_ms, run_ms=run_ms, vm=vm)
+            self.items.append(item)
+            self._at(at_ms, vm.items.append, item)
+
+    def _at(self, at_ms, action, *arguments):
+        heapq.heappush(self._events, (at_ms, next(self._numbers), action, arguments))
+
+    def _after(self, delay_ms, action, *arguments):
+        self._at(self.now_ms + delay_ms, action, *arguments)
+
+    def _report(self, vm, group, interval_ms):
+        load = PeerLoad(
+            vm_id=vm.vm_id,
+            incarnation=1,
+            load_by_worker=vm.fleet.loads.own_by_worker(),
+        )
+        for other in self.vms:
+            is_near = other.zone == vm.zone
+            if other is not vm and is_near == (group is PeerGroup.NEAR):
+                other.fleet.loads.on_report(load, self.clock.now_ms())
+        self._after(interval_ms, self._report, vm, group, interval_ms)
+
+    def _search(self, request):
+        """Ask a few workers for a reservation; if none has a slot, again later."""
+        fleet = request.vm.fleet
+        full = []
+        for _ in range(TRIES_PER_ROUND):
+            choice = fleet.choose(
+                service="s",
+                tried={worker.worker_id for worker in full},
+                affinity="",
+                max_wait_ms=10_000,
+                now_ms=self.clock.now_ms(),
+            )
+            if self._has_slot(choice.worker.worker_id):
+                self._start(request, choice.worker.worker_id)
+                return
+            fleet.health.on_full(choice.worker.worker_id, self.clock.now_ms())
+            full.append(choice.worker)
+        wait_ms = ROUND_PAUSE_MS + RESERVE_MS * TRIES_PER_ROUND
+        self._after(wait_ms, self._search, request)
+
+    def _tick(self, vm):
+        """Preempt and start items, as the runner of a VM does."""
+        now_ms = self.clock.now_ms()
+        vm.capacity.observe_online_load(vm.fleet.workers.usable_by_service(), now_ms)
+        for worker_id in vm.fleet.loads.own_by_worker():
+            worker = vm.fleet.workers.get(worker_id)
+            for _ in range(vm.capacity.items_to_preempt(worker, now_ms)):
+                self._preempt(vm, worker_id)
+        for item in list(vm.items):
+            if item.not_before_ms > self.now_ms:
+                continue
+            vm.waiting_since_ms = vm.waiting_since_ms or now_ms
+            worker = vm.capacity.choose_worker(
+                vm.fleet.workers.usable("s"),
+                avoid=(),
+                waited_ms=now_ms - vm.waiting_since_ms,
+                now_ms=now_ms,
+            )
+            if worker is None:
+                break
+            vm.waiting_since_ms = None
+            if self._has_slot(worker.worker_id):
+                vm.items.remove(item)
+                self._start(item, worker.worker_id)
+        is_busy = bool(vm.items or vm.fleet.loads.own_by_worker())
+        self._after(BUSY_TICK_MS if is_busy else TICK_MS, self._tick, vm)
+
+    def _has_slot(self, worker_id):
+        return len(self.running[worker_id]) < SLOTS
+
+    def _start(self, request, worker_id):
+        request.worker_id = worker_id
+        request.began_ms = self.now_ms
+        if request.first_wait_ms is None:
+            request.first_wait_ms = self.now_ms - request.arrived_ms
+        self.running[worker_id].append(request)
+        request.vm.fleet.loads.start(worker_id, request.kind)
+        self._after(request.run_ms, self._end, request, request.began_ms)
+
+    def _end(self, request, began_ms):
+        if request.began_ms != began_ms:
+            return  # it was preempted
+        self._leave(request)
+        request.done_ms = self.now_ms
+
+    def _leave(self, request):
+        self.running[request.worker_id].remove(request)
+        request.vm.fleet.loads.end(request.worker_id, request.kind)
+        request.began_ms = None
+
+    def _preempt(self, vm, worker_id):
+        own = [
+            request
+            for request in self.running[worker_id]
+            if request.vm is vm and request.kind is LoadKind.BATCH
+        ]
+        if not own:
+            return
+        item = own[-1]
+        item.run_ms -= self.now_ms - item.began_ms  # its output is kept
+        item.preempted_count += 1
+        item.not_before_ms = self.now_ms + PREEMPTION_PAUSE_MS
+        self._leave(item)
+        vm.items.append(item)
