--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -53,6 +53,7 @@
         self.front = f"{ip}:{FRONT_PORT}"
         self.ready = f"{ip}:{READY_PORT}"
         self.own_ends: list[int] = []
+        self.stopping = False
         self._ip = ip
         self._zone = zone
         self._store = store
@@ -96,11 +97,26 @@
             if self._process is None or self.running:
                 continue
             code = self._process.returncode
-            self.own_ends.append(code)
-            record(f"{self.vm_id} ended by itself with status {code}")
+            if not self.stopping:
+                self.own_ends.append(code)
+            asked = "as asked" if self.stopping else "by itself"
+            record(f"{self.vm_id} ended {asked} with status {code}")
+            self.stopping = False
             await asyncio.sleep(RESTART_S)
             self.start()
 
+    async def stop(self, record: Record) -> None:
+        """Stop it as the platform does: SIGTERM, and SIGKILL after the grace time."""
+        record(f"SIGTERM to {self.vm_id}")
+        process = self._process
+        self.stopping = True
+        self.signal(signal.SIGTERM)
+        until = time.monotonic() + GRACE_S
+        while process is not None and process.poll() is None:
+            if time.monotonic() > until:
+                process.kill()
+            await asyncio.sleep(0.02)
+
     def kill(self) -> None:
         """End the process."""
         self.signal(signal.SIGKILL)
@@ -150,12 +166,14 @@
         vms: int,
         workers: int,
         routes: list[dict[str, t.Any]],
+        zones: int = len(ZONES),
         worker_type: type[Worker] = Worker,
         **worker_options: t.Any,
     ) -> None:
         self.record = record
         self.store = Store()
         self._routes = routes
+        self._zones = ZONES[:zones]
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._tasks: list[asyncio.Task[None]] = []
         net = _free_network(vms, workers)
@@ -173,7 +191,7 @@
             Vm(
                 f"front-{number}",
                 f"{net}.{10 + number}",
-                ZONES[number % len(ZONES)],
+                self._zones[number % zones],
                 self._store_address,
                 pathlib.Path(self._folder.name),
             )
@@ -236,7 +254,7 @@
 
     def _beat(self, sequence: int) -> None:
         for number, worker in enumerate(self.workers):
-            zone = ZONES[number % len(ZONES)]
+            zone = self._zones[number % len(self._zones)]
             entry = worker.entry(service=SERVICE, zone=zone, sequence=sequence)
             self.store.put_json("keyed.servers", worker.worker_id, entry)
 
