Review, case 3 now: streams of two versions after workers restart under their ids

Cause: until the list of workers is read again, up to 600 ms later, a restarted worker counts as the process of the old version; the expected id fits both.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -19,6 +19,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "notices.example"
 SERVICE = "wordsmith"
+OTHER_SERVICE = "ledger-app"
+HEARTBEAT_S = 1.2
 ZONES = ("zone-a", "zone-b")
 FRONT_PORT = 8144
 READY_PORT = 8140
@@ -167,6 +169,7 @@
         workers: int,
         routes: list[dict[str, t.Any]],
         zones: int = len(ZONES),
+        others: int = 0,
         worker_type: type[Worker] = Worker,
         **worker_options: t.Any,
     ) -> None:
@@ -176,7 +179,8 @@
         self._zones = ZONES[:zones]
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._tasks: list[asyncio.Task[None]] = []
-        net = _free_network(vms, workers)
+        self._sequence = 0
+        net = _free_network(vms, workers + others)
         self._store_address = f"{net}.1:{STORE_PORT}"
         self.workers = [
             worker_type(
@@ -187,6 +191,15 @@
             )
             for number in range(1, workers + 1)
         ]
+        self.others = [
+            Worker(
+                f"j-{number}",
+                f"{net}.{100 + workers + number}:{WORKER_PORT}",
+                slots=6,
+                log=record,
+            )
+            for number in range(1, others + 1)
+        ]
         self.vms = [
             Vm(
                 f"front-{number}",
@@ -201,10 +214,11 @@
     async def start(self) -> None:
         """Start all, and wait until all VMs are ready and know each other."""
         await self.store.start(self._store_address)
-        for worker in self.workers:
+        for worker in (*self.workers, *self.others):
             await worker.start()
         self.store.put_json("keyed.op", "config", self._manifest())
-        self._beat(1)
+        for worker in (*self.workers, *self.others):
+            self.beat(worker)
         self._tasks.append(asyncio.create_task(self._beats()))
         for vm in self.vms:
             vm.start()
@@ -252,18 +266,25 @@
             "limits": limits,
         }
 
-    def _beat(self, sequence: int) -> None:
-        for number, worker in enumerate(self.workers):
-            zone = self._zones[number % len(self._zones)]
-            entry = worker.entry(service=SERVICE, zone=zone, sequence=sequence)
-            self.store.put_json("keyed.servers", worker.worker_id, entry)
+    def beat(self, worker: Worker) -> None:
+        """Let a worker write its entry."""
+        self._sequence += 1
+        is_other = worker in self.others
+        number = (self.others if is_other else self.workers).index(worker)
+        entry = worker.entry(
+            service=OTHER_SERVICE if is_other else SERVICE,
+            zone=self._zones[number % len(self._zones)],
+            sequence=self._sequence,
+        )
+        self.store.put_json("keyed.servers", worker.worker_id, entry)
 
     async def _beats(self) -> None:
-        sequence = 1
+        workers = [*self.workers, *self.others]
         while True:
-            await asyncio.sleep(1.2)
-            sequence += 1
-            self._beat(sequence)
+            for worker in workers:
+                await asyncio.sleep(HEARTBEAT_S / len(workers))
+                if worker.is_up:
+                    self.beat(worker)
 
 
 def route(name: str, kind: str, **changes: t.Any) -> dict[str, t.Any]:
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -34,6 +34,7 @@
         self.event_s = event_s
         self.run_s = run_s
         self.running = 0
+        self.is_up = False
         self.runs: collections.Counter[str] = collections.Counter()
         self.finished: collections.Counter[str] = collections.Counter()
         self._log = log
@@ -41,6 +42,7 @@
 
     async def start(self) -> None:
         """Listen."""
+        self.is_up = True
         host, _, port = self.address.partition(":")
         self._server = await asyncio.start_server(
             self._serve, host, int(port), limit=http.MAX_LINE_BYTES
@@ -143,11 +145,15 @@
             await asyncio.sleep(self.event_s)
             if reader.at_eof():
                 raise ConnectionError
-            event = f"id: {number}\ndata: word{number}\n\n".encode()
+            event = self.event(number)
             self.send(writer, f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         self.send(writer, b"0\r\n\r\n")
 
+    def event(self, number: int) -> bytes:
+        """Return an event of a stream."""
+        return f"id: {number}\ndata: word{number}\n\n".encode()
+
     def success_headers(self, request: http.Message) -> dict[str, str]:
         """Return the headers of a success."""
         return {
