A load report that is cut short no longer aborts the process

Any other error of the decoder becomes FrameInvalid, and a refused datagram is logged once a sender and minute. An error of the socket ends neither the reader nor the process.

--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -3,14 +3,17 @@
 import collections
 import dataclasses
 import importlib.resources
+import math
 import typing as t
 
 import capnp
 
+from foxtailbank.decoding import decoding, require
 from foxtailbank.exceptions import FrameInvalid
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
 from foxtailbank.fleet.draining_workers import DrainingReport
 from foxtailbank.fleet.load_table import WorkerLoad
+from foxtailbank.fleet.packed_message import check_packed
 from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
 from foxtailbank.fleet.worker_limits import LimitReport
 
@@ -18,6 +21,10 @@
 MAX_CRASH_REPORTS = 10  # with what else there is, a datagram stays in one piece
 MAX_COMPLETIONS = 8
 MAX_STREAMS = 8
+MAX_NAME_CHARS = 255  # as of a key in the platform's store
+# Bounds what a list of a made-up length costs. A sound report is read about once.
+READS_PER_WORD = 8
+MIN_READ_WORDS = 1_024
 _NO_LIMIT = -1.0
 
 
@@ -167,9 +174,13 @@
     FrameInvalid
         The bytes are not a valid report.
     """
-    try:
-        reader = _SCHEMA.LoadReport.from_bytes_packed(datagram)
-        return LoadReport(
+    with decoding(FrameInvalid):
+        word_count = check_packed(datagram)
+        reader = _SCHEMA.LoadReport.from_bytes_packed(
+            datagram,
+            traversal_limit_in_words=READS_PER_WORD * word_count + MIN_READ_WORDS,
+        )
+        report = LoadReport(
             vm_id=reader.vmId,
             zone=reader.zone,
             incarnation=reader.incarnation,
@@ -211,5 +222,13 @@
                 for row in reader.draining
             ),
         )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
-        raise FrameInvalid(detail="not a load report") from error
+        _check(report)
+        return report
+
+
+def _check(report: LoadReport) -> None:
+    """Raise `ValueError` if a value can't be right, before it is used anywhere."""
+    require(0 < len(report.vm_id) <= MAX_NAME_CHARS, "name of the VM")
+    require(len(report.zone) <= MAX_NAME_CHARS, "name of the zone")
+    for limit in report.limits:
+        require(limit.per_s is None or math.isfinite(limit.per_s), "rate limit")
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -23,14 +23,17 @@
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
+from foxtailbank.skipped_records import SkippedRecords
 from foxtailbank.stream_exchange import ReportSender, StreamExchange
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.tasks import describe_error
 
 ADDRESS_POLL_FAST_MS = 1_000  # until all known addresses belong to live peers
 ADDRESS_POLL_SLOW_MS = 20_000
 # How long a crash report or a completion is repeated in the load reports. A peer that
 # hears none of them for longer reads the log.
 RECENT_MS = 10_000
+READ_RETRY_MS = 100
 
 
 class LoadExchange(ReportSender):
@@ -102,6 +105,7 @@
             maxlen=load_report.MAX_COMPLETIONS
         )
         self._known_alive: set[str] = set()
+        self._refused = SkippedRecords(event=Event.PEER_REFUSED, logs=logs, clock=clock)
         self._socket: DatagramSocket | None = None
         self._streams = StreamExchange(
             vm_id=vm_id,
@@ -208,19 +212,29 @@
 
     async def _receive(self, socket: DatagramSocket) -> None:
         while True:
-            for datagram in await socket.receive():
+            for datagram in await self._read(socket):
                 self._on_datagram(datagram)
             near = self._fleet.tiers.peer_count(PeerGroup.NEAR)
             pause_ms = report_intervals.read_pause_ms(near)
             if pause_ms:
                 await anyio.sleep(pause_ms / MS_PER_S)
 
+    async def _read(self, socket: DatagramSocket) -> tuple[Datagram, ...]:
+        try:
+            return await socket.receive()
+        except OSError as error:  # of a datagram sent earlier, or of the network
+            fields = LogFields(task="load reports", reason=describe_error(error))
+            self._logs.write(Event.TASK_FAILED, level=LogLevel.WARNING, fields=fields)
+            await anyio.sleep(READ_RETRY_MS / MS_PER_S)
+            return ()
+
     def _on_datagram(self, datagram: Datagram) -> None:
         try:
             report = load_report.decode(datagram.data)
         except FrameInvalid as failure:
-            fields = LogFields(peer=str(datagram.source), reason=failure.detail)
-            self._logs.write(Event.PEER_REFUSED, level=LogLevel.WARNING, fields=fields)
+            source = str(datagram.source)
+            fields = LogFields(peer=source, reason=failure.detail)
+            self._refused.add(source, fields)
             return
         self._apply(report, datagram.source)
 
--- a/src/foxtailbank/tasks.py
+++ b/src/foxtailbank/tasks.py
@@ -12,6 +12,11 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 
+MIN_RESTART_PAUSE_MS = 100
+MAX_RESTART_PAUSE_MS = 1_600
+MAX_REPR_CHARS = 160
+INNERMOST_FRAMES = 3  # of a trace that a log line names
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeriodicTask:
@@ -61,6 +66,34 @@
         await anyio.sleep(task.period_ms / MS_PER_S)
 
 
+async def run_supervised(
+    name: str, work: t.Callable[[], t.Awaitable[None]], logs: Logs
+) -> None:
+    """Run a task until it returns or is cancelled; after an error, run it again.
+
+    Parameters
+    ----------
+    name : str
+        Name of the task in log lines.
+    work : callable
+        Coroutine function without arguments.
+    logs : Logs
+        Receives a line for each error.
+    """
+    pause_ms = MIN_RESTART_PAUSE_MS
+    while True:
+        try:
+            await work()
+            return
+        except Exception as error:
+            fields = LogFields(
+                task=name, reason=describe_error(error), wait_ms=pause_ms
+            )
+            logs.write(Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields)
+        await anyio.sleep(pause_ms / MS_PER_S)
+        pause_ms = min(2 * pause_ms, MAX_RESTART_PAUSE_MS)
+
+
 def describe_error(error: BaseException) -> str:
     """Describe an unexpected error and where it was raised.
 
@@ -71,5 +104,6 @@
     """
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
-    frame = traceback.extract_tb(error.__traceback__)[-1]
-    return f"{error!r} at {frame.name}:{frame.lineno}"
+    frames = traceback.extract_tb(error.__traceback__)[-INNERMOST_FRAMES:]
+    trace = " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(frames))
+    return f"{repr(error)[:MAX_REPR_CHARS]} at {trace}"
