Headers go through as the bytes that they are; items with letters outside of ASCII run

Cause: header texts were handed to h11 as text, which encodes ASCII. Now one place encodes them (latin-1, one character a byte, so what came in goes out unchanged). A request that can not be written anyhow is one failed attempt (request_unsendable), and an unexpected error in the run of an item ends that run only, with a line.

--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connection that carries one request at a time."""
 
 import math
+import re
 import typing as t
 
 import anyio
@@ -9,12 +10,13 @@
 
 from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.headers import Headers
+from foxtailbank.headers import Headers, encode_headers, encode_text
 from foxtailbank.http1.body_source import BodyFraming, BodySource
 from foxtailbank.http1.failures import (
     ConnectionBroken,
     MalformedResponse,
     NotConnected,
+    RequestUnsendable,
     ResponseTimeout,
     ResponseTooLarge,
 )
@@ -27,6 +29,7 @@
 READ_BYTES = 65_536
 DEFAULT_MAX_IDLE_MS = 4_000  # below the idle timeout of common servers
 IDLE_TIMEOUT_FRACTION = 0.8  # of the timeout that the server announces
+_SECONDS = re.compile("[0-9]{1,9}")
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -104,11 +107,11 @@
         NotConnected
             The address refused the connection or did not respond in time.
         """
-        parsed = parse_address(address)
         try:
+            parsed = parse_address(address)
             with anyio.fail_after(timeout_ms / MS_PER_S):
                 stream = await anyio.connect_tcp(parsed.ip, parsed.port)
-        except (OSError, TimeoutError) as error:
+        except Exception as error:  # of the resolver too, for an odd address
             detail = f"no connection to {address}: {error!r}"
             raise NotConnected(detail=detail) from error
         try:
@@ -137,17 +140,11 @@
         ------
         ConnectionBroken
             The connection was lost while sending.
+        RequestUnsendable
+            The request has no form in HTTP; nothing was sent.
         """
         self._body_sent = False
-        all_headers = [*headers]
-        if body or method not in ("GET", "DELETE", "HEAD"):
-            all_headers.append(("Content-Length", str(len(body))))
-        request = h11.Request(method=method, target=target, headers=all_headers)
-        segments = [self._http.send(request)]
-        if body:
-            segments.append(self._http.send(h11.Data(data=body)))
-        segments.append(self._http.send(h11.EndOfMessage()))
-        data = b"".join(segment for segment in segments if segment)
+        data = self._encode(method, target, headers, body)
         try:
             await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
@@ -156,6 +153,24 @@
             ) from error
         self._body_sent = True
 
+    def _encode(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
+        all_headers = encode_headers(headers)
+        if body or method not in ("GET", "DELETE", "HEAD"):
+            all_headers.append((b"Content-Length", b"%d" % len(body)))
+        try:
+            request = h11.Request(
+                method=encode_text(method),
+                target=encode_text(target),
+                headers=all_headers,
+            )
+            segments = [self._http.send(request)]
+            if body:
+                segments.append(self._http.send(h11.Data(data=body)))
+            segments.append(self._http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            raise RequestUnsendable(detail=str(error)) from error
+        return b"".join(segment for segment in segments if segment)
+
     async def receive_head(self, timeout_ms: float) -> ResponseHead:
         """Wait for the response head.
 
@@ -302,6 +317,6 @@
     """Return how long a connection may idle, from a ``Keep-Alive`` header."""
     for parameter in keep_alive.split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _SECONDS.fullmatch(value):
             return math.floor(int(value) * MS_PER_S * IDLE_TIMEOUT_FRACTION)
     return DEFAULT_MAX_IDLE_MS
--- a/src/foxtailbank/http1/failures.py
+++ b/src/foxtailbank/http1/failures.py
@@ -16,6 +16,12 @@
     code = "not_connected"
 
 
+class RequestUnsendable(ExchangeFailed):
+    """The request can't be written as HTTP, so no byte of it was sent."""
+
+    code = "request_unsendable"
+
+
 class ConnectionBroken(ExchangeFailed):
     """The connection ended after the request was sent."""
 
--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -8,7 +8,7 @@
 
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.exceptions import FoxtailbankError
-from foxtailbank.headers import Headers
+from foxtailbank.headers import Headers, encode_headers
 from foxtailbank.http1.responder import Responder
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.http1.server_request import ServerRequest
@@ -266,13 +266,13 @@
         self, *, status: int, headers: Headers, length: int | None = None
     ) -> None:
         self._started = True
-        all_headers = [*headers]
+        all_headers = encode_headers(headers)
         if length is not None:
-            all_headers.append(("Content-Length", str(length)))
+            all_headers.append((b"Content-Length", b"%d" % length))
         else:
-            all_headers.append(("Transfer-Encoding", "chunked"))
+            all_headers.append((b"Transfer-Encoding", b"chunked"))
         if self._draining():
-            all_headers.append(("Connection", "close"))
+            all_headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=status, headers=all_headers)
         # A sized response's head is held back to share a packet with the first chunk.
         self._head = self._http.send(head) or b""
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -21,6 +21,7 @@
     drop_progress,
     encode,
 )
+from foxtailbank.tasks import describe_error
 
 
 class ItemRecorder:
@@ -102,6 +103,11 @@
         fields = self._fields(run, f"{failure.code}: {failure.detail}")
         self._logs.write(Event.ATTEMPT_FAILED, level=LogLevel.WARNING, fields=fields)
 
+    def record_defect(self, run: ItemRun, error: Exception) -> None:
+        """Log an unexpected error in the run of an item."""
+        fields = self._fields(run, describe_error(error))
+        self._logs.write(Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields)
+
     def record_attempt_failure(self, run: ItemRun, entry: str) -> None:
         """Append to the submission log that a worker answered with an error."""
         submission_id, item_id = run.key
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -15,6 +15,7 @@
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient, WorkerResponse
+from foxtailbank.headers import text_to_header
 from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
@@ -36,6 +37,7 @@
 # After a crash under a part of the item's prompt. Such an item is still owed: a part
 # can be suspect without cause, and a whole answer clears it.
 CRASHING_ITEM_PAUSE_MS = 8_000
+DEFECT_PAUSE_MS = 2_000  # after an unexpected error, which is likely to come again
 PREEMPTION_PAUSE_MS = 300  # a burst of online requests lasts longer
 FULL_RETRY_MS = 100
 START_JITTER_MS = 25  # keeps VMs from taking the same free slot at once
@@ -275,6 +277,9 @@
         try:
             with scope:
                 await self._exchange(run, route, worker)
+        except Exception as error:
+            run.not_before_ms = self._clock.now_ms() + DEFECT_PAUSE_MS
+            self._recorder.record_defect(run, error)
         finally:
             run.cancel_scope = None
             run.event_buffer.discard_partial_event()
@@ -285,7 +290,7 @@
 
     async def _exchange(self, run: ItemRun, route: Route, worker: Worker) -> None:
         call = Call(
-            request_id=run.item.item_id,
+            request_id=text_to_header(run.item.item_id),
             method="POST",
             target=run.item.target,
             host=run.submission.host,
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -139,7 +139,7 @@
         return None
 
 
-def make_submission(count=3, tokens=10):
+def make_submission(count=3, tokens=10, changes=None):
     items = [
         {
             "id": f"i{number}",
@@ -147,6 +147,7 @@
             "headers": {"X-Model": "m"},
             "body": base64.b64encode(b"body%d" % number).decode(),
             "tokens": tokens,
+            **(changes or {}),
         }
         for number in range(count)
     ]
