--- a/src/foxtailbank/address.py
+++ b/src/foxtailbank/address.py
@@ -4,6 +4,7 @@
 import ipaddress
 
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 
 
 class AddressInvalid(ValueError):
@@ -59,7 +60,7 @@
     host, colon, port = text.rpartition(":")
     if not colon or not port.isascii() or not port.isdigit():
         raise AddressInvalid("expected IP:PORT, such as 127.0.0.1:8401")
-    if not 1 <= int(port) <= MAX_PORT:
+    if len(port) > MAX_PORT_DIGITS or not 1 <= int(port) <= MAX_PORT:
         raise AddressInvalid(f"port must be from 1 to {MAX_PORT}")
     ip = host[1:-1] if host.startswith("[") and host.endswith("]") else host
     try:
@@ -69,3 +70,18 @@
     if parsed_ip.version == 6 and ip == host:
         raise AddressInvalid("write an IPv6 number in brackets, [::1]:8401")
     return Address(ip=ip, port=int(port))
+
+
+def parse_connectable(text: str) -> Address:
+    """Parse the address of one machine, to which connections can be made.
+
+    Raises
+    ------
+    AddressInvalid
+        The text is not a valid ``IP:PORT``, or names no single machine.
+    """
+    address = parse_address(text)
+    ip = ipaddress.ip_address(address.ip)
+    if ip.is_unspecified or ip.is_multicast:
+        raise AddressInvalid(f"{ip} is not the address of a machine")
+    return address
--- a/src/foxtailbank/crash_report_log.py
+++ b/src/foxtailbank/crash_report_log.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.decoding import decoding
 from foxtailbank.events import Event
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
 from foxtailbank.fleet.crash_reports import REPORT_TTL_MS
@@ -15,8 +16,10 @@
 from foxtailbank.keyed_log import KeyedRecord, LogSlice
 from foxtailbank.log_follower import LogState
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.record_isolation import apply_each
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.records import RecordUnreadable
 
 KEY_PREFIX = "crash/"
 _REPORT_PREFIX = f"{KEY_PREFIX}report/"
@@ -71,11 +74,7 @@
 
     def apply_records(self, part: LogSlice) -> None:
         """Apply the records that follow."""
-        for record in part.records:
-            if record.value:
-                self._apply(record)
-            else:
-                self._written_wall_ms_by_key.pop(record.key, None)
+        apply_each(part.records, self._apply, task="crash reports", logs=self._logs)
 
     async def run(self) -> None:
         """Drop expired records from the log until cancelled."""
@@ -107,25 +106,30 @@
         self._appends.put((record,), urgent=False)
 
     def _apply(self, record: KeyedRecord) -> None:
+        if not record.value:
+            self._written_wall_ms_by_key.pop(record.key, None)
+            return
         try:
             if record.key.startswith(_COMPLETION_PREFIX):
                 self._apply_completion(record)
             else:
                 self._apply_report(record)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except RecordUnreadable as failure:
             fields = LogFields(
-                task="crash reports", offset=record.offset, reason=str(error)
+                task="crash reports", offset=record.offset, reason=failure.detail
             )
             self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
 
     def _apply_report(self, record: KeyedRecord) -> None:
-        report = _report_decoder.decode(record.value)
+        with decoding(RecordUnreadable):
+            report = _report_decoder.decode(record.value)
         self._written_wall_ms_by_key[record.key] = report.crashed_wall_ms
         vm_id = record.key.removeprefix(_REPORT_PREFIX).partition("/")[0]
         self._crashes.on_peer_report(report, vm_id=vm_id)
 
     def _apply_completion(self, record: KeyedRecord) -> None:
-        completion = _completion_decoder.decode(record.value)
+        with decoding(RecordUnreadable):
+            completion = _completion_decoder.decode(record.value)
         self._written_wall_ms_by_key[record.key] = completion.completed_wall_ms
         self._crashes.reports.add_completion(completion)
 
--- a/src/foxtailbank/http1/server.py
+++ b/src/foxtailbank/http1/server.py
@@ -6,13 +6,14 @@
 import anyio.abc
 
 from foxtailbank.address import parse_address
-from foxtailbank.clock import Clock
+from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.http1.accept import accept
 from foxtailbank.http1.server_connection import Handler, ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.http1.socket_options import enable_dead_peer_detection
 
 BACKLOG = 1_024
+ACCEPT_PAUSE_MS = 100  # until descriptors may be free again
 
 
 class Server:
@@ -29,7 +30,8 @@
     clock : Clock
         Source of time.
     on_handler_error : callable
-        Called with an unexpected error of a handler; its connection is closed.
+        Called with an unexpected error of a handler, whose connection is closed, and
+        with one that keeps new connections from being accepted.
 
     Attributes
     ----------
@@ -70,7 +72,13 @@
         listening = listener.extra(anyio.abc.SocketAttribute.raw_socket)
         async with listener, anyio.create_task_group() as group:
             while True:
-                group.start_soon(self._serve, await accept(listening))
+                try:
+                    stream = await accept(listening)
+                except OSError as error:
+                    self._on_handler_error(error)
+                    await anyio.sleep(ACCEPT_PAUSE_MS / MS_PER_S)
+                else:
+                    group.start_soon(self._serve, stream)
 
     def close_idle(self) -> None:
         """Close the connections that are between requests."""
--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -12,6 +12,7 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.shared_read import SharedRead
+from foxtailbank.tasks import describe_error
 
 RETRY_MS = 200
 LONG_POLL_MS = 800  # bounds the delay if the store misses new records for a poll
@@ -154,6 +155,12 @@
             except FoxtailbankError as failure:
                 self._on_failure(failure)
                 await anyio.sleep(RETRY_MS / MS_PER_S)
+            except Exception as error:
+                fields = LogFields(task=self._name, reason=describe_error(error))
+                self._logs.write(
+                    Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields
+                )
+                await anyio.sleep(RETRY_MS / MS_PER_S)
 
     async def wait_for_change(self, timeout_ms: float) -> None:
         """Wait until records were applied, at most for a time in milliseconds."""
--- a/src/foxtailbank/relay/relay_messages.py
+++ b/src/foxtailbank/relay/relay_messages.py
@@ -1,12 +1,12 @@
 """What two VMs tell each other, in headers, of a request that one carries out."""
 
 import base64
-import binascii
 import enum
 import typing as t
 
 import msgspec
 
+from foxtailbank.decoding import decoding
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.stream_origin import StreamOrigin
 
@@ -106,8 +106,6 @@
     RelayMessageInvalid
         It does not hold a message of this kind.
     """
-    try:
+    with decoding(RelayMessageInvalid):
         encoded = base64.urlsafe_b64decode(value.encode("ascii"))
         return msgspec.msgpack.decode(encoded, type=kind)
-    except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
-        raise RelayMessageInvalid(detail=str(error)) from error
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -35,6 +35,7 @@
 from foxtailbank.submissions.service import SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
 from foxtailbank.submissions.takeover import Takeover
+from foxtailbank.tasks import run_supervised
 
 SUBMISSIONS_READ_PAUSE_MS = 500  # results are visible at each VM within a second
 EXPIRY_PERIOD_MS = 250  # short against the grace time of lapsed worker entries
@@ -292,17 +293,20 @@
     async def run(self) -> None:
         """Run all tasks except the network interfaces until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._follower.run)
-            group.start_soon(self._appends.run)
-            group.start_soon(self._address_appends.run)
-            group.start_soon(self._exchange.run)
-            group.start_soon(self.runner.run)
-            group.start_soon(self._takeover.run)
-            group.start_soon(self._retirement.run)
-            group.start_soon(self._crash_report_log.run)
-            group.start_soon(self._version_log.run)
-            group.start_soon(self._expire_workers)
-            group.start_soon(self._reach_prober.run)
+            for name, work in (
+                ("submissions", self._follower.run),
+                ("append", self._appends.run),
+                ("append addresses", self._address_appends.run),
+                ("load reports", self._exchange.run),
+                ("items", self.runner.run),
+                ("takeover", self._takeover.run),
+                ("retirement", self._retirement.run),
+                ("crash reports", self._crash_report_log.run),
+                ("software versions", self._version_log.run),
+                ("expire workers", self._expire_workers),
+                ("probe workers", self._reach_prober.run),
+            ):
+                group.start_soon(run_supervised, name, work, self._logs)
 
     async def hand_over(self, timeout_ms: int) -> None:
         """Stop batch items so that other VMs continue them.
--- a/src/foxtailbank/software_version_log.py
+++ b/src/foxtailbank/software_version_log.py
@@ -11,6 +11,7 @@
 
 from foxtailbank import rendezvous
 from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.decoding import decoding
 from foxtailbank.events import Event
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.fleet.version_history import (
@@ -21,8 +22,10 @@
 from foxtailbank.keyed_log import KeyedRecord, LogSlice
 from foxtailbank.log_follower import LogState
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.record_isolation import apply_each
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.records import RecordUnreadable
 
 KEY_PREFIX = "version/"
 CHECK_PERIOD_MS = 300
@@ -83,11 +86,7 @@
 
     def apply_records(self, part: LogSlice) -> None:
         """Apply the records that follow."""
-        for stored in part.records:
-            if stored.value:
-                self._apply(stored)
-            elif version := self._version_by_key.pop(stored.key, None):
-                self._history.drop_record(version)
+        apply_each(part.records, self._apply, task="software versions", logs=self._logs)
 
     async def run(self) -> None:
         """Write what the log lacks until cancelled."""
@@ -132,11 +131,16 @@
         )
 
     def _apply(self, stored: KeyedRecord) -> None:
+        if not stored.value:
+            if version := self._version_by_key.pop(stored.key, None):
+                self._history.drop_record(version)
+            return
         try:
-            record = _decoder.decode(stored.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            with decoding(RecordUnreadable):
+                record = _decoder.decode(stored.value)
+        except RecordUnreadable as failure:
             fields = LogFields(
-                task="software versions", offset=stored.offset, reason=str(error)
+                task="software versions", offset=stored.offset, reason=failure.detail
             )
             self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
             return
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from foxtailbank.decoding import decoding
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.keyed_log import KeyedRecord
@@ -228,7 +229,5 @@
     RecordUnreadable
         The bytes do not decode to any known record type.
     """
-    try:
+    with decoding(RecordUnreadable):
         return _decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise RecordUnreadable(detail=str(error)) from error
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -1,12 +1,14 @@
 """Copy of the ledger on one VM, updated from the log."""
 
 import dataclasses
+import functools
 import typing as t
 
 from foxtailbank.events import Event
 from foxtailbank.keyed_log import KeyedRecord, LogSlice
 from foxtailbank.log_follower import LogState
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.record_isolation import apply_each
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
 from foxtailbank.submissions.records import (
@@ -81,14 +83,15 @@
         self.ledger = Ledger()
         self.unmarked_by_key = {}
         self._part_keys_by_attempt = {}
-        for record in newest.records:
-            self._apply(record, is_replay=True)
-        self._notify()
+        self._apply_all(newest, is_replay=True)
 
     def apply_records(self, part: LogSlice) -> None:
         """Apply the records that follow."""
-        for record in part.records:
-            self._apply(record, is_replay=False)
+        self._apply_all(part, is_replay=False)
+
+    def _apply_all(self, part: LogSlice, *, is_replay: bool) -> None:
+        apply = functools.partial(self._apply, is_replay=is_replay)
+        apply_each(part.records, apply, task="submissions", logs=self._logs)
         self._notify()
 
     def _apply(self, stored: KeyedRecord, *, is_replay: bool) -> None:
