--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -29,7 +29,9 @@
 SAFE_TIMEOUT_FACTOR = 5  # times the mean run time; few requests take longer
 # A client takes these statuses to mean that its request has not been run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-CRASHES_WORKERS = "crashes_workers"  # reason in log lines and metrics
+# Reasons in log lines and metrics.
+CRASHES_WORKERS = "crashes_workers"
+VM_STOPPING = "vm_stopping"
 MIN_RETRY_TIME_MS = 30  # no request completes in less time
 
 
@@ -67,6 +69,7 @@
         self._responder = responder
         self._fleet = context.fleet
         self._clock = context.clock
+        self._gate = context.gate
         self._recorder = CallRecorder(call=call, route=route, context=context)
         self._final = FinalResponse(
             responder=responder,
@@ -132,6 +135,8 @@
             if isinstance(target, Refusal):
                 await self._give_up(target)
                 return
+            if await self._stop_if_shutting_down():
+                return
             if await self._attempt(target):
                 return
             if not self._has_attempts_left:
@@ -173,6 +178,16 @@
             await self._final.refuse_for(CRASHES_WORKERS, refused_ms)
         return True
 
+    async def _stop_if_shutting_down(self) -> bool:
+        """Refuse a request that is not under way yet when the VM is being stopped.
+
+        What has been passed on is ended here, also by a further attempt.
+        """
+        if self._may_have_run or not self._gate.is_closed:
+            return False
+        await self._final.refuse_for(VM_STOPPING, self._gate.retry_after_ms())
+        return True
+
     async def _attempt(self, target: AttemptTarget) -> bool:
         """Send to one target; true if the request needs no further attempt."""
         after_event = self._event_buffer.last_event_id
--- a/src/foxtailbank/forward/forward_context.py
+++ b/src/foxtailbank/forward/forward_context.py
@@ -6,6 +6,7 @@
 from foxtailbank.clock import Clock
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.peer_relay import PeerRelay
+from foxtailbank.forward.stop_gate import StopGate
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -31,6 +32,8 @@
         Draws services and ``Retry-After`` times.
     pass_ms : int
         Upper limit of the deployment on the delay of a stream's event.
+    gate : StopGate
+        Whether requests may still be passed on.
     relay : PeerRelay or None
         Ways to the workers through other VMs, if there are any.
     """
@@ -42,4 +45,5 @@
     metrics: Metrics
     rng: random.Random
     pass_ms: int
+    gate: StopGate
     relay: PeerRelay | None = None
--- a/src/foxtailbank/http1/server.py
+++ b/src/foxtailbank/http1/server.py
@@ -80,10 +80,16 @@
                 else:
                     group.start_soon(self._serve, stream)
 
-    def close_idle(self) -> None:
-        """Close the connections that are between requests."""
+    def close_idle(self, *, first_request_ms: int = 0) -> None:
+        """Close the connections that are between requests.
+
+        Parameters
+        ----------
+        first_request_ms : int
+            As for `ServerConnection.close_if_idle`.
+        """
         for connection in tuple(self._connections):
-            connection.close_if_idle()
+            connection.close_if_idle(first_request_ms=first_request_ms)
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         try:
--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -78,6 +78,8 @@
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
         self._idle_scope: anyio.CancelScope | None = None
+        self._opened_ms = clock.now_ms()
+        self._request_count = 0
         self.is_busy = False
 
     async def serve(self) -> None:
@@ -95,9 +97,18 @@
             with anyio.CancelScope(shield=True):
                 await self._stream.aclose()
 
-    def close_if_idle(self) -> None:
-        """Close if no request is in progress; otherwise do nothing."""
-        if self._idle_scope is not None:
+    def close_if_idle(self, *, first_request_ms: int = 0) -> None:
+        """Close if no request is in progress; otherwise do nothing.
+
+        Parameters
+        ----------
+        first_request_ms : int
+            Age up to which a connection is left open for its first request, in
+            milliseconds.
+        """
+        age_ms = self._clock.now_ms() - self._opened_ms
+        is_new = not self._request_count and age_ms < first_request_ms
+        if self._idle_scope is not None and not is_new:
             self._idle_scope.cancel()
 
     def _is_unframed_response_cut_off(self) -> bool:
@@ -118,6 +129,7 @@
         if request is None:
             return False
         self.is_busy = True
+        self._request_count += 1
         try:
             await self._handle(request, responder)
         finally:
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -9,7 +9,6 @@
 from foxtailbank.crash_report_log import KEY_PREFIX as CRASH_KEY_PREFIX
 from foxtailbank.crash_report_log import CrashReportLog
 from foxtailbank.events import Event
-from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.forward_context import ForwardContext
@@ -17,6 +16,7 @@
 from foxtailbank.forward.peer_relay import PeerRelay
 from foxtailbank.forward.reach_prober import ReachProber
 from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.stop_gate import StopGate
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.key_router import KeyRouter
 from foxtailbank.keyed_log import KeyedLog
@@ -35,7 +35,7 @@
 from foxtailbank.submissions.service import SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
 from foxtailbank.submissions.takeover import Takeover
-from foxtailbank.tasks import run_supervised
+from foxtailbank.tasks import describe_error, run_supervised
 
 SUBMISSIONS_READ_PAUSE_MS = 500  # results are visible at each VM within a second
 EXPIRY_PERIOD_MS = 250  # short against the grace time of lapsed worker entries
@@ -120,6 +120,8 @@
 
     Attributes
     ----------
+    gate : StopGate
+        Whether new requests are passed on.
     routes : RouteTable
         Current routes, which the platform's adapter supplies.
     fleet : FleetState
@@ -152,6 +154,7 @@
         process_name = identity.process_name
         self._clock = clock
         self._logs = logs
+        self.gate = StopGate(rng=rng)
         self.routes = RouteTable()
         self.fleet = FleetState(
             vm_id=identity.vm_id,
@@ -173,6 +176,7 @@
         self._reach_prober = ReachProber(fleet=self.fleet, client=client)
         self.forwarder = Forwarder(
             context=ForwardContext(
+                gate=self.gate,
                 client=client,
                 fleet=self.fleet,
                 clock=clock,
@@ -322,8 +326,8 @@
         self._exchange.report_soon()
         try:
             await self._takeover.stop()
-        except FoxtailbankError as failure:
-            fields = LogFields(task="lease", reason=failure.code)
+        except Exception as error:  # the requests that run must still be ended
+            fields = LogFields(task="lease", reason=describe_error(error))
             self._logs.write(Event.TASK_FAILED, fields=fields)
 
     async def flush(self, timeout_ms: int) -> None:
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -15,6 +15,7 @@
 from foxtailbank.forward.forwarder import Forwarder
 from foxtailbank.forward.route import Backend, Route, RouteKind, RouteSet
 from foxtailbank.forward.route_table import RouteTable
+from foxtailbank.forward.stop_gate import StopGate
 from foxtailbank.forward.worker_client import (
     ReservationRefused,
     WorkerClient,
@@ -293,6 +294,7 @@
         self.asked_worker_ids = []
         self.lifetimes_ms = []
         self.reservations = []
+        self.on_send = lambda: None
 
     def prompt_parts(self, headers):
         return self.parts
@@ -322,6 +324,7 @@
             (worker.worker_id, call.request_id, remaining_ms, resume_after)
         )
         self.reservations.append(reservation)
+        self.on_send()
         step = self.script.pop(0)
         if isinstance(step, BaseException):
             raise step
@@ -374,8 +377,10 @@
             self.fleet.workers.put(make_worker(f"w{number}", slots=slots))
         self.client = client or FakeWorkerClient(*script)
         self.responder = FakeResponder()
+        self.gate = StopGate(rng=random.Random(1))
         self.forwarder = Forwarder(
             context=ForwardContext(
+                gate=self.gate,
                 client=self.client,
                 fleet=self.fleet,
                 clock=self.clock,
