--- a/src/foxtailbank/crash_report_log.py
+++ b/src/foxtailbank/crash_report_log.py
@@ -92,7 +92,7 @@
             del self._written_wall_ms_by_key[key]
         if expired:
             records = tuple(KeyedRecord(key=key, value=b"") for key in expired)
-            self._appends.put(records, urgent=False)
+            self._appends.put_split(records)
 
     def _write_report(self, report: CrashReport) -> None:
         self._report_count += 1
--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -31,6 +31,7 @@
     EDIT_REFUSED = "edit_refused"
     EDIT_CONFLICT = "edit_conflict"
     RECORD_SKIPPED = "record_skipped"
+    APPEND_DROPPED = "append_dropped"
     REPLAY_BLOCKED = "replay_blocked"
     SNAPSHOT_TAKEN = "snapshot_taken"
     SNAPSHOT_RESTORED = "snapshot_restored"
--- a/src/foxtailbank/keyed_log.py
+++ b/src/foxtailbank/keyed_log.py
@@ -23,6 +23,13 @@
         super().__init__(detail=detail, ran=Ran.UNKNOWN)
 
 
+class StoreRejected(FoxtailbankError):
+    """The store did not carry out the request, nor will it carry out a repeat."""
+
+    code = "store_rejected"
+    status = 500
+
+
 class HistoryTruncated(FoxtailbankError):
     """The requested records have expired."""
 
@@ -65,6 +72,11 @@
     value: bytes
     offset: int = -1
 
+    @property
+    def size_bytes(self) -> int:
+        """Size in the log: the key with its length, and the value."""
+        return 1 + len(self.key.encode()) + len(self.value)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LogSlice:
@@ -147,6 +159,8 @@
             The sequence number does not follow the producer's last one.
         StoreRefused
             Nothing was appended.
+        StoreRejected
+            Nothing was appended, nor will a repeat be.
         StoreResponseLost
             The records may have been appended, or may be later.
         """
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -191,6 +191,7 @@
         self._appends = AppendQueue(
             log=submissions,
             producer=process_name,
+            record_bytes=store_limits.max_record_bytes,
             call_bytes=store_limits.max_append_bytes,
             logs=logs,
             clock=clock,
@@ -198,6 +199,7 @@
         self._address_appends = AppendQueue(
             log=addresses,
             producer=process_name,
+            record_bytes=store_limits.max_record_bytes,
             call_bytes=store_limits.max_append_bytes,
             logs=logs,
             clock=clock,
--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -1,6 +1,7 @@
 """Appends records to the log, one call at a time, each exactly once."""
 
 import dataclasses
+import typing as t
 
 import anyio
 
@@ -13,6 +14,7 @@
     KeyedRecord,
     SequenceMismatch,
     StoreRefused,
+    StoreRejected,
     StoreResponseLost,
 )
 from foxtailbank.logs import LogFields, Logs
@@ -21,6 +23,15 @@
 RETRY_MS = 250  # a short outage ends between two attempts
 LINGER_MS = 40  # results that arrive within this time share one call
 MAX_WAITING_BYTES = 24 << 20  # a fraction of the smallest VM's memory
+MAX_KEY_BYTES = 255  # its length is stored in one byte
+FRAME_BYTES = 4  # of a record in an append, for its length
+
+
+class AppendTooLarge(FoxtailbankError):
+    """Records exceed what the store takes in one record or in one append."""
+
+    code = "append_too_large"
+    status = 413
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -47,7 +58,7 @@
     @property
     def size_bytes(self) -> int:
         """Encoded size of the records in bytes."""
-        return sum(len(r.key) + len(r.value) + 5 for r in self.records)
+        return sum(_framed_bytes(record) for record in self.records)
 
 
 class AppendQueue:
@@ -64,6 +75,8 @@
         Name of this process, unique to each start.
     call_bytes : int
         Maximum size of an append in bytes.
+    record_bytes : int, optional
+        Maximum size of a record in bytes; that of an append by default.
     logs : Logs
         Receives a line when appends start to fail and when they succeed again.
     clock : Clock
@@ -78,10 +91,12 @@
         call_bytes: int,
         logs: Logs,
         clock: Clock,
+        record_bytes: int | None = None,
     ) -> None:
         self._log = log
         self._producer = producer
         self._call_bytes = call_bytes
+        self._record_bytes = record_bytes or call_bytes
         self._logs = logs
         self._clock = clock
         self._sequence = 1
@@ -117,13 +132,50 @@
             Appended all together or not at all.
         urgent : bool
             If true, send at once instead of waiting for more records.
+
+        Raises
+        ------
+        AppendTooLarge
+            The store would never take them; nothing was queued.
         """
+        self._check_size(records)
         pending = PendingAppend(records=records, urgent=urgent)
         self._waiting.append(pending)
         self.waiting_bytes += pending.size_bytes
         self._wake.set()
         return pending
 
+    def put_split(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Queue records in order, in as many appends as their sizes take."""
+        for part in self.split(records):
+            self.put(part, urgent=False)
+
+    def split(
+        self, records: tuple[KeyedRecord, ...]
+    ) -> t.Iterator[tuple[KeyedRecord, ...]]:
+        """Yield the records in order, in parts that fit into one append each."""
+        part: list[KeyedRecord] = []
+        size_bytes = 0
+        for record in records:
+            size_bytes += _framed_bytes(record)
+            if part and size_bytes > self._call_bytes:
+                yield tuple(part)
+                part = []
+                size_bytes = _framed_bytes(record)
+            part.append(record)
+        if part:
+            yield tuple(part)
+
+    def _check_size(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            if len(record.key.encode()) > MAX_KEY_BYTES:
+                raise AppendTooLarge(detail="the key of a record is too long")
+            if record.size_bytes > self._record_bytes:
+                raise AppendTooLarge(detail=f"record of {record.size_bytes} bytes")
+        size_bytes = sum(map(_framed_bytes, records))
+        if size_bytes > self._call_bytes:
+            raise AppendTooLarge(detail=f"append of {size_bytes} bytes")
+
     def withdraw(self, pending: PendingAppend) -> bool:
         """Remove records not yet sent; return false if they may have been sent."""
         if pending not in self._waiting:
@@ -141,7 +193,13 @@
             if not any(pending.urgent for pending in self._waiting):
                 await self._linger()
             batch = self._next_batch()
-            await self._append(batch)
+            # Removed before sending, as an append that may be in the log cannot be
+            # withdrawn.
+            del self._waiting[: len(batch)]
+            try:
+                await self._append(batch)
+            except StoreRejected as failure:
+                await self._append_singly(batch, failure)
 
     async def _linger(self) -> None:
         self._wake = anyio.Event()
@@ -161,9 +219,6 @@
         return batch
 
     async def _append(self, batch: list[PendingAppend]) -> None:
-        # Removed before sending, as an append that may be in the log cannot be
-        # withdrawn.
-        del self._waiting[: len(batch)]
         records = tuple(r for pending in batch for r in pending.records)
         in_doubt = False
         while True:
@@ -180,6 +235,9 @@
                 in_doubt = True
                 self._on_failure(failure)
                 await anyio.sleep(RETRY_MS / MS_PER_S)
+            except StoreRejected:
+                self._on_success()  # the store answers
+                raise
             except StoreRefused as failure:
                 self._on_failure(failure)
                 if not in_doubt:
@@ -197,6 +255,29 @@
             pending.end = end
             pending.done.set()
 
+    async def _append_singly(
+        self, batch: list[PendingAppend], failure: StoreRejected
+    ) -> None:
+        """Append one by one what the store rejected together, and drop the culprit."""
+        if len(batch) == 1:
+            self._drop(batch[0], failure)
+            return
+        for pending in batch:
+            try:
+                await self._append([pending])
+            except StoreRejected as single_failure:
+                self._drop(pending, single_failure)
+
+    def _drop(self, pending: PendingAppend, failure: StoreRejected) -> None:
+        fields = LogFields(
+            task="append",
+            reason=f"{failure.code}: {failure.detail}: {pending.records[0].key}",
+            count=len(pending.records),
+        )
+        self._logs.write(Event.APPEND_DROPPED, level=LogLevel.ERROR, fields=fields)
+        self.waiting_bytes -= pending.size_bytes
+        pending.done.set()
+
     def _refuse_urgent(self, batch: list[PendingAppend]) -> list[PendingAppend]:
         """Finish the urgent appends as refused and return the others for a retry."""
         for pending in batch:
@@ -220,3 +301,7 @@
         self._failing_since_ms = None
         fields = LogFields(task="append", age_ms=age_ms)
         self._logs.write(Event.STORE_RESTORED, fields=fields)
+
+
+def _framed_bytes(record: KeyedRecord) -> int:
+    return FRAME_BYTES + record.size_bytes
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -20,6 +20,7 @@
     Record,
     drop_progress,
     encode,
+    key_segment,
 )
 from foxtailbank.tasks import describe_error
 
@@ -83,7 +84,7 @@
             texts=tuple(run.texts),
             origin=run.origin,
         )
-        self._append(record, unique=item_id)
+        self._append(record, unique=key_segment(item_id))
 
     def record_preemption(self, run: ItemRun, worker: Worker, load: WorkerLoad) -> None:
         """Log and count the preemption of an item for online requests."""
@@ -137,7 +138,7 @@
     def _unique_suffix(self, item_id: str) -> str:
         # Not derived from the run, as an item taken over again gets another run.
         self._suffix_count += 1
-        return f"{item_id}/{self._owner_id}/{self._suffix_count}"
+        return f"{key_segment(item_id)}/{self._owner_id}/{self._suffix_count}"
 
     def _append(self, record: Record, *, unique: str) -> None:
         self._appends.put((encode(record, key_suffix=unique),), urgent=False)
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -9,6 +9,8 @@
 from foxtailbank.submissions.records import Item, Progress
 from foxtailbank.submissions.submission import Submission
 
+TEXT_OVERHEAD_BYTES = 5  # of an event's data in a record, for its length
+
 
 @dataclasses.dataclass(kw_only=True)
 class ItemRun:
@@ -91,7 +93,7 @@
     @property
     def output_bytes(self) -> int:
         """Size of the output so far, as it is stored."""
-        return sum(len(text.encode()) for text in self.texts)
+        return sum(len(text.encode()) + TEXT_OVERHEAD_BYTES for text in self.texts)
 
     @property
     def key(self) -> tuple[str, str]:
--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -3,6 +3,8 @@
 import collections
 import enum
 
+import msgspec
+
 from foxtailbank.submissions.records import (
     AttemptFailed,
     Ended,
@@ -23,6 +25,7 @@
 
     ACCEPTED = "accepted"
     TOO_MANY_TOKENS = "too_many_tokens"
+    INCOMPLETE = "incomplete"
     ITEM_ENDED = "listed"
     FAILED = "failed"
     ENDED = "ended"
@@ -60,6 +63,10 @@
         if dropped is not None:
             self._waiting_by_route[dropped.route] -= dropped.waiting_tokens
 
+    def forget_parts(self, submission_id: str, attempt: str) -> None:
+        """Remove parts of a submission whose records were dropped."""
+        self._parts_by_attempt.pop((submission_id, attempt), None)
+
     def forget_progress(self, submission_id: str, item_id: str) -> None:
         """Remove an item's progress whose record was dropped."""
         submission = self._by_id.get(submission_id)
@@ -92,9 +99,12 @@
 
     def _submit(self, record: Submitted) -> Effect:
         attempt = (record.submission_id, record.attempt)
-        items = [*self._parts_by_attempt.pop(attempt, ()), *record.items]
+        pieces = [*self._parts_by_attempt.pop(attempt, ()), *record.items]
         if record.submission_id in self._by_id:
             return Effect.NONE
+        if record.piece_count not in (0, len(pieces)):
+            return Effect.INCOMPLETE
+        items = _join_pieces(pieces)
         tokens = sum(item.tokens for item in items)
         waiting = self._waiting_by_route[record.route]
         if record.waiting_limit and waiting + tokens > record.waiting_limit:
@@ -155,3 +165,18 @@
         submission.generation = record.generation
         submission.owner = record.owner
         return Effect.TAKEN_OVER
+
+
+def _join_pieces(pieces: list[Item]) -> list[Item]:
+    """Return the items that pieces make up, each with its whole body."""
+    bodies_by_id: dict[str, list[bytes]] = {}
+    first_by_id: dict[str, Item] = {}
+    for piece in pieces:
+        first_by_id.setdefault(piece.item_id, piece)
+        bodies_by_id.setdefault(piece.item_id, []).append(piece.body)
+    return [
+        first
+        if len(bodies_by_id[item_id]) == 1
+        else msgspec.structs.replace(first, body=b"".join(bodies_by_id[item_id]))
+        for item_id, first in first_by_id.items()
+    ]
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -11,6 +11,7 @@
 import typing as t
 
 import msgspec
+import xxhash
 
 from foxtailbank.decoding import decoding
 from foxtailbank.exceptions import FoxtailbankError
@@ -19,6 +20,9 @@
 
 SUBMITTED_KIND = "submitted"
 PROGRESS_KIND = "progress"
+PART_KIND = "part"
+MAX_SEGMENT_BYTES = 64  # two of them and a process fit into a key
+_DIGEST_MARK = "#"
 
 
 class RecordUnreadable(FoxtailbankError):
@@ -28,7 +32,10 @@
 
 
 class Item(msgspec.Struct, frozen=True, kw_only=True):
-    """One request of a submission.
+    """One request of a submission, or a piece of one that is too large for a record.
+
+    The pieces of a request follow each other and have its id. The first has all its
+    fields and the begin of its body, the others only more of the body.
 
     Attributes
     ----------
@@ -51,7 +58,7 @@
     tokens: int
 
 
-class Part(msgspec.Struct, frozen=True, kw_only=True, tag="part"):
+class Part(msgspec.Struct, frozen=True, kw_only=True, tag=PART_KIND):
     """Some of the items of a submission that is too large for one record."""
 
     submission_id: str
@@ -82,6 +89,9 @@
         Process that runs the items, as ``vm/incarnation``.
     items : tuple of Item
         Items to run, following those of its parts.
+    piece_count : int
+        Number of items in the parts and here; 0 in records of earlier releases. A
+        submission of which some are missing is not accepted.
     """
 
     submission_id: str
@@ -93,6 +103,7 @@
     waiting_limit: int
     owner: str
     items: tuple[Item, ...]
+    piece_count: int = 0
 
 
 class RefusedAttempt(msgspec.Struct, frozen=True, kw_only=True, tag="refused"):
@@ -187,6 +198,19 @@
 _decoder = msgspec.msgpack.Decoder(Record)
 
 
+def key_segment(name: str) -> str:
+    """Return how an id that a client chose stands in keys, which have few bytes."""
+    is_plain = "/" not in name and not name.startswith(_DIGEST_MARK)
+    if is_plain and len(name.encode()) <= MAX_SEGMENT_BYTES:
+        return name
+    return _DIGEST_MARK + xxhash.xxh3_128_hexdigest(name.encode())
+
+
+def item_bytes(item: Item) -> int:
+    """Return the size of an item in a record."""
+    return len(_encoder.encode(item))
+
+
 def encode(record: Record, *, key_suffix: str) -> KeyedRecord:
     """Return a record encoded for the log.
 
@@ -198,7 +222,7 @@
         Last part of the key; unique among the submission's records of this kind.
     """
     kind = type(record).__struct_config__.tag
-    key = f"{kind}/{record.submission_id}/{key_suffix}"
+    key = f"{kind}/{key_segment(record.submission_id)}/{key_suffix}"
     return KeyedRecord(key=key, value=_encoder.encode(record))
 
 
@@ -217,7 +241,7 @@
 
 def drop_progress(submission_id: str, item_id: str) -> KeyedRecord:
     """Return the record that drops an item's progress from the log."""
-    key = f"{PROGRESS_KIND}/{submission_id}/{item_id}"
+    key = f"{PROGRESS_KIND}/{key_segment(submission_id)}/{key_segment(item_id)}"
     return KeyedRecord(key=key, value=b"")
 
 
--- a/src/foxtailbank/submissions/retirement.py
+++ b/src/foxtailbank/submissions/retirement.py
@@ -99,7 +99,7 @@
         self._marked_keys.add(attempt.key)
         records = [KeyedRecord(key=key, value=b"") for key in sorted(attempt.part_keys)]
         records.append(encode_refused(attempt.refused, key=attempt.key))
-        self._appends.put(tuple(records), urgent=False)
+        self._appends.put_split(tuple(records))
 
     def _retire(self, submission: Submission) -> None:
         created_key = submission.created_key
@@ -107,6 +107,6 @@
         # The record that created the submission is dropped last.
         keys = [*sorted(submission.record_keys - {created_key}), created_key]
         records = tuple(KeyedRecord(key=key, value=b"") for key in keys)
-        self._appends.put(records, urgent=False)
+        self._appends.put_split(records)
         fields = LogFields(job_id=submission.submission_id, count=len(records))
         self._logs.write(Event.SUBMISSION_RETIRED, fields=fields)
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -14,11 +14,11 @@
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.item_groups import encode_parts, split_items
 from foxtailbank.submissions.records import (
     Ended,
     Item,
     ItemEnded,
-    Part,
     Submitted,
     encode,
 )
@@ -26,7 +26,6 @@
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 APPEND_WAIT_MS = 3_000  # shorter than a caller's deadline for a submission
-ITEM_OVERHEAD_BYTES = 512  # of an item in a record, beside its body
 RESULT_OVERHEAD_BYTES = 200  # of a result in a page, beside its text
 MAX_PAGE_BYTES = 900_000
 RETRY_AFTER_MS = 700
@@ -162,6 +161,8 @@
             The store is unavailable or was not read in time; nothing was written.
         OutcomeUnknown
             The submission may still be accepted.
+        AppendTooLarge
+            An item fits into no record; nothing was written.
         """
         if self._table.ledger.get(new.submission_id) is not None:
             return
@@ -173,12 +174,30 @@
                 return
             if self._exceeds_limit(route, tokens):
                 raise self._too_large()
-        end = await self._append(self._encode_records(new, route))
+        end = await self._append_parts(self._encode_records(new, route))
         if not await self._follower.wait_for_offset(end, APPEND_WAIT_MS):
             raise OutcomeUnknown(detail="the log could not be read back")
         if self._table.ledger.get(new.submission_id) is None:
             raise self._too_large()
 
+    async def _append_parts(self, records: tuple[KeyedRecord, ...]) -> int:
+        """Append records in order, in as many appends as their sizes take.
+
+        Nothing of a submission counts before its last record is in the log.
+        """
+        deadline_ms = self._clock.now_ms() + APPEND_WAIT_MS
+        *parts, last = self._appends.split(records)
+        appended: list[KeyedRecord] = []
+        try:
+            for part in parts:
+                appended += part
+                await self._append(part, deadline_ms, is_last=False)
+            return await self._append(last, deadline_ms)
+        except StateUnknown:
+            drops = tuple(KeyedRecord(key=r.key, value=b"") for r in appended)
+            self._appends.put_split(drops)
+            raise
+
     async def results(
         self, submission_id: str, *, position: int, wait_ms: int
     ) -> ResultPage:
@@ -244,11 +263,12 @@
         record = encode(
             Ended(submission_id=submission_id), key_suffix=self._unique_suffix()
         )
-        end = await self._append((record,))
+        end = await self._append((record,), self._clock.now_ms() + APPEND_WAIT_MS)
         await self._follower.wait_for_offset(end, APPEND_WAIT_MS)
 
     def _require_store(self) -> None:
-        if not self._follower.is_restored or not self._appends.is_available:
+        is_available = self._appends.is_available and self._appends.has_capacity
+        if not self._follower.is_restored or not is_available:
             raise StateUnknown(
                 detail="the store is unavailable", retry_after_ms=RETRY_AFTER_MS
             )
@@ -305,10 +325,27 @@
         )
         self._logs.write(Event.RESULT_NOT_FOUND, fields=fields)
 
-    async def _append(self, records: tuple[KeyedRecord, ...]) -> int:
+    async def _append(
+        self,
+        records: tuple[KeyedRecord, ...],
+        deadline_ms: int,
+        *,
+        is_last: bool = True,
+    ) -> int:
+        """Append records together and return the offset after them.
+
+        Parameters
+        ----------
+        records : tuple of KeyedRecord
+            Records for one append.
+        deadline_ms : int
+            When to give up.
+        is_last : bool
+            Whether they take effect; if not, their outcome need not be known.
+        """
         pending = self._appends.put(records, urgent=True)
-        if not await _wait_for(pending.done, APPEND_WAIT_MS):
-            if self._appends.withdraw(pending):
+        if not await _wait_for(pending.done, deadline_ms - self._clock.now_ms()):
+            if self._appends.withdraw(pending) or not is_last:
                 raise StateUnknown(
                     detail="the append could not be sent in time",
                     retry_after_ms=RETRY_AFTER_MS,
@@ -324,11 +361,7 @@
         self, new: NewSubmission, route: Route
     ) -> tuple[KeyedRecord, ...]:
         attempt = self._unique_suffix()
-        groups = list(_split_items(new.items, self._part_bytes))
-        parts = [
-            Part(submission_id=new.submission_id, attempt=attempt, items=group)
-            for group in groups[:-1]
-        ]
+        groups = split_items(new.items, self._part_bytes)
         submitted = Submitted(
             submission_id=new.submission_id,
             attempt=attempt,
@@ -339,13 +372,10 @@
             waiting_limit=route.waiting_tokens,
             owner=self._owner_id,
             items=groups[-1],
+            piece_count=sum(map(len, groups)),
         )
-        stored = [
-            encode(part, key_suffix=f"{attempt}/{number}")
-            for number, part in enumerate(parts)
-        ]
-        stored.append(encode(submitted, key_suffix=attempt))
-        return tuple(stored)
+        parts = encode_parts(new.submission_id, attempt, groups[:-1])
+        return (*parts, encode(submitted, key_suffix=attempt))
 
     def _unique_suffix(self) -> str:
         self._suffix_count += 1
@@ -368,22 +398,6 @@
     return bool(event.is_set())
 
 
-def _split_items(
-    items: tuple[Item, ...], group_bytes: int
-) -> t.Iterator[tuple[Item, ...]]:
-    group: list[Item] = []
-    size = 0
-    for item in items:
-        item_bytes = len(item.body) + ITEM_OVERHEAD_BYTES
-        if group and size + item_bytes > group_bytes:
-            yield tuple(group)
-            group = []
-            size = 0
-        group.append(item)
-        size += item_bytes
-    yield tuple(group)
-
-
 def _page_from(submission: Submission, position: int) -> ResultPage:
     chosen: list[ItemEnded] = []
     size = 0
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -12,6 +12,7 @@
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.ledger import Effect, Ledger
 from foxtailbank.submissions.records import (
+    PART_KIND,
     PROGRESS_KIND,
     Part,
     Record,
@@ -19,11 +20,14 @@
     RefusedAttempt,
     Submitted,
     decode,
+    key_segment,
 )
 
+_REFUSED = frozenset((Effect.TOO_MANY_TOKENS, Effect.INCOMPLETE))
 _EVENT_BY_EFFECT = {
     Effect.ACCEPTED: Event.SUBMISSION_ACCEPTED,
     Effect.TOO_MANY_TOKENS: Event.SUBMISSION_REFUSED,
+    Effect.INCOMPLETE: Event.SUBMISSION_REFUSED,
     Effect.ENDED: Event.SUBMISSION_ENDED,
     Effect.TAKEN_OVER: Event.SUBMISSION_TAKEN_OVER,
 }
@@ -73,6 +77,7 @@
         self._logs = logs
         self._listeners: list[t.Callable[[], None]] = []
         self._part_keys_by_attempt: dict[tuple[str, str], set[str]] = {}
+        self._id_by_segment: dict[str, str] = {}  # of ids that are not in their keys
 
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function each time records have been applied."""
@@ -83,6 +88,7 @@
         self.ledger = Ledger()
         self.unmarked_by_key = {}
         self._part_keys_by_attempt = {}
+        self._id_by_segment = {}
         self._apply_all(newest, is_replay=True)
 
     def apply_records(self, part: LogSlice) -> None:
@@ -129,7 +135,10 @@
         if isinstance(record, Submitted | RefusedAttempt):
             attempt = (record.submission_id, record.attempt)
             keys |= self._part_keys_by_attempt.pop(attempt, set())
-        if isinstance(record, Submitted) and effect is Effect.TOO_MANY_TOKENS:
+        segment = key_segment(record.submission_id)
+        if segment != record.submission_id:
+            self._id_by_segment[segment] = record.submission_id
+        if isinstance(record, Submitted) and effect in _REFUSED:
             self.unmarked_by_key[key] = UnmarkedAttempt(
                 key=key,
                 owner=record.owner,
@@ -147,7 +156,10 @@
 
     def _forget(self, stored: KeyedRecord) -> None:
         kind, _, rest = stored.key.partition("/")
-        submission_id, _, suffix = rest.partition("/")
+        if kind == PART_KIND:
+            self._forget_part(stored.key)
+        segment, _, suffix = rest.partition("/")
+        submission_id = self._id_by_segment.get(segment, segment)
         submission = self.ledger.get(submission_id)
         if submission is None:
             return
@@ -155,8 +167,18 @@
         # Another arrival of the id may have been accepted since.
         if stored.key == submission.created_key:
             self.ledger.forget(submission_id)
+            self._id_by_segment.pop(segment, None)
         elif kind == PROGRESS_KIND:
-            self.ledger.forget_progress(submission_id, suffix)
+            for item_id in tuple(submission.progress_by_id):
+                if key_segment(item_id) == suffix:
+                    self.ledger.forget_progress(submission_id, item_id)
+
+    def _forget_part(self, key: str) -> None:
+        """Forget the attempt of a part that was dropped before its `Submitted` came."""
+        for attempt, keys in tuple(self._part_keys_by_attempt.items()):
+            if key in keys:
+                del self._part_keys_by_attempt[attempt]
+                self.ledger.forget_parts(*attempt)
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -69,8 +69,8 @@
         for worker in self.workers:
             group.start_soon(worker.server.run)
 
-    def publish(self):
-        self.store.put("keyed.op", "config", make_manifest())
+    def publish(self, **limits):
+        self.store.put("keyed.op", "config", make_manifest(**limits))
         for worker in self.workers:
             self.store.put("keyed.servers", worker.worker_id, worker.entry())
 
--- a/tests/platform_ledger_replicas.py
+++ b/tests/platform_ledger_replicas.py
@@ -229,6 +229,9 @@
         last_end = self._log.end + OFFSETS_UNTIL_WITHDRAWN if urgent else math.inf
         self.waiting.append((records, last_end))
 
+    def put_split(self, records):
+        self.put(records, urgent=False)
+
     def send_first(self):
         """Append the first records unless they were withdrawn."""
         records, last_end = self.waiting.popleft()
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -151,6 +151,7 @@
         self.held_reads = None
         self.held_newest = None
         self.truncated_reads = 0
+        self.max_append_bytes = None
         self.reads = 0
         self.immediate_reads = 0
         self.appends = 0
