--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -289,6 +289,7 @@
             outcome=RelayOutcome.ANSWERED,
             worker_id=target.endpoint_id,
             origin=target.origin_of(response),
+            request_id=self._call.request_id,
         )
         header = (relay_messages.RESULT_HEADER, relay_messages.encode(result))
         return (*response.headers, header)
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -42,6 +42,11 @@
         self._first_byte_ms: int | None = None
         self._framing = ""
 
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self._call.request_id
+
     @property
     def asked_worker_id(self) -> str:
         """Worker that the request was sent to last; empty for none."""
--- a/src/foxtailbank/forward/final_response.py
+++ b/src/foxtailbank/forward/final_response.py
@@ -96,6 +96,10 @@
             return ()
         worker_id = self._recorder.asked_worker_id
         result = RelayResult(
-            outcome=outcome, worker_id=worker_id, reason=reason, wait_ms=wait_ms
+            outcome=outcome,
+            worker_id=worker_id,
+            reason=reason,
+            wait_ms=wait_ms,
+            request_id=self._recorder.request_id,
         )
         return ((relay_messages.RESULT_HEADER, relay_messages.encode(result)),)
--- a/src/foxtailbank/forward/peer_target.py
+++ b/src/foxtailbank/forward/peer_target.py
@@ -96,6 +96,7 @@
             host=call.host,
             headers=call.headers,
             body=call.body,
+            request_id=call.request_id,
             attempt=RelayedAttempt(
                 vm_id=self._relay.vm_id,
                 remaining_ms=remaining_ms,
--- a/src/foxtailbank/http1/channel_pool.py
+++ b/src/foxtailbank/http1/channel_pool.py
@@ -27,13 +27,16 @@
         )
         self._retired_before_ms = -1
 
-    async def acquire(self, address: str) -> ClientChannel:
+    async def acquire(self, address: str, *, request_id: str = "") -> ClientChannel:
         """Return an idle connection, or open a new one.
 
         Parameters
         ----------
         address : str
             IP number and port.
+        request_id : str, optional
+            Id of the request to send; connections on which a request of that id was
+            answered with a failure are left to others.
 
         Raises
         ------
@@ -41,11 +44,18 @@
             No connection could be made.
         """
         idle = self._idle_by_address[address]
-        while idle:
-            channel = idle.pop()
-            if self._is_usable(channel):
-                return channel
-            await channel.aclose()
+        passed_over: list[ClientChannel] = []
+        try:
+            while idle:
+                channel = idle.pop()
+                if not self._is_usable(channel):
+                    await channel.aclose()
+                elif request_id and not channel.may_carry(request_id):
+                    passed_over.append(channel)
+                else:
+                    return channel
+        finally:
+            idle += passed_over
         return await self.connect(address)
 
     async def connect(self, address: str) -> ClientChannel:
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -27,6 +27,7 @@
 from foxtailbank.response_limits import MAX_HEAD_BYTES
 
 READ_BYTES = 65_536
+MAX_FAILED_IDS = 1_000  # on one connection; then another one is opened
 DEFAULT_MAX_IDLE_MS = 4_000  # below the idle timeout of common servers
 IDLE_TIMEOUT_FRACTION = 0.8  # of the timeout that the server announces
 _SECONDS = re.compile("[0-9]{1,9}")
@@ -85,6 +86,9 @@
         self._body_sent = True
         self._pending_event: t.Any = None  # event or error after the last chunk
         self._received_bytes = 0
+        self._sent_request: h11.Request | None = None
+        self._is_spent = False
+        self._failed_ids: set[str] = set()
         self.opened_ms = clock.now_ms()
 
     @classmethod
@@ -163,6 +167,7 @@
                 target=encode_text(target),
                 headers=all_headers,
             )
+            self._sent_request = request
             segments = [self._http.send(request)]
             if body:
                 segments.append(self._http.send(h11.Data(data=body)))
@@ -202,6 +207,53 @@
                 return self._parse_head(event)
             raise MalformedResponse(detail="response without a status line")
 
+    async def skip_response(self, timeout_ms: float, *, max_bytes: int) -> None:
+        """Read the rest of a response that belongs to an earlier request.
+
+        The response to this request may follow it. The connection carries no further
+        request.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Bound on the wait for each part, in milliseconds.
+        max_bytes : int
+            Bound on the size of the rest, in bytes.
+
+        Raises
+        ------
+        MalformedResponse
+            The request is not fully sent yet.
+        ExchangeFailed
+            As for `read_all`.
+        """
+        self._is_spent = True
+        await self.read_all(timeout_ms, max_bytes=max_bytes)
+        if not self._body_sent or self._sent_request is None:
+            raise MalformedResponse(detail="response to another request")
+        received = self._http.trailing_data[0]
+        self._pending_event = None
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        # The new state must know that the request was sent; the bytes are not needed.
+        self._http.send(_without_body(self._sent_request))
+        self._http.send(h11.EndOfMessage())
+        if received:
+            self._http.receive_data(received)
+
+    def set_failed(self, request_id: str) -> None:
+        """Handle that a request was answered with anything but a success.
+
+        It may be sent again, and a late copy of that answer would look like the
+        answer to the second try.
+        """
+        self._failed_ids.add(request_id)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a request was not answered with a failure here before."""
+        return request_id not in self._failed_ids
+
     async def next_chunk(self, timeout_ms: float) -> bytes | None:
         """Return the received part of the body, or None at its end.
 
@@ -243,7 +295,9 @@
 
     def is_reusable(self) -> bool:
         """Return whether this connection can carry another request."""
-        if not self._body_sent:
+        if not self._body_sent or self._is_spent:
+            return False
+        if len(self._failed_ids) >= MAX_FAILED_IDS:
             return False
         if self._http.our_state is not h11.DONE:
             return False
@@ -313,6 +367,14 @@
             raise ConnectionBroken(detail=repr(error)) from error
 
 
+def _without_body(request: h11.Request) -> h11.Request:
+    """Return the head of a request as if it had no body."""
+    headers = [
+        (name, value) for name, value in request.headers if name != b"content-length"
+    ]
+    return h11.Request(method=request.method, target=request.target, headers=headers)
+
+
 def _max_idle_ms(keep_alive: str) -> int:
     """Return how long a connection may idle, from a ``Keep-Alive`` header."""
     for parameter in keep_alive.split(","):
--- a/src/foxtailbank/relay/relay_client.py
+++ b/src/foxtailbank/relay/relay_client.py
@@ -50,6 +50,8 @@
         Request body.
     attempt : RelayedAttempt
         What the other VM needs to know besides.
+    request_id : str
+        Id of the request.
     """
 
     method: str
@@ -58,6 +60,7 @@
     headers: Headers
     body: bytes
     attempt: RelayedAttempt
+    request_id: str = ""
 
 
 class RelayResponse(BodySource):
@@ -143,6 +146,7 @@
             )
             head = await channel.receive_head(head_timeout_ms)
             response = RelayResponse(head=head, channel=channel)
+            _check_request_id(response.result, request)
             if response.result.outcome is RelayOutcome.FAILED:
                 raise RelayFailed(detail=response.result.reason)
             yield response
@@ -151,6 +155,11 @@
                 await self._pool.release(address, channel)
 
 
+def _check_request_id(result: RelayResult, request: RelayRequest) -> None:
+    if result.request_id not in ("", request.request_id):
+        raise MalformedResponse(detail=f"answer to request {result.request_id}")
+
+
 def _request_headers(request: RelayRequest) -> Headers:
     headers = strip_hop_by_hop(request.headers, exclude=_OMITTED_HEADERS)
     if all(name.lower() != "host" for name, _ in headers):
--- a/src/foxtailbank/relay/relay_messages.py
+++ b/src/foxtailbank/relay/relay_messages.py
@@ -81,6 +81,8 @@
         Why there is no answer of a worker.
     wait_ms : int
         Expected wait until the request could run.
+    request_id : str
+        Id of the request; empty if it has none, and in answers of earlier releases.
     """
 
     outcome: RelayOutcome
@@ -88,6 +90,7 @@
     origin: StreamOrigin | None = None
     reason: str = ""
     wait_ms: int = 0
+    request_id: str = ""
 
 
 Message = t.TypeVar("Message", RelayedAttempt, RelayResult)
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -73,6 +73,8 @@
     ----------
     requests : list of bytes
         What was received before each answer.
+    connections : int
+        Connections accepted.
     endless_bytes : int
         Bytes sent of endless answers.
     endless_pause_s : float
@@ -82,6 +84,7 @@
     def __init__(self, *script):
         self.script = list(script)
         self.requests = []
+        self.connections = 0
         self.endless_bytes = 0
         self.endless_pause_s = 0.0
         self.address = ""
@@ -95,6 +98,7 @@
             await listener.serve(self._serve)
 
     async def _serve(self, stream):
+        self.connections += 1
         ended = (
             anyio.EndOfStream,
             anyio.BrokenResourceError,
