--- a/src/foxtailbank/http1/server.py
+++ b/src/foxtailbank/http1/server.py
@@ -1,13 +1,15 @@
 """HTTP/1.1 server that tracks its connections for a graceful shutdown."""
 
+import socket
 import typing as t
 
 import anyio
 import anyio.abc
 
-from foxtailbank.address import parse_address
+from foxtailbank.address import Address, parse_address
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.http1.accept import accept
+from foxtailbank.http1.body_memory import BodyMemory
 from foxtailbank.http1.server_connection import Handler, ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.http1.socket_options import enable_dead_peer_detection
@@ -32,6 +34,8 @@
     on_handler_error : callable
         Called with an unexpected error of a handler, whose connection is closed, and
         with one that keeps new connections from being accepted.
+    body_memory : BodyMemory, optional
+        Memory for the bodies of requests; not bounded by default.
 
     Attributes
     ----------
@@ -47,7 +51,9 @@
         limits: t.Callable[[], ServerLimits],
         clock: Clock,
         on_handler_error: t.Callable[[Exception], None],
+        body_memory: BodyMemory | None = None,
     ) -> None:
+        self._body_memory = body_memory
         self._address = parse_address(address)
         self._handler = handler
         self._limits = limits
@@ -63,22 +69,21 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self._address.ip,
-            local_port=self._address.port,
-            backlog=BACKLOG,
-            reuse_port=False,
-        )
-        listening = listener.extra(anyio.abc.SocketAttribute.raw_socket)
-        async with listener, anyio.create_task_group() as group:
-            while True:
-                try:
-                    stream = await accept(listening)
-                except OSError as error:
-                    self._on_handler_error(error)
-                    await anyio.sleep(ACCEPT_PAUSE_MS / MS_PER_S)
-                else:
-                    group.start_soon(self._serve, stream)
+        with _listen(self._address) as listening:
+            async with anyio.create_task_group() as group:
+                await self._accept_all(listening, group)
+
+    async def _accept_all(
+        self, listening: socket.socket, group: anyio.abc.TaskGroup
+    ) -> None:
+        while True:
+            try:
+                stream = await accept(listening)
+            except OSError as error:
+                self._on_handler_error(error)
+                await anyio.sleep(ACCEPT_PAUSE_MS / MS_PER_S)
+            else:
+                group.start_soon(self._serve, stream)
 
     def close_idle(self, *, first_request_ms: int = 0) -> None:
         """Close the connections that are between requests.
@@ -104,6 +109,7 @@
             limits=self._limits,
             draining=lambda: self.draining,
             clock=self._clock,
+            body_memory=self._body_memory,
         )
         self._connections.add(connection)
         try:
@@ -112,3 +118,22 @@
             self._on_handler_error(error)
         finally:
             self._connections.discard(connection)
+
+
+def _listen(address: Address) -> socket.socket:
+    """Return a socket that listens on an address.
+
+    The address is a number, so no resolver is asked, which would need a thread and a
+    network.
+    """
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listening.setblocking(False)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((address.ip, address.port))
+        listening.listen(BACKLOG)
+    except BaseException:
+        listening.close()
+        raise
+    return listening
--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -9,12 +9,15 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.headers import Headers, encode_headers
+from foxtailbank.http1.body_memory import BodyMemory, BodyReservation
 from foxtailbank.http1.responder import Responder
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.http1.server_request import ServerRequest
 from foxtailbank.http1.socket_options import reset_on_close
 
 READ_BYTES = 65_536
+BODY_WAIT_MS = 1_000  # for memory; by then a client has not given up yet
+RETRY_AFTER_MS = 500
 Handler: t.TypeAlias = t.Callable[[ServerRequest, Responder], t.Awaitable[None]]
 
 
@@ -27,12 +30,14 @@
         HTTP status of the response.
     detail : str
         Reason of the refusal.
+    retry_after_ms : int
+        When the client may retry; 0 if it should not.
     """
 
     code = "request_refused"
 
-    def __init__(self, *, status: int, detail: str) -> None:
-        super().__init__(detail=detail)
+    def __init__(self, *, status: int, detail: str, retry_after_ms: int = 0) -> None:
+        super().__init__(detail=detail, retry_after_ms=retry_after_ms)
         self.status = status
 
 
@@ -58,6 +63,8 @@
         ``Connection: close``.
     clock : Clock
         Source of time.
+    body_memory : BodyMemory, optional
+        Memory for the bodies of requests; not bounded by default.
     """
 
     def __init__(
@@ -68,8 +75,10 @@
         limits: t.Callable[[], ServerLimits],
         draining: t.Callable[[], bool],
         clock: Clock,
+        body_memory: BodyMemory | None = None,
     ) -> None:
         self._stream = stream
+        self._body_memory = body_memory
         self._handler = handler
         self._limits = limits
         self._draining = draining
@@ -120,10 +129,22 @@
         responder = _H11Responder(
             http=self._http, stream=self._stream, draining=self._draining
         )
+        reservation = BodyReservation(memory=self._body_memory)
         try:
-            request = await self._read_request()
+            return await self._serve_with(responder, reservation)
+        finally:
+            reservation.release()
+
+    async def _serve_with(
+        self, responder: "_H11Responder", reservation: BodyReservation
+    ) -> bool:
+        try:
+            request = await self._read_request(reservation)
         except RequestRefused as refusal:
-            headers = (("Connection", "close"),)
+            headers: Headers = (("Connection", "close"),)
+            if refusal.retry_after_ms:
+                after_s = refusal.retry_after_ms / MS_PER_S
+                headers += (("Retry-After", f"{after_s:.3f}"),)
             await responder.respond(status=refusal.status, headers=headers)
             return False
         if request is None:
@@ -166,11 +187,15 @@
             pipelined_bytes += len(data)
             self._http.receive_data(data)
 
-    async def _read_request(self) -> ServerRequest | None:
+    async def _read_request(self, reservation: BodyReservation) -> ServerRequest | None:
         head = await self._read_head()
         if head is None:
             return None
-        body = await self._read_body()
+        length = _content_length(head)
+        is_too_large = length > self._limits().body_bytes  # refused when it is read
+        if not is_too_large and not await reservation.reserve(length, BODY_WAIT_MS):
+            raise _no_memory()
+        body = await self._read_body(reservation)
         return ServerRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
@@ -208,7 +233,7 @@
             return True
         return False
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, reservation: BodyReservation) -> bytes:
         limits = self._limits()
         chunks: list[bytes] = []
         size = 0
@@ -221,6 +246,8 @@
                 size += len(event.data)
                 if size > limits.body_bytes:
                     raise RequestRefused(status=413, detail="request body too large")
+                if not reservation.grow(size):
+                    raise _no_memory()
                 continue
             if event is not h11.NEED_DATA:
                 raise ClientDisconnected(
@@ -304,6 +331,20 @@
             await self._stream.send(pending)
 
 
+def _no_memory() -> RequestRefused:
+    return RequestRefused(
+        status=503, detail="no memory for the body", retry_after_ms=RETRY_AFTER_MS
+    )
+
+
+def _content_length(head: h11.Request) -> int:
+    """Return the length of the body; 0 if it comes in chunks."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)  # h11 has checked it
+    return 0
+
+
 def _header_size(head: h11.Request) -> int:
     fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
     return len(head.target) + fields
--- /dev/null
+++ b/src/foxtailbank/memory_limits.py
@@ -0,0 +1,42 @@
+"""Division of a VM's memory among what grows with the load."""
+
+import dataclasses
+
+# Of the memory of the VM. The program itself takes about 45 MB. A VM that starts holds
+# the stored records and what they decode to at the same time, and a body is held
+# about three times while it is decoded, stored and sent.
+STORED_SHARE = 0.22
+WAITING_SHARE = 0.06
+BODY_SHARE = 0.04
+BYTES_PER_MB = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MemoryLimits:
+    """Most memory for each use.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory of the VM, in megabytes.
+    """
+
+    memory_mb: float
+
+    @property
+    def stored_bytes(self) -> int:
+        """Records of all submissions in the log."""
+        return self._share(STORED_SHARE)
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Records that wait to be appended."""
+        return self._share(WAITING_SHARE)
+
+    @property
+    def body_bytes(self) -> int:
+        """Bodies of the requests that are read or handled."""
+        return self._share(BODY_SHARE)
+
+    def _share(self, share: float) -> int:
+        return int(self.memory_mb * share * BYTES_PER_MB)
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -24,6 +24,7 @@
 from foxtailbank.load_exchange import LoadExchange
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
+from foxtailbank.memory_limits import MemoryLimits
 from foxtailbank.metrics import Gauge, Metrics
 from foxtailbank.relay.relay_client import RelayClient
 from foxtailbank.software_version_log import KEY_PREFIX as VERSION_KEY_PREFIX
@@ -107,6 +108,8 @@
         Leases of the entry VMs' processes.
     store_limits : StoreLimits
         Size limits of the store.
+    memory : MemoryLimits
+        Memory for submissions.
     clock : Clock
         Source of time.
     logs : Logs
@@ -145,6 +148,7 @@
         addresses: KeyedLog,
         leases: LeaseTable,
         store_limits: StoreLimits,
+        memory: MemoryLimits,
         clock: Clock,
         logs: Logs,
         metrics: Metrics,
@@ -190,6 +194,7 @@
         submission_table = SubmissionTable(logs=logs)
         self._appends = AppendQueue(
             log=submissions,
+            max_waiting_bytes=memory.waiting_bytes,
             producer=process_name,
             record_bytes=store_limits.max_record_bytes,
             call_bytes=store_limits.max_append_bytes,
@@ -253,6 +258,7 @@
             follower=self._follower,
             appends=self._appends,
             part_bytes=store_limits.max_content_bytes,
+            max_stored_bytes=memory.stored_bytes,
             logs=logs,
             clock=clock,
         )
--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -77,6 +77,8 @@
         Maximum size of an append in bytes.
     record_bytes : int, optional
         Maximum size of a record in bytes; that of an append by default.
+    max_waiting_bytes : int, optional
+        Size of the waiting records from which on no more are to be queued.
     logs : Logs
         Receives a line when appends start to fail and when they succeed again.
     clock : Clock
@@ -92,10 +94,12 @@
         logs: Logs,
         clock: Clock,
         record_bytes: int | None = None,
+        max_waiting_bytes: int = MAX_WAITING_BYTES,
     ) -> None:
         self._log = log
         self._producer = producer
         self._call_bytes = call_bytes
+        self._max_waiting_bytes = max_waiting_bytes
         self._record_bytes = record_bytes or call_bytes
         self._logs = logs
         self._clock = clock
@@ -116,7 +120,7 @@
     @property
     def has_capacity(self) -> bool:
         """Whether the queue has capacity for more results."""
-        return self.waiting_bytes < MAX_WAITING_BYTES
+        return self.waiting_bytes < self._max_waiting_bytes
 
     @property
     def is_empty(self) -> bool:
--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -130,6 +130,7 @@
             return Effect.NONE
         submission.results.append(record)
         submission.ended_item_ids.add(record.item_id)
+        submission.items_by_id[record.item_id] = _without_request(item)
         submission.progress_by_id.pop(record.item_id, None)
         if not submission.ended:
             self._waiting_by_route[submission.route] -= item.tokens
@@ -156,6 +157,10 @@
             return Effect.NONE
         self._waiting_by_route[submission.route] -= submission.waiting_tokens
         submission.ended = True
+        submission.items_by_id = {
+            item_id: _without_request(item)
+            for item_id, item in submission.items_by_id.items()
+        }
         return Effect.ENDED
 
     def _change_owner(self, record: TakenOver) -> Effect:
@@ -167,6 +172,11 @@
         return Effect.TAKEN_OVER
 
 
+def _without_request(item: Item) -> Item:
+    """Return an item that is not run any more, without what takes memory."""
+    return msgspec.structs.replace(item, headers=(), body=b"")
+
+
 def _join_pieces(pieces: list[Item]) -> list[Item]:
     """Return the items that pieces make up, each with its whole body."""
     bodies_by_id: dict[str, list[bytes]] = {}
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -39,6 +39,13 @@
     status = 503
 
 
+class StoreFull(FoxtailbankError):
+    """The submissions take as much memory as the VMs have for them."""
+
+    code = "store_full"
+    status = 503
+
+
 class OutcomeUnknown(FoxtailbankError):
     """The store did not answer in time; the operation may still take effect."""
 
@@ -124,6 +131,8 @@
         Queue for the submission log.
     part_bytes : int
         Size at which the items of a submission are split into records, in bytes.
+    max_stored_bytes : int
+        Most that may be stored of all submissions, in bytes.
     logs : Logs
         Receives a line for each answer that has no result at the asked position.
     clock : Clock
@@ -138,6 +147,7 @@
         follower: LogFollower,
         appends: AppendQueue,
         part_bytes: int,
+        max_stored_bytes: int,
         logs: Logs,
         clock: Clock,
     ) -> None:
@@ -146,6 +156,7 @@
         self._follower = follower
         self._appends = appends
         self._part_bytes = part_bytes
+        self._max_stored_bytes = max_stored_bytes
         self._logs = logs
         self._clock = clock
         self._suffix_count = 0
@@ -174,7 +185,9 @@
                 return
             if self._exceeds_limit(route, tokens):
                 raise self._too_large()
-        end = await self._append_parts(self._encode_records(new, route))
+        records = self._encode_records(new, route)
+        self._require_memory(sum(record.size_bytes for record in records))
+        end = await self._append_parts(records)
         if not await self._follower.wait_for_offset(end, APPEND_WAIT_MS):
             raise OutcomeUnknown(detail="the log could not be read back")
         if self._table.ledger.get(new.submission_id) is None:
@@ -234,13 +247,14 @@
         SubmissionUnknown
             The log has no such submission.
         ItemUnknown
-            The submission has ended or has no such item.
+            The submission has ended, or has no such item that is not listed yet.
         StateUnknown
             The log could not be read to its end.
         """
         submission = await self._find(submission_id)
         item = submission.items_by_id.get(item_id)
-        if item is None or submission.ended:
+        is_listed = item_id in submission.ended_item_ids
+        if item is None or submission.ended or is_listed:
             raise ItemUnknown(detail=item_id)
         return item.body
 
@@ -273,6 +287,15 @@
                 detail="the store is unavailable", retry_after_ms=RETRY_AFTER_MS
             )
 
+    def _require_memory(self, added_bytes: int) -> None:
+        """Refuse what no VM could hold together with what is stored."""
+        stored_bytes = self._table.stored_bytes + self._appends.waiting_bytes
+        if stored_bytes + added_bytes > self._max_stored_bytes:
+            raise StoreFull(
+                detail=f"{stored_bytes} bytes are stored",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
     def _exceeds_limit(self, route: Route, tokens: int) -> bool:
         waiting = self._table.ledger.waiting_tokens(route.name)
         return bool(route.waiting_tokens) and waiting + tokens > route.waiting_tokens
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -69,6 +69,8 @@
         All submissions, as of the last record read.
     unmarked_by_key : dict of str to UnmarkedAttempt
         Refused attempts that a replay could still accept, by log key.
+    stored_bytes : int
+        Size of the newest record of each key, which a VM that starts reads at once.
     """
 
     def __init__(self, *, logs: Logs) -> None:
@@ -78,6 +80,8 @@
         self._listeners: list[t.Callable[[], None]] = []
         self._part_keys_by_attempt: dict[tuple[str, str], set[str]] = {}
         self._id_by_segment: dict[str, str] = {}  # of ids that are not in their keys
+        self._bytes_by_key: dict[str, int] = {}
+        self.stored_bytes = 0
 
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function each time records have been applied."""
@@ -89,6 +93,8 @@
         self.unmarked_by_key = {}
         self._part_keys_by_attempt = {}
         self._id_by_segment = {}
+        self._bytes_by_key = {}
+        self.stored_bytes = 0
         self._apply_all(newest, is_replay=True)
 
     def apply_records(self, part: LogSlice) -> None:
@@ -102,6 +108,7 @@
 
     def _apply(self, stored: KeyedRecord, *, is_replay: bool) -> None:
         self.unmarked_by_key.pop(stored.key, None)
+        self._count_bytes(stored)
         if not stored.value:
             self._forget(stored)
             return
@@ -126,6 +133,12 @@
         )
         self._logs.write(event, level=LogLevel.DEBUG, fields=fields)
 
+    def _count_bytes(self, stored: KeyedRecord) -> None:
+        self.stored_bytes -= self._bytes_by_key.pop(stored.key, 0)
+        if stored.value:
+            self._bytes_by_key[stored.key] = stored.size_bytes
+            self.stored_bytes += stored.size_bytes
+
     def _remember_key(self, key: str, record: Record, effect: Effect) -> None:
         if isinstance(record, Part):
             attempt = (record.submission_id, record.attempt)
--- a/tests/test_large_records.py
+++ b/tests/test_platform_large_records.py
@@ -182,6 +182,7 @@
         follower=make_follower(log, table, clock),
         appends=queue,
         part_bytes=RECORD_BYTES // 2,
+        max_stored_bytes=1 << 20,
         logs=make_logs(),
         clock=clock,
     )
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -75,6 +75,7 @@
             table=self.table,
             follower=self.follower,
             appends=self.appends,
+            max_stored_bytes=1 << 20,
             part_bytes=8_000,
             logs=logs,
             clock=self.clock,
