--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -48,6 +48,8 @@
     def __init__(self, port, kind=socket.SOCK_STREAM):
         self._port = port
         self._socket = socket.socket(socket.AF_INET, kind)
+        if kind is socket.SOCK_STREAM:  # despite connections of an earlier run
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
     def take(self, directory, ip):
         self._socket.bind((ip, self._port))
