--- a/src/foxtailbank/fleet/stream_origin.py
+++ b/src/foxtailbank/fleet/stream_origin.py
@@ -6,6 +6,8 @@
 
 from foxtailbank.fleet.worker import Worker
 
+UNKNOWN_PROCESS = "?"  # no process has this id, as ids of processes hold a slash
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StreamOrigin:
@@ -27,6 +29,11 @@
     software_version: str = ""
     process_id: str = ""
 
+    @classmethod
+    def unknown(cls, service: str) -> "StreamOrigin":
+        """Return the origin of a stream that may go on nowhere."""
+        return cls(service=service, process_id=UNKNOWN_PROCESS)
+
     @classmethod
     def of(cls, worker: Worker) -> "StreamOrigin":
         """Return the origin of a stream that a worker begins."""
--- a/src/foxtailbank/fleet/version_history.py
+++ b/src/foxtailbank/fleet/version_history.py
@@ -138,6 +138,14 @@
             if record.left_wall_ms and wall_ms - record.left_wall_ms > FORGET_MS
         )
 
+    def relies_on_records(self, service: str, *, now_ms: int) -> bool:
+        """Return whether `sole_version` needs what the log holds.
+
+        It does if this VM has not followed the list for as long as a stream lasts.
+        """
+        oldest_ms = now_ms - self._lifetimes.lifetime_ms(service)
+        return self._complete_since_ms is None or self._complete_since_ms > oldest_ms
+
     def sole_version(self, service: str, *, now_ms: int, wall_ms: int) -> str:
         """Return the only version that can have begun a stream of a service.
 
--- a/src/foxtailbank/forward/attempt_target.py
+++ b/src/foxtailbank/forward/attempt_target.py
@@ -23,6 +23,8 @@
         Version of the worker's software; empty while it is unknown.
     service : str
         Service of the worker.
+    process_id : str
+        The worker's process; empty while it is unknown.
     wait_ms : float
         Expected wait for a slot, in milliseconds.
     """
@@ -31,6 +33,7 @@
     peer_id: str
     software_version: str
     service: str
+    process_id: str
     wait_ms: float
 
     @abc.abstractmethod
@@ -59,6 +62,14 @@
             Software that wrote the events so far.
         """
 
+    @abc.abstractmethod
+    async def may_continue(self) -> bool:
+        """Return whether the answer to a continued stream is of the chosen worker."""
+
+    @abc.abstractmethod
+    async def new_origin(self, response: WorkerResponse) -> StreamOrigin:
+        """Return the software that writes a stream which begins with a response."""
+
     @abc.abstractmethod
     def origin_of(self, response: WorkerResponse) -> StreamOrigin:
         """Return the software that writes a response."""
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -19,7 +19,11 @@
 from foxtailbank.forward.target_finder import TargetFinder
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.headers import Headers
-from foxtailbank.http1.failures import ExchangeFailed, NotConnected
+from foxtailbank.http1.failures import (
+    ExchangeFailed,
+    NotConnected,
+    ProcessReplaced,
+)
 from foxtailbank.http1.responder import Responder
 from foxtailbank.relay import relay_messages
 from foxtailbank.relay.relay_messages import RelayedAttempt, RelayOutcome, RelayResult
@@ -126,6 +130,9 @@
         if self._continues_stream and not await self._find_origin():
             return
         while not await self._stop_if_crashing():
+            if self._origin is not None:
+                # A worker may be back under its id with another software version.
+                await self._fleet.origins.sync_list()
             target = await self._finder.find(
                 remaining_ms=self._remaining_ms, origin=self._origin
             )
@@ -159,12 +166,15 @@
             await self._give_up(refusal)
         return self._origin is not None
 
-    def _on_first_events(self, target: AttemptTarget, response: WorkerResponse) -> None:
+    def _on_first_events(
+        self, target: AttemptTarget, origin: StreamOrigin | None
+    ) -> None:
         """Record which software writes a stream, before its first events are sent."""
-        if self._origin is None:
-            self._origin = target.origin_of(response)
-        if self._route.resumable:
-            self._fleet.origins.record(self._call.stream_key, self._origin)
+        self._origin = origin
+        if origin is not None and self._route.resumable:
+            self._fleet.origins.begin(
+                self._call.stream_key, origin, process_id=target.process_id
+            )
 
     async def _stop_if_crashing(self) -> bool:
         """End a request that crashes workers; return whether it was ended."""
@@ -273,14 +283,17 @@
             return True
         await self._responder.respond(
             status=response.status,
-            headers=self._response_headers(target, response),
+            headers=self._response_headers(target, response, self._origin),
             body=body,
         )
         self._recorder.on_finished(response.status, reason="")
         return True
 
     def _response_headers(
-        self, target: AttemptTarget, response: WorkerResponse
+        self,
+        target: AttemptTarget,
+        response: WorkerResponse,
+        origin: StreamOrigin | None,
     ) -> Headers:
         """Return a response's headers, with a result for a VM that asked for it."""
         if self._relayed is None:
@@ -288,7 +301,7 @@
         result = RelayResult(
             outcome=RelayOutcome.ANSWERED,
             worker_id=target.endpoint_id,
-            origin=target.origin_of(response),
+            origin=origin or target.origin_of(response),
             request_id=self._call.request_id,
         )
         header = (relay_messages.RESULT_HEADER, relay_messages.encode(result))
@@ -298,13 +311,18 @@
         self, target: AttemptTarget, response: WorkerResponse
     ) -> None:
         responder = self._responder
-        headers = self._response_headers(target, response)
+        if self._origin is not None and not await target.may_continue():
+            raise ProcessReplaced(detail=f"{target.endpoint_id} may be another process")
+        origin = self._origin
+        if origin is None and self._route.resumable:
+            origin = await target.new_origin(response)
+        headers = self._response_headers(target, response, origin)
         source = EventSource(
             response=response, buffer=self._event_buffer, clock=self._clock
         )
         while (events := await source.next_chunk(self._event_timeout_ms())) is not None:
             if not self._progress.events:
-                self._on_first_events(target, response)
+                self._on_first_events(target, origin)
             self._progress = dataclasses.replace(
                 self._progress, events=source.event_count
             )
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -35,6 +35,8 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
 
+BREAK_KEPT_MS = 10_000  # a worker that crashed is back, and listed, within this time
+
 
 class FleetState:
     """Workers, their load and health, and the requests that crashed them.
@@ -75,6 +77,7 @@
         self.loads = LoadTable()
         self.draining = DrainingWorkers(workers=self.workers, logs=logs, clock=clock)
         self._invalid_process_ids: set[str] = set()
+        self._broke_ms_by_worker: dict[str, int] = {}
         self.health = WorkerHealth()
         self.limits = WorkerLimits(logs=logs)
         self.reach = WorkerReach(workers=self.workers, logs=logs)
@@ -201,8 +204,47 @@
                 Event.ENDPOINT_AVOIDED, level=LogLevel.WARNING, fields=fields
             )
 
+    def on_listed(self, worker: Worker) -> bool:
+        """Apply an entry of the list of workers; return whether it changed."""
+        known = self.workers.get(worker.worker_id)
+        if known is not None and known.process_id != worker.process_id:
+            self.origins.on_process_replaced(
+                known.process_id, worker, wall_ms=self._clock.wall_ms()
+            )
+        return self.workers.put(worker)
+
+    async def is_current(self, worker: Worker) -> bool:
+        """Return whether the process that was chosen is the one that has answered.
+
+        A worker may start again under its id and address with another software
+        version, and this VM's list may be late. Without the list, a worker whose
+        connections broke of late may be another process by now.
+        """
+        is_synced = await self.origins.sync_list()
+        listed = self.workers.get(worker.worker_id)
+        if listed is not None and listed.process_id != worker.process_id:
+            return False
+        return is_synced or not self._broke_of_late(worker)
+
+    async def new_origin(self, worker: Worker) -> StreamOrigin:
+        """Return the software that writes a stream which begins at a worker."""
+        if not self._broke_of_late(worker) or await self.is_current(worker):
+            return StreamOrigin.of(worker)
+        listed = self.workers.get(worker.worker_id)
+        if listed is not None and listed.process_id != worker.process_id:
+            return StreamOrigin.of(listed)
+        return StreamOrigin.unknown(worker.service)
+
+    def _broke_of_late(self, worker: Worker) -> bool:
+        broke_ms = self._broke_ms_by_worker.get(worker.worker_id)
+        if broke_ms is None:
+            return False
+        return self._clock.now_ms() - broke_ms < BREAK_KEPT_MS
+
     def on_exchange_failure(self, worker: Worker, failure: ExchangeFailed) -> None:
         """Update worker health after a failed exchange."""
+        if isinstance(failure, (NotConnected, ConnectionBroken)):
+            self._broke_ms_by_worker[worker.worker_id] = self._clock.now_ms()
         if isinstance(failure, NotConnected):
             self.reach.on_unreachable(worker)
         if isinstance(failure, (NotConnected, ResponseTimeout)):
@@ -246,6 +288,7 @@
         self.reach.forget_departed()
         self.health.forget(worker_id)
         self.limits.forget(worker_id)
+        self._broke_ms_by_worker.pop(worker_id, None)
 
     def on_answer(self, worker: Worker, response: WorkerResponse) -> None:
         """Apply what the head of any answer says of its worker."""
--- a/src/foxtailbank/forward/peer_target.py
+++ b/src/foxtailbank/forward/peer_target.py
@@ -76,6 +76,7 @@
         self.peer_id = peer.vm_id
         self.software_version = ""
         self.service = ""
+        self.process_id = ""
         self.wait_ms = float(HEAD_TIMEOUT_MS)
         self.result: RelayResult | None = None
 
@@ -112,6 +113,14 @@
                 self._apply(response.result)
                 yield RelayedResponse(response=response)
 
+    async def may_continue(self) -> bool:
+        """Return true: the other VM has found it out."""
+        return True
+
+    async def new_origin(self, response: WorkerResponse) -> StreamOrigin:
+        """Return the software that the other VM tells."""
+        return self.origin_of(response)
+
     def origin_of(self, response: WorkerResponse) -> StreamOrigin:
         """Return the software of the worker that the other VM chose."""
         if self.result is None or self.result.origin is None:
--- a/src/foxtailbank/forward/worker_target.py
+++ b/src/foxtailbank/forward/worker_target.py
@@ -37,6 +37,7 @@
         self.peer_id = ""
         self.software_version = self._worker.software_version
         self.service = self._worker.service
+        self.process_id = self._worker.process_id
         self.wait_ms = assignment.choice.wait_ms
 
     def exchange(
@@ -58,6 +59,14 @@
             reservation=self._reservation,
         )
 
+    async def may_continue(self) -> bool:
+        """Return whether the list names the chosen process still."""
+        return await self._fleet.is_current(self._worker)
+
+    async def new_origin(self, response: WorkerResponse) -> StreamOrigin:
+        """Return the software of the worker, in doubt by a fresh list."""
+        return await self._fleet.new_origin(self._worker)
+
     def origin_of(self, response: WorkerResponse) -> StreamOrigin:
         """Return the software of the worker."""
         return StreamOrigin.of(self._worker)
--- a/src/foxtailbank/http1/failures.py
+++ b/src/foxtailbank/http1/failures.py
@@ -16,6 +16,15 @@
     code = "not_connected"
 
 
+class ProcessReplaced(ExchangeFailed):
+    """Another process than the one that was chosen may have answered."""
+
+    code = "process_replaced"
+
+    def __init__(self, *, detail: str = "") -> None:
+        super().__init__(detail=detail, ran=Ran.UNKNOWN)
+
+
 class RequestUnsendable(ExchangeFailed):
     """The request can't be written as HTTP, so no byte of it was sent."""
 
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -239,6 +239,7 @@
             clock=clock,
         )
         self._follower.add_catch_up_listener(self.fleet.versions.on_records_complete)
+        self.fleet.origins.set_records_sync(self._follower.sync)
         self._exchange = LoadExchange(
             vm_id=identity.vm_id,
             zone=identity.zone,
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -7,7 +7,6 @@
 
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.fleet.load_table import LoadKind
-from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventSource, parse_events
@@ -16,7 +15,11 @@
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient, WorkerResponse
 from foxtailbank.headers import text_to_header
-from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
+from foxtailbank.http1.failures import (
+    ExchangeFailed,
+    ProcessReplaced,
+    ResponseTooLarge,
+)
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -339,12 +342,15 @@
     async def _read_output(
         self, run: ItemRun, worker: Worker, answer: WorkerResponse
     ) -> None:
+        if run.origin is not None and not await self._fleet.is_current(worker):
+            raise ProcessReplaced(detail=f"{worker.worker_id} may be another process")
+        origin = run.origin or await self._fleet.new_origin(worker)
         source = EventSource(
             response=answer, buffer=run.event_buffer, clock=self._clock
         )
         async for events in read_paced(source, gap_ms=GAP_TIMEOUT_MS):
             if run.origin is None:
-                run.origin = StreamOrigin.of(worker)
+                run.origin = origin
             run.texts.extend(event.data for event in parse_events(events))
             if run.output_bytes > self._max_output_bytes:
                 run.discard_output()
--- a/tests/item_vm.py
+++ b/tests/item_vm.py
@@ -58,6 +58,7 @@
         )
         for worker in workers or map(make_worker, WORKER_IDS):
             self.fleet.workers.put(worker)
+        self.fleet.origins.set_list_sync(self._read_list)
         self.client = client or FakeWorkerClient(*script)
         self.table = SubmissionTable(logs=logs)
         self.log = FakeKeyedLog()
@@ -87,6 +88,9 @@
             rng=random.Random(1),
         )
 
+    async def _read_list(self):
+        """The list of workers can be read, and has not changed."""
+
     def submit(self, submission_id="s1", *, owner="vm1/1", target=TARGET, route="r"):
         item = Item(
             item_id=f"{submission_id}-i", target=target, headers=(), body=BODY, tokens=1
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -392,8 +392,11 @@
             )
         )
 
+    def call(self, **fields):
+        return make_call(self.clock, **fields)
+
     async def serve(self, route, **call):
-        await self.forwarder.serve(make_call(self.clock, **call), route, self.responder)
+        await self.forwarder.serve(self.call(**call), route, self.responder)
         return self.responder
 
 
--- a/tests/test_crash_report_log.py
+++ b/tests/test_crash_report_log.py
@@ -12,6 +12,7 @@
 from foxtailbank.fleet.crash_reports import REPORT_TTL_MS
 from foxtailbank.forward.attempt_progress import AttemptProgress
 from foxtailbank.keyed_log import AppendId, KeyedRecord
+from foxtailbank.memory_limits import MemoryLimits
 from foxtailbank.metrics import Metrics
 from foxtailbank.serving_vm import ServingVm, StoreLimits, VmIdentity
 from serving_fakes import (
@@ -49,6 +50,7 @@
         submissions=log,
         addresses=FakeKeyedLog(),
         leases=FakeLeases(),
+        memory=MemoryLimits(memory_mb=330),
         store_limits=StoreLimits(max_record_bytes=10_000, max_append_bytes=10_000),
         clock=clock,
         logs=make_logs(),
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -40,6 +40,7 @@
 SENDS_BEFORE = 10
 STREAM_S = 2.0
 CROSSING_MS = 300  # of a request and the end of the process, which is then noticed
+LIST_READ_S = 1.0  # by then a VM has read the entries of the workers
 EARLY_MS = 100  # before the last moment, so that a request arrives in time
 UNSAFE = make_route(kind=RouteKind.UNSAFE)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True)
@@ -202,6 +203,7 @@
                 worker.event_interval_s = STREAM_S / EVENTS_PER_STREAM
                 worker.max_run_s = STREAM_S
             await until_served(address)
+            await anyio.sleep(LIST_READ_S)
             environment.store.up = not is_store_away
             stopped_ms, sent_requests = await stop_under_load(vm, address, load)
             group.cancel_scope.cancel()
