Clients may pause their reading for longer than a dead connection is kept

Cause: TCP_USER_TIMEOUT of 1.5 s on connections of clients, which Linux counts while the window of a living peer is closed. They now have 15 s, beyond any deadline; VMs, workers and the store keep 1.5 s.

test_a_client_that_pauses_its_reading_gets_the_whole_answer fails with 1.5 s.

--- a/src/foxtailbank/http1/server.py
+++ b/src/foxtailbank/http1/server.py
@@ -12,7 +12,10 @@
 from foxtailbank.http1.body_memory import BodyMemory
 from foxtailbank.http1.server_connection import Handler, ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
-from foxtailbank.http1.socket_options import enable_dead_peer_detection
+from foxtailbank.http1.socket_options import (
+    CLIENT_TIMEOUT_MS,
+    enable_dead_peer_detection,
+)
 
 BACKLOG = 1_024
 ACCEPT_PAUSE_MS = 100  # until descriptors may be free again
@@ -36,6 +39,8 @@
         with one that keeps new connections from being accepted.
     body_memory : BodyMemory, optional
         Memory for the bodies of requests; not bounded by default.
+    client_timeout_ms : int, optional
+        How long a client may leave sent data unread, in milliseconds.
 
     Attributes
     ----------
@@ -52,7 +57,9 @@
         clock: Clock,
         on_handler_error: t.Callable[[Exception], None],
         body_memory: BodyMemory | None = None,
+        client_timeout_ms: int = CLIENT_TIMEOUT_MS,
     ) -> None:
+        self._client_timeout_ms = client_timeout_ms
         self._body_memory = body_memory
         self._address = parse_address(address)
         self._handler = handler
@@ -98,7 +105,7 @@
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         try:
-            enable_dead_peer_detection(stream)
+            enable_dead_peer_detection(stream, user_timeout_ms=self._client_timeout_ms)
         except OSError:
             # The client disconnected before the connection was accepted.
             await stream.aclose()
--- a/src/foxtailbank/http1/socket_options.py
+++ b/src/foxtailbank/http1/socket_options.py
@@ -8,6 +8,8 @@
 import anyio.abc
 
 USER_TIMEOUT_MS = 1500  # allows a few retransmissions within one zone
+# Clients may pause their reading; what they wait for ends at its own deadline.
+CLIENT_TIMEOUT_MS = 15_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -19,13 +21,18 @@
     return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
-def enable_dead_peer_detection(stream: anyio.abc.SocketStream) -> None:
+def enable_dead_peer_detection(
+    stream: anyio.abc.SocketStream, *, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
     """Make the kernel close the connection when its peer stops acknowledging data.
 
     Parameters
     ----------
     stream : anyio.abc.SocketStream
         Connected TCP stream.
+    user_timeout_ms : int
+        How long sent data may stay unacknowledged, in milliseconds. A peer that lives
+        and does not read counts as well.
     """
     sock = raw_socket(stream)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -33,7 +40,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def reset_on_close(stream: anyio.abc.SocketStream) -> None:
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -214,3 +214,39 @@
         await stream.aclose()
         head, _ = await exchange(await fixture.connect(), "/x")
         assert head.status == 200
+
+
+SLOW_ADDRESS = "127.0.0.67:18467"
+ANSWER_PARTS = 64
+ANSWER_PART = b"x" * 65_536
+PAUSE_S = 2.5  # longer than a dead connection is kept
+
+
+# Guards against a client that pauses its reading and gets a reset.
+async def test_a_client_that_pauses_its_reading_gets_the_whole_answer():
+    async def handle(request, responder):
+        await responder.start(status=200, headers=())
+        for _ in range(ANSWER_PARTS):
+            await responder.send(ANSWER_PART)
+        await responder.finish()
+
+    server = Server(
+        address=SLOW_ADDRESS,
+        handler=handle,
+        limits=ServerLimits,
+        clock=SystemClock(),
+        on_handler_error=lambda error: None,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run)
+        await anyio.sleep(0.1)
+        channel = await ClientChannel.connect(
+            address=SLOW_ADDRESS, clock=SystemClock(), timeout_ms=1_000
+        )
+        await channel.send(method="GET", target="/", headers=(("Host", "h"),), body=b"")
+        await channel.receive_head(5_000)
+        await anyio.sleep(PAUSE_S)
+        body = await channel.read_all(5_000, max_bytes=8 << 20)
+        await channel.aclose()
+        group.cancel_scope.cancel()
+    assert len(body) == ANSWER_PARTS * len(ANSWER_PART)
