--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -105,6 +105,7 @@
         self._clock = clock
         self._sequence = 1
         self._waiting: list[PendingAppend] = []
+        self._in_flight: list[PendingAppend] = []
         self._wake = anyio.Event()
         self._failing_since_ms: int | None = None
         self._failed_ms = 0
@@ -190,20 +191,26 @@
 
     async def run(self) -> None:
         """Append queued records until cancelled."""
+        if self._in_flight:  # an unexpected error ended an earlier run
+            await self._append_in_flight()
         while True:
             while not self._waiting:
                 self._wake = anyio.Event()
                 await self._wake.wait()
             if not any(pending.urgent for pending in self._waiting):
                 await self._linger()
-            batch = self._next_batch()
             # Removed before sending, as an append that may be in the log cannot be
             # withdrawn.
-            del self._waiting[: len(batch)]
-            try:
-                await self._append(batch)
-            except StoreRejected as failure:
-                await self._append_singly(batch, failure)
+            self._in_flight = self._next_batch()
+            del self._waiting[: len(self._in_flight)]
+            await self._append_in_flight()
+
+    async def _append_in_flight(self) -> None:
+        try:
+            await self._append(self._in_flight)
+        except StoreRejected as failure:
+            await self._append_singly(self._in_flight, failure)
+        self._in_flight = []
 
     async def _linger(self) -> None:
         self._wake = anyio.Event()
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -8,12 +8,20 @@
 
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.events import Event
-from foxtailbank.exceptions import FoxtailbankError, Ran
+from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.forward.route import Route
 from foxtailbank.keyed_log import KeyedRecord
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.failures import (
+    ItemUnknown,
+    OutcomeUnknown,
+    StateUnknown,
+    StoreFull,
+    SubmissionTooLarge,
+    SubmissionUnknown,
+)
 from foxtailbank.submissions.item_groups import encode_parts, split_items
 from foxtailbank.submissions.records import (
     Ended,
@@ -32,51 +40,6 @@
 MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
 
 
-class StateUnknown(FoxtailbankError):
-    """The store is unavailable, so the state is unknown and nothing can be accepted."""
-
-    code = "state_unknown"
-    status = 503
-
-
-class StoreFull(FoxtailbankError):
-    """The submissions take as much memory as the VMs have for them."""
-
-    code = "store_full"
-    status = 503
-
-
-class OutcomeUnknown(FoxtailbankError):
-    """The store did not answer in time; the operation may still take effect."""
-
-    code = "outcome_unknown"
-    status = 504
-
-    def __init__(self, *, detail: str = "") -> None:
-        super().__init__(detail=detail, ran=Ran.UNKNOWN)
-
-
-class SubmissionTooLarge(FoxtailbankError):
-    """The submission would exceed the entry's limit on waiting tokens."""
-
-    code = "too_many_waiting_tokens"
-    status = 429
-
-
-class SubmissionUnknown(FoxtailbankError):
-    """No submission of that id was accepted, or its retention time has passed."""
-
-    code = "submission_unknown"
-    status = 404
-
-
-class ItemUnknown(FoxtailbankError):
-    """The submission has ended or has no such item."""
-
-    code = "item_unknown"
-    status = 404
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NewSubmission:
     """A submission received from a caller.
--- a/tests/test_platform_large_records.py
+++ b/tests/test_platform_large_records.py
@@ -11,6 +11,7 @@
 from foxtailbank.clock import SystemClock
 from foxtailbank.keyed_log import KeyedRecord, LogSlice, StoreRefused, StoreRejected
 from foxtailbank.submissions.append_queue import AppendQueue, AppendTooLarge
+from foxtailbank.submissions.failures import StateUnknown
 from foxtailbank.submissions.item_groups import encode_parts, split_items
 from foxtailbank.submissions.ledger import Effect, Ledger
 from foxtailbank.submissions.records import (
@@ -21,12 +22,9 @@
     drop_progress,
     encode,
 )
-from foxtailbank.submissions.service import (
-    NewSubmission,
-    StateUnknown,
-    SubmissionService,
-)
+from foxtailbank.submissions.service import NewSubmission, SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
+from foxtailbank.tasks import run_supervised
 from platform_deployment import call, make_submission, read_all, running_deployment
 from platform_deployment import submit as submit_items
 from serving_fakes import (
@@ -286,3 +284,30 @@
         target = f"/foxtailbank/items/j1?id={item_id}"
         head, read_body = await call("GET", target, net=NET)
     assert (head.status, read_body) == (200, body)
+
+
+class FailingLog(FakeKeyedLog):
+    """A log whose first append raises an unexpected error after its effect."""
+
+    async def append(self, records, *, append_id):
+        end = await super().append(records, append_id=append_id)
+        if self.appends == 1:
+            raise ZeroDivisionError
+        return end
+
+
+# Guards against records that are lost with the task that appends them.
+async def test_an_unexpected_error_loses_no_record():
+    log = FailingLog()
+    queue = make_queue(log)
+    first = queue.put(record("a"), urgent=False)
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_supervised, "append", queue.run, make_logs())
+        with anyio.fail_after(5):
+            await first.done.wait()
+        later = queue.put(record("b"), urgent=True)
+        with anyio.fail_after(5):
+            await later.done.wait()
+        group.cancel_scope.cancel()
+    assert [stored.key for stored in log.records] == ["a", "b"]
+    assert queue.is_empty
--- a/tests/test_platform_small_memory.py
+++ b/tests/test_platform_small_memory.py
@@ -10,8 +10,8 @@
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.keyed_log import LogSlice
 from foxtailbank.memory_limits import MemoryLimits
+from foxtailbank.submissions.failures import ItemUnknown
 from foxtailbank.submissions.records import Ended, Item, ItemEnded, Submitted, encode
-from foxtailbank.submissions.service import ItemUnknown
 from foxtailbank.submissions.submission_table import SubmissionTable
 from platform_deployment import call, read_all, running_deployment, submit
 from serving_fakes import make_logs
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -13,14 +13,13 @@
 from foxtailbank.logs import Logs
 from foxtailbank.settings_sections import LogLevel
 from foxtailbank.submissions.append_queue import AppendQueue
-from foxtailbank.submissions.records import Ended, encode
-from foxtailbank.submissions.service import (
-    NewSubmission,
+from foxtailbank.submissions.failures import (
     StateUnknown,
-    SubmissionService,
     SubmissionTooLarge,
     SubmissionUnknown,
 )
+from foxtailbank.submissions.records import Ended, encode
+from foxtailbank.submissions.service import NewSubmission, SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
 from serving_fakes import FakeKeyedLog, make_logs, make_route
 from test_submission_ledger import LIMIT, item_ended, make_item, make_submitted
