--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -5,7 +5,9 @@
 import anyio
 
 from foxtailbank.fleet.stream_origin import StreamOrigin
+from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventBuffer
+from foxtailbank.headers import text_to_header
 from foxtailbank.submissions.records import Item, Progress
 from foxtailbank.submissions.submission import Submission
 
@@ -82,6 +84,18 @@
         self.event_buffer.last_event_id = progress.after_event
         self.saved_event_count = len(self.texts)
 
+    def make_call(self, now_ms: int) -> Call:
+        """Return the item's request."""
+        return Call(
+            request_id=text_to_header(self.item.item_id),
+            method="POST",
+            target=self.item.target,
+            host=self.submission.host,
+            headers=self.item.headers,
+            body=self.item.body,
+            arrived_ms=now_ms,
+        )
+
     def discard_output(self) -> None:
         """Start again from the first event."""
         self.blocked_since_ms = None
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -8,13 +8,11 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
-from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventSource, parse_events
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient, WorkerResponse
-from foxtailbank.headers import text_to_header
 from foxtailbank.http1.failures import (
     ExchangeFailed,
     ProcessReplaced,
@@ -292,15 +290,7 @@
             run.not_before_ms = self._clock.now_ms() + PREEMPTION_PAUSE_MS
 
     async def _exchange(self, run: ItemRun, route: Route, worker: Worker) -> None:
-        call = Call(
-            request_id=text_to_header(run.item.item_id),
-            method="POST",
-            target=run.item.target,
-            host=run.submission.host,
-            headers=run.item.headers,
-            body=run.item.body,
-            arrived_ms=self._clock.now_ms(),
-        )
+        call = run.make_call(self._clock.now_ms())
         try:
             async with self._client.exchange(
                 worker,
