--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -290,11 +290,10 @@
             run.not_before_ms = self._clock.now_ms() + PREEMPTION_PAUSE_MS
 
     async def _exchange(self, run: ItemRun, route: Route, worker: Worker) -> None:
-        call = run.make_call(self._clock.now_ms())
         try:
             async with self._client.exchange(
                 worker,
-                call,
+                run.make_call(self._clock.now_ms()),
                 remaining_ms=0,
                 head_timeout_ms=HEAD_TIMEOUT_MS,
                 resume_after=run.event_buffer.last_event_id,
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -151,7 +151,6 @@
         self.held_reads = None
         self.held_newest = None
         self.truncated_reads = 0
-        self.max_append_bytes = None
         self.reads = 0
         self.immediate_reads = 0
         self.appends = 0
@@ -392,11 +391,8 @@
             )
         )
 
-    def call(self, **fields):
-        return make_call(self.clock, **fields)
-
     async def serve(self, route, **call):
-        await self.forwarder.serve(self.call(**call), route, self.responder)
+        await self.forwarder.serve(make_call(self.clock, **call), route, self.responder)
         return self.responder
 
 
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -13,7 +13,13 @@
 from foxtailbank.fleet.version_history import VersionRecord
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.http1.failures import ConnectionBroken
-from serving_fakes import FakeResponse, ServingWorld, make_route, make_worker
+from serving_fakes import (
+    FakeResponse,
+    ServingWorld,
+    make_call,
+    make_route,
+    make_worker,
+)
 
 pytestmark = pytest.mark.anyio
 FIRST = b"id: 1\ndata: a\n\n"
@@ -51,6 +57,9 @@
         for listed in self.late:
             self.fleet.on_listed(listed)
 
+    def call(self, **fields):
+        return make_call(self.clock, **fields)
+
     def break_connections(self):
         for listed in self.fleet.workers.all():
             self.fleet.on_exchange_failure(listed, ConnectionBroken())
