Customers with keys: unknown keys are refused, workers get the customer's name and no key

Cause: the manifest's customers were not decoded. Now the gate finds the holder of a key by its hash, answers 401 after 404 and before anything else, and only the name goes to workers. VMs tell each other the hash. Public routes need no key.

--- /dev/null
+++ b/src/foxtailbank/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers that share a deployment: their keys, limits and shares."""
--- a/src/foxtailbank/forward/call.py
+++ b/src/foxtailbank/forward/call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from foxtailbank.customers.customer import Identity
 from foxtailbank.fleet.stream_origin import stream_key
 from foxtailbank.headers import Headers
 
@@ -39,6 +40,8 @@
         Digest of the request, the same for each attempt.
     prompt_parts : tuple of int
         Digests of the prompt's parts that other requests may share, in order.
+    identity : Identity or None
+        Who sent it; None if it needed no key.
     """
 
     request_id: str
@@ -55,6 +58,12 @@
     affinity: str = ""
     fingerprint: int = 0
     prompt_parts: tuple[int, ...] = ()
+    identity: Identity | None = None
+
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer that sent it; empty if it needed no key."""
+        return self.identity.customer.name if self.identity is not None else ""
 
     @property
     def stream_key(self) -> int:
--- a/src/foxtailbank/forward/peer_target.py
+++ b/src/foxtailbank/forward/peer_target.py
@@ -104,6 +104,7 @@
                 tried=self._tried,
                 resume_after=resume_after,
                 origin=origin,
+                key_hash=call.identity.key_hash if call.identity else "",
             ),
         )
         with self._relay.sending(self._peer):
--- a/src/foxtailbank/forward/route.py
+++ b/src/foxtailbank/forward/route.py
@@ -5,6 +5,7 @@
 import random
 import typing as t
 
+from foxtailbank.customers.customer import Customer
 from foxtailbank.http1.server_limits import ServerLimits
 
 GIVE_UP_MARGIN_MS = 5_000  # VM clocks differ
@@ -69,6 +70,8 @@
         Time after a submission's first arrival at which its results are due.
     give_up_ms : int
         Time after a submission's first arrival at which an item may be given up.
+    is_public : bool
+        Whether its requests need no key, also where customers hold keys.
     """
 
     name: str
@@ -86,6 +89,7 @@
     waiting_tokens: int = 0
     run_deadline_ms: int = 0
     give_up_ms: int = 0
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -128,6 +132,8 @@
         Limits on what clients may send.
     reservation_ms_by_service : dict of str to int
         Maximum lifetime of a slot reservation, for services that support them.
+    customers : tuple of Customer
+        All customers; without any, requests need no key.
     """
 
     version: int
@@ -136,3 +142,4 @@
     reservation_ms_by_service: t.Mapping[str, int] = dataclasses.field(
         default_factory=dict
     )
+    customers: tuple[Customer, ...] = ()
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -3,6 +3,7 @@
 import collections
 import typing as t
 
+from foxtailbank.customers.customer_table import CustomerTable
 from foxtailbank.fleet.stream_lifetimes import StreamLifetimes
 from foxtailbank.forward.route import Route, RouteSet
 from foxtailbank.http1.server_limits import ServerLimits
@@ -19,6 +20,8 @@
         Current version; -1 before the first is applied.
     limits : ServerLimits
         Limits of that version.
+    customers : CustomerTable
+        Customers of that version.
     stream_lifetimes : StreamLifetimes
         Greatest age of a stream that a client may take up again.
     """
@@ -26,6 +29,7 @@
     def __init__(self) -> None:
         self.version = -1
         self.limits = ServerLimits()
+        self.customers = CustomerTable()
         self.stream_lifetimes = StreamLifetimes()
         self._routes_by_host: dict[str, list[Route]] = {}
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
@@ -64,6 +68,7 @@
             host_routes.sort(key=lambda route: -len(route.path_prefix))
         self._routes_by_host = dict(routes_by_host)
         self.limits = routes.limits
+        self.customers = CustomerTable(customers=routes.customers)
         self._reservation_ms_by_service = routes.reservation_ms_by_service
         self.version = routes.version
         return True
--- a/src/foxtailbank/relay/relay_messages.py
+++ b/src/foxtailbank/relay/relay_messages.py
@@ -57,6 +57,8 @@
         Id of the last event that the client has; empty for none.
     origin : StreamOrigin or None
         Software that wrote the client's events, if it is known.
+    key_hash : str
+        Hash of the key that the request bore; empty if it needed none.
     """
 
     vm_id: str
@@ -64,6 +66,7 @@
     tried: tuple[str, ...] = ()
     resume_after: str = ""
     origin: StreamOrigin | None = None
+    key_hash: str = ""
 
 
 class RelayResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -8,6 +8,7 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.crash_report_log import KEY_PREFIX as CRASH_KEY_PREFIX
 from foxtailbank.crash_report_log import CrashReportLog
+from foxtailbank.customers.customer_gate import CustomerGate
 from foxtailbank.events import Event
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.forward.fleet_state import FleetState
@@ -127,6 +128,8 @@
         Whether new requests are passed on.
     routes : RouteTable
         Current routes, which the platform's adapter supplies.
+    customers : CustomerGate
+        Whose a request is, and whether it may be passed on.
     fleet : FleetState
         Known workers, which the platform's adapter supplies.
     forwarder : Forwarder
@@ -160,6 +163,7 @@
         self._logs = logs
         self.gate = StopGate(rng=rng)
         self.routes = RouteTable()
+        self.customers = CustomerGate(routes=self.routes)
         self.fleet = FleetState(
             vm_id=identity.vm_id,
             zone=identity.zone,
