Keys: a bound on their age, checks before each attempt, submissions by customer

What callers saw: a VM cut off from the store served a key for as long as the cut lasted, and any caller could read or end a submission of another. Cause: keys were looked up in whatever version was last read, and submissions had no customer.

--- a/src/foxtailbank/customers/customer_gate.py
+++ b/src/foxtailbank/customers/customer_gate.py
@@ -1,6 +1,7 @@
 """Decides whose a request is and whether it may be passed on."""
 
 from foxtailbank.customers.customer import Identity
+from foxtailbank.customers.key_lease import KeyLease
 from foxtailbank.entry import key_hash
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.forward.route import Route
@@ -14,6 +15,13 @@
     status = 401
 
 
+class ConfigurationsDiffer(FoxtailbankError):
+    """Another VM's configuration says something else of a request than this one's."""
+
+    code = "configurations_differ"
+    status = 503
+
+
 class CustomerGate:
     """Finds the customer that a request belongs to.
 
@@ -21,10 +29,13 @@
     ----------
     routes : RouteTable
         Routes and customers in force.
+    lease : KeyLease
+        Bounds the age of what is known of keys.
     """
 
-    def __init__(self, *, routes: RouteTable) -> None:
+    def __init__(self, *, routes: RouteTable, lease: KeyLease) -> None:
         self._routes = routes
+        self._lease = lease
 
     def needs_key(self, route: Route | None) -> bool:
         """Return whether a request needs a key.
@@ -37,33 +48,89 @@
         is_public = route is not None and route.is_public
         return self._routes.customers.requires_keys and not is_public
 
-    def identify(self, key: str, route: Route | None = None) -> Identity | None:
-        """Return who sent a request; None if it needs no key.
+    async def admit(self, key: str, route: Route) -> Identity | None:
+        """Return who sent a request that leads to a run; None if it needs no key.
 
         Parameters
         ----------
         key : str
             Key that the request bore; empty without one.
-        route : Route, optional
+        route : Route
             Route that it matched.
 
         Raises
         ------
-        KeyUnknown
-            It needs a key and bears none that a customer holds.
+        KeyLeaseLapsed
+            The configuration is too old to tell.
+        KeyUnknown, KeysOutdated
+            As for `identify`.
         """
         if not self.needs_key(route):
             return None
-        identity = self._routes.customers.identify(key_hash(key)) if key else None
-        if identity is None:
-            raise KeyUnknown(detail="no customer holds the key")
-        return identity
+        if key:
+            await self._lease.renew()
+        return await self.identify(key)
 
-    def identify_relayed(self, hashed_key: str, route: Route) -> Identity | None:
-        """Return who sent a request that another VM passed on; see `identify`."""
-        if not self.needs_key(route):
+    async def identify(self, key: str) -> Identity:
+        """Return who holds a key, also by a configuration older than the lease.
+
+        Raises
+        ------
+        KeyUnknown
+            There is no key, or no customer holds it.
+        KeysOutdated
+            The key is unknown, and may have been added since.
+        """
+        if not key:
+            raise KeyUnknown(detail="no key")
+        return await self._find(key_hash(key))
+
+    async def admit_relayed(self, hashed_key: str, route: Route) -> Identity | None:
+        """Return who sent a request that another VM passed on; see `admit`.
+
+        Raises
+        ------
+        ConfigurationsDiffer
+            One of the two VMs wants a key and the other does not.
+        """
+        needs_key = self.needs_key(route)
+        if bool(hashed_key) != needs_key:
+            raise ConfigurationsDiffer()
+        if not needs_key:
             return None
+        await self._lease.renew()
+        return await self._find(hashed_key)
+
+    async def check(self, identity: Identity | None) -> None:
+        """Check once more that the key of an admitted request counts.
+
+        Parameters
+        ----------
+        identity : Identity or None
+            Who sent it, as it was admitted.
+
+        Raises
+        ------
+        KeyUnknown
+            The customer does not hold the key any more.
+        KeyLeaseLapsed
+            The configuration is too old to tell.
+        """
+        if identity is None:
+            return
+        await self._lease.renew()
+        customers = self._routes.customers
+        if not customers.requires_keys:
+            return
+        current = customers.identify(identity.key_hash)
+        if current is None or current.customer.name != identity.customer.name:
+            raise KeyUnknown(detail="the key was taken away")
+
+    async def _find(self, hashed_key: str) -> Identity:
         identity = self._routes.customers.identify(hashed_key)
+        if identity is None:
+            await self._lease.read_new_keys()
+            identity = self._routes.customers.identify(hashed_key)
         if identity is None:
             raise KeyUnknown(detail="no customer holds the key")
         return identity
--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -60,6 +60,8 @@
     ENTRY_SKIPPED = "entry_skipped"
     ROUTES_APPLIED = "routes_applied"
     ROUTES_REFUSED = "routes_refused"
+    KEY_LEASE_LAPSED = "key_lease_lapsed"
+    KEY_LEASE_RENEWED = "key_lease_renewed"
     STORE_LOST = "store_lost"
     STORE_RESTORED = "store_restored"
     STATE_RESTORED = "state_restored"
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -15,6 +15,7 @@
 from foxtailbank.forward.final_response import FinalResponse
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route, RouteKind
+from foxtailbank.forward.send_checks import SendChecks
 from foxtailbank.forward.stream_pacer import StreamPacer
 from foxtailbank.forward.target_finder import TargetFinder
 from foxtailbank.forward.worker_client import WorkerResponse
@@ -33,9 +34,6 @@
 SAFE_TIMEOUT_FACTOR = 5  # times the mean run time; few requests take longer
 # A client takes these statuses to mean that its request has not been run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-# Reasons in log lines and metrics.
-CRASHES_WORKERS = "crashes_workers"
-VM_STOPPING = "vm_stopping"
 MIN_RETRY_TIME_MS = 30  # no request completes in less time
 
 
@@ -73,7 +71,6 @@
         self._responder = responder
         self._fleet = context.fleet
         self._clock = context.clock
-        self._gate = context.gate
         self._recorder = CallRecorder(call=call, route=route, context=context)
         self._final = FinalResponse(
             responder=responder,
@@ -81,6 +78,9 @@
             rng=context.rng,
             is_relayed=relayed is not None,
         )
+        self._checks = SendChecks(
+            call=call, final=self._final, recorder=self._recorder, context=context
+        )
         self._finder = TargetFinder(
             call=call,
             route=route,
@@ -142,7 +142,7 @@
             if isinstance(target, Refusal):
                 await self._give_up(target)
                 return
-            if await self._stop_if_shutting_down():
+            if await self._checks.stop_if_unwanted(may_have_run=self._may_have_run):
                 return
             if await self._attempt(target):
                 return
@@ -150,6 +150,9 @@
                 await self._give_up(self._fleet.no_attempts_left(target.service))
                 return
 
+    async def _stop_if_crashing(self) -> bool:
+        return await self._checks.stop_if_crashing(may_have_run=self._may_have_run)
+
     @property
     def _continues_stream(self) -> bool:
         if self._origin is not None:
@@ -176,28 +179,6 @@
                 self._call.stream_key, origin, process_id=target.process_id
             )
 
-    async def _stop_if_crashing(self) -> bool:
-        """End a request that crashes workers; return whether it was ended."""
-        refused_ms = self._fleet.crashes.refused_ms(self._call)
-        if not refused_ms:
-            return False
-        self._recorder.on_crashing(refused_ms)
-        if self._may_have_run:
-            await self._final.fail(502, CRASHES_WORKERS)
-        else:
-            await self._final.refuse_for(CRASHES_WORKERS, refused_ms)
-        return True
-
-    async def _stop_if_shutting_down(self) -> bool:
-        """Refuse a request that is not under way yet when the VM is being stopped.
-
-        What has been passed on is ended here, also by a further attempt.
-        """
-        if self._may_have_run or not self._gate.is_closed:
-            return False
-        await self._final.refuse_for(VM_STOPPING, self._gate.retry_after_ms())
-        return True
-
     async def _attempt(self, target: AttemptTarget) -> bool:
         """Send to one target; true if the request needs no further attempt."""
         after_event = self._event_buffer.last_event_id
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -188,6 +188,11 @@
         self._metrics.count(Count.REFUSALS, entry=self._route.name, reason=reason)
         self.on_finished(_REFUSED, reason=reason, wait_ms=int(wait_ms))
 
+    def on_denied(self, status: int, *, reason: str) -> None:
+        """Record a 4xx response of this VM's own."""
+        self._metrics.count(Count.REFUSALS, entry=self._route.name, reason=reason)
+        self.on_finished(status, reason=reason)
+
     def on_finished(self, status: int, *, reason: str, wait_ms: int = 0) -> None:
         """Record the outcome; `TRUNCATED` as the status means an early end."""
         name = self._route.name
@@ -199,7 +204,7 @@
             event = Event.CALL_REFUSED
         fields = LogFields(
             request_id=self._call.request_id,
-            owner=self._route.owner,
+            owner=self._call.customer_name or self._route.owner,
             entry=name,
             reason=reason,
             endpoint=self._endpoint,
--- a/src/foxtailbank/forward/final_response.py
+++ b/src/foxtailbank/forward/final_response.py
@@ -68,6 +68,17 @@
         """
         await self._send_refusal(reason, refused_ms, refused_ms)
 
+    async def deny(self, status: int, reason: str) -> None:
+        """Tell the client that its request has not run and must not be repeated.
+
+        Another VM that asked for the attempt is told that it was refused.
+        """
+        if self._is_relayed:
+            await self._send_refusal(reason, 0, 0)
+            return
+        self._recorder.on_denied(status, reason=reason)
+        await self._responder.respond(status=status)
+
     async def fail(self, status: int, reason: str) -> None:
         """Tell the client that its request failed and may have run.
 
--- a/src/foxtailbank/forward/forward_context.py
+++ b/src/foxtailbank/forward/forward_context.py
@@ -4,6 +4,7 @@
 import random
 
 from foxtailbank.clock import Clock
+from foxtailbank.customers.customer_gate import CustomerGate
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.peer_relay import PeerRelay
 from foxtailbank.forward.stop_gate import StopGate
@@ -36,6 +37,8 @@
         Whether requests may still be passed on.
     relay : PeerRelay or None
         Ways to the workers through other VMs, if there are any.
+    customers : CustomerGate or None
+        Checks the keys of requests; None where none bear any.
     """
 
     client: WorkerClient
@@ -47,3 +50,4 @@
     pass_ms: int
     gate: StopGate
     relay: PeerRelay | None = None
+    customers: CustomerGate | None = None
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -5,7 +5,7 @@
 
 from foxtailbank.customers.customer_table import CustomerTable
 from foxtailbank.fleet.stream_lifetimes import StreamLifetimes
-from foxtailbank.forward.route import Route, RouteSet
+from foxtailbank.forward.route import Route, RouteKind, RouteSet
 from foxtailbank.http1.server_limits import ServerLimits
 
 
@@ -33,6 +33,7 @@
         self.stream_lifetimes = StreamLifetimes()
         self._routes_by_host: dict[str, list[Route]] = {}
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
+        self._has_public_batch_routes = False
         self._age_ms: t.Callable[[], int | None] = lambda: 0
 
     def set_age_source(self, age_ms: t.Callable[[], int | None]) -> None:
@@ -55,6 +56,11 @@
         """Whether any version has been applied."""
         return self.version >= 0
 
+    @property
+    def has_public_batch_routes(self) -> bool:
+        """Whether submissions can be made without a key where others need one."""
+        return self._has_public_batch_routes
+
     def apply(self, routes: RouteSet) -> bool:
         """Apply a version; false if it is not newer than the current one."""
         if routes.version <= self.version:
@@ -67,6 +73,9 @@
         for host_routes in routes_by_host.values():
             host_routes.sort(key=lambda route: -len(route.path_prefix))
         self._routes_by_host = dict(routes_by_host)
+        self._has_public_batch_routes = any(
+            route.is_public and route.kind is RouteKind.BATCH for route in routes.routes
+        )
         self.limits = routes.limits
         self.customers = CustomerTable(customers=routes.customers)
         self._reservation_ms_by_service = routes.reservation_ms_by_service
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -9,6 +9,7 @@
 from foxtailbank.crash_report_log import KEY_PREFIX as CRASH_KEY_PREFIX
 from foxtailbank.crash_report_log import CrashReportLog
 from foxtailbank.customers.customer_gate import CustomerGate
+from foxtailbank.customers.key_lease import KeyLease
 from foxtailbank.events import Event
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.forward.fleet_state import FleetState
@@ -121,6 +122,9 @@
         Source of random numbers.
     pass_ms : int
         Longest time until an event of a stream is forwarded, in milliseconds.
+    key_max_age_ms : int
+        Greatest age of the configuration at which keys count, in milliseconds; 0 for
+        any age.
 
     Attributes
     ----------
@@ -130,6 +134,8 @@
         Current routes, which the platform's adapter supplies.
     customers : CustomerGate
         Whose a request is, and whether it may be passed on.
+    key_lease : KeyLease
+        Whether what is known of keys is recent enough.
     fleet : FleetState
         Known workers, which the platform's adapter supplies.
     forwarder : Forwarder
@@ -157,13 +163,17 @@
         metrics: Metrics,
         rng: random.Random,
         pass_ms: int,
+        key_max_age_ms: int = 0,
     ) -> None:
         process_name = identity.process_name
         self._clock = clock
         self._logs = logs
         self.gate = StopGate(rng=rng)
         self.routes = RouteTable()
-        self.customers = CustomerGate(routes=self.routes)
+        self.key_lease = KeyLease(
+            max_age_ms=key_max_age_ms, routes=self.routes, logs=logs, rng=rng
+        )
+        self.customers = CustomerGate(routes=self.routes, lease=self.key_lease)
         self.fleet = FleetState(
             vm_id=identity.vm_id,
             zone=identity.zone,
@@ -193,6 +203,7 @@
                 rng=rng,
                 pass_ms=pass_ms,
                 relay=self.relay,
+                customers=self.customers,
             )
         )
         submission_table = SubmissionTable(logs=logs)
@@ -305,7 +316,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
-        return self.routes.is_loaded and len(self.fleet.workers) > 0
+        keys_count = self.key_lease.is_fresh or not self.routes.customers.requires_keys
+        return self.routes.is_loaded and len(self.fleet.workers) > 0 and keys_count
 
     async def run(self) -> None:
         """Run all tasks except the network interfaces until cancelled."""
@@ -322,6 +334,7 @@
                 ("software versions", self._version_log.run),
                 ("expire workers", self._expire_workers),
                 ("probe workers", self._reach_prober.run),
+                ("key lease", self.key_lease.run),
             ):
                 group.start_soon(run_supervised, name, work, self._logs)
 
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from foxtailbank.customers.customer import Customer, Identity
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventBuffer
@@ -85,7 +86,12 @@
         self.saved_event_count = len(self.texts)
 
     def make_call(self, now_ms: int) -> Call:
-        """Return the item's request."""
+        """Return the item's request, sent by the submission's customer if it has one.
+
+        An accepted item runs also when its customer is gone from the configuration.
+        """
+        name = self.submission.customer
+        identity = Identity(customer=Customer(name=name), key_hash="") if name else None
         return Call(
             request_id=text_to_header(self.item.item_id),
             method="POST",
@@ -94,6 +100,7 @@
             headers=self.item.headers,
             body=self.item.body,
             arrived_ms=now_ms,
+            identity=identity,
         )
 
     def discard_output(self) -> None:
--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import typing as t
 
 import msgspec
 
@@ -19,6 +20,8 @@
 )
 from foxtailbank.submissions.submission import Submission
 
+_Account: t.TypeAlias = tuple[str, str]
+
 
 class Effect(enum.Enum):
     """Effect of applying a record."""
@@ -43,7 +46,8 @@
     def __init__(self) -> None:
         self._by_id: dict[str, Submission] = {}
         self._parts_by_attempt: dict[tuple[str, str], list[Item]] = {}
-        self._waiting_by_route: collections.Counter[str] = collections.Counter()
+        # By customer and entry.
+        self._waiting_by_account: collections.Counter[_Account] = collections.Counter()
 
     def get(self, submission_id: str) -> Submission | None:
         """Return an accepted submission, or None if the id is not known."""
@@ -53,15 +57,15 @@
         """Return all accepted submissions."""
         return tuple(self._by_id.values())
 
-    def waiting_tokens(self, route: str) -> int:
-        """Return the tokens of the remaining items of an entry."""
-        return self._waiting_by_route[route]
+    def waiting_tokens(self, route: str, customer: str = "") -> int:
+        """Return the tokens of the remaining items of a customer on an entry."""
+        return self._waiting_by_account[(customer, route)]
 
     def forget(self, submission_id: str) -> None:
         """Remove a submission whose retention time has passed."""
         dropped = self._by_id.pop(submission_id, None)
         if dropped is not None:
-            self._waiting_by_route[dropped.route] -= dropped.waiting_tokens
+            self._waiting_by_account[_account(dropped)] -= dropped.waiting_tokens
 
     def forget_parts(self, submission_id: str, attempt: str) -> None:
         """Remove parts of a submission whose records were dropped."""
@@ -106,10 +110,10 @@
             return Effect.INCOMPLETE
         items = _join_pieces(pieces)
         tokens = sum(item.tokens for item in items)
-        waiting = self._waiting_by_route[record.route]
+        waiting = self._waiting_by_account[_account(record)]
         if record.waiting_limit and waiting + tokens > record.waiting_limit:
             return Effect.TOO_MANY_TOKENS
-        self._waiting_by_route[record.route] += tokens
+        self._waiting_by_account[_account(record)] += tokens
         self._by_id[record.submission_id] = Submission(
             submission_id=record.submission_id,
             route=record.route,
@@ -117,6 +121,7 @@
             target=record.target,
             arrived_wall_ms=record.arrived_wall_ms,
             owner=record.owner,
+            customer=record.customer,
             items_by_id={item.item_id: item for item in items},
         )
         return Effect.ACCEPTED
@@ -133,7 +138,7 @@
         submission.items_by_id[record.item_id] = _without_request(item)
         submission.progress_by_id.pop(record.item_id, None)
         if not submission.ended:
-            self._waiting_by_route[submission.route] -= item.tokens
+            self._waiting_by_account[_account(submission)] -= item.tokens
         return Effect.ITEM_ENDED
 
     def _count_failure(self, record: AttemptFailed) -> Effect:
@@ -155,7 +160,7 @@
         submission = self._by_id.get(record.submission_id)
         if submission is None or submission.ended:
             return Effect.NONE
-        self._waiting_by_route[submission.route] -= submission.waiting_tokens
+        self._waiting_by_account[_account(submission)] -= submission.waiting_tokens
         submission.ended = True
         submission.items_by_id = {
             item_id: _without_request(item)
@@ -172,6 +177,11 @@
         return Effect.TAKEN_OVER
 
 
+def _account(submission: Submission | Submitted) -> _Account:
+    """Return whose waiting tokens a submission counts among."""
+    return (submission.customer, submission.route)
+
+
 def _without_request(item: Item) -> Item:
     """Return an item that is not run any more, without what takes memory."""
     return msgspec.structs.replace(item, headers=(), body=b"")
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -17,12 +17,14 @@
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.keyed_log import KeyedRecord
+from foxtailbank.submissions.scoped_id import SEPARATOR
 
 SUBMITTED_KIND = "submitted"
 PROGRESS_KIND = "progress"
 PART_KIND = "part"
 MAX_SEGMENT_BYTES = 64  # two of them and a process fit into a key
 _DIGEST_MARK = "#"
+_NOT_IN_SEGMENT = frozenset(("/", SEPARATOR))
 
 
 class RecordUnreadable(FoxtailbankError):
@@ -92,6 +94,8 @@
     piece_count : int
         Number of items in the parts and here; 0 in records of earlier releases. A
         submission of which some are missing is not accepted.
+    customer : str
+        Name of the customer; empty for none and in records of earlier releases.
     """
 
     submission_id: str
@@ -104,6 +108,7 @@
     owner: str
     items: tuple[Item, ...]
     piece_count: int = 0
+    customer: str = ""
 
 
 class RefusedAttempt(msgspec.Struct, frozen=True, kw_only=True, tag="refused"):
@@ -200,7 +205,7 @@
 
 def key_segment(name: str) -> str:
     """Return how an id that a client chose stands in keys, which have few bytes."""
-    is_plain = "/" not in name and not name.startswith(_DIGEST_MARK)
+    is_plain = not name.startswith(_DIGEST_MARK) and not _NOT_IN_SEGMENT & set(name)
     if is_plain and len(name.encode()) <= MAX_SEGMENT_BYTES:
         return name
     return _DIGEST_MARK + xxhash.xxh3_128_hexdigest(name.encode())
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -26,16 +26,14 @@
 from foxtailbank.submissions.records import (
     Ended,
     Item,
-    ItemEnded,
     Submitted,
     encode,
 )
+from foxtailbank.submissions.result_page import ResultPage, page_from
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 APPEND_WAIT_MS = 3_000  # shorter than a caller's deadline for a submission
-RESULT_OVERHEAD_BYTES = 200  # of a result in a page, beside its text
-MAX_PAGE_BYTES = 900_000
 RETRY_AFTER_MS = 700
 MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
 
@@ -47,36 +45,20 @@
     Attributes
     ----------
     submission_id : str
-        Chosen by the caller.
+        Id by which it is stored; see `scoped_id`.
     host, target : str
         Host and path of the request.
     items : tuple of Item
         Items to run.
+    customer : str
+        Name of the customer; empty for none.
     """
 
     submission_id: str
     host: str
     target: str
     items: tuple[Item, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ResultPage:
-    """Results of a submission from a position onwards.
-
-    Attributes
-    ----------
-    total : int
-        Number of items of the submission.
-    next_position : int
-        Position where the next page starts.
-    results : tuple of ItemEnded
-        Results in the order of their positions.
-    """
-
-    total: int
-    next_position: int
-    results: tuple[ItemEnded, ...]
+    customer: str = ""
 
 
 class SubmissionService:
@@ -142,11 +124,11 @@
             return
         self._require_store()
         tokens = sum(item.tokens for item in new.items)
-        if self._exceeds_limit(route, tokens):
+        if self._exceeds_limit(route, new.customer, tokens):
             await self._refresh()
             if self._table.ledger.get(new.submission_id) is not None:
                 return
-            if self._exceeds_limit(route, tokens):
+            if self._exceeds_limit(route, new.customer, tokens):
                 raise self._too_large()
         records = self._encode_records(new, route)
         self._require_memory(sum(record.size_bytes for record in records))
@@ -189,7 +171,7 @@
             The log could not be read to its end.
         """
         deadline_ms = self._clock.now_ms() + wait_ms
-        submission = await self._find(submission_id)
+        submission = await self.find(submission_id)
         while submission.is_open and len(submission.results) <= position:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
@@ -200,7 +182,7 @@
             submission = await self._reread(submission, position)
         if len(submission.results) <= position:
             self._log_no_result(submission, position)
-        return _page_from(submission, position)
+        return page_from(submission, position)
 
     async def item_body(self, submission_id: str, item_id: str) -> bytes:
         """Return the request body of an item.
@@ -214,7 +196,7 @@
         StateUnknown
             The log could not be read to its end.
         """
-        submission = await self._find(submission_id)
+        submission = await self.find(submission_id)
         item = submission.items_by_id.get(item_id)
         is_listed = item_id in submission.ended_item_ids
         if item is None or submission.ended or is_listed:
@@ -233,7 +215,7 @@
         OutcomeUnknown
             The submission may still be ended.
         """
-        submission = await self._find(submission_id)
+        submission = await self.find(submission_id)
         if submission.ended:
             return
         self._require_store()
@@ -259,8 +241,8 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
-    def _exceeds_limit(self, route: Route, tokens: int) -> bool:
-        waiting = self._table.ledger.waiting_tokens(route.name)
+    def _exceeds_limit(self, route: Route, customer: str, tokens: int) -> bool:
+        waiting = self._table.ledger.waiting_tokens(route.name, customer)
         return bool(route.waiting_tokens) and waiting + tokens > route.waiting_tokens
 
     def _too_large(self) -> SubmissionTooLarge:
@@ -269,7 +251,20 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
 
-    async def _find(self, submission_id: str) -> Submission:
+    def get(self, submission_id: str) -> Submission | None:
+        """Return a submission, or None if this VM does not know the id."""
+        return self._table.ledger.get(submission_id)
+
+    async def find(self, submission_id: str) -> Submission:
+        """Return a submission.
+
+        Raises
+        ------
+        SubmissionUnknown
+            The log has no such submission.
+        StateUnknown
+            The log could not be read to its end.
+        """
         submission = self._table.ledger.get(submission_id)
         if submission is not None:
             return submission
@@ -359,6 +354,7 @@
             owner=self._owner_id,
             items=groups[-1],
             piece_count=sum(map(len, groups)),
+            customer=new.customer,
         )
         parts = encode_parts(new.submission_id, attempt, groups[:-1])
         return (*parts, encode(submitted, key_suffix=attempt))
@@ -382,18 +378,3 @@
     with anyio.move_on_after(timeout_ms / MS_PER_S):
         await event.wait()
     return bool(event.is_set())
-
-
-def _page_from(submission: Submission, position: int) -> ResultPage:
-    chosen: list[ItemEnded] = []
-    size = 0
-    for result in submission.results[position:]:
-        size += len(result.text.encode()) + RESULT_OVERHEAD_BYTES
-        if chosen and size > MAX_PAGE_BYTES:
-            break
-        chosen.append(result)
-    return ResultPage(
-        total=len(submission.items_by_id),
-        next_position=position + len(chosen),
-        results=tuple(chosen),
-    )
