Batch items of large fleets use the slots between bursts, and leave them at the next one's first sign

Cause: items left 1.5 times the online peak of the last 8 s free at all times, up to 55% of each worker, and waited 1.5 s for each distance tier, while the trough between two bursts lasts 3 s.

An item waits 100 ms for each tier. The load is what the zone's VMs have in flight anywhere, if that is more than what its workers run: items that fill the workers of a zone push its online requests to others, and the burst was not seen there.

--- a/src/foxtailbank/fleet/load_table.py
+++ b/src/foxtailbank/fleet/load_table.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import typing as t
 
 
 class LoadKind(enum.Enum):
@@ -43,11 +44,14 @@
         Its process.
     load_by_worker : dict of str to WorkerLoad
         Requests in flight, without idle workers.
+    zone : str
+        Its availability zone; empty if unknown.
     """
 
     vm_id: str
     incarnation: int
     load_by_worker: dict[str, WorkerLoad]
+    zone: str = ""
 
 
 NO_LOAD = WorkerLoad()
@@ -62,6 +66,10 @@
         self._received_ms_by_vm: dict[str, int] = {}
         self._peer_online: collections.Counter[str] = collections.Counter()
         self._peer_batch: collections.Counter[str] = collections.Counter()
+        # By zone of the VM that sent them, and worker.
+        self._peer_online_by_origin: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     def start(self, worker_id: str, kind: LoadKind) -> None:
         """Count a request of this VM."""
@@ -118,6 +126,21 @@
         own = self._own.get(worker_id, NO_LOAD)
         return own.online + self._peer_online[worker_id]
 
+    def online_from_zone(self, zone: str, worker_ids: t.Iterable[str]) -> int:
+        """Return the online requests of this VM and the others of its zone.
+
+        Parameters
+        ----------
+        zone : str
+            Zone of this VM.
+        worker_ids : iterable of str
+            Workers on which the requests are in flight.
+        """
+        return sum(
+            self.own(worker_id).online + self._peer_online_by_origin[zone, worker_id]
+            for worker_id in worker_ids
+        )
+
     def batch_by_peer(self, worker_id: str) -> dict[str, int]:
         """Return the batch requests of each peer on a worker."""
         return {
@@ -141,6 +164,10 @@
         for worker_id, load in peer.load_by_worker.items():
             self._peer_online[worker_id] += sign * load.online
             self._peer_batch[worker_id] += sign * load.batch
+            origin = (peer.zone, worker_id)
+            self._peer_online_by_origin[origin] += sign * load.online
+            if not self._peer_online_by_origin[origin]:
+                del self._peer_online_by_origin[origin]
             if not self._peer_online[worker_id] and not self._peer_batch[worker_id]:
                 del self._peer_online[worker_id]
                 del self._peer_batch[worker_id]
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -4,6 +4,7 @@
 
 from foxtailbank.fleet.distance_tiers import DistanceTiers
 from foxtailbank.fleet.load_table import LoadKind, LoadTable
+from foxtailbank.fleet.report_intervals import PeerGroup
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.worker_limits import WorkerLimits
@@ -111,6 +112,40 @@
             return None
         return sum(self.loads.online(worker.worker_id) for worker in healthy) / slots
 
+    def zone_online_share(
+        self, workers: t.Sequence[Worker], now_ms: int
+    ) -> float | None:
+        """Return the online load of this VM's zone, of which reports are the freshest.
+
+        It is what the workers of the zone run, or what its VMs have in flight anywhere
+        in relation to their part of all slots, whichever is more: where batch items
+        fill the workers of the zone, online requests are sent to other zones.
+
+        Parameters
+        ----------
+        workers : sequence of Worker
+            Workers of one service.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        float or None
+            Divided by slots, as in `online_share`.
+        """
+        near = [worker for worker in workers if worker.zone == self.zone]
+        share = self.online_share(near or workers, now_ms)
+        slots = sum(
+            worker.slots for worker in workers if self.is_healthy(worker, now_ms)
+        )
+        if share is None or not slots:
+            return None
+        near_vms = self.tiers.peer_count(PeerGroup.NEAR) + 1
+        vms = self.tiers.total_peer_count + 1
+        worker_ids = (worker.worker_id for worker in workers)
+        sent = self.loads.online_from_zone(self.zone, worker_ids)
+        return max(share, sent * vms / (slots * near_vms))
+
     def has_free_slot(self, worker: Worker, now_ms: int, *, reserve: int = 0) -> bool:
         """Return whether a worker has a free slot.
 
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -257,6 +257,7 @@
             vm_id=report.vm_id,
             incarnation=report.incarnation,
             load_by_worker=report.load_by_worker,
+            zone=report.zone,
         )
         self._fleet.apply_peer_load(load, now_ms)
         self._streams.on_report(report, address)
--- a/src/foxtailbank/submissions/batch_capacity.py
+++ b/src/foxtailbank/submissions/batch_capacity.py
@@ -2,13 +2,10 @@
 
 Designed for bursts of online requests during a long-running batch: items fill the slots
 that online requests leave free and are preempted when online requests exceed the free
-slots. A preempted item keeps its output and resumes from there. In a large fleet, where
-a burst is noticed late, items leave more slots free: as many as the last bursts used
-and a margin, up to a fixed share.
+slots. A preempted item keeps its output and resumes from there. How many slots items
+leave free, and when they are preempted for a burst, is decided by `OnlineReserve`.
 """
 
-import collections
-import math
 import typing as t
 
 from foxtailbank import rendezvous
@@ -16,16 +13,11 @@
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_view import WorkerView
-from foxtailbank.submissions.online_peak import OnlinePeak
-
-ONLINE_RESERVE_SLOTS = 1  # kept free on a worker for the next online request
-# Greatest share of a worker's slots that items leave free; a burst doubles the mean
-# online load.
-LARGE_FLEET_RESERVE_SHARE = 0.55
-PEAK_MARGIN = 1.5  # slots left free per slot at the peak; workers differ in their load
-TIER_WAIT_MS = 1_500  # an item's run in a fleet with free capacity is shorter
-# Share of a worker's slots that preemption keeps free; online requests reserve them.
-LARGE_FLEET_HEADROOM_SHARE = 0.25
+from foxtailbank.submissions.online_reserve import OnlineReserve
+
+# A trough between two bursts lasts about 3 s; an item that waited longer for a slot
+# nearby would miss most of it.
+TIER_WAIT_MS = 100
 EXCESS_GRACE_MS = 50  # a full worker completes some request within about this time
 
 
@@ -51,9 +43,7 @@
         self._loads = view.loads
         self._neighbourhood = view.tiers
         self._excess_since_ms: dict[str, int] = {}
-        self._peak_by_service: dict[str, OnlinePeak] = collections.defaultdict(
-            OnlinePeak
-        )
+        self._reserve = OnlineReserve(view=view)
 
     @property
     def has_excess(self) -> bool:
@@ -76,17 +66,7 @@
         now_ms : int
             Current time.
         """
-        if not self._neighbourhood.is_large_fleet:
-            return
-        if not self._view.hears_peers:
-            self._peak_by_service.clear()
-            return
-        for service, workers in workers_by_service.items():
-            peak = self._peak_by_service[service]
-            if peak.is_due(now_ms):
-                share = self._view.online_share(workers, now_ms)
-                if share is not None:
-                    peak.add(share, now_ms)
+        self._reserve.observe(workers_by_service, now_ms)
 
     def choose_worker(
         self,
@@ -143,12 +123,10 @@
     def _share_of_excess(self, worker: Worker, now_ms: int) -> int:
         load = self._loads.total(worker.worker_id)
         own = self._loads.own(worker.worker_id).batch
-        if not own or not load.online:
+        if not own or not self._is_wanted(worker):
             return 0
-        excess = min(
-            load.total - worker.slots + self._headroom_slots(worker, now_ms),
-            load.batch,
-        )
+        headroom = self._reserve.headroom_slots(worker, now_ms)
+        excess = min(load.total - worker.slots + headroom, load.batch)
         if excess <= 0:
             return 0
         batch_by_vm = self._loads.batch_by_peer(worker.worker_id)
@@ -162,16 +140,11 @@
             excess -= share
         return 0
 
-    def _headroom_slots(self, worker: Worker, now_ms: int) -> int:
-        """Return the slots that preemption keeps free.
-
-        They are fewer than those that items leave free, or a single online request
-        would preempt items that were just started.
-        """
-        if not self._neighbourhood.is_large_fleet:
-            return 0
-        headroom = math.ceil(LARGE_FLEET_HEADROOM_SHARE * worker.slots)
-        return min(headroom, self._reserved_slots(worker, now_ms) - 1)
+    def _is_wanted(self, worker: Worker) -> bool:
+        """Return whether online requests use a worker, or would if items left it."""
+        if self._loads.online(worker.worker_id):
+            return True
+        return self._reserve.is_burst_on(worker.service)
 
     def _has_capacity(self, worker: Worker, now_ms: int) -> bool:
         if not self._view.is_healthy(worker, now_ms):
@@ -179,23 +152,9 @@
         if self._view.limit_wait_ms(worker, LoadKind.BATCH, now_ms):
             return False
         return self._view.has_free_slot(
-            worker, now_ms, reserve=self._reserved_slots(worker, now_ms)
+            worker, now_ms, reserve=self._reserve.reserved_slots(worker, now_ms)
         )
 
-    def _reserved_slots(self, worker: Worker, now_ms: int) -> int:
-        if not self._neighbourhood.is_large_fleet:
-            return ONLINE_RESERVE_SLOTS
-        share = min(LARGE_FLEET_RESERVE_SHARE, self._expected_share(worker, now_ms))
-        return max(ONLINE_RESERVE_SLOTS, math.ceil(share * worker.slots))
-
-    def _expected_share(self, worker: Worker, now_ms: int) -> float:
-        """Return the share of slots that online requests may need soon."""
-        peak = self._peak_by_service.get(worker.service)
-        peak_share = peak.share(now_ms) if peak is not None else None
-        if peak_share is None:
-            return LARGE_FLEET_RESERVE_SHARE
-        return PEAK_MARGIN * peak_share
-
     def _cost(self, worker: Worker) -> tuple[float, bool, float]:
         load = self._loads.total(worker.worker_id)
         is_far = worker.zone != self._view.zone
