--- /dev/null
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -0,0 +1,168 @@
+"""Which VM grants a customer's permits, and which share of its limit it may grant."""
+
+import dataclasses
+import typing as t
+
+from foxtailbank import rendezvous
+
+# A VM that is out of touch for longer no longer keeps its part of the limits.
+KEPT_MS = 600_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Contact:
+    """What is known of another VM.
+
+    Attributes
+    ----------
+    vm_id : str
+        The VM.
+    heard_ms : int
+        When it was last heard, or, before that, its address was read.
+    silence_ms : int
+        Time without a report after which it counts as lost.
+    late_ms : int
+        Time without a report after which a report is missing.
+    """
+
+    vm_id: str
+    heard_ms: int
+    silence_ms: int
+    late_ms: int
+
+
+class RateFleet:
+    """Tracks which VMs may grant permits.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+
+    Attributes
+    ----------
+    is_ready : bool
+        Whether the other VMs are known.
+    """
+
+    def __init__(self, *, vm_id: str) -> None:
+        self._vm_id = vm_id
+        self._contact_by_id: dict[str, Contact] = {}
+        self._reachable_ids: frozenset[str] = frozenset((vm_id,))
+        self._passed_over_ms_by_id: dict[str, int] = {}
+        self._granting_vm_by_customer: dict[str, str] = {}
+        self._share = 1.0
+        self.is_ready = False
+
+    def update(self, contacts: t.Iterable[Contact], now_ms: int) -> None:
+        """Set what is known of the other VMs that are not shutting down."""
+        known = self._contact_by_id
+        self._contact_by_id = {
+            contact.vm_id: _latest(contact, known.get(contact.vm_id))
+            for contact in contacts
+            if now_ms - contact.heard_ms < KEPT_MS
+        }
+        self._apply(now_ms)
+        self.is_ready = True
+
+    def on_heard(self, vm_id: str, now_ms: int) -> None:
+        """Record that a known VM sent something just now."""
+        contact = self._contact_by_id.get(vm_id)
+        if contact is None:
+            return
+        heard = dataclasses.replace(contact, heard_ms=now_ms)
+        self._contact_by_id[vm_id] = heard
+        if vm_id not in self._reachable_ids:
+            self._apply(now_ms)
+
+    def pass_over(self, vm_id: str, now_ms: int) -> None:
+        """Grant and ask without a VM that does not answer, until it is heard again."""
+        if vm_id in self._reachable_ids:
+            self._passed_over_ms_by_id[vm_id] = now_ms
+            self._apply(now_ms)
+
+    def is_reachable(self, vm_id: str) -> bool:
+        """Return whether a VM can be asked for permits."""
+        return vm_id in self._reachable_ids
+
+    def granting_vm(self, customer: str) -> str:
+        """Return the VM that grants a customer's permits."""
+        vm_id = self._granting_vm_by_customer.get(customer)
+        if vm_id is None:
+            vm_id = max(
+                self._reachable_ids, key=lambda name: rendezvous.score(customer, name)
+            )
+            self._granting_vm_by_customer[customer] = vm_id
+        return vm_id
+
+    def next_granting_vm(self, customer: str) -> str:
+        """Return the VM that grants after this one; itself if there is no other."""
+        others = self._reachable_ids - {self._vm_id}
+        return max(
+            others or self._reachable_ids,
+            key=lambda name: rendezvous.score(customer, name),
+        )
+
+    def share(self, customer: str) -> float:
+        """Return the share of a customer's limit that this VM may grant.
+
+        It is that of the VMs which are heard. In place of a VM that does not answer but
+        has not been silent for long, this VM may be on one side of a cut: only VMs that
+        were heard since then count.
+        """
+        own_score = rendezvous.score(customer, self._vm_id)
+        replaced_ms = [
+            passed_ms
+            for vm_id, passed_ms in self._passed_over_ms_by_id.items()
+            if rendezvous.score(customer, vm_id) > own_score
+        ]
+        if not replaced_ms:
+            return self._share
+        first_ms = min(replaced_ms)
+        heard = sum(c.heard_ms > first_ms for c in self._contact_by_id.values())
+        return min(self._share, (heard + 1) / (len(self._contact_by_id) + 1))
+
+    @property
+    def guaranteed_share(self) -> float:
+        """Share of one VM of all that are known."""
+        return 1 / (len(self._contact_by_id) + 1)
+
+    def heard_age_ms(self, vm_id: str, now_ms: int) -> int | None:
+        """Return the time since a VM was heard; None if it is not known."""
+        if vm_id == self._vm_id:
+            return 0
+        contact = self._contact_by_id.get(vm_id)
+        return None if contact is None else now_ms - contact.heard_ms
+
+    def _apply(self, now_ms: int) -> None:
+        self._passed_over_ms_by_id = {
+            vm_id: passed_ms
+            for vm_id, passed_ms in self._passed_over_ms_by_id.items()
+            if vm_id in self._contact_by_id
+            and self._contact_by_id[vm_id].heard_ms <= passed_ms
+            and self._is_heard(self._contact_by_id[vm_id], now_ms)
+        }
+        reachable = {
+            vm_id
+            for vm_id, contact in self._contact_by_id.items()
+            if self._is_heard(contact, now_ms)
+            and vm_id not in self._passed_over_ms_by_id
+        }
+        reachable_ids = frozenset(reachable | {self._vm_id})
+        if reachable_ids != self._reachable_ids:
+            self._reachable_ids = reachable_ids
+            self._granting_vm_by_customer.clear()
+        on_time = sum(
+            now_ms - contact.heard_ms < contact.late_ms
+            for contact in self._contact_by_id.values()
+        )
+        self._share = (on_time + 1) / (len(self._contact_by_id) + 1)
+
+    def _is_heard(self, contact: Contact, now_ms: int) -> bool:
+        return now_ms - contact.heard_ms < contact.silence_ms
+
+
+def _latest(contact: Contact, known: Contact | None) -> Contact:
+    if known is None or known.heard_ms <= contact.heard_ms:
+        return contact
+    return dataclasses.replace(contact, heard_ms=known.heard_ms)
--- a/src/foxtailbank/token_bucket.py
+++ b/src/foxtailbank/token_bucket.py
@@ -36,15 +36,36 @@
         Capacity of the bucket in units; greater than 0.
     now_ms : int
         Current time in milliseconds.
+    level : int, optional
+        Units in the bucket at first; the burst by default.
     """
 
-    def __init__(self, *, rate_milli_per_s: int, burst: int, now_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        rate_milli_per_s: int,
+        burst: int,
+        now_ms: int,
+        level: int | None = None,
+    ) -> None:
         self._rate_milli_per_s = rate_milli_per_s
         self._burst_micro = burst * _MICRO_PER_UNIT
         self._level_micro = self._burst_micro
+        if level is not None:
+            self._level_micro = min(self._burst_micro, level * _MICRO_PER_UNIT)
         self._at_ms = now_ms
         self._outstanding: list[TokenReservation] = []
 
+    def available(self, now_ms: int) -> int:
+        """Return the whole units in the bucket."""
+        self._refill(now_ms)
+        return max(0, self._level_micro // _MICRO_PER_UNIT)
+
+    def put(self, amount: int, now_ms: int) -> None:
+        """Add units from another bucket, up to the burst."""
+        self._refill(now_ms)
+        self._add(amount * _MICRO_PER_UNIT)
+
     def wait_ms(self, amount: int, now_ms: int) -> int:
         """Return the milliseconds until an amount is allowed; 0 if it is allowed now.
 
