Rate limits of customers are kept over all VMs

Callers saw no limit at all: every request of a customer was passed on. One VM, drawn by hashing, now grants permits of a customer to the others over UDP; beyond the limit callers get 429 with the time until a permit is likely.

--- a/src/foxtailbank/customers/rate_asker.py
+++ b/src/foxtailbank/customers/rate_asker.py
@@ -2,21 +2,21 @@
 
 import collections
 import dataclasses
-import enum
 import itertools
 import typing as t
 
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.customers.rate_bucket import MAX_RETRY_AFTER_MS, PERMIT_LIFE_MS
 from foxtailbank.customers.rate_fleet import RateFleet
+from foxtailbank.customers.rate_guarantee import GuaranteedPart
 from foxtailbank.customers.rate_limit import RateLimit
 from foxtailbank.customers.rate_messages import (
     MAX_PERMITS,
     PermitAnswer,
     PermitRequest,
 )
-from foxtailbank.customers.rate_permits import NeedEstimate, Permit, PermitStock
-from foxtailbank.token_bucket import TokenBucket
+from foxtailbank.customers.rate_permits import Permit, PermitStock, RequestRate
+from foxtailbank.customers.rate_wait import Outcome, PermitWait
 
 # Until a request for permits is sent again, and, at last, given up. A VM may be
 # without a processor for the rest of a tenth of a second.
@@ -26,63 +26,7 @@
 LOST_RETRY_AFTER_MS = 500  # by then another VM grants
 STARTUP_RETRY_AFTER_MS = 250  # until the other VMs are known
 DECLINED_MS = 100  # a VM that sees another one as the granting VM is not asked again
-# Of rate / VMs known. Others may be using the whole limit until they notice a cut.
-GUARANTEED_PART = 0.5
-
-
-class Outcome(enum.Enum):
-    """Why a client request was let pass or refused."""
-
-    GRANTED = "granted"
-    GUARANTEED = "guaranteed"
-    LIMIT = "limit"
-    NO_ANSWER = "no_answer"
-    STARTING = "starting"
-
-
-class PermitWait:
-    """A client request that waits for a permit.
-
-    Parameters
-    ----------
-    started_ms : int
-        When it came.
-
-    Attributes
-    ----------
-    outcome : Outcome or None
-        None while it waits.
-    permit : Permit or None
-        Lets it pass; None while it waits or if it is refused.
-    retry_after_ms : int
-        Time until a permit is likely, if it is refused.
-    """
-
-    def __init__(self, *, started_ms: int) -> None:
-        self.started_ms = started_ms
-        self.outcome: Outcome | None = None
-        self.permit: Permit | None = None
-        self.retry_after_ms = 0
-        self._listeners: list[t.Callable[[], None]] = []
-
-    def add_listener(self, listener: t.Callable[[], None]) -> None:
-        """Add a function to call once it is decided on."""
-        self._listeners.append(listener)
-
-    def admit(self, permit: Permit, outcome: Outcome) -> None:
-        """Let it pass."""
-        self.permit = permit
-        self._decide(outcome)
-
-    def refuse(self, retry_after_ms: int, outcome: Outcome) -> None:
-        """Refuse it."""
-        self.retry_after_ms = retry_after_ms
-        self._decide(outcome)
-
-    def _decide(self, outcome: Outcome) -> None:
-        self.outcome = outcome
-        for listener in self._listeners:
-            listener()
+NEED_MS = 200  # permits are asked for ahead for this time
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -175,7 +119,7 @@
         self._numbers = numbers
         self._send = send
         self._stock = PermitStock()
-        self._need = NeedEstimate()
+        self._need = RequestRate(window_ms=NEED_MS)
         self._waiting: collections.deque[PermitWait] = collections.deque()
         self._pending: _Pending | None = None
         # Given up, but an answer may still come.
@@ -183,7 +127,7 @@
         self._denial: _Denial | None = None
         self._refused = 0
         self._declined_ms: int | None = None
-        self._guaranteed: TokenBucket | None = None
+        self._guaranteed = GuaranteedPart()
 
     @property
     def is_idle(self) -> bool:
@@ -198,7 +142,7 @@
     def request(self, now_ms: int) -> PermitWait:
         """Decide on a client request, at once if possible."""
         wait = PermitWait(started_ms=now_ms)
-        self._need.on_request(now_ms)
+        self._need.add(now_ms)
         self._waiting.append(wait)
         self._serve(now_ms)
         if wait.outcome is not None:
@@ -259,7 +203,7 @@
     def _on_granted(self, answer: PermitAnswer, pending: _Pending, now_ms: int) -> None:
         self.answered_ms = now_ms
         self._declined_ms = None
-        self._guaranteed = None
+        self._guaranteed.end()
         permit = Permit(
             customer=self._customer,
             granting_vm=answer.vm_id,
@@ -300,7 +244,7 @@
         if self._fleet.granting_vm(self._customer) == self._vm_id:
             return
         need = self._need.estimate(now_ms)
-        if need > 1 and 2 * self._stock.count(now_ms) <= need:
+        if need >= 1.5 and 2 * self._stock.count(now_ms) <= need:
             self._ask(now_ms)
 
     def _ask(self, now_ms: int, *, vm_id: str = "", targets: int = 1) -> None:
@@ -313,7 +257,7 @@
         vm_id = vm_id or self._fleet.granting_vm(self._customer)
         needed = min(len(self._waiting), MAX_PERMITS)
         is_own = vm_id == self._vm_id
-        wanted = needed if is_own else max(needed, self._need.estimate(now_ms))
+        wanted = needed if is_own else max(needed, round(self._need.estimate(now_ms)))
         request = PermitRequest(
             vm_id=self._vm_id,
             incarnation=self._incarnation,
@@ -345,6 +289,7 @@
 
     def _serve(self, now_ms: int) -> None:
         while self._waiting and (permit := self._stock.take(now_ms)) is not None:
+            self._guaranteed.on_granted(now_ms)
             self._waiting.popleft().admit(permit, Outcome.GRANTED)
 
     def _is_denied(self, now_ms: int) -> bool:
@@ -372,22 +317,10 @@
             self._waiting.popleft().refuse(retry_after_ms, outcome)
 
     def _use_guaranteed(self, now_ms: int) -> None:
-        """Let pass what this VM may without an answer, and refuse the rest.
-
-        The part begins at zero when the granting VM is lost, so that what all VMs pass
-        without it stays below the rate.
-        """
-        if self._guaranteed is None:
-            share = GUARANTEED_PART * self._fleet.guaranteed_share
-            self._guaranteed = TokenBucket(
-                rate_milli_per_s=self.limit.part(share).rate_milli_per_s,
-                burst=1,
-                now_ms=now_ms,
-                level=0,
-            )
-        while self._waiting and self._guaranteed.available(now_ms):
-            taken = self._guaranteed.reserve(1, now_ms)
-            self._guaranteed.settle(taken, used=1, now_ms=now_ms)
+        """Let pass what this VM may without an answer, and refuse the rest."""
+        while self._waiting and self._guaranteed.take(
+            self.limit, self._fleet.guaranteed_share, now_ms
+        ):
             permit = Permit(
                 customer=self._customer, granting_vm="", number=0, expires_ms=now_ms
             )
--- a/src/foxtailbank/customers/rate_fleet.py
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -52,6 +52,7 @@
         self._passed_over_ms_by_id: dict[str, int] = {}
         self._granting_vm_by_customer: dict[str, str] = {}
         self._share = 1.0
+        self._is_stopping = False
         self.is_ready = False
 
     def update(self, contacts: t.Iterable[Contact], now_ms: int) -> None:
@@ -65,6 +66,11 @@
         self._apply(now_ms)
         self.is_ready = True
 
+    def stop(self, now_ms: int) -> None:
+        """Leave granting to the others, if there are any."""
+        self._is_stopping = True
+        self._apply(now_ms)
+
     def on_heard(self, vm_id: str, now_ms: int) -> None:
         """Record that a known VM sent something just now."""
         contact = self._contact_by_id.get(vm_id)
@@ -148,7 +154,9 @@
             if self._is_heard(contact, now_ms)
             and vm_id not in self._passed_over_ms_by_id
         }
-        reachable_ids = frozenset(reachable | {self._vm_id})
+        if not reachable or not self._is_stopping:
+            reachable.add(self._vm_id)
+        reachable_ids = frozenset(reachable)
         if reachable_ids != self._reachable_ids:
             self._reachable_ids = reachable_ids
             self._granting_vm_by_customer.clear()
--- a/src/foxtailbank/customers/rate_participant.py
+++ b/src/foxtailbank/customers/rate_participant.py
@@ -2,11 +2,7 @@
 
 import typing as t
 
-from foxtailbank.customers.rate_asker import (
-    PermitAsker,
-    PermitWait,
-    message_numbers,
-)
+from foxtailbank.customers.rate_asker import PermitAsker, message_numbers
 from foxtailbank.customers.rate_bucket import (
     NO_GRANT,
     PERMIT_LIFE_MS,
@@ -22,11 +18,12 @@
     RateMessage,
 )
 from foxtailbank.customers.rate_permits import Permit
+from foxtailbank.customers.rate_wait import PermitWait
 
 TICK_MS = 200
 # A VM that was suspended does not know what others granted meanwhile.
 GAP_MS = 1_000
-TRANSFER_PAUSE_MS = 500  # after such a gap, transfers are from before it
+RESUME_MS = 50  # until it has read what came meanwhile
 # In the first bucket of a customer in the life of a process, so that a restart of all
 # VMs does not refuse the next request of everyone.
 START_PERMITS = 3
@@ -83,6 +80,11 @@
         self._seen_ms: int | None = None
         self._gap_ms: int | None = None
 
+    @property
+    def tick_ms(self) -> int:
+        """When `tick` must be called next, in milliseconds from now."""
+        return TICK_MS if self.fleet.is_ready else RESUME_MS
+
     def request(self, customer: str, limit: RateLimit, now_ms: int) -> PermitWait:
         """Decide on a client request of a limited customer, at once if possible."""
         self._notice_gap(now_ms)
@@ -124,8 +126,10 @@
         return now_ms - asker.answered_ms
 
     def tick(self, contacts: t.Iterable[Contact], now_ms: int) -> None:
-        """Apply what is known of the other VMs; to be called every `TICK_MS`."""
+        """Apply what is known of the other VMs; to be called every `tick_ms`."""
         self._notice_gap(now_ms)
+        if self._gap_ms is not None and now_ms - self._gap_ms < RESUME_MS:
+            return
         self.fleet.update(contacts, now_ms)
         for vm_id, probed_ms in list(self._probed_ms_by_vm.items()):
             if now_ms - probed_ms >= PROBE_MS:
@@ -139,6 +143,7 @@
 
     def stop(self, now_ms: int) -> None:
         """Hand all buckets over, as this VM is shutting down."""
+        self.fleet.stop(now_ms)
         for customer in list(self._bucket_by_customer):
             self._hand_over(customer, now_ms)
 
@@ -252,8 +257,6 @@
     def _hand_over(self, customer: str, now_ms: int) -> None:
         bucket = self._bucket_by_customer.pop(customer, None)
         to = self.fleet.granting_vm(customer)
-        if to == self._vm_id:
-            to = self.fleet.next_granting_vm(customer)
         permits = bucket.available(now_ms) if bucket is not None else 0
         if not permits or to == self._vm_id:
             return
@@ -270,9 +273,8 @@
         """Take over a bucket; a repeated or old transfer is ignored."""
         newest = self._transfer_by_vm.get(transfer.vm_id, (0, 0))
         number = (transfer.incarnation, transfer.number)
-        is_old = self._gap_ms is not None and now_ms - self._gap_ms < TRANSFER_PAUSE_MS
         limit = self._limits().get(transfer.customer)
-        if number <= newest or is_old or limit is None:
+        if number <= newest or limit is None:
             return
         self._transfer_by_vm[transfer.vm_id] = number
         self._bucket(transfer.customer, limit, now_ms).put(transfer.permits, now_ms)
@@ -287,3 +289,4 @@
         if seen_ms is not None and now_ms - seen_ms > GAP_MS:
             self._gap_ms = now_ms
             self._bucket_by_customer.clear()
+            self.fleet.is_ready = False
--- a/src/foxtailbank/customers/rate_permits.py
+++ b/src/foxtailbank/customers/rate_permits.py
@@ -5,8 +5,6 @@
 
 from foxtailbank.customers.rate_messages import MAX_UNUSED, UnusedPermits
 
-NEED_WINDOW_MS = 200  # permits are asked for ahead for this time
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Permit:
@@ -76,27 +74,34 @@
                 del counts[min(counts)]
 
 
-class NeedEstimate:
-    """Estimates how many permits the next `NEED_WINDOW_MS` will need."""
+class RequestRate:
+    """Counts events of about the last moments.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    window_ms : int
+        How long an event counts.
+    """
+
+    def __init__(self, *, window_ms: int) -> None:
+        self._window_ms = window_ms
         self._window = 0
         self._count = 0
         self._last_count = 0
 
-    def on_request(self, now_ms: int) -> None:
-        """Count a client request."""
+    def add(self, now_ms: int) -> None:
+        """Count an event."""
         self._advance(now_ms)
         self._count += 1
 
-    def estimate(self, now_ms: int) -> int:
-        """Return the requests of the last `NEED_WINDOW_MS`, at least one."""
+    def estimate(self, now_ms: int) -> float:
+        """Return the events of the last `window_ms`."""
         self._advance(now_ms)
-        rest = 1 - (now_ms % NEED_WINDOW_MS) / NEED_WINDOW_MS
-        return max(1, round(self._count + rest * self._last_count))
+        rest = 1 - (now_ms % self._window_ms) / self._window_ms
+        return self._count + rest * self._last_count
 
     def _advance(self, now_ms: int) -> None:
-        window = now_ms // NEED_WINDOW_MS
+        window = now_ms // self._window_ms
         if window != self._window:
             is_next = window == self._window + 1
             self._last_count = self._count if is_next else 0
--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -53,6 +53,7 @@
     WORKER_REFUSED = "worker_refused"
     WORKER_LIMITED = "worker_limited"
     WORKER_UNLIMITED = "worker_unlimited"
+    RATE_REFUSED = "rate_refused"
     PLACE_REFUSED = "place_refused"
     ATTEMPT_FAILED = "attempt_failed"
     CRASH_REPORTED = "crash_reported"
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -56,9 +56,15 @@
         This VM.
     zone : str
         Its availability zone.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether all addresses in the store have been read once.
     """
 
     def __init__(self, *, vm_id: str, zone: str) -> None:
+        self.is_complete = False
         self._vm_id = vm_id
         self._zone = zone
         self._by_id: dict[str, Peer] = {}
@@ -112,6 +118,10 @@
         """Return the peer with an id, or None if it is unknown."""
         return self._by_id.get(vm_id)
 
+    def all(self) -> tuple[Peer, ...]:
+        """Return all peers, those that are lost or have ended included."""
+        return tuple(self._by_id.values())
+
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that reported recently and are not shutting down."""
         timeout_ms_by_group = {
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -106,8 +106,8 @@
             self._event_buffer.last_event_id = relayed.resume_after
             self._origin = relayed.origin
 
-    async def run(self) -> None:
-        """Respond to the request before its deadline."""
+    async def run(self) -> bool:
+        """Respond before the deadline; return whether a worker may have run it."""
         with anyio.move_on_after(self._remaining_ms / MS_PER_S) as scope:
             try:
                 await self._try_workers()
@@ -117,6 +117,7 @@
                 raise
         if scope.cancelled_caught:
             await self._final.fail(504, "deadline")
+        return self._may_have_run or scope.cancelled_caught
 
     @property
     def _remaining_ms(self) -> float:
--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -27,7 +27,7 @@
         responder: Responder,
         *,
         relayed: RelayedAttempt | None = None,
-    ) -> None:
+    ) -> bool:
         """Forward one request and send its response.
 
         Parameters
@@ -40,6 +40,11 @@
             Sends the response to the client.
         relayed : RelayedAttempt, optional
             Given if another VM asks for one attempt of the request.
+
+        Returns
+        -------
+        bool
+            Whether a worker may have run it.
         """
         handler = CallHandler(
             call=call,
@@ -48,4 +53,4 @@
             context=self._context,
             relayed=relayed,
         )
-        await handler.run()
+        return await handler.run()
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -34,6 +34,11 @@
         self._routes_by_host: dict[str, list[Route]] = {}
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
         self._age_ms: t.Callable[[], int | None] = lambda: 0
+        self._listeners: list[t.Callable[[], None]] = []
+
+    def add_listener(self, listener: t.Callable[[], None]) -> None:
+        """Add a function to call after a version was applied."""
+        self._listeners.append(listener)
 
     def set_age_source(self, age_ms: t.Callable[[], int | None]) -> None:
         """Set the function that tells how old the routes may be.
@@ -71,6 +76,8 @@
         self.customers = CustomerTable(customers=routes.customers)
         self._reservation_ms_by_service = routes.reservation_ms_by_service
         self.version = routes.version
+        for listener in self._listeners:
+            listener()
         return True
 
     def reservation_ms(self, service: str) -> int:
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -318,4 +318,5 @@
                 continue
             if self._peers.add_address(record.key, address, now_ms):
                 self.report_soon()
+        self._peers.is_complete = True
         return len(newest.records)
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -53,6 +53,8 @@
     FAILED_ITEMS = "failed_items"
     LOG_APPENDS = "log_appends"
     PEER_BYTES = "peer_bytes"
+    RATE_ADMITTED = "rate_admitted"
+    RATE_REFUSED = "rate_refused"
 
 
 class Gauge(enum.Enum):
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -9,6 +9,7 @@
 from foxtailbank.crash_report_log import KEY_PREFIX as CRASH_KEY_PREFIX
 from foxtailbank.crash_report_log import CrashReportLog
 from foxtailbank.customers.customer_gate import CustomerGate
+from foxtailbank.customers.rate_limiter import RateLimiter
 from foxtailbank.events import Event
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.forward.fleet_state import FleetState
@@ -130,6 +131,8 @@
         Current routes, which the platform's adapter supplies.
     customers : CustomerGate
         Whose a request is, and whether it may be passed on.
+    rates : RateLimiter
+        Keeps customers to their limits.
     fleet : FleetState
         Known workers, which the platform's adapter supplies.
     forwarder : Forwarder
@@ -173,6 +176,16 @@
             rng=rng,
         )
         peers = PeerTable(vm_id=identity.vm_id, zone=identity.zone)
+        self.rates = RateLimiter(
+            vm_id=identity.vm_id,
+            incarnation=identity.incarnation,
+            peer_address=identity.peer_address,
+            routes=self.routes,
+            peers=peers,
+            clock=clock,
+            logs=logs,
+            metrics=metrics,
+        )
         self.relay = PeerRelay(
             vm_id=identity.vm_id,
             reach=self.fleet.reach,
@@ -315,6 +328,7 @@
                 ("append", self._appends.run),
                 ("append addresses", self._address_appends.run),
                 ("load reports", self._exchange.run),
+                ("rate limits", self.rates.run),
                 ("items", self.runner.run),
                 ("takeover", self._takeover.run),
                 ("retirement", self._retirement.run),
@@ -336,6 +350,7 @@
         self.runner.stop_items()
         await self.flush(timeout_ms)
         self._exchange.stopping = True
+        self.rates.stop()
         self._exchange.report_soon()
         try:
             await self._takeover.stop()
--- a/tests/rate_fleet_sim.py
+++ b/tests/rate_fleet_sim.py
@@ -9,10 +9,10 @@
 import itertools
 import random
 
-from foxtailbank.customers.rate_fleet import Contact
 from foxtailbank.customers.customer import Customer
+from foxtailbank.customers.rate_fleet import Contact
 from foxtailbank.customers.rate_limit import RateLimit
-from foxtailbank.customers.rate_participant import TICK_MS, RateParticipant
+from foxtailbank.customers.rate_participant import RateParticipant
 
 WINDOW_MS = 5_000
 ZONES = 4
@@ -122,10 +122,10 @@
         for other in self.vms.values():
             if other is not vm:
                 vm.heard_ms.setdefault(other.name, self.now_ms)
-        self._repeat(vm, TICK_MS, vm.tick)
+        self._repeat(vm, lambda: vm.part.tick_ms, vm.tick)
         for is_near in REPORT_MS:
             report = lambda near=is_near: self._report(vm, near)  # noqa: E731
-            self._repeat(vm, REPORT_MS[is_near], report)
+            self._repeat(vm, lambda n=is_near: REPORT_MS[n], report)
 
     def restart(self, vm):
         vm.alive = False
@@ -140,11 +140,11 @@
         self.start(vm)
         return vm
 
-    def _repeat(self, vm, period_ms, action):
+    def _repeat(self, vm, period, action):
         def step():
             if vm.alive:
                 self.when_awake(vm, action)
-                self.at(max(self.now_ms, vm.frozen_until_ms) + period_ms, step)
+                self.at(max(self.now_ms, vm.frozen_until_ms) + period(), step)
 
         self.at(self.now_ms + self.rng.randrange(20), step)
 
