--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -74,12 +74,13 @@
         for worker in self.workers:
             self.store.put("keyed.servers", worker.worker_id, worker.entry())
 
-    def start_vm(self, number=1):
+    def start_vm(self, number=1, more_settings=""):
         ip = f"{self.net}.1{number}"
         settings = decode_settings(
             f"node_name=vm{number}\nzone=z1\nip={ip}\n"
             f"listen.front={ip}:18144\nlisten.ready={ip}:18140\n"
             f"port_range=17660,17675\nplatform.address={self.store_address}\n"
+            f"{more_settings}"
         )
         process = Process(settings=settings, path="", clock=CLOCK, logs=make_logs())
         self.process_by_number[number] = process
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -86,8 +86,9 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(ask)
-            while not world.log.reads:
-                await anyio.sleep(0.001)
+            with anyio.fail_after(5):
+                while not world.log.reads:
+                    await anyio.sleep(0.001)
             world.clock.advance(LEASE_MS + 1)
             world.log.held_reads.set()
         assert seen == [KeyLeaseLapsed]
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -11,7 +11,7 @@
         (
             "log-(append|read|newest|join|leave|commit|owners|trim)",
             "X-(Response-Stamp|Expect-Instance|Not-Executed|Prompt-Prefix)",
-            "X-(Token-Count|Wait-Ms|Instance-Id)",
+            "X-(Token-Count|Wait-Ms|Instance-Id|Tenant)",
             r"keyed\.(op|servers|status)",
             "/foxtailbank/(lots|items|report|ready)",
             "dead_letter|cold_left_ms",
