Customers: a VM whose lease has lapsed stays ready

When the store is down for all, no VM would be ready, and after its return all would be out of rotation for a check longer than the lease; docs/design/customers.md (Weighed).

--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -316,8 +316,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
-        keys_count = self.key_lease.is_fresh or not self.routes.customers.requires_keys
-        return self.routes.is_loaded and len(self.fleet.workers) > 0 and keys_count
+        return self.routes.is_loaded and len(self.fleet.workers) > 0
 
     async def run(self) -> None:
         """Run all tasks except the network interfaces until cancelled."""
