--- /dev/null
+++ b/tests/test_platform_submission_ids.py
@@ -0,0 +1,85 @@
+"""Which stored submission a call is about, and who may make it."""
+
+import types
+
+import pytest
+
+from customer_samples import GateWorld, make_customer
+from foxtailbank.customers.customer_gate import KeyUnknown
+from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.forward.route import RouteKind
+from foxtailbank.http1.server_request import ServerRequest
+from foxtailbank.submissions.failures import SubmissionUnknown
+from foxtailbank_platform.submission_calls import SubmissionCalls
+from serving_fakes import make_logs, make_route, make_routes, manual_clock
+
+pytestmark = pytest.mark.anyio
+ACME_ID, BEE_ID = "acme→s1", "bee→s1"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Batch:
+    """Submissions of no customer, by id and path."""
+
+    def __init__(self, target_by_id):
+        self.target_by_id = target_by_id
+
+    def get(self, submission_id):
+        target = self.target_by_id.get(submission_id)
+        return target and types.SimpleNamespace(host="h", target=target)
+
+    async def find(self, submission_id):
+        if submission_id not in self.target_by_id:
+            raise SubmissionUnknown()
+        return self.get(submission_id)
+
+
+# Guards against submissions that anyone can read, that their callers can't read, or of
+# which another customer learns.
+@pytest.mark.parametrize(
+    ("key", "stored", "has_customers", "has_public", "expected"),
+    [
+        pytest.param("k1", {}, True, False, ACME_ID, id="own"),
+        pytest.param("k2", {}, True, False, BEE_ID, id="of-the-other"),
+        pytest.param("k9", {}, True, False, KeyUnknown, id="unknown-key"),
+        pytest.param("", {}, True, False, KeyUnknown, id="no-key"),
+        pytest.param("k9", {"s1": "/p/"}, False, False, "s1", id="no-customers"),
+        pytest.param("", {"s1": "/open/"}, True, True, "s1", id="public"),
+        pytest.param("k1", {"s1": "/open/"}, True, True, "s1", id="public-with-key"),
+        pytest.param("", {"s1": "/p/"}, True, True, KeyUnknown, id="not-public"),
+        pytest.param(
+            "k1", {"s1": "/p/"}, True, True, ACME_ID, id="of-before-customers"
+        ),
+        pytest.param("", {}, True, True, SubmissionUnknown, id="none-of-that-id"),
+    ],
+)
+async def test_who_may_see_a_submission(
+    key, stored, has_customers, has_public, expected
+):
+    customers = (make_customer(keys=("k1",)), make_customer("bee", keys=("k2",)))
+    world = GateWorld(manual_clock(), customers=())
+    batch_route = make_route(kind=RouteKind.BATCH)
+    public = make_route(
+        name="open", path_prefix="/open/", kind=RouteKind.BATCH, is_public=True
+    )
+    routes = (batch_route, public) if has_public else (batch_route,)
+    world.routes.apply(
+        make_routes(*routes, version=9, customers=customers if has_customers else ())
+    )
+    vm = types.SimpleNamespace(
+        routes=world.routes, customers=world.gate, batch=Batch(stored)
+    )
+    headers = (("authorization", f"Token {key}"),) if key else ()
+    request = ServerRequest(
+        method="GET", target="/x", headers=headers, body=b"", arrived_ms=0
+    )
+    calls = SubmissionCalls(vm=vm, logs=make_logs())
+    try:
+        found = await calls._stored_id(request, "s1")
+    except FoxtailbankError as failure:
+        found = type(failure)
+    assert found == expected
