--- a/src/foxtailbank/customers/rate_asker.py
+++ b/src/foxtailbank/customers/rate_asker.py
@@ -25,6 +25,7 @@
 MAX_CLIENT_WAIT_MS = 300
 LOST_RETRY_AFTER_MS = 500  # by then another VM grants
 STARTUP_RETRY_AFTER_MS = 250  # until the other VMs are known
+DENIED_MS = 100  # after a denial a VM asks again no later
 DECLINED_MS = 100  # a VM that sees another one as the granting VM is not asked again
 NEED_MS = 200  # permits are asked for ahead for this time
 
@@ -294,7 +295,9 @@
 
     def _is_denied(self, now_ms: int) -> bool:
         denial = self._denial
-        return denial is not None and now_ms < denial.at_ms + denial.wait_ms
+        if denial is None:
+            return False
+        return now_ms < denial.at_ms + min(denial.wait_ms, DENIED_MS)
 
     def _is_declined(self, now_ms: int) -> bool:
         declined_ms = self._declined_ms
--- a/src/foxtailbank/customers/rate_bucket.py
+++ b/src/foxtailbank/customers/rate_bucket.py
@@ -6,6 +6,7 @@
 from foxtailbank.customers import rate_messages
 from foxtailbank.customers.rate_limit import RateLimit
 from foxtailbank.customers.rate_messages import PermitRequest
+from foxtailbank.customers.rate_permits import RequestRate
 from foxtailbank.token_bucket import TokenBucket, TokenReservation
 
 PERMIT_LIFE_MS = 300
@@ -13,6 +14,7 @@
 SETTLE_MS = PERMIT_LIFE_MS + 1_000
 # Of what is in the bucket, for requests that have not come yet.
 ADVANCE_SHARE = 0.25
+ASKED_MS = 1_000  # the load of a bucket is observed for so long
 # The return of callers is not planned further ahead: the load will have changed.
 MAX_RETRY_AFTER_MS = 5_000
 
@@ -95,6 +97,7 @@
         # Refused client requests that are expected back, less those that have had time.
         self._expected = 0.0
         self._expected_ms = now_ms
+        self._asked = RequestRate(window_ms=ASKED_MS)
 
     def resize(self, limit: RateLimit, now_ms: int) -> None:
         """Set this VM's part of the limit."""
@@ -121,13 +124,14 @@
                 dataclasses.replace(key, number=unused.number), unused.count, now_ms
             )
         self._expect(request.refused, now_ms)
+        self._asked.add(now_ms, request.needed + request.refused)
         available = self._bucket.available(now_ms)
         count = min(request.needed, available)
         advance = int(ADVANCE_SHARE * (available - count))
         count += max(0, min(request.wanted - count, advance))
         missing = max(0, request.needed - count)
         grant = Grant(count=count, wait_ms=self._wait_ms(now_ms) if missing else 0)
-        self._expect(missing, now_ms)
+        self._expect(missing + count * self._first_time_share(now_ms), now_ms)
         self._sent_by_key[key] = _SentGrant(
             grant=grant,
             reservation=self._bucket.reserve(count, now_ms),
@@ -155,7 +159,17 @@
         wait_ms = self._bucket.wait_ms(1, now_ms) + ahead_ms
         return max(1, min(MAX_RETRY_AFTER_MS, round(wait_ms)))
 
-    def _expect(self, count: int, now_ms: int) -> None:
+    def _first_time_share(self, now_ms: int) -> float:
+        """Return which part of the requests was not told to come now.
+
+        They take permits from those that were, who therefore come too early.
+        """
+        asked_per_s = self._asked.estimate(now_ms) * MS_PER_S / ASKED_MS
+        if not self._expected or not asked_per_s:
+            return 0.0
+        return max(0.0, 1 - self._limit.rate_per_s / asked_per_s)
+
+    def _expect(self, count: float, now_ms: int) -> None:
         elapsed_ms = max(0, now_ms - self._expected_ms)
         self._expected_ms = now_ms
         due = elapsed_ms * self._limit.rate_per_s / MS_PER_S
--- a/src/foxtailbank/customers/rate_fleet.py
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -17,6 +17,8 @@
     ----------
     vm_id : str
         The VM.
+    incarnation : int
+        Its process; 0 while it is not known.
     heard_ms : int
         When it was last heard, or, before that, its address was read.
     silence_ms : int
@@ -26,6 +28,7 @@
     """
 
     vm_id: str
+    incarnation: int = 0
     heard_ms: int
     silence_ms: int
     late_ms: int
@@ -43,6 +46,8 @@
     ----------
     is_ready : bool
         Whether the other VMs are known.
+    is_stopping : bool
+        Whether this VM is shutting down.
     """
 
     def __init__(self, *, vm_id: str) -> None:
@@ -52,7 +57,8 @@
         self._passed_over_ms_by_id: dict[str, int] = {}
         self._granting_vm_by_customer: dict[str, str] = {}
         self._share = 1.0
-        self._is_stopping = False
+        self.is_stopping = False
+        self._stopping_incarnation_by_id: dict[str, int] = {}
         self.is_ready = False
 
     def update(self, contacts: t.Iterable[Contact], now_ms: int) -> None:
@@ -68,7 +74,7 @@
 
     def stop(self, now_ms: int) -> None:
         """Leave granting to the others, if there are any."""
-        self._is_stopping = True
+        self.is_stopping = True
         self._apply(now_ms)
 
     def on_heard(self, vm_id: str, now_ms: int) -> None:
@@ -81,12 +87,22 @@
         if vm_id not in self._reachable_ids:
             self._apply(now_ms)
 
+    def on_stopping(self, vm_id: str, incarnation: int, now_ms: int) -> None:
+        """Record that a process of another VM is shutting down."""
+        if self._stopping_incarnation_by_id.get(vm_id) != incarnation:
+            self._stopping_incarnation_by_id[vm_id] = incarnation
+            self._apply(now_ms)
+
     def pass_over(self, vm_id: str, now_ms: int) -> None:
         """Grant and ask without a VM that does not answer, until it is heard again."""
         if vm_id in self._reachable_ids:
             self._passed_over_ms_by_id[vm_id] = now_ms
             self._apply(now_ms)
 
+    def passed_over_ids(self) -> tuple[str, ...]:
+        """Return the VMs that are passed over."""
+        return tuple(self._passed_over_ms_by_id)
+
     def is_reachable(self, vm_id: str) -> bool:
         """Return whether a VM can be asked for permits."""
         return vm_id in self._reachable_ids
@@ -153,8 +169,9 @@
             for vm_id, contact in self._contact_by_id.items()
             if self._is_heard(contact, now_ms)
             and vm_id not in self._passed_over_ms_by_id
+            and self._stopping_incarnation_by_id.get(vm_id) != contact.incarnation
         }
-        if not reachable or not self._is_stopping:
+        if not reachable or not self.is_stopping:
             reachable.add(self._vm_id)
         reachable_ids = frozenset(reachable)
         if reachable_ids != self._reachable_ids:
--- a/src/foxtailbank/customers/rate_guarantee.py
+++ b/src/foxtailbank/customers/rate_guarantee.py
@@ -8,7 +8,7 @@
 
 # When the granting VM is lost, a VM goes on with this part of what it was granted in
 # the last second, once in the span over which limits hold.
-CARRY_ON_PART = 0.5
+CARRY_ON_PART = 0.25
 CARRY_ON_MS = 1_000
 CARRY_ON_PERIOD_MS = 5_000
 # Of rate / VMs known. Others may be using the whole limit until they notice a cut.
--- a/src/foxtailbank/customers/rate_limiter.py
+++ b/src/foxtailbank/customers/rate_limiter.py
@@ -30,7 +30,7 @@
 PORT_OFFSET = 1  # from the port of the load reports
 READ_RETRY_MS = 100
 MAX_STEP_MS = 100  # a request looks again at least as often
-LATE_DIVISOR = 2  # of the time after which a VM counts as lost: a report is missing
+LATE_SHARE = 0.4  # of the time after which a VM counts as lost: a report is missing
 TRAFFIC = "rate_limits"  # label of the bytes sent
 
 
@@ -191,9 +191,10 @@
             group = PeerGroup.NEAR if self._peers.is_near(peer) else PeerGroup.FAR
             contact = Contact(
                 vm_id=peer.vm_id,
+                incarnation=peer.incarnation,
                 heard_ms=peer.last_update_ms,
                 silence_ms=silence_ms[group],
-                late_ms=silence_ms[group] // LATE_DIVISOR,
+                late_ms=int(LATE_SHARE * silence_ms[group]),
             )
             contacts.append(contact)
         return tuple(contacts)
--- a/src/foxtailbank/customers/rate_messages.py
+++ b/src/foxtailbank/customers/rate_messages.py
@@ -100,6 +100,8 @@
         Time until a further permit is likely; 0 if no client request has to wait.
     life_ms : int
         How long the permits may be used, from the sending of the request.
+    stopping : bool
+        Whether the VM that answers is shutting down.
     """
 
     vm_id: _Name
@@ -110,6 +112,7 @@
     granted: _Permits = 0
     wait_ms: t.Annotated[int, msgspec.Meta(ge=0, le=MAX_WAIT_MS)] = 0
     life_ms: t.Annotated[int, msgspec.Meta(ge=0, le=MAX_LIFE_MS)] = 0
+    stopping: bool = False
 
 
 class BucketTransfer(
@@ -129,6 +132,8 @@
         Name of the customer.
     permits : int
         What the bucket held.
+    stopping : bool
+        Whether the former granting VM is shutting down.
     """
 
     vm_id: _Name
@@ -136,6 +141,7 @@
     number: _Number
     customer: _Name
     permits: _Permits
+    stopping: bool = False
 
 
 RateMessage = PermitRequest | PermitAnswer | BucketTransfer
--- a/src/foxtailbank/customers/rate_participant.py
+++ b/src/foxtailbank/customers/rate_participant.py
@@ -27,6 +27,7 @@
 # In the first bucket of a customer in the life of a process, so that a restart of all
 # VMs does not refuse the next request of everyone.
 START_PERMITS = 3
+PROBE_CUSTOMER = "?"  # where no customer is meant
 PROBE_MS = 250  # a VM that has not answered for so long is passed over
 
 
@@ -140,6 +141,8 @@
             if asker.is_idle and customer not in self._limits():
                 del self._asker_by_customer[customer]
         self._update_buckets(now_ms)
+        for vm_id in self.fleet.passed_over_ids():
+            self._probe(vm_id, PROBE_CUSTOMER, now_ms)
 
     def stop(self, now_ms: int) -> None:
         """Hand all buckets over, as this VM is shutting down."""
@@ -158,12 +161,19 @@
                 if answer is not None:
                     self._send(message.vm_id, answer)
             case PermitAnswer():
+                if message.stopping:
+                    self._on_stopping(message, now_ms)
                 asker = self._asker_by_customer.get(message.customer)
                 if asker is not None:
                     asker.on_answer(message, now_ms)
             case BucketTransfer():
+                if message.stopping:
+                    self._on_stopping(message, now_ms)
                 self._on_transfer(message, now_ms)
 
+    def _on_stopping(self, message: PermitAnswer | BucketTransfer, now_ms: int) -> None:
+        self.fleet.on_stopping(message.vm_id, message.incarnation, now_ms)
+
     def _asker(self, customer: str, limit: RateLimit) -> PermitAsker:
         asker = self._asker_by_customer.get(customer)
         if asker is None:
@@ -212,6 +222,7 @@
             granted=grant.count,
             wait_ms=grant.wait_ms,
             life_ms=PERMIT_LIFE_MS,
+            stopping=self.fleet.is_stopping,
         )
 
     def _bucket(self, customer: str, limit: RateLimit, now_ms: int) -> RateBucket:
@@ -258,7 +269,8 @@
         bucket = self._bucket_by_customer.pop(customer, None)
         to = self.fleet.granting_vm(customer)
         permits = bucket.available(now_ms) if bucket is not None else 0
-        if not permits or to == self._vm_id:
+        is_told = bucket is not None and self.fleet.is_stopping
+        if to == self._vm_id or not (permits or is_told):
             return
         transfer = BucketTransfer(
             vm_id=self._vm_id,
@@ -266,6 +278,7 @@
             number=next(self._numbers),
             customer=customer,
             permits=permits,
+            stopping=self.fleet.is_stopping,
         )
         self._send(to, transfer)
 
--- a/src/foxtailbank/customers/rate_permits.py
+++ b/src/foxtailbank/customers/rate_permits.py
@@ -89,10 +89,10 @@
         self._count = 0
         self._last_count = 0
 
-    def add(self, now_ms: int) -> None:
-        """Count an event."""
+    def add(self, now_ms: int, count: int = 1) -> None:
+        """Count events."""
         self._advance(now_ms)
-        self._count += 1
+        self._count += count
 
     def estimate(self, now_ms: int) -> float:
         """Return the events of the last `window_ms`."""
--- a/tests/rate_fleet_sim.py
+++ b/tests/rate_fleet_sim.py
@@ -9,12 +9,14 @@
 import itertools
 import random
 
+from foxtailbank.customers import rate_messages
 from foxtailbank.customers.customer import Customer
 from foxtailbank.customers.rate_fleet import Contact
 from foxtailbank.customers.rate_limit import RateLimit
 from foxtailbank.customers.rate_participant import RateParticipant
 
 WINDOW_MS = 5_000
+HEADER_BYTES = 28  # of IP and UDP
 ZONES = 4
 REPORT_MS = {True: 500, False: 1_000}  # to VMs of the own zone, and of the others
 CUSTOMER = "c"
@@ -53,12 +55,13 @@
         self.name = f"vm{number}"
         self.zone = number % ZONES
         self.alive = True
+        self.incarnation = started_ms + 1
         self.frozen_until_ms = 0
         self.heard_ms = {}
         self.waiting = set()
         self.part = RateParticipant(
             vm_id=self.name,
-            incarnation=started_ms + 1,
+            incarnation=self.incarnation,
             limits=lambda: sim.limit_by_customer,
             send=lambda vm_id, message: sim.transmit(self, vm_id, message),
         )
@@ -66,20 +69,25 @@
     def tick(self):
         contacts = []
         for name, heard_ms in self.heard_ms.items():
+            heard_ms = heard_ms if self.sim.reports else self.sim.now_ms
             report_ms = REPORT_MS[self.sim.vms[name].zone == self.zone]
             contacts.append(
                 Contact(
                     vm_id=name,
+                    incarnation=self.sim.vms[name].incarnation,
                     heard_ms=heard_ms,
                     silence_ms=3 * report_ms,
-                    late_ms=int(1.5 * report_ms),
+                    late_ms=int(1.2 * report_ms),
                 )
             )
         self.part.tick(contacts, self.sim.now_ms)
 
 
 class RateFleetSim:
-    def __init__(self, *, vms, customer, loss=0.0, seed=1, warm_ms=16_000):
+    def __init__(
+        self, *, vms, customer, loss=0.0, seed=1, warm_ms=16_000, reports=True
+    ):
+        self.reports = reports
         self.rng = random.Random(seed)
         self.now_ms = 0
         self.loss = loss
@@ -89,6 +97,7 @@
         self.admitted_ms = []
         self.refusals = []
         self.message_count = 0
+        self.message_bytes = 0
         self._events = []
         self._order = itertools.count()
         self.vms = {}
@@ -123,7 +132,7 @@
             if other is not vm:
                 vm.heard_ms.setdefault(other.name, self.now_ms)
         self._repeat(vm, lambda: vm.part.tick_ms, vm.tick)
-        for is_near in REPORT_MS:
+        for is_near in REPORT_MS if self.reports else ():
             report = lambda near=is_near: self._report(vm, near)  # noqa: E731
             self._repeat(vm, lambda n=is_near: REPORT_MS[n], report)
 
@@ -174,6 +183,7 @@
 
     def transmit(self, vm, name, message):
         self.message_count += 1
+        self.message_bytes += len(rate_messages.encode(message)) + HEADER_BYTES
         other = self.vms[name]
         action = lambda: other.part.on_message(message, self.now_ms)  # noqa: E731
         self._carry(vm, other, action)
