--- a/src/foxtailbank/customers/rate_bucket.py
+++ b/src/foxtailbank/customers/rate_bucket.py
@@ -80,12 +80,12 @@
 
     Attributes
     ----------
-    started_ms : int
-        When it was made.
+    is_pressed : bool
+        Whether it had too little since this was last reset.
     """
 
     def __init__(self, *, limit: RateLimit, permits: int, now_ms: int) -> None:
-        self.started_ms = now_ms
+        self.is_pressed = False
         self._limit = limit
         self._bucket = TokenBucket(
             rate_milli_per_s=limit.rate_milli_per_s,
@@ -130,6 +130,7 @@
         advance = int(ADVANCE_SHARE * (available - count))
         count += max(0, min(request.wanted - count, advance))
         missing = max(0, request.needed - count)
+        self.is_pressed |= missing + request.refused > 0
         grant = Grant(count=count, wait_ms=self._wait_ms(now_ms) if missing else 0)
         self._expect(missing + count * self._first_time_share(now_ms), now_ms)
         self._sent_by_key[key] = _SentGrant(
--- a/src/foxtailbank/customers/rate_fleet.py
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -1,10 +1,12 @@
 """Which VM grants a customer's permits, and which share of its limit it may grant."""
 
+import bisect
 import dataclasses
 import typing as t
 
 from foxtailbank import rendezvous
 
+SAMPLE_SIZE = 6  # VMs that are asked at a time whether they are in touch
 # A VM that is out of touch for longer no longer keeps its part of the limits.
 KEPT_MS = 600_000
 
@@ -57,6 +59,9 @@
         self._passed_over_ms_by_id: dict[str, int] = {}
         self._granting_vm_by_customer: dict[str, str] = {}
         self._share = 1.0
+        self._sample_ids: tuple[str, ...] = ()
+        self._sampled_ms = 0
+        self._sampled_share = 1.0
         self.is_stopping = False
         self._stopping_incarnation_by_id: dict[str, int] = {}
         self.is_ready = False
@@ -139,11 +144,38 @@
             if rendezvous.score(customer, vm_id) > own_score
         ]
         if not replaced_ms:
-            return self._share
+            return min(self._share, self._sampled_share)
         first_ms = min(replaced_ms)
         heard = sum(c.heard_ms > first_ms for c in self._contact_by_id.values())
         return min(self._share, (heard + 1) / (len(self._contact_by_id) + 1))
 
+    def next_sample(self, now_ms: int) -> tuple[str, ...]:
+        """Return VMs to ask whether they are in touch; those before must have answered.
+
+        Reports tell of a cut a second late. While a customer presses, that is too late.
+        """
+        self._evaluate_sample()
+        ids = sorted(self._contact_by_id)
+        last = self._sample_ids[-1] if self._sample_ids else ""
+        first = bisect.bisect_right(ids, last)
+        self._sample_ids = tuple((ids[first:] + ids[:first])[:SAMPLE_SIZE])
+        self._sampled_ms = now_ms
+        return self._sample_ids
+
+    def end_samples(self) -> None:
+        """Forget who was asked, as no customer presses."""
+        self._sample_ids = ()
+        self._sampled_share = 1.0
+
+    def _evaluate_sample(self) -> None:
+        known = [
+            self._contact_by_id[vm_id]
+            for vm_id in self._sample_ids
+            if vm_id in self._contact_by_id
+        ]
+        heard = sum(contact.heard_ms >= self._sampled_ms for contact in known)
+        self._sampled_share = (heard + 1) / (len(known) + 1)
+
     @property
     def guaranteed_share(self) -> float:
         """Share of one VM of all that are known."""
--- a/src/foxtailbank/customers/rate_participant.py
+++ b/src/foxtailbank/customers/rate_participant.py
@@ -143,6 +143,7 @@
         self._update_buckets(now_ms)
         for vm_id in self.fleet.passed_over_ids():
             self._probe(vm_id, PROBE_CUSTOMER, now_ms)
+        self._sample(now_ms)
 
     def stop(self, now_ms: int) -> None:
         """Hand all buckets over, as this VM is shutting down."""
@@ -253,10 +254,24 @@
             if self.fleet.granting_vm(customer) == self._vm_id:
                 self._bucket(customer, limit, now_ms)
 
+    def _sample(self, now_ms: int) -> None:
+        """Look for a cut while a customer takes all that there is."""
+        buckets = self._bucket_by_customer.values()
+        if not any(bucket.is_pressed for bucket in buckets):
+            self.fleet.end_samples()
+            return
+        for bucket in buckets:
+            bucket.is_pressed = False
+        for vm_id in self.fleet.next_sample(now_ms):
+            self._send_probe(vm_id, PROBE_CUSTOMER)
+
     def _probe(self, vm_id: str, customer: str, now_ms: int) -> None:
         if vm_id == self._vm_id or vm_id in self._probed_ms_by_vm:
             return
         self._probed_ms_by_vm[vm_id] = now_ms
+        self._send_probe(vm_id, customer)
+
+    def _send_probe(self, vm_id: str, customer: str) -> None:
         probe = PermitRequest(
             vm_id=self._vm_id,
             incarnation=self._incarnation,
