--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 	$(PYTHON) -m mypy
 
 test: env
-	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile
+	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile -m "not hostile"
+	$(PYTHON) -m pytest -m hostile
 
 demo: env
 	$(PYTHON) -m foxtailbank_bench.demo
