Hostile clients: one budget for a VM's connections, from its memory and descriptors

What callers saw: with 72 MB in the settings a crowd of 200 to 700 clients short of the end of their bodies or heads, with bodies that nobody wants, or with requests sent ahead, took a process to 76 to 169 MB; 700 silent ones took 719 descriptors of 600; 300 bodies of chunks of one byte left an ordinary caller without an answer for 120 s. Cause: the first 64 KB of each body, heads, header fields as objects, answers and connections were counted for nobody; asyncio's transports read 256 KB ahead; bodies without a route were kept; a submission was decoded whatever it would take; each chunk was parsed without a pause.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -75,6 +75,7 @@
     ITEM_FINISHED = "item_finished"
     RESULTS_RECORDED = "results_recorded"
     CLIENT_LEFT = "client_left"
+    CONNECTIONS_CLOSED = "connections_closed"
     LINES_DROPPED = "lines_dropped"
     CONNECTION_STALLED = "connection_stalled"
     QUARANTINE_ADDED = "quarantine_added"
--- a/src/foxtailbank/http1/accept.py
+++ b/src/foxtailbank/http1/accept.py
@@ -7,10 +7,12 @@
 import socket
 
 import anyio
-import anyio.abc
+import anyio.lowlevel
 
+from foxtailbank.http1.socket_stream import BufferlessStream
 
-async def accept(listener: socket.socket) -> anyio.abc.SocketStream:
+
+async def accept(listener: socket.socket) -> BufferlessStream:
     """Wait for a connection and return it.
 
     Parameters
@@ -28,9 +30,18 @@
         if connection is None:
             await anyio.wait_readable(listener)
             continue
-        stream = await _wrap(connection)
-        if stream is not None:
-            return stream
+        try:
+            connection.setblocking(False)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # its client has left already
+            connection.close()
+            continue
+        try:
+            await anyio.lowlevel.checkpoint()
+        except BaseException:
+            connection.close()
+            raise
+        return BufferlessStream(sock=connection)
 
 
 def _accept_now(listener: socket.socket) -> socket.socket | None:
@@ -39,16 +50,3 @@
         return listener.accept()[0]
     except (BlockingIOError, ConnectionAbortedError):
         return None
-
-
-async def _wrap(connection: socket.socket) -> anyio.abc.SocketStream | None:
-    """Return the stream of a connection; None if its client has left already."""
-    try:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return await anyio.abc.SocketStream.from_socket(connection)
-    except (OSError, ValueError):  # ValueError: the socket is not connected
-        connection.close()
-        return None
-    except BaseException:
-        connection.close()
-        raise
--- a/src/foxtailbank/http1/body_memory.py
+++ b/src/foxtailbank/http1/body_memory.py
@@ -82,6 +82,11 @@
         self._memory = memory
         self._size_bytes = 0
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the body for which memory is reserved, in bytes."""
+        return self._size_bytes
+
     async def reserve(self, size_bytes: int, timeout_ms: int) -> bool:
         """Reserve memory for a body of a known size; see `BodyMemory.reserve`."""
         if self._memory is None or not self._memory.counted(size_bytes):
--- a/src/foxtailbank/http1/server.py
+++ b/src/foxtailbank/http1/server.py
@@ -10,12 +10,20 @@
 from foxtailbank.clock import MS_PER_S, Clock
 from foxtailbank.http1.accept import accept
 from foxtailbank.http1.body_memory import BodyMemory
+from foxtailbank.http1.connection_budget import (
+    ConnectionAccount,
+    ConnectionBudget,
+    Door,
+    unbounded,
+)
+from foxtailbank.http1.request_reader import KeepsBody, keep_every_body
 from foxtailbank.http1.server_connection import Handler, ServerConnection
 from foxtailbank.http1.server_limits import ServerLimits
 from foxtailbank.http1.socket_options import (
     CLIENT_TIMEOUT_MS,
     enable_dead_peer_detection,
 )
+from foxtailbank.http1.socket_stream import BufferlessStream
 
 BACKLOG = 1_024
 ACCEPT_PAUSE_MS = 100  # until descriptors may be free again
@@ -39,6 +47,12 @@
         with one that keeps new connections from being accepted.
     body_memory : BodyMemory, optional
         Memory for the bodies of requests; not bounded by default.
+    budget : ConnectionBudget, optional
+        What the connections of all servers may hold; not bounded by default.
+    reserved_count : int, optional
+        Connections that this server may have whatever others hold.
+    keeps_body : callable, optional
+        As for `RequestReader`.
     client_timeout_ms : int, optional
         How long a client may leave sent data unread, in milliseconds.
 
@@ -57,10 +71,17 @@
         clock: Clock,
         on_handler_error: t.Callable[[Exception], None],
         body_memory: BodyMemory | None = None,
+        budget: ConnectionBudget | None = None,
+        reserved_count: int = 0,
+        keeps_body: KeepsBody = keep_every_body,
         client_timeout_ms: int = CLIENT_TIMEOUT_MS,
     ) -> None:
         self._client_timeout_ms = client_timeout_ms
         self._body_memory = body_memory
+        self._budget = budget or unbounded(clock)
+        self._door = Door(name=address, reserved_count=reserved_count)
+        self._budget.add_door(self._door)
+        self._keeps_body = keeps_body
         self._address = parse_address(address)
         self._handler = handler
         self._limits = limits
@@ -90,7 +111,11 @@
                 self._on_handler_error(error)
                 await anyio.sleep(ACCEPT_PAUSE_MS / MS_PER_S)
             else:
-                group.start_soon(self._serve, stream)
+                account = self._budget.open(self._door)
+                if account is None:
+                    await stream.aclose()
+                else:
+                    group.start_soon(self._serve, stream, account)
 
     def close_idle(self, *, first_request_ms: int = 0) -> None:
         """Close the connections that are between requests.
@@ -103,7 +128,20 @@
         for connection in tuple(self._connections):
             connection.close_if_idle(first_request_ms=first_request_ms)
 
-    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+    async def _serve(
+        self, stream: BufferlessStream, account: ConnectionAccount
+    ) -> None:
+        try:
+            await self._serve_counted(stream, account)
+        finally:
+            self._budget.discard(account)
+
+    async def _serve_counted(
+        self, stream: BufferlessStream, account: ConnectionAccount
+    ) -> None:
+        if account.is_closed:  # for others, before it was served
+            await stream.aclose()
+            return
         try:
             enable_dead_peer_detection(stream, user_timeout_ms=self._client_timeout_ms)
         except OSError:
@@ -117,6 +155,8 @@
             draining=lambda: self.draining,
             clock=self._clock,
             body_memory=self._body_memory,
+            account=account,
+            keeps_body=self._keeps_body,
         )
         self._connections.add(connection)
         try:
--- a/src/foxtailbank/http1/socket_options.py
+++ b/src/foxtailbank/http1/socket_options.py
@@ -16,19 +16,19 @@
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
-def raw_socket(stream: anyio.abc.SocketStream) -> socket.socket:
+def raw_socket(stream: anyio.abc.ByteStream) -> socket.socket:
     """Return the socket of a stream."""
     return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
 def enable_dead_peer_detection(
-    stream: anyio.abc.SocketStream, *, user_timeout_ms: int = USER_TIMEOUT_MS
+    stream: anyio.abc.ByteStream, *, user_timeout_ms: int = USER_TIMEOUT_MS
 ) -> None:
     """Make the kernel close the connection when its peer stops acknowledging data.
 
     Parameters
     ----------
-    stream : anyio.abc.SocketStream
+    stream : anyio.abc.ByteStream
         Connected TCP stream.
     user_timeout_ms : int
         How long sent data may stay unacknowledged, in milliseconds. A peer that lives
@@ -43,24 +43,24 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
-def reset_on_close(stream: anyio.abc.SocketStream) -> None:
+def reset_on_close(stream: anyio.abc.ByteStream) -> None:
     """Make closing the connection reset it, so that its peer sees no regular end.
 
     Parameters
     ----------
-    stream : anyio.abc.SocketStream
+    stream : anyio.abc.ByteStream
         TCP stream; one that the peer has closed stays as it is.
     """
     with contextlib.suppress(OSError):
         raw_socket(stream).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
 
 
-def has_pending_input(stream: anyio.abc.SocketStream) -> bool:
+def has_pending_input(stream: anyio.abc.ByteStream) -> bool:
     """Return whether data, end of stream or an error is ready to be read.
 
     Parameters
     ----------
-    stream : anyio.abc.SocketStream
+    stream : anyio.abc.ByteStream
         Stream that no task is reading from.
     """
     poller = select.poll()
--- a/src/foxtailbank/memory_limits.py
+++ b/src/foxtailbank/memory_limits.py
@@ -8,6 +8,7 @@
 STORED_SHARE = 0.22
 WAITING_SHARE = 0.06
 BODY_SHARE = 0.04
+CONNECTION_SHARE = 0.16
 BYTES_PER_MB = 1 << 20
 
 
@@ -38,5 +39,10 @@
         """Bodies of the requests that are read or handled."""
         return self._share(BODY_SHARE)
 
+    @property
+    def connection_bytes(self) -> int:
+        """Connections of clients, with what is received and not sent yet."""
+        return self._share(CONNECTION_SHARE)
+
     def _share(self, share: float) -> int:
         return int(self.memory_mb * share * BYTES_PER_MB)
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -53,6 +53,7 @@
     FAILED_ITEMS = "failed_items"
     LOG_APPENDS = "log_appends"
     PEER_BYTES = "peer_bytes"
+    CONNECTIONS_CLOSED = "connections_closed"
 
 
 class Gauge(enum.Enum):
@@ -68,6 +69,8 @@
     QUARANTINED = "quarantined"
     LOOP_LAG_MS = "loop_lag_ms"
     READY = "ready"
+    CONNECTIONS = "connections"
+    CONNECTION_BYTES = "connection_bytes"
 
 
 class Metrics:
