--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -55,6 +55,7 @@
     PEER_BYTES = "peer_bytes"
     RATE_ADMITTED = "rate_admitted"
     RATE_REFUSED = "rate_refused"
+    CONNECTIONS_CLOSED = "connections_closed"
 
 
 class Gauge(enum.Enum):
@@ -70,6 +71,8 @@
     QUARANTINED = "quarantined"
     LOOP_LAG_MS = "loop_lag_ms"
     READY = "ready"
+    CONNECTIONS = "connections"
+    CONNECTION_BYTES = "connection_bytes"
 
 
 class Metrics:
