Shares of the workers by customer: excess of one is refused while the service is nearly full

Cause: placement knew no customers and no priorities.

Change: each VM counts what customers have in flight or waiting on a service; load reports bear up to 16 of these counts (`customers @14`). From 80% of a service's slots on, they are divided by priority, then weighted max-min by the customers' rates, with a floor for each; what lies beyond a customer's share and ordinary variation is refused at once (`share_exceeded`) and returns after all others. Batch items start and are preempted by the same order. Without customers in the configuration decisions are as before; a report is as before but for the null pointer of the new field.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -54,6 +54,7 @@
     WORKER_LIMITED = "worker_limited"
     WORKER_UNLIMITED = "worker_unlimited"
     PLACE_REFUSED = "place_refused"
+    SHARE_EXCEEDED = "share_exceeded"
     ATTEMPT_FAILED = "attempt_failed"
     CRASH_REPORTED = "crash_reported"
     REQUEST_QUARANTINED = "request_quarantined"
--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -16,6 +16,7 @@
   questions @11 :List(UInt64); # streams whose origin the sender asks for
   lostServices @12 :List(Text); # of which the sender reaches no worker
   draining @13 :List(Draining);
+  customers @14 :List(CustomerLoad); # those with the most requests in flight
 }
 
 struct Load {
@@ -51,6 +52,12 @@
   ageMs @1 :UInt32;         # since it first said so
 }
 
+struct CustomerLoad {
+  key @0 :UInt32;           # digest of service and customer
+  online @1 :UInt16;
+  batch @2 :UInt16;
+}
+
 struct Completion {
   part @0 :UInt64;
   wallMs @1 :UInt64;
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -8,6 +8,7 @@
 
 import capnp
 
+from foxtailbank.customers.share_counts import MAX_REPORTED, CustomerLoad
 from foxtailbank.decoding import decoding, require
 from foxtailbank.exceptions import FrameInvalid
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
@@ -65,6 +66,9 @@
         Services of which the VM reaches no worker.
     draining : tuple of DrainingReport
         Workers that said that they are shutting down.
+    customers : tuple of CustomerLoad
+        Requests in flight by customer, the largest first; only as many as fit into
+        `MAX_DATAGRAM_BYTES` are encoded.
     """
 
     vm_id: str
@@ -81,6 +85,7 @@
     questions: tuple[int, ...] = ()
     lost_services: tuple[str, ...] = ()
     draining: tuple[DrainingReport, ...] = ()
+    customers: tuple[CustomerLoad, ...] = ()
 
 
 def _load_schema() -> t.Any:
@@ -95,6 +100,15 @@
 
 def encode(report: LoadReport) -> bytes:
     """Encode a report as a datagram."""
+    datagram = _encode_whole(report)
+    while len(datagram) > MAX_DATAGRAM_BYTES and report.customers:
+        fewer = report.customers[: len(report.customers) // 2]
+        report = dataclasses.replace(report, customers=fewer)
+        datagram = _encode_whole(report)
+    return datagram
+
+
+def _encode_whole(report: LoadReport) -> bytes:
     builder = _SCHEMA.LoadReport.new_message(
         vmId=report.vm_id,
         zone=report.zone,
@@ -139,6 +153,12 @@
     for row, draining in zip(draining_rows, report.draining, strict=True):
         row.process = draining.process_id
         row.ageMs = draining.age_ms
+    if report.customers:
+        customer_rows = builder.init("customers", len(report.customers))
+        for row, customer in zip(customer_rows, report.customers, strict=True):
+            row.key = customer.key
+            row.online = customer.online
+            row.batch = customer.batch
     return t.cast(bytes, builder.to_bytes_packed())
 
 
@@ -221,6 +241,10 @@
                 DrainingReport(process_id=row.process, age_ms=row.ageMs)
                 for row in reader.draining
             ),
+            customers=tuple(
+                CustomerLoad(key=row.key, online=row.online, batch=row.batch)
+                for row in reader.customers
+            ),
         )
         _check(report)
         return report
@@ -230,5 +254,6 @@
     """Raise `ValueError` if a value can't be right, before it is used anywhere."""
     require(0 < len(report.vm_id) <= MAX_NAME_CHARS, "name of the VM")
     require(len(report.zone) <= MAX_NAME_CHARS, "name of the zone")
+    require(len(report.customers) <= MAX_REPORTED, "number of customers")
     for limit in report.limits:
         require(limit.per_s is None or math.isfinite(limit.per_s), "rate limit")
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -33,6 +33,7 @@
     LIMITED = "limited"
     NO_SAME_VERSION = "no_same_version"
     ORIGIN_UNKNOWN = "origin_unknown"
+    SHARE_EXCEEDED = "share_exceeded"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -4,6 +4,8 @@
 import typing as t
 
 from foxtailbank.clock import Clock
+from foxtailbank.customers.share_counts import CustomerLoads
+from foxtailbank.customers.share_gate import ShareExcess, ShareGate
 from foxtailbank.events import Event
 from foxtailbank.fleet.distance_tiers import DistanceTiers
 from foxtailbank.fleet.draining_workers import DrainingWorkers
@@ -34,6 +36,7 @@
 )
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.settings_sections import LogLevel
+from foxtailbank.skipped_records import SkippedRecords
 
 BREAK_KEPT_MS = 10_000  # a worker that crashed is back, and listed, within this time
 
@@ -59,7 +62,7 @@
     Attributes
     ----------
     workers, loads, health, limits, service_times, crashes, reachability, tiers, view,
-    lifetimes, versions, origins, reach, draining
+    lifetimes, versions, origins, reach, draining, customer_loads, shares
         The components of the state.
     """
 
@@ -99,6 +102,15 @@
             reachability=self.reachability,
             limits=self.limits,
         )
+        self.customer_loads = CustomerLoads()
+        self.shares = ShareGate(
+            loads=self.customer_loads,
+            view=self.view,
+            customers=lambda: routes.customers,
+        )
+        self._excess_lines = SkippedRecords(
+            event=Event.SHARE_EXCEEDED, logs=logs, clock=clock
+        )
         self._placement = Placement(view=self.view)
         self._load_listeners: list[t.Callable[[], None]] = []
         self._peer_load_listeners: list[t.Callable[[], None]] = []
@@ -115,20 +127,30 @@
         """Add a function to call when the number of requests in flight changes."""
         self._load_listeners.append(listener)
 
-    def add_in_flight(self, worker_id: str, kind: LoadKind) -> None:
+    def add_in_flight(
+        self, worker_id: str, kind: LoadKind, customer_key: int | None = None
+    ) -> None:
         """Count a request that is about to be sent as in flight."""
         self.loads.start(worker_id, kind)
+        if customer_key is not None:
+            self.customer_loads.start(customer_key, kind)
         self.limits.on_sent(worker_id, self._clock.now_ms())
         self.notify_load()
 
-    def start_item(self, worker_id: str) -> None:
+    def start_item(self, worker_id: str, customer_key: int | None = None) -> None:
         """Count a batch item that is about to be sent, without notifying listeners."""
         self.loads.start(worker_id, LoadKind.BATCH)
+        if customer_key is not None:
+            self.customer_loads.start(customer_key, LoadKind.BATCH)
         self.limits.on_sent(worker_id, self._clock.now_ms())
 
-    def remove_in_flight(self, worker_id: str, kind: LoadKind) -> None:
+    def remove_in_flight(
+        self, worker_id: str, kind: LoadKind, customer_key: int | None = None
+    ) -> None:
         """Remove a finished request from those in flight."""
         self.loads.end(worker_id, kind)
+        if customer_key is not None:
+            self.customer_loads.end(customer_key, kind)
         self.notify_load()
 
     def notify_load(self) -> None:
@@ -142,6 +164,26 @@
         for listener in self._peer_load_listeners:
             listener()
 
+    def expire_peer_loads(self, now_ms: int, timeout_ms: int) -> None:
+        """Drop what VMs reported that have been silent for so long."""
+        for vm_id in self.loads.expire(now_ms, timeout_ms):
+            self.customer_loads.forget_vm(vm_id)
+
+    def find_excess(
+        self, service: str, customer: str, now_ms: int
+    ) -> ShareExcess | None:
+        """Return and log the excess that a request would add to, if there is any."""
+        workers = self.workers.usable(service)
+        excess = self.shares.find_excess(customer, workers, now_ms)
+        if excess is not None:
+            fields = LogFields(
+                owner=customer,
+                reason=f"{excess.in_flight} in flight, share {excess.share:.1f}",
+                age_ms=excess.age_ms,
+            )
+            self._excess_lines.add(customer, fields)
+        return excess
+
     def add_peer_load_listener(self, listener: t.Callable[[], None]) -> None:
         """Add a function to call after each load report of another VM."""
         self._peer_load_listeners.append(listener)
--- a/src/foxtailbank/forward/slot_finder.py
+++ b/src/foxtailbank/forward/slot_finder.py
@@ -103,8 +103,17 @@
         service = self._choose_service(origin)
         if not service:
             return Refusal(reason=RefusalReason.NO_SAME_VERSION, wait_ms=0)
+        with self._fleet.customer_loads.counting(service, self._call.customer_name):
+            return await self._search(service, tried, remaining_ms)
+
+    async def _search(
+        self, service: str, tried: set[str], remaining_ms: float
+    ) -> Assignment | Refusal:
         search_until_ms = self._clock.now_ms() + SEARCH_SHARE * self._route.target_ms
         while True:
+            if not tried and self._is_excess(service):
+                wait_ms = wait_limits.excess_wait_ms(self._rng)
+                return Refusal(reason=RefusalReason.SHARE_EXCEEDED, wait_ms=wait_ms)
             assignment = await self._search_round(service, tried, remaining_ms)
             if assignment is not None:
                 return assignment
@@ -121,6 +130,17 @@
             return self._route.choose_service(self._rng)
         return origin.service if origin.service in self._route.services else ""
 
+    def _is_excess(self, service: str) -> bool:
+        """Return whether its customer has more than its share of a busy service.
+
+        A stream that continues is not refused for that.
+        """
+        if self._origin is not None:
+            return False
+        now_ms = self._clock.now_ms()
+        name = self._call.customer_name
+        return self._fleet.find_excess(service, name, now_ms) is not None
+
     async def _search_round(
         self, service: str, tried: set[str], remaining_ms: float
     ) -> Assignment | Refusal | None:
--- a/src/foxtailbank/forward/target_finder.py
+++ b/src/foxtailbank/forward/target_finder.py
@@ -44,6 +44,7 @@
         may_relay: bool,
     ) -> None:
         self._route = route
+        self._customer_name = call.customer_name
         self._client = context.client
         self._fleet = context.fleet
         self._relay = context.relay if may_relay else None
@@ -81,7 +82,10 @@
             return assignment
         self._tried.add(assignment.choice.worker.worker_id)
         return WorkerTarget(
-            assignment=assignment, client=self._client, fleet=self._fleet
+            assignment=assignment,
+            client=self._client,
+            fleet=self._fleet,
+            customer_name=self._customer_name,
         )
 
     def on_not_connected(self, target: AttemptTarget) -> None:
--- a/src/foxtailbank/forward/wait_limits.py
+++ b/src/foxtailbank/forward/wait_limits.py
@@ -34,6 +34,19 @@
     return FIRST_ATTEMPT_WAIT_SHARE * target_ms
 
 
+def excess_wait_ms(rng: random.Random) -> float:
+    """Return how long the excess of a customer waits at least before it retries.
+
+    Callers that are refused for other reasons return before.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the retries.
+    """
+    return rng.uniform(MAX_RETRY_AFTER_MS, 2 * MAX_RETRY_AFTER_MS)
+
+
 def retry_after_ms(*, wait_ms: float, remaining_ms: float, rng: random.Random) -> int:
     """Return the time after which a refused caller may retry.
 
--- a/src/foxtailbank/forward/worker_target.py
+++ b/src/foxtailbank/forward/worker_target.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from foxtailbank.customers.share_counts import customer_key
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.forward.attempt_progress import AttemptProgress
@@ -24,10 +25,17 @@
         Connections to workers.
     fleet : FleetState
         Updated by the outcome.
+    customer_name : str
+        Customer that sent the request; empty without a key.
     """
 
     def __init__(
-        self, *, assignment: Assignment, client: WorkerClient, fleet: FleetState
+        self,
+        *,
+        assignment: Assignment,
+        client: WorkerClient,
+        fleet: FleetState,
+        customer_name: str = "",
     ) -> None:
         self._worker = assignment.choice.worker
         self._reservation = assignment.reservation
@@ -39,6 +47,11 @@
         self.service = self._worker.service
         self.process_id = self._worker.process_id
         self.wait_ms = assignment.choice.wait_ms
+        self._customer_key = (
+            customer_key(service=self.service, name=customer_name)
+            if customer_name
+            else None
+        )
 
     def exchange(
         self,
@@ -73,11 +86,15 @@
 
     def on_start(self) -> None:
         """Count the request as in flight."""
-        self._fleet.add_in_flight(self._worker.worker_id, LoadKind.ONLINE)
+        self._fleet.add_in_flight(
+            self._worker.worker_id, LoadKind.ONLINE, self._customer_key
+        )
 
     def on_end(self) -> None:
         """Count the request as finished."""
-        self._fleet.remove_in_flight(self._worker.worker_id, LoadKind.ONLINE)
+        self._fleet.remove_in_flight(
+            self._worker.worker_id, LoadKind.ONLINE, self._customer_key
+        )
 
     def on_answer(self, response: WorkerResponse) -> None:
         """Apply what the response says of its worker."""
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -208,6 +208,7 @@
             streams=self._fleet.origins.recent(),
             lost_services=self._fleet.reach.lost_services(),
             draining=self._fleet.draining.reports(),
+            customers=self._fleet.customer_loads.reports(),
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
@@ -259,6 +260,7 @@
             load_by_worker=report.load_by_worker,
             zone=report.zone,
         )
+        self._fleet.customer_loads.on_report(report.vm_id, report.customers, now_ms)
         self._fleet.apply_peer_load(load, now_ms)
         self._streams.on_report(report, address)
         for crash in report.crash_reports:
@@ -277,7 +279,7 @@
 
     def _expire_peers(self, now_ms: int) -> None:
         timeout_ms = self._peers.silence_timeout_ms(PeerGroup.FAR, now_ms)
-        self._fleet.loads.expire(now_ms, timeout_ms)
+        self._fleet.expire_peer_loads(now_ms, timeout_ms)
         alive = {peer.vm_id for peer in self._peers.alive(now_ms)}
         for vm_id in self._known_alive - alive:
             self._logs.write(Event.PEER_LOST, fields=LogFields(peer=vm_id))
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from foxtailbank.customers.share_counts import BATCH_POOL, customer_key
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventBuffer
@@ -75,6 +76,30 @@
     saved_ms: int = 0
     is_done: bool = False
 
+    @classmethod
+    def create(
+        cls,
+        submission: Submission,
+        item: Item,
+        *,
+        due_ms: int,
+        prompt_parts: tuple[int, ...],
+        now_ms: int,
+    ) -> "ItemRun":
+        """Return a run that goes on from what earlier owners have saved."""
+        run = cls(
+            submission=submission,
+            item=item,
+            due_ms=due_ms,
+            prompt_parts=prompt_parts,
+            saved_ms=now_ms,
+            failure_count=submission.failures_by_id.get(item.item_id, 0),
+        )
+        progress = submission.progress_by_id.get(item.item_id)
+        if progress is not None:
+            run.resume_from(progress)
+        return run
+
     def resume_from(self, progress: Progress) -> None:
         """Resume from saved progress, unless the software that made it is unknown."""
         if progress.origin is None:
@@ -114,6 +139,18 @@
         """Submission id and item id."""
         return (self.submission.submission_id, self.item.item_id)
 
+    @property
+    def customer_name(self) -> str:
+        """Customer that submitted it; empty if it needed no key."""
+        return self.submission.customer
+
+    @property
+    def customer_key(self) -> int | None:
+        """Digest under which its customer's items are counted; None without one."""
+        if not self.customer_name:
+            return None
+        return customer_key(service=BATCH_POOL, name=self.customer_name)
+
     @property
     def is_running(self) -> bool:
         """Whether it is being run on a worker."""
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from foxtailbank.clock import MS_PER_S, Clock
+from foxtailbank.customers.share_batch import BatchShares
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.event_stream import EventSource, parse_events
@@ -21,6 +22,7 @@
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
+from foxtailbank.submissions import item_order
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_capacity import BatchCapacity
 from foxtailbank.submissions.item_placement import ItemPlacement
@@ -182,18 +184,13 @@
             self._runs_by_key.pop(key).stop()
 
     def _new_run(self, submission: Submission, item: Item) -> ItemRun:
-        run = ItemRun(
-            submission=submission,
-            item=item,
+        return ItemRun.create(
+            submission,
+            item,
             due_ms=self._due_ms(submission.host, submission),
             prompt_parts=self._client.prompt_parts(item.headers),
-            saved_ms=self._clock.now_ms(),
-            failure_count=submission.failures_by_id.get(item.item_id, 0),
+            now_ms=self._clock.now_ms(),
         )
-        progress = submission.progress_by_id.get(item.item_id)
-        if progress is not None:
-            run.resume_from(progress)
-        return run
 
     def _due_ms(self, host: str, submission: Submission) -> int:
         route = self._routes.find(host, submission.target)
@@ -212,10 +209,9 @@
             for run in self._runs_by_key.values()
             if not run.is_running and not run.is_done and run.not_before_ms <= now_ms
         ]
-        # Overdue items come after those that can still be on time.
-        waiting.sort(key=lambda run: (run.due_ms < now_ms, run.due_ms))
         no_slot_since_ms_by_route: dict[str, int] = {}
-        for run in waiting:
+        shares = self._batch_shares() if waiting else BatchShares()
+        for run in item_order.start_order(waiting, shares=shares, now_ms=now_ms):
             name = run.submission.route
             if name in no_slot_since_ms_by_route:
                 continue
@@ -246,11 +242,15 @@
         run.cancel_scope = anyio.CancelScope()
         run.worker_id = worker.worker_id
         run.send_count += 1
-        self._fleet.start_item(worker.worker_id)
+        self._fleet.start_item(worker.worker_id, run.customer_key)
         assert self._group is not None
         self._group.start_soon(self._run, run, route, worker)
         return True
 
+    def _batch_shares(self) -> BatchShares:
+        runs = self._runs_by_key.values()
+        return self._fleet.shares.batch_shares(run.customer_name for run in runs)
+
     def _crash_pause_ms(self, run: ItemRun) -> int:
         """Return how long to hold an item back after crashes under its prompt."""
         age_ms = self._fleet.crashes.crash_age_ms(run.prompt_parts)
@@ -284,7 +284,9 @@
         finally:
             run.cancel_scope = None
             run.event_buffer.discard_partial_event()
-            self._fleet.remove_in_flight(worker.worker_id, LoadKind.BATCH)
+            self._fleet.remove_in_flight(
+                worker.worker_id, LoadKind.BATCH, run.customer_key
+            )
             self._wake.set()
         if scope.cancelled_caught:
             run.not_before_ms = self._clock.now_ms() + PREEMPTION_PAUSE_MS
@@ -380,10 +382,7 @@
 
     def _preempt_items(self) -> None:
         now_ms = self._clock.now_ms()
-        runs_by_worker: dict[str, list[ItemRun]] = {}
-        for run in self._runs_by_key.values():
-            if run.cancel_scope is not None and not run.cancel_scope.cancel_called:
-                runs_by_worker.setdefault(run.worker_id, []).append(run)
+        runs_by_worker = item_order.running_by_worker(self._runs_by_key.values())
         for worker_id, runs in runs_by_worker.items():
             worker = self._fleet.workers.get(worker_id)
             if worker is None:
@@ -392,9 +391,8 @@
             count = self._capacity.items_to_preempt(worker, now_ms) - stopping_count
             if count <= 0:
                 continue
-            # The items that are due last are preempted first.
-            runs.sort(key=lambda run: -run.due_ms)
-            for run in runs[:count]:
+            shares = self._batch_shares()
+            for run in item_order.preemption_order(runs, shares=shares)[:count]:
                 load = self._fleet.loads.total(worker_id)
                 self._recorder.record_preemption(run, worker, load)
                 run.stop()
--- a/src/foxtailbank/submissions/submission.py
+++ b/src/foxtailbank/submissions/submission.py
@@ -31,6 +31,8 @@
         Saved output of unfinished items.
     ended : bool
         True if the client ended it.
+    customer : str
+        Name of the customer that it belongs to; empty for none.
     created_key : str
         Log key of the record that created it; empty until the table sets it.
     record_keys : set of str
@@ -50,6 +52,7 @@
     failures_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     progress_by_id: dict[str, Progress] = dataclasses.field(default_factory=dict)
     ended: bool = False
+    customer: str = ""
     created_key: str = ""
     record_keys: set[str] = dataclasses.field(default_factory=set)
 
--- a/tests/burst_fleet.py
+++ b/tests/burst_fleet.py
@@ -10,16 +10,18 @@
 import random
 
 from foxtailbank.clock import ManualClock
+from foxtailbank.customers.share_counts import BATCH_POOL, customer_key
 from foxtailbank.fleet import report_intervals
 from foxtailbank.fleet.load_table import LoadKind, PeerLoad
 from foxtailbank.fleet.report_intervals import PeerGroup
 from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward import wait_limits
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.slot_finder import ROUND_PAUSE_MS, TRIES_PER_ROUND
 from foxtailbank.submissions.batch_capacity import BatchCapacity
 from foxtailbank.submissions.runner import PREEMPTION_PAUSE_MS, TICK_MS
-from serving_fakes import make_logs
+from serving_fakes import make_logs, make_routes
 
 ZONES = ("z1", "z2", "z3")
 SLOTS = 7
@@ -41,20 +43,29 @@
     done_ms: float | None = None
     not_before_ms: float = 0.0
     preempted_count: int = 0
+    customer: str = ""
+    refusals: int = 0
+
+    @property
+    def customer_key(self):
+        service = "s" if self.kind is LoadKind.ONLINE else BATCH_POOL
+        return customer_key(service=service, name=self.customer)
 
 
 class SimVm:
     """One entry VM."""
 
-    def __init__(self, *, vm_id, zone, workers, clock, rng, peers):
+    def __init__(self, *, vm_id, zone, workers, clock, rng, peers, customers):
         self.vm_id = vm_id
         self.zone = zone
         self.items = []
         self.waiting_since_ms = None
+        routes = RouteTable()
+        routes.apply(make_routes(customers=customers))
         self.fleet = FleetState(
             vm_id=vm_id,
             zone=zone,
-            routes=RouteTable(),
+            routes=routes,
             logs=make_logs(),
             clock=clock,
             rng=rng,
@@ -70,7 +81,15 @@
     """Plays arrivals, runs, reports and preemptions as events in simulated time."""
 
     def __init__(
-        self, *, vms=79, workers=30, slots=SLOTS, seed=1, speeds=(1.0,), report_loss=0.0
+        self,
+        *,
+        vms=79,
+        workers=30,
+        slots=SLOTS,
+        seed=1,
+        speeds=(1.0,),
+        report_loss=0.0,
+        customers=(),
     ):
         self.slots = slots
         self.report_loss = report_loss  # share of the reports that get lost
@@ -107,6 +126,7 @@
                 clock=self.clock,
                 rng=self.rng,
                 peers=peers,
+                customers=customers,
             )
             for n in range(vms)
         ]
@@ -132,11 +152,16 @@
             self.clock.advance(max(0, int(at_ms) - self.now_ms))
             action(*arguments)
 
-    def add_online(self, at_ms, run_ms):
-        vm = self.rng.choice(self.vms)
-        request = Request(kind=LoadKind.ONLINE, arrived_ms=at_ms, run_ms=run_ms, vm=vm)
+    def add_online(self, at_ms, run_ms, *, customer="", vms=()):
+        request = Request(
+            kind=LoadKind.ONLINE,
+            arrived_ms=at_ms,
+            run_ms=run_ms,
+            vm=self.rng.choice(vms or self.vms),
+            customer=customer,
+        )
         self.online.append(request)
-        self._at(at_ms, self._search, request)
+        self._at(at_ms, self._arrive, request)
 
     def add_items(self, at_ms, count, run_ms):
         vm = self.rng.choice(self.vms)
@@ -164,11 +189,38 @@
                 continue
             if not self.report_loss or self.rng.random() >= self.report_loss:
                 other.fleet.loads.on_report(load, self.clock.now_ms())
+                other.fleet.customer_loads.on_report(
+                    vm.vm_id, vm.fleet.customer_loads.reports(), self.clock.now_ms()
+                )
         self._after(interval_ms, self._report, vm, group, interval_ms)
 
+    def _arrive(self, request):
+        self._count_customer(request, 1)
+        self._search(request)
+
+    def _is_refused(self, request):
+        """Refuse the excess of a customer; its client comes back once."""
+        fleet = request.vm.fleet
+        if not fleet.find_excess("s", request.customer, self.clock.now_ms()):
+            return False
+        self._count_customer(request, -1)
+        request.refusals += 1
+        if request.refusals == 1:
+            self._after(wait_limits.excess_wait_ms(self.rng), self._arrive, request)
+        return True
+
+    def _count_customer(self, request, change):
+        """Count a request of a customer, also while it waits for a slot."""
+        loads = request.vm.fleet.customer_loads
+        count = loads.start if change > 0 else loads.end
+        if request.customer:
+            count(request.customer_key, request.kind)
+
     def _search(self, request):
         """Ask a few workers for a reservation; if none has a slot, again later."""
         fleet = request.vm.fleet
+        if self._is_refused(request):
+            return
         full = []
         for _ in range(TRIES_PER_ROUND):
             choice = fleet.choose(
@@ -235,6 +287,7 @@
     def _leave(self, request):
         self.running[request.worker_id].remove(request)
         request.vm.fleet.loads.end(request.worker_id, request.kind)
+        self._count_customer(request, -1)
         request.began_ms = None
 
     def _preempt(self, vm, worker_id):
