--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -55,6 +55,7 @@
     WORKER_UNLIMITED = "worker_unlimited"
     RATE_REFUSED = "rate_refused"
     PLACE_REFUSED = "place_refused"
+    SHARE_EXCEEDED = "share_exceeded"
     ATTEMPT_FAILED = "attempt_failed"
     CRASH_REPORTED = "crash_reported"
     REQUEST_QUARANTINED = "request_quarantined"
