--- a/tests/test_platform_submission_ids.py
+++ b/tests/test_platform_submission_ids.py
@@ -8,6 +8,7 @@
 from foxtailbank.customers.customer_gate import KeyUnknown
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.forward.route import RouteKind
+from foxtailbank.http1.connection_budget import unbounded
 from foxtailbank.http1.server_request import ServerRequest
 from foxtailbank.submissions.failures import SubmissionUnknown
 from foxtailbank_platform.submission_calls import SubmissionCalls
@@ -77,7 +78,7 @@
     request = ServerRequest(
         method="GET", target="/x", headers=headers, body=b"", arrived_ms=0
     )
-    calls = SubmissionCalls(vm=vm, logs=make_logs())
+    calls = SubmissionCalls(vm=vm, budget=unbounded(manual_clock()), logs=make_logs())
     try:
         found = await calls._stored_id(request, "s1")
     except FoxtailbankError as failure:
