--- a/tests/test_platform_customers.py
+++ b/tests/test_platform_customers.py
@@ -260,21 +260,19 @@
 
 
 async def submit(key, submission_id="s1", *, number=1, **items):
-    headers = (("X-Request-Id", submission_id), ("Authorization", f"Token {key}"))
-    response = await call_with_id("POST", "/b/1", headers, number, **items)
-    return response[0].status
-
-
-async def call_with_id(method, target, headers, number, **items):
+    sent = (
+        ("Host", "h.example"),
+        ("X-Request-Id", submission_id),
+        ("Authorization", f"Token {key}"),
+    )
     channel = await ClientChannel.connect(
         address=f"{NET}.1{number}:18144", clock=CLOCK, timeout_ms=1_000
     )
     body = make_submission(**items)
-    sent = (("Host", "h.example"), *headers)
-    await channel.send(method=method, target=target, headers=sent, body=body)
+    await channel.send(method="POST", target="/b/1", headers=sent, body=body)
     head = await channel.receive_head(10_000)
     await channel.aclose()
-    return (head,)
+    return head.status
 
 
 # Guards against a customer that reads, ends or takes over another's submission, and
--- a/tests/test_platform_submission_ids.py
+++ b/tests/test_platform_submission_ids.py
@@ -10,7 +10,10 @@
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.http1.server_request import ServerRequest
 from foxtailbank.submissions.failures import SubmissionUnknown
+from foxtailbank_platform.headers import CUSTOMER_HEADERS
 from foxtailbank_platform.submission_calls import SubmissionCalls
+from foxtailbank_platform.submission_wire import decode_submission
+from platform_deployment import make_submission
 from serving_fakes import make_logs, make_route, make_routes, manual_clock
 
 pytestmark = pytest.mark.anyio
@@ -83,3 +86,19 @@
     except FoxtailbankError as failure:
         found = type(failure)
     assert found == expected
+
+
+# Guards against items of a public route that name a customer or bear a key.
+async def test_items_bring_no_customer_and_no_key_of_their_own():
+    headers = {"X-tenant": "root", "AUTHORIZATION": "Token k1", "X-Other": "o"}
+    request = ServerRequest(
+        method="POST",
+        target="/open/",
+        headers=(),
+        body=make_submission(count=1, changes={"headers": headers}),
+        arrived_ms=0,
+    )
+    new = decode_submission(
+        request, submission_id="s1", host="h", excluded=CUSTOMER_HEADERS
+    )
+    assert new.items[0].headers == (("X-Other", "o"),)
--- a/tests/test_submissions_by_customer.py
+++ b/tests/test_submissions_by_customer.py
@@ -46,66 +46,37 @@
         scoped_id(f"a{SEPARATOR}1", customer="")
 
 
+ACME, BEE = submitted("acme"), submitted("bee")
+ACME_ID = scoped_id("s1", customer="acme")
+
+
 # Guards against a customer whose waiting tokens another one uses up, and against
 # tokens that are counted twice when a submission comes again.
 @pytest.mark.parametrize(
-    ("records", "last", "waiting"),
+    ("first", "second", "effect", "waiting"),
     [
-        pytest.param(
-            [submitted("acme", items="abcdef"), submitted("bee")],
-            Effect.ACCEPTED,
-            {"acme": 60, "bee": 20, "": 0},
-            id="each-has-its-own",
-        ),
-        pytest.param(
-            [submitted("acme", items="abcde"), submitted("acme", "s2")],
+        # Each customer has its limit; the last is over its own.
+        (submitted("acme", items="abcdef"), BEE, Effect.ACCEPTED, (60, 20, 0)),
+        (submitted("", items="abcdef"), ACME, Effect.ACCEPTED, (20, 0, 60)),
+        (ACME, submitted("acme", "s2", route="r2"), Effect.ACCEPTED, (20, 0, 0)),
+        (
+            submitted("acme", items="abcde"),
+            submitted("acme", "s2"),
             Effect.TOO_MANY_TOKENS,
-            {"acme": 50, "bee": 0},
-            id="limit-of-one",
-        ),
-        pytest.param(
-            [submitted("acme"), submitted("acme", attempt="2")],
-            Effect.NONE,
-            {"acme": 20},
-            id="repeat-by-any-key",
-        ),
-        pytest.param(
-            [submitted("acme", route="r1"), submitted("acme", "s2", route="r2")],
-            Effect.ACCEPTED,
-            {"acme": 0},
-            id="each-entry-by-itself",
-        ),
-        pytest.param(
-            [submitted("acme"), Ended(submission_id=scoped_id("s1", customer="acme"))],
-            Effect.ENDED,
-            {"acme": 0},
-            id="ended",
-        ),
-        pytest.param(
-            [submitted("acme"), item_ended(scoped_id("s1", customer="acme"), "a")],
-            Effect.ITEM_ENDED,
-            {"acme": 10},
-            id="item-listed",
-        ),
-        pytest.param(
-            [submitted("acme"), Ended(submission_id="s1")],
-            Effect.NONE,
-            {"acme": 20},
-            id="end-of-another-customers-id",
-        ),
-        pytest.param(
-            [submitted("", items="abcdef"), submitted("acme")],
-            Effect.ACCEPTED,
-            {"": 60, "acme": 20},
-            id="without-customer",
+            (50, 0, 0),
         ),
+        (ACME, submitted("acme", attempt="2"), Effect.NONE, (20, 0, 0)),
+        (ACME, Ended(submission_id=ACME_ID), Effect.ENDED, (0, 0, 0)),
+        (ACME, Ended(submission_id="s1"), Effect.NONE, (20, 0, 0)),
+        (ACME, item_ended(ACME_ID, "a"), Effect.ITEM_ENDED, (10, 0, 0)),
     ],
 )
-def test_waiting_tokens_are_counted_by_customer(records, last, waiting):
+def test_waiting_tokens_are_counted_by_customer(first, second, effect, waiting):
     ledger = Ledger()
-    effects = [ledger.apply(record) for record in records]
-    assert effects[-1] is last
-    assert {name: ledger.waiting_tokens("r", name) for name in waiting} == waiting
+    assert ledger.apply(first) is Effect.ACCEPTED
+    assert ledger.apply(second) is effect
+    names = ("acme", "bee", "")
+    assert tuple(ledger.waiting_tokens("r", name) for name in names) == waiting
 
 
 # Guards against records that builds before or after this one can't read.
