--- a/src/foxtailbank/customers/rate_fleet.py
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -116,19 +116,14 @@
         """Return the VM that grants a customer's permits."""
         vm_id = self._granting_vm_by_customer.get(customer)
         if vm_id is None:
-            vm_id = max(
-                self._reachable_ids, key=lambda name: rendezvous.score(customer, name)
-            )
+            vm_id = _first(customer, self._reachable_ids)
             self._granting_vm_by_customer[customer] = vm_id
         return vm_id
 
     def next_granting_vm(self, customer: str) -> str:
         """Return the VM that grants after this one; itself if there is no other."""
         others = self._reachable_ids - {self._vm_id}
-        return max(
-            others or self._reachable_ids,
-            key=lambda name: rendezvous.score(customer, name),
-        )
+        return _first(customer, others or self._reachable_ids)
 
     def share(self, customer: str) -> float:
         """Return the share of a customer's limit that this VM may grant.
@@ -206,15 +201,29 @@
         if not reachable or not self.is_stopping:
             reachable.add(self._vm_id)
         reachable_ids = frozenset(reachable)
-        if reachable_ids != self._reachable_ids:
-            self._reachable_ids = reachable_ids
-            self._granting_vm_by_customer.clear()
+        self._update_granting(
+            added=reachable_ids - self._reachable_ids,
+            removed=self._reachable_ids - reachable_ids,
+        )
+        self._reachable_ids = reachable_ids
         on_time = sum(
             now_ms - contact.heard_ms < contact.late_ms
             for contact in self._contact_by_id.values()
         )
         self._share = (on_time + 1) / (len(self._contact_by_id) + 1)
 
+    def _update_granting(
+        self, *, added: frozenset[str], removed: frozenset[str]
+    ) -> None:
+        """Draw anew only where it matters: there may be many VMs and customers."""
+        if not added and not removed:
+            return
+        self._granting_vm_by_customer = {
+            customer: _first(customer, added | {vm_id})
+            for customer, vm_id in self._granting_vm_by_customer.items()
+            if vm_id not in removed
+        }
+
     def _is_heard(self, contact: Contact, now_ms: int) -> bool:
         return now_ms - contact.heard_ms < contact.silence_ms
 
@@ -223,3 +232,8 @@
     if known is None or known.heard_ms <= contact.heard_ms:
         return contact
     return dataclasses.replace(contact, heard_ms=known.heard_ms)
+
+
+def _first(customer: str, vm_ids: t.Iterable[str]) -> str:
+    """Return the VM that comes first for a customer."""
+    return max(vm_ids, key=lambda vm_id: rendezvous.score(customer, vm_id))
