--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from foxtailbank.customers.rate_bucket import RateBucket
+from foxtailbank.customers.rate_limit import RateLimit
+from foxtailbank.customers.rate_messages import PermitRequest, UnusedPermits
 from rate_fleet_sim import (
     CUSTOMER,
     RateFleetSim,
@@ -16,6 +19,7 @@
 HOT = 7 * USUAL
 LARGE = customer_of(100, 50)
 SMALL = customer_of(10, 5)
+BURSTY = customer_of(20, 100)
 
 
 def restart_all(sim):
@@ -105,7 +109,7 @@
 
 # Guards against buckets that begin full, share nothing in a cut, or begin again with
 # each change of the granting VM: each lets a hot customer pass far more.
-@pytest.mark.parametrize("customer", [SMALL, customer_of(170, 20)])
+@pytest.mark.parametrize("customer", [BURSTY, customer_of(170, 20)])
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 def test_hot_customer_stays_within_the_bound(fault, customer):
     sim = play(customer, fault, load=HOT)
@@ -176,6 +180,21 @@
     assert customers * sim.message_bytes / 2 / 300 < 2_000
 
 
+# Guards against a request that was sent twice and costs twice, and permits that are
+# lost when nobody uses them.
+def test_bucket_grants_a_repeated_request_once_and_takes_unused_permits_back():
+    limit = RateLimit(rate_per_s=1, burst=10)
+    bucket = RateBucket(limit=limit, permits=10, now_ms=0)
+    ids = {"vm_id": "vm1", "incarnation": 1, "customer": CUSTOMER}
+    request = PermitRequest(**ids, number=1, needed=4, wanted=4)
+    assert bucket.grant(request, 0) == bucket.grant(request, 1)
+    assert bucket.available(1) == 6
+    unused = (UnusedPermits(number=1, count=3),)
+    again = PermitRequest(**ids, number=2, needed=1, wanted=1, unused=unused)
+    assert bucket.grant(again, 2).count == 1
+    assert bucket.available(2) == 8
+
+
 # Guards against permits that outlive what they were taken from.
 def test_permits_expire_while_a_vm_is_frozen():
     sim = RateFleetSim(vms=24, customer=LARGE)
