--- a/tests/test_platform_rate_limits.py
+++ b/tests/test_platform_rate_limits.py
@@ -15,17 +15,28 @@
 SPARE = 6
 
 
-# Guards against limits that hold on each VM by itself, and refusals without a time.
+TENANT = {"name": "acme", "api_keys": ["k1"], "rate_per_s": RATE, "burst": BURST}
+
+
+async def send(count, target):
+    """Return the heads of the answers to requests at both VMs by turns."""
+    heads = []
+    for number in range(count):
+        headers = (*KEY, ("X-Request-Id", f"r{number}"))
+        to = 1 + number % 2
+        answer = await call("GET", target, number=to, headers=headers, net=NET)
+        heads.append(answer[0])
+    return heads
+
+
+# Guards against limits that hold on each VM by itself, refusals without a time, and
+# requests that no worker had and that count nevertheless.
 async def test_callers_beyond_the_limit_get_429_at_both_vms():
     async with running_deployment(net=NET) as deployment:
         await deployment.start_two_vms()
-        tenant = {
-            "name": "acme",
-            "api_keys": ["k1"],
-            "rate_per_s": RATE,
-            "burst": BURST,
-        }
-        manifest = {**make_manifest(version=2), "tenants": [tenant]}
+        manifest = {**make_manifest(version=2), "tenants": [TENANT]}
+        unserved = {"name": "none", "path_prefix": "/none/", "service": "none"}
+        manifest["routes"].append({**manifest["routes"][0], **unserved})
         deployment.store.put("keyed.op", "config", manifest)
 
         async def needs_key():
@@ -34,14 +45,9 @@
 
         await deployment.until(needs_key)
         await anyio.sleep(1)
+        assert {head.status for head in await send(30, "/none/x")} == {503}
         started_ms = CLOCK.now_ms()
-        heads = []
-        for number in range(40):
-            headers = (*KEY, ("X-Request-Id", f"r{number}"))
-            answer = await call(
-                "GET", "/plain/x", number=1 + number % 2, headers=headers, net=NET
-            )
-            heads.append(answer[0])
+        heads = await send(40, "/plain/x")
         elapsed_s = (CLOCK.now_ms() - started_ms) / 1_000
         passed = [head for head in heads if head.status == 200]
         refused = [head for head in heads if head.status == 429]
