Bursts: the variation of a steady load is none

A steady online load of 42% of the slots was now and then taken for a burst, as its peaks lie a quarter of the slots above its lower half, and items were preempted for it. A burst is at least twice the calm load; the steps that callers send are five times. Bursts are noticed as before (the same figures in tests/test_bursts_over_batch_items.py). Two of the three cases of test_the_variation_of_a_steady_load_is_no_burst failed before.

--- a/src/foxtailbank/submissions/online_bursts.py
+++ b/src/foxtailbank/submissions/online_bursts.py
@@ -16,6 +16,7 @@
 MAX_GAP_MS = 1_000  # a burst could begin and end unnoticed in a longer gap
 # Share of slots by which bursts exceed the calm load; less is ordinary variation.
 MIN_RISE_SHARE = 0.25
+MIN_BURST_FACTOR = 2.0  # times the calm load; the peaks of a steady load reach 1.6
 ONSET_SHARE = 0.25  # of the rise; the ordinary variation of a calm load is less
 HIGH_SHARE = 0.6  # of the rise; a burst that falls below it is over
 MAX_ONSET_MS = 1_000  # a rise that goes no further in this time is no burst
@@ -94,7 +95,7 @@
         burst = max(shares)
         middle = (min(shares) + burst) / 2
         calm = statistics.fmean(share for share in shares if share <= middle)
-        if burst - calm < MIN_RISE_SHARE:
+        if burst - calm < MIN_RISE_SHARE or burst < MIN_BURST_FACTOR * calm:
             return None
         return _Levels(calm=calm, burst=burst)
 
