--- a/src/foxtailbank/customers/rate_fleet.py
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -1,10 +1,12 @@
 """Which VM grants a customer's permits, and which share of its limit it may grant."""
 
+import bisect
 import dataclasses
 import typing as t
 
 from foxtailbank import rendezvous
 
+SAMPLE_SIZE = 6  # VMs that are asked at a time whether they are in touch
 # A VM that is out of touch for longer no longer keeps its part of the limits.
 KEPT_MS = 600_000
 
@@ -17,6 +19,8 @@
     ----------
     vm_id : str
         The VM.
+    incarnation : int
+        Its process; 0 while it is not known.
     heard_ms : int
         When it was last heard, or, before that, its address was read.
     silence_ms : int
@@ -26,6 +30,7 @@
     """
 
     vm_id: str
+    incarnation: int = 0
     heard_ms: int
     silence_ms: int
     late_ms: int
@@ -43,6 +48,8 @@
     ----------
     is_ready : bool
         Whether the other VMs are known.
+    is_stopping : bool
+        Whether this VM is shutting down.
     """
 
     def __init__(self, *, vm_id: str) -> None:
@@ -52,7 +59,11 @@
         self._passed_over_ms_by_id: dict[str, int] = {}
         self._granting_vm_by_customer: dict[str, str] = {}
         self._share = 1.0
-        self._is_stopping = False
+        self._sample_ids: tuple[str, ...] = ()
+        self._sampled_ms = 0
+        self._sampled_share = 1.0
+        self.is_stopping = False
+        self._stopping_incarnation_by_id: dict[str, int] = {}
         self.is_ready = False
 
     def update(self, contacts: t.Iterable[Contact], now_ms: int) -> None:
@@ -68,7 +79,7 @@
 
     def stop(self, now_ms: int) -> None:
         """Leave granting to the others, if there are any."""
-        self._is_stopping = True
+        self.is_stopping = True
         self._apply(now_ms)
 
     def on_heard(self, vm_id: str, now_ms: int) -> None:
@@ -81,12 +92,22 @@
         if vm_id not in self._reachable_ids:
             self._apply(now_ms)
 
+    def on_stopping(self, vm_id: str, incarnation: int, now_ms: int) -> None:
+        """Record that a process of another VM is shutting down."""
+        if self._stopping_incarnation_by_id.get(vm_id) != incarnation:
+            self._stopping_incarnation_by_id[vm_id] = incarnation
+            self._apply(now_ms)
+
     def pass_over(self, vm_id: str, now_ms: int) -> None:
         """Grant and ask without a VM that does not answer, until it is heard again."""
         if vm_id in self._reachable_ids:
             self._passed_over_ms_by_id[vm_id] = now_ms
             self._apply(now_ms)
 
+    def passed_over_ids(self) -> tuple[str, ...]:
+        """Return the VMs that are passed over."""
+        return tuple(self._passed_over_ms_by_id)
+
     def is_reachable(self, vm_id: str) -> bool:
         """Return whether a VM can be asked for permits."""
         return vm_id in self._reachable_ids
@@ -123,11 +144,38 @@
             if rendezvous.score(customer, vm_id) > own_score
         ]
         if not replaced_ms:
-            return self._share
+            return min(self._share, self._sampled_share)
         first_ms = min(replaced_ms)
         heard = sum(c.heard_ms > first_ms for c in self._contact_by_id.values())
         return min(self._share, (heard + 1) / (len(self._contact_by_id) + 1))
 
+    def next_sample(self, now_ms: int) -> tuple[str, ...]:
+        """Return VMs to ask whether they are in touch; those before must have answered.
+
+        Reports tell of a cut a second late. While a customer presses, that is too late.
+        """
+        self._evaluate_sample()
+        ids = sorted(self._contact_by_id)
+        last = self._sample_ids[-1] if self._sample_ids else ""
+        first = bisect.bisect_right(ids, last)
+        self._sample_ids = tuple((ids[first:] + ids[:first])[:SAMPLE_SIZE])
+        self._sampled_ms = now_ms
+        return self._sample_ids
+
+    def end_samples(self) -> None:
+        """Forget who was asked, as no customer presses."""
+        self._sample_ids = ()
+        self._sampled_share = 1.0
+
+    def _evaluate_sample(self) -> None:
+        known = [
+            self._contact_by_id[vm_id]
+            for vm_id in self._sample_ids
+            if vm_id in self._contact_by_id
+        ]
+        heard = sum(contact.heard_ms >= self._sampled_ms for contact in known)
+        self._sampled_share = (heard + 1) / (len(known) + 1)
+
     @property
     def guaranteed_share(self) -> float:
         """Share of one VM of all that are known."""
@@ -153,8 +201,9 @@
             for vm_id, contact in self._contact_by_id.items()
             if self._is_heard(contact, now_ms)
             and vm_id not in self._passed_over_ms_by_id
+            and self._stopping_incarnation_by_id.get(vm_id) != contact.incarnation
         }
-        if not reachable or not self._is_stopping:
+        if not reachable or not self.is_stopping:
             reachable.add(self._vm_id)
         reachable_ids = frozenset(reachable)
         if reachable_ids != self._reachable_ids:
