Even load in large fleets: VMs of a zone share workers by cells, known by their speed

Cause: each VM used two to four workers of its own until they looked full. Which VMs shared a worker was drawn by hashing for each alone, clients come by hash too, and those VMs heard of each other's sends 117 to 250 ms later, others after a second.

Change: the VMs of a zone form cells of at most 14 that use a part of its workers first and tell each other of changes within 50 to 108 ms; the rest of the zone hears at the idle interval, so that a VM sends no more than 200 datagrams a second, as before (tested). A cell with more load than its zone sends elsewhere, drawn by the room that is expected at the age of the reports. Each worker's speed is taken from its answers and goes as one byte in the load reports. A cell's worker is asked for a reservation from 60% of its slots on, others from 40% as before. Refusals at workers that were believed free are counted, their lines name the age of the reports. Small fleets decide as before.

--- a/src/foxtailbank/fleet/distance_tiers.py
+++ b/src/foxtailbank/fleet/distance_tiers.py
@@ -2,8 +2,9 @@
 
 Meant for deployments with many entry VMs and many workers, where load reports are
 stale. If each VM used all workers alike, several VMs would compete for each slot that
-becomes free, and connections to workers would be idle most of the time. In a small
-fleet all workers form one tier.
+becomes free, and connections to workers would be idle most of the time. The first tier
+holds the workers of the VM's cell (see `report_cells`). In a small fleet all workers
+form one tier.
 """
 
 import dataclasses
@@ -14,11 +15,13 @@
 
 import xxhash
 
+from foxtailbank.fleet import report_cells
+from foxtailbank.fleet.report_cells import Cell
 from foxtailbank.fleet.report_intervals import SMALL_GROUP, PeerGroup
 from foxtailbank.fleet.worker import Worker
 
-# Mean number of VMs that have a worker in their first tier; with fewer, some workers
-# would be in no first tier.
+# Mean number of VMs that use a limited worker; with fewer, some would be used by none.
+# Before the cells are known, these workers are the first tier.
 FIRST_TIER_VMS_PER_WORKER = 4
 SAMPLE_SIZE = 2  # workers compared where load reports are stale
 TIE_BREAK_CACHE_SIZE = 4_096  # workers
@@ -30,6 +33,8 @@
 class _CachedTiers:
     workers: tuple[Worker, ...]
     tiers: Tiers
+    nearest_ids: frozenset[str]
+    cell_ids: frozenset[str]
 
 
 class DistanceTiers:
@@ -51,6 +56,7 @@
         self._zone = zone
         self._peer_count_by_group = dict.fromkeys(PeerGroup, 0)
         self._cached_by_service: dict[str, _CachedTiers] = {}
+        self._cell: Cell | None = None
 
     def set_peer_count(self, group: PeerGroup, count: int) -> None:
         """Set the number of other VMs in a group."""
@@ -58,15 +64,32 @@
             self._peer_count_by_group[group] = count
             self._cached_by_service.clear()
 
+    def set_cell(self, cell: Cell) -> None:
+        """Set the cell of this VM."""
+        if self._cell != cell:
+            self._cell = cell
+            self._cached_by_service.clear()
+
+    @property
+    def is_split(self) -> bool:
+        """Whether this VM's zone is split into several cells."""
+        return self._cell is not None and self._cell.count > 1
+
     @property
     def is_large_fleet(self) -> bool:
         """Whether there are so many VMs that load reports are stale."""
-        return max(self._peer_count_by_group.values()) > SMALL_GROUP
+        far = self._peer_count_by_group[PeerGroup.FAR]
+        return max(self._zone_peer_count, far) > SMALL_GROUP
 
     def peer_count(self, group: PeerGroup) -> int:
         """Return the number of other VMs in a group."""
         return self._peer_count_by_group[group]
 
+    @property
+    def _zone_peer_count(self) -> int:
+        in_cell = self._peer_count_by_group[PeerGroup.CELL]
+        return in_cell + self._peer_count_by_group[PeerGroup.NEAR]
+
     @property
     def total_peer_count(self) -> int:
         """Number of other VMs in all groups."""
@@ -85,28 +108,31 @@
         service = workers[0].service
         known = self._cached_by_service.get(service)
         if known is None or known.workers is not workers:
-            known = _CachedTiers(workers=workers, tiers=self._build_tiers(workers))
+            known = self._build(workers)
             self._cached_by_service[service] = known
         return known.tiers
 
     def is_nearest(self, worker: Worker) -> bool:
         """Return whether this VM is one of the few that use a worker first.
 
-        Those are the VMs that have it in their first tier of `for_workers`. A zone
-        without workers of the service has all workers there; then a few of its VMs are
-        drawn for each worker.
+        Of a zone without workers of the service, a few VMs are drawn for each worker.
         """
         known = self._cached_by_service.get(worker.service)
-        if known is None or not known.tiers:
-            return False
-        first = known.tiers[0]
-        if all(worker.worker_id != other.worker_id for other in first):
+        if known is None or worker.worker_id not in known.nearest_ids:
             return False
         if worker.zone == self._zone:
             return True
         vms = 1 + self.total_peer_count
         return self.tie_break(worker) < FIRST_TIER_VMS_PER_WORKER / vms
 
+    def is_in_cell(self, worker: Worker) -> bool:
+        """Return whether the VMs of this VM's cell use a worker first.
+
+        Its load is known better than that of others.
+        """
+        known = self._cached_by_service.get(worker.service)
+        return known is not None and worker.worker_id in known.cell_ids
+
     def sample(self, tier: t.Sequence[Worker], number: int) -> t.Sequence[Worker]:
         """Return the workers of a tier from which the least loaded one is chosen.
 
@@ -133,15 +159,32 @@
         """
         return _tie_break(self._vm_id, worker.worker_id)
 
+    def _build(self, workers: tuple[Worker, ...]) -> _CachedTiers:
+        near = [worker for worker in workers if worker.zone == self._zone]
+        nearest = self._nearest(near) if near and self.is_large_fleet else workers
+        in_cell = report_cells.workers_of(self._cell, near) if self._cell else ()
+        return _CachedTiers(
+            workers=workers,
+            tiers=self._build_tiers(workers),
+            nearest_ids=frozenset(worker.worker_id for worker in nearest),
+            cell_ids=frozenset(worker.worker_id for worker in in_cell),
+        )
+
     def _build_tiers(self, workers: tuple[Worker, ...]) -> Tiers:
         if not self.is_large_fleet:
             return (workers,)
         near = sorted((w for w in workers if w.zone == self._zone), key=self.tie_break)
         far = tuple(w for w in workers if w.zone != self._zone)
-        vms = 1 + self._peer_count_by_group[PeerGroup.NEAR]
-        first_size = math.ceil(len(near) * FIRST_TIER_VMS_PER_WORKER / vms)
-        tiers = (tuple(near[:first_size]), tuple(near[first_size:]), far)
-        return tuple(tier for tier in tiers if tier)
+        first = self._nearest(near)
+        if self._cell is not None:
+            first = report_cells.workers_of(self._cell, near)
+        rest = tuple(worker for worker in near if worker not in first)
+        return tuple(tier for tier in (first, rest, far) if tier)
+
+    def _nearest(self, near: t.Sequence[Worker]) -> tuple[Worker, ...]:
+        vms = 1 + self._zone_peer_count
+        size = math.ceil(len(near) * FIRST_TIER_VMS_PER_WORKER / vms)
+        return tuple(sorted(near, key=self.tie_break)[:size])
 
 
 @functools.lru_cache(maxsize=TIE_BREAK_CACHE_SIZE)
--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -22,6 +22,7 @@
   worker @0 :Text;
   online @1 :UInt16;
   batch @2 :UInt16;
+  speed @3 :UInt8;          # see worker_speed; 0 if unknown, as in earlier releases
 }
 
 struct Mark {
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -16,6 +16,7 @@
 from foxtailbank.fleet.packed_message import check_packed
 from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
 from foxtailbank.fleet.worker_limits import LimitReport
+from foxtailbank.fleet.worker_speed import UNKNOWN_CODE
 
 MAX_DATAGRAM_BYTES = 1_400
 MAX_CRASH_REPORTS = 10  # with what else there is, a datagram stays in one piece
@@ -48,6 +49,9 @@
         Whether it has yet to restore the submissions, so that it cannot take any over.
     load_by_worker : dict of str to WorkerLoad
         Requests in flight, without idle workers.
+    speed_code_by_worker : dict of str to int
+        Speed of the workers in `load_by_worker` by what this VM saw, as given by
+        `WorkerSpeeds.code`; without those that it does not know.
     crash_reports : tuple of CrashReport
         Recent crash reports, oldest first; only the last `MAX_CRASH_REPORTS`
         are encoded.
@@ -81,6 +85,7 @@
     questions: tuple[int, ...] = ()
     lost_services: tuple[str, ...] = ()
     draining: tuple[DrainingReport, ...] = ()
+    speed_code_by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def _load_schema() -> t.Any:
@@ -110,6 +115,7 @@
         row.worker = worker_id
         row.online = load.online
         row.batch = load.batch
+        row.speed = report.speed_code_by_worker.get(worker_id, UNKNOWN_CODE)
     crash_rows = builder.init(
         "marks", min(len(report.crash_reports), MAX_CRASH_REPORTS)
     )
@@ -191,6 +197,11 @@
                 row.worker: WorkerLoad(online=row.online, batch=row.batch)
                 for row in reader.loads
             },
+            speed_code_by_worker={
+                row.worker: row.speed
+                for row in reader.loads
+                if row.speed != UNKNOWN_CODE
+            },
             crash_reports=tuple(
                 CrashReport(
                     fingerprint=row.fingerprint,
--- a/src/foxtailbank/fleet/load_table.py
+++ b/src/foxtailbank/fleet/load_table.py
@@ -60,6 +60,7 @@
         self._own: dict[str, WorkerLoad] = {}
         self._peer_load_by_vm: dict[str, PeerLoad] = {}
         self._received_ms_by_vm: dict[str, int] = {}
+        self._received_ms_sum = 0
         self._peer_online: collections.Counter[str] = collections.Counter()
         self._peer_batch: collections.Counter[str] = collections.Counter()
 
@@ -77,6 +78,7 @@
         if known is not None:
             self._add_peer(known, -1)
         self._peer_load_by_vm[report.vm_id] = report
+        self._received_ms_sum += now_ms - self._received_ms_by_vm.get(report.vm_id, 0)
         self._received_ms_by_vm[report.vm_id] = now_ms
         self._add_peer(report, 1)
 
@@ -88,7 +90,7 @@
             if now_ms - received_ms > timeout_ms
         )
         for vm_id in silent:
-            del self._received_ms_by_vm[vm_id]
+            self._received_ms_sum -= self._received_ms_by_vm.pop(vm_id)
             self._add_peer(self._peer_load_by_vm.pop(vm_id), -1)
         return silent
 
@@ -97,6 +99,23 @@
         """Number of peers whose last report has not expired."""
         return len(self._received_ms_by_vm)
 
+    def mean_report_age_ms(self, now_ms: int) -> float:
+        """Return the mean age of the peers' last reports; 0 without peers."""
+        peers = len(self._received_ms_by_vm)
+        return now_ms - self._received_ms_sum / peers if peers else 0.0
+
+    def own_count(self, worker_id: str) -> int:
+        """Return the number of requests of this VM in flight on a worker."""
+        return self.own(worker_id).total
+
+    def peer_count(self, worker_id: str) -> int:
+        """Return the number of requests of peers in flight on a worker."""
+        return self._peer_online[worker_id] + self._peer_batch[worker_id]
+
+    def count(self, worker_id: str) -> int:
+        """Return the number of requests of all VMs in flight on a worker."""
+        return self.own_count(worker_id) + self.peer_count(worker_id)
+
     def own(self, worker_id: str) -> WorkerLoad:
         """Return the requests of this VM in flight on a worker."""
         return self._own.get(worker_id, NO_LOAD)
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -3,10 +3,12 @@
 import dataclasses
 
 from foxtailbank.address import Address
-from foxtailbank.fleet import report_intervals
+from foxtailbank.fleet import report_cells, report_intervals
 from foxtailbank.fleet.load_report import LoadReport
+from foxtailbank.fleet.report_cells import Cell
 from foxtailbank.fleet.report_intervals import PeerGroup
 
+CELL_UPDATE_MS = 500
 SEND_WINDOW_MS = 15_000  # no reports go to a VM that has been silent for longer
 
 
@@ -56,11 +58,18 @@
         This VM.
     zone : str
         Its availability zone.
+
+    Attributes
+    ----------
+    cell : Cell
+        Cell of this VM, as of the last `update_cell`.
     """
 
     def __init__(self, *, vm_id: str, zone: str) -> None:
         self._vm_id = vm_id
         self._zone = zone
+        self.cell = report_cells.find_cell(vm_id, ())
+        self._cell_updated_ms: int | None = None
         self._by_id: dict[str, Peer] = {}
 
     def add_address(self, vm_id: str, address: Address, now_ms: int) -> bool:
@@ -93,6 +102,20 @@
         )
         return True
 
+    def update_cell(self, now_ms: int) -> Cell:
+        """Form the cell from the VMs of this zone that were heard of late."""
+        updated_ms = self._cell_updated_ms
+        if updated_ms is not None and now_ms - updated_ms < CELL_UPDATE_MS:
+            return self.cell
+        self._cell_updated_ms = now_ms
+        in_zone = [
+            peer.vm_id
+            for peer in self._by_id.values()
+            if peer.zone == self._zone and now_ms - peer.last_update_ms < SEND_WINDOW_MS
+        ]
+        self.cell = report_cells.find_cell(self._vm_id, in_zone)
+        return self.cell
+
     def target_addresses(self, group: PeerGroup, now_ms: int) -> tuple[Address, ...]:
         """Return the addresses in a group to which reports are sent."""
         return tuple(
@@ -103,10 +126,17 @@
         )
 
     def silence_timeout_ms(self, group: PeerGroup, now_ms: int) -> int:
-        """Return after how long without a report a peer of a group counts as lost."""
-        return report_intervals.silence_timeout_ms(
-            len(self.target_addresses(group, now_ms))
+        """Return after how long without a report a peer of a group counts as lost.
+
+        Two VMs may see different cells for a while, so all of a zone count alike.
+        """
+        is_near = group is not PeerGroup.FAR
+        peers = sum(
+            self.is_near(peer) is is_near
+            and now_ms - peer.last_update_ms < SEND_WINDOW_MS
+            for peer in self._by_id.values()
         )
+        return report_intervals.silence_timeout_ms(peers)
 
     def get(self, vm_id: str) -> Peer | None:
         """Return the peer with an id, or None if it is unknown."""
@@ -114,23 +144,27 @@
 
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that reported recently and are not shutting down."""
-        timeout_ms_by_group = {
-            group: self.silence_timeout_ms(group, now_ms) for group in PeerGroup
-        }
+        near_timeout_ms = self.silence_timeout_ms(PeerGroup.NEAR, now_ms)
+        far_timeout_ms = self.silence_timeout_ms(PeerGroup.FAR, now_ms)
         return tuple(
             peer
             for peer in self._by_id.values()
             if peer.incarnation
             and not peer.stopping
-            and now_ms - peer.last_update_ms < timeout_ms_by_group[self._group_of(peer)]
+            and now_ms - peer.last_update_ms
+            < (near_timeout_ms if self.is_near(peer) else far_timeout_ms)
         )
 
     def is_near(self, peer: Peer) -> bool:
         """Return whether a peer is in the zone of this VM."""
-        return self._group_of(peer) is PeerGroup.NEAR
+        return peer.zone == self._zone
 
     def _group_of(self, peer: Peer) -> PeerGroup:
-        return PeerGroup.NEAR if peer.zone == self._zone else PeerGroup.FAR
+        if peer.zone != self._zone:
+            return PeerGroup.FAR
+        is_split = self.cell.count > 1
+        in_cell = is_split and peer.vm_id in self.cell.vm_ids
+        return PeerGroup.CELL if in_cell else PeerGroup.NEAR
 
 
 def _supersedes(report: LoadReport, known: Peer, now_ms: int) -> bool:
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -10,12 +10,14 @@
 
 import dataclasses
 import enum
+import random
 import typing as t
 
-from foxtailbank import rendezvous
+from foxtailbank.fleet.even_choice import EvenChoice, rendezvous_worker_id
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.fleet.worker import Worker
+from foxtailbank.fleet.worker_speed import WorkerSpeeds
 from foxtailbank.fleet.worker_view import WorkerView
 
 SAME_ZONE_BONUS = 0.15  # of a worker's slots; traffic between zones has a cost
@@ -74,10 +76,18 @@
     ----------
     view : WorkerView
         Load, health and reachability of the workers.
+    speeds : WorkerSpeeds
+        Speed of the workers.
+    rng : random.Random
+        Draws among workers in a large fleet.
     """
 
-    def __init__(self, *, view: WorkerView) -> None:
+    def __init__(
+        self, *, view: WorkerView, speeds: WorkerSpeeds, rng: random.Random
+    ) -> None:
         self._view = view
+        self._speeds = speeds
+        self._even = EvenChoice(view=view, speeds=speeds, rng=rng)
         self._loads = view.loads
         self._tiers = view.tiers
 
@@ -126,16 +136,25 @@
         healthy = [w for w in accepting if self._view.is_healthy(w, now_ms)]
         # If all workers are avoided, they may still be up, so one is tried anyway.
         candidates = healthy or accepting
-        affinity_id = _affinity_worker_id(candidates, affinity)
         candidate_tiers = _filter_tiers(tiers, candidates)
-        best = self._best_candidate(
-            candidate_tiers,
-            affinity_id,
-            lambda worker: self._view.has_free_slot(worker, now_ms),
-        )
+        if self._tiers.is_large_fleet:
+            best = self._even.choose(
+                tiers=candidate_tiers,
+                affinity=affinity,
+                mean_ms=mean_ms,
+                now_ms=now_ms,
+            )
+        else:
+            best = self._best_candidate(
+                candidate_tiers,
+                rendezvous_worker_id(candidates, affinity),
+                lambda worker: self._view.has_free_slot(worker, now_ms),
+            )
         if best is None:
             best = self._best_candidate(
-                candidate_tiers, affinity_id, self._has_preemptible_batch
+                candidate_tiers,
+                rendezvous_worker_id(candidates, affinity),
+                self._has_preemptible_batch,
             )
         if best is not None:
             return Choice(worker=best)
@@ -187,6 +206,8 @@
     def _queue_ms(self, worker: Worker, mean_ms: float) -> float:
         load = self._loads.total(worker.worker_id)
         ahead = load.total - worker.slots + 1
+        if self._tiers.is_large_fleet:
+            mean_ms /= self._speeds.speed(worker.worker_id)
         return max(0.0, ahead * mean_ms / worker.slots)
 
     def _queue_cost(self, worker: Worker, mean_ms: float) -> tuple[float, float]:
@@ -202,13 +223,3 @@
         return (candidates,)
     candidate_ids = {worker.worker_id for worker in candidates}
     return tuple([w for w in tier if w.worker_id in candidate_ids] for tier in tiers)
-
-
-def _affinity_worker_id(workers: t.Sequence[Worker], affinity: str) -> str:
-    """Return the id of the worker for a prefix, by rendezvous hashing; may be empty."""
-    if not affinity:
-        return ""
-    return max(
-        (worker.worker_id for worker in workers),
-        key=lambda worker_id: rendezvous.score(affinity, worker_id),
-    )
--- a/src/foxtailbank/fleet/report_intervals.py
+++ b/src/foxtailbank/fleet/report_intervals.py
@@ -18,15 +18,18 @@
 MAX_DATAGRAMS_PER_S = 120
 READ_PAUSE_SHARE = 0.25  # of the interval; adds little to the age of reports
 LARGE_GROUP = 30  # peers
+CELL_READ_PAUSE_MS = 20  # in a zone that is split into cells
 MISSED_REPORTS_LIMIT = 3  # reports of an idle VM before it counts as silent
 
 
 class PeerGroup(enum.Enum):
     """Peers that get reports at the same interval.
 
-    `NEAR` are those in the zone of this VM, `FAR` all others.
+    `CELL` are those in the cell of this VM (see `report_cells`), `NEAR` the others in
+    its zone, `FAR` those in other zones.
     """
 
+    CELL = "cell"
     NEAR = "near"
     FAR = "far"
 
@@ -57,11 +60,40 @@
     return max(MIN_INTERVAL_MS, interval_ms)
 
 
-def read_pause_ms(peers: int) -> float:
+def send_interval_ms(group: PeerGroup, peers: int, *, is_split: bool) -> float:
+    """Return the shortest time between two reports to a group of peers.
+
+    Parameters
+    ----------
+    group : PeerGroup
+        The group.
+    peers : int
+        Number of peers in it.
+    is_split : bool
+        Whether the zone is split into several cells.
+    """
+    interval_ms = min_interval_ms(peers)
+    if group is PeerGroup.FAR or not is_split:
+        return interval_ms
+    if group is PeerGroup.CELL:
+        return max(interval_ms, MS_PER_S * peers / MAX_DATAGRAMS_PER_S)
+    return max(interval_ms, idle_interval_ms(peers))
+
+
+def read_pause_ms(peers: int, *, is_split: bool = False) -> float:
     """Return the pause between two reads of the reports of a group of peers.
 
     Reports of many peers arrive one by one; reading them in batches wakes the process
     less often. Reports of a small group are read immediately.
+
+    Parameters
+    ----------
+    peers : int
+        Number of peers in the zone.
+    is_split : bool
+        Whether the zone is split into several cells.
     """
+    if is_split:
+        return CELL_READ_PAUSE_MS
     interval_ms = min_interval_ms(peers)
     return READ_PAUSE_SHARE * interval_ms if interval_ms > MIN_INTERVAL_MS else 0.0
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -126,4 +126,4 @@
         if self._health.is_full(worker.worker_id, now_ms):
             return False
         usable_slots = max(1, worker.slots - reserve)
-        return self.loads.total(worker.worker_id).total < usable_slots
+        return self.loads.count(worker.worker_id) < usable_slots
--- a/src/foxtailbank/forward/call_recorder.py
+++ b/src/foxtailbank/forward/call_recorder.py
@@ -114,8 +114,10 @@
             endpoint=target.endpoint_id,
             peer=target.peer_id,
             status=response.status,
-            count=self._fleet.loads.total(target.endpoint_id).total,
+            count=self._fleet.loads.count(target.endpoint_id),
+            age_ms=self._report_age_ms(),
         )
+        self._count_if_believed_free(target.endpoint_id)
         self._logs.write(Event.WORKER_REFUSED, fields=fields)
 
     def on_reservation_refused(self, worker: Worker, reason: str) -> None:
@@ -125,8 +127,10 @@
             request_id=self._call.request_id,
             endpoint=worker.worker_id,
             reason=reason,
-            count=self._fleet.loads.total(worker.worker_id).total,
+            count=self._fleet.loads.count(worker.worker_id),
+            age_ms=self._report_age_ms(),
         )
+        self._count_if_believed_free(worker.worker_id)
         self._logs.write(Event.PLACE_REFUSED, fields=fields)
 
     def on_attempt_failed(
@@ -215,5 +219,15 @@
         )
         self._logs.write(event, fields=fields)
 
+    def _report_age_ms(self) -> int:
+        """Return the mean age of the reports from which the load is known."""
+        return int(self._fleet.loads.mean_report_age_ms(self._clock.now_ms()))
+
+    def _count_if_believed_free(self, worker_id: str) -> None:
+        """Count a refusal of a worker that had a free slot as far as is known."""
+        worker = self._fleet.workers.get(worker_id)
+        if worker is not None and self._fleet.loads.count(worker_id) < worker.slots:
+            self._metrics.count(Count.BELIEVED_FREE_REFUSALS, entry=self._route.name)
+
     def _age_ms(self) -> int:
         return self._clock.now_ms() - self._call.arrived_ms
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -16,6 +16,7 @@
 from foxtailbank.fleet.worker_health import ERROR_PAUSE_MS, WorkerHealth
 from foxtailbank.fleet.worker_limits import WorkerLimits
 from foxtailbank.fleet.worker_reach import WorkerReach
+from foxtailbank.fleet.worker_speed import WorkerSpeeds
 from foxtailbank.fleet.worker_table import WorkerTable
 from foxtailbank.fleet.worker_view import WorkerView
 from foxtailbank.fleet.zone_reachability import ZoneReachability
@@ -58,8 +59,8 @@
 
     Attributes
     ----------
-    workers, loads, health, limits, service_times, crashes, reachability, tiers, view,
-    lifetimes, versions, origins, reach, draining
+    workers, loads, health, limits, service_times, speeds, crashes, reachability, tiers,
+    view, lifetimes, versions, origins, reach, draining
         The components of the state.
     """
 
@@ -82,6 +83,7 @@
         self.limits = WorkerLimits(logs=logs)
         self.reach = WorkerReach(workers=self.workers, logs=logs)
         self.service_times = ServiceTimes()
+        self.speeds = WorkerSpeeds()
         self.crashes = CrashTracker(logs=logs, clock=clock)
         self.lifetimes = routes.stream_lifetimes
         self.versions = VersionHistory(workers=self.workers, lifetimes=self.lifetimes)
@@ -99,7 +101,7 @@
             reachability=self.reachability,
             limits=self.limits,
         )
-        self._placement = Placement(view=self.view)
+        self._placement = Placement(view=self.view, speeds=self.speeds, rng=rng)
         self._load_listeners: list[t.Callable[[], None]] = []
         self._peer_load_listeners: list[t.Callable[[], None]] = []
 
@@ -173,6 +175,16 @@
             reason=RefusalReason.OVERLOADED, wait_ms=self.service_times.mean_ms(service)
         )
 
+    def on_completed(self, worker: Worker, *, tokens: int, duration_ms: float) -> None:
+        """Record how long a worker took for a whole answer of a size in tokens."""
+        self.service_times.record(worker.service, duration_ms)
+        self.speeds.record(
+            worker,
+            tokens=tokens,
+            duration_ms=duration_ms,
+            now_ms=self._clock.now_ms(),
+        )
+
     def on_misdirected(self, worker: Worker) -> None:
         """Remove a worker whose address now belongs to another one."""
         self.workers.remove(worker.worker_id, self._clock.now_ms())
@@ -288,6 +300,7 @@
         self.reach.forget_departed()
         self.health.forget(worker_id)
         self.limits.forget(worker_id)
+        self.speeds.forget(worker_id)
         self._broke_ms_by_worker.pop(worker_id, None)
 
     def on_answer(self, worker: Worker, response: WorkerResponse) -> None:
--- a/src/foxtailbank/forward/slot_finder.py
+++ b/src/foxtailbank/forward/slot_finder.py
@@ -18,6 +18,7 @@
 from foxtailbank.forward import wait_limits
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.call_recorder import CallRecorder
+from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.worker_client import ReservationRefused
@@ -31,6 +32,7 @@
 # Share of a worker's slots. Below it, enough slots are free for requests that this VM
 # does not know of yet, so no reservation is needed.
 RESERVATION_LOAD_SHARE = 0.4
+CELL_RESERVATION_LOAD_SHARE = 0.6  # of workers whose load is known better
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -167,8 +169,7 @@
             return False
         if self._fleet.limits.is_limited(worker.worker_id):
             return False  # its limit keeps it from being full
-        load = self._fleet.loads.total(worker.worker_id)
-        return load.total >= RESERVATION_LOAD_SHARE * worker.slots
+        return may_be_full(self._fleet, worker)
 
     async def _reserve(self, worker: Worker) -> str:
         """Return the id of a reservation; empty if the worker gave none."""
@@ -198,3 +199,11 @@
         self._recorder.on_reservation_refused(
             worker, f"{failure.code}: {failure.detail}"
         )
+
+
+def may_be_full(fleet: FleetState, worker: Worker) -> bool:
+    """Return whether a worker may be full although it appears to have free slots."""
+    share = RESERVATION_LOAD_SHARE
+    if fleet.tiers.is_in_cell(worker):
+        share = CELL_RESERVATION_LOAD_SHARE
+    return fleet.loads.count(worker.worker_id) >= share * worker.slots
--- a/src/foxtailbank/forward/worker_target.py
+++ b/src/foxtailbank/forward/worker_target.py
@@ -99,7 +99,9 @@
         self._fleet.on_request_failure(self._worker, call, failure, progress=progress)
 
     def on_success(self, call: Call, duration_ms: int) -> None:
-        """Update the worker's health and the run times of its service."""
+        """Update the worker's health, its speed and the run times of its service."""
         self._fleet.health.on_success(self._worker.worker_id)
-        self._fleet.service_times.record(self._worker.service, duration_ms)
+        self._fleet.on_completed(
+            self._worker, tokens=call.tokens, duration_ms=duration_ms
+        )
         self._fleet.crashes.on_completed(call)
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -161,14 +161,18 @@
         while True:
             now_ms = self._clock.now_ms()
             changed = self._changed_by_group[group] = anyio.Event()
+            self._fleet.tiers.set_cell(self._peers.update_cell(now_ms))
             targets = self._peers.target_addresses(group, now_ms)
             self._fleet.tiers.set_peer_count(group, len(targets))
-            datagram = load_report.encode(self._report())
+            if targets:
+                datagram = load_report.encode(self._report())
             for target in targets:
                 self._send_one(socket, datagram, target)
             self._expire_peers(now_ms)
             self._fleet.limits.share = self._fleet.view.heard_share
-            min_interval_ms = report_intervals.min_interval_ms(len(targets))
+            min_interval_ms = report_intervals.send_interval_ms(
+                group, len(targets), is_split=self._fleet.tiers.is_split
+            )
             idle_ms = report_intervals.idle_interval_ms(len(targets))
             await anyio.sleep(min_interval_ms / MS_PER_S)
             with anyio.move_on_after((idle_ms - min_interval_ms) / MS_PER_S):
@@ -186,6 +190,7 @@
     def _report(self) -> LoadReport:
         self._sequence += 1
         recent_wall_ms = self._clock.wall_ms() - RECENT_MS
+        load_by_worker = self._fleet.loads.own_by_worker()
         return LoadReport(
             vm_id=self._vm_id,
             zone=self._zone,
@@ -193,7 +198,10 @@
             sequence=self._sequence,
             stopping=self.stopping,
             restoring=not self._follower.has_caught_up,
-            load_by_worker=self._fleet.loads.own_by_worker(),
+            load_by_worker=load_by_worker,
+            speed_code_by_worker=self._fleet.speeds.codes(
+                load_by_worker, self._clock.now_ms()
+            ),
             crash_reports=tuple(
                 crash
                 for crash in self._crash_reports
@@ -215,7 +223,9 @@
             for datagram in await self._read(socket):
                 self._on_datagram(datagram)
             near = self._fleet.tiers.peer_count(PeerGroup.NEAR)
-            pause_ms = report_intervals.read_pause_ms(near)
+            pause_ms = report_intervals.read_pause_ms(
+                near, is_split=self._fleet.tiers.is_split
+            )
             if pause_ms:
                 await anyio.sleep(pause_ms / MS_PER_S)
 
@@ -259,6 +269,8 @@
             load_by_worker=report.load_by_worker,
         )
         self._fleet.apply_peer_load(load, now_ms)
+        for worker_id, code in report.speed_code_by_worker.items():
+            self._fleet.speeds.on_report(worker_id, code)
         self._streams.on_report(report, address)
         for crash in report.crash_reports:
             self._fleet.crashes.on_peer_report(crash, vm_id=report.vm_id)
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -48,6 +48,7 @@
     RETRIES = "retries"
     RELAYED_CALLS = "relayed_calls"
     RESERVATIONS_REFUSED = "reservations_refused"
+    BELIEVED_FREE_REFUSALS = "believed_free_refusals"
     PREEMPTED_ITEMS = "preempted_items"
     FINISHED_ITEMS = "finished_items"
     FAILED_ITEMS = "failed_items"
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -14,6 +14,7 @@
 
 WORKERS = ("w1", "w2", "w3")
 TIMEOUT_MS = 1_500
+MAX_ROUNDING_MS = 0.001
 VMS = ("vm1", "vm2", "vm3")
 loads = st.builds(WorkerLoad, online=st.integers(0, 9), batch=st.integers(0, 9)).filter(
     lambda load: load.total
@@ -69,6 +70,14 @@
         for worker in WORKERS:
             expected = self._sum(worker)
             assert self.table.total(worker) == expected
+            assert self.table.count(worker) == expected.total
+
+    @invariant()
+    def the_mean_age_matches_the_model(self):
+        ages_ms = [self.now_ms - self.received_ms[vm] for vm in self.reports]
+        expected_ms = sum(ages_ms) / len(ages_ms) if ages_ms else 0
+        age_ms = self.table.mean_report_age_ms(self.now_ms)
+        assert abs(age_ms - expected_ms) < MAX_ROUNDING_MS
 
     def _sum(self, worker):
         rows = [load.get(worker, NO_LOAD) for load in self.reports.values()]
--- /dev/null
+++ b/tests/test_report_cells.py
@@ -0,0 +1,91 @@
+"""Cells of a zone: all VMs form the same ones and divide the workers among them."""
+
+import pytest
+
+from foxtailbank.address import parse_address
+from foxtailbank.clock import MS_PER_S
+from foxtailbank.fleet.peer_table import PeerTable
+from foxtailbank.fleet.report_cells import CELL_VMS, find_cell, workers_of
+from foxtailbank.fleet.report_intervals import (
+    SMALL_GROUP,
+    PeerGroup,
+    idle_interval_ms,
+    min_interval_ms,
+    send_interval_ms,
+    silence_timeout_ms,
+)
+from serving_fakes import make_report, make_worker
+
+MAX_REPORTS_PER_S = 200  # sent by one VM of a large fleet, as without cells
+
+
+@pytest.mark.parametrize("vms", [1, SMALL_GROUP + 1, SMALL_GROUP + 2, 26, 65])
+@pytest.mark.parametrize("workers", [0, 1, 4, 17])
+def test_cells_divide_vms_and_workers_alike_for_all(vms, workers):
+    vm_ids = [f"vm{n}" for n in range(vms)]
+    listed = [make_worker(f"w{n}") for n in range(workers)]
+    cells = {vm_id: find_cell(vm_id, vm_ids) for vm_id in vm_ids}
+    for vm_id, cell in cells.items():
+        assert vm_id in cell.vm_ids
+        assert all(cells[other] == cell for other in cell.vm_ids)
+        assert len(cell.vm_ids) <= CELL_VMS
+    parts = [workers_of(cell, listed) for cell in set(cells.values())]
+    sizes = [len(part) for part in parts]
+    assert {worker for part in parts for worker in part} == set(listed)
+    assert max(sizes) - min(sizes) <= 1
+    if workers >= len(parts):
+        assert sum(sizes) == workers
+    assert len(parts) == 1 or vms > SMALL_GROUP + 1
+
+
+# Guards against VMs that spend their processor on reports.
+@pytest.mark.parametrize(("near", "far"), [(14, 44), (15, 47), (23, 47), (25, 51)])
+def test_reports_of_a_vm_with_a_cell_are_few(near, far):
+    cell = find_cell("me", [f"vm{n}" for n in range(near)])
+    in_cell = len(cell.vm_ids) - 1
+    peers_by_group = {
+        PeerGroup.CELL: in_cell,
+        PeerGroup.NEAR: near - in_cell,
+        PeerGroup.FAR: far,
+    }
+    per_s = sum(
+        peers * MS_PER_S / send_interval_ms(group, peers, is_split=True)
+        for group, peers in peers_by_group.items()
+    )
+    assert per_s <= MAX_REPORTS_PER_S
+
+
+# Guards against peers that count as lost while two VMs form different cells.
+@pytest.mark.parametrize("near", [SMALL_GROUP + 1, 25, 31, 64])
+def test_no_group_waits_longer_than_the_silence_timeout(near):
+    cell = find_cell("me", [f"vm{n}" for n in range(near)])
+    in_cell = len(cell.vm_ids) - 1
+    for group, peers in ((PeerGroup.CELL, in_cell), (PeerGroup.NEAR, near - in_cell)):
+        interval_ms = send_interval_ms(group, peers, is_split=True)
+        longest_ms = max(interval_ms, idle_interval_ms(peers))
+        assert 2 * longest_ms < silence_timeout_ms(near)
+
+
+@pytest.mark.parametrize("near", [SMALL_GROUP, SMALL_GROUP + 1])
+def test_only_a_large_zone_has_a_group_of_its_cell(near):
+    table = PeerTable(vm_id="me", zone="z1")
+    address = parse_address("127.0.0.1:9")
+    for number in range(near):
+        table.on_report(make_report(f"vm{number}", zone="z1"), address, 0)
+    table.on_report(make_report("other", zone="z2"), address, 0)
+    cell = table.update_cell(0)
+    sizes = {group: len(table.target_addresses(group, 0)) for group in PeerGroup}
+    in_cell = len(cell.vm_ids) - 1 if cell.count > 1 else 0
+    assert sizes == {
+        PeerGroup.CELL: in_cell,
+        PeerGroup.NEAR: near - in_cell,
+        PeerGroup.FAR: 1,
+    }
+    assert (in_cell > 0) is (near > SMALL_GROUP)
+    assert len(table.alive(0)) == near + 1
+
+
+@pytest.mark.parametrize("group", PeerGroup)
+def test_intervals_of_small_fleets_are_as_before(group):
+    for peers in range(SMALL_GROUP + 1):
+        assert send_interval_ms(group, peers, is_split=False) == min_interval_ms(peers)
