Speeds of unknown workers are not kept, and runs of 0 ms divide nothing

Change: the mean run counts as 1 ms at least in the expected load; speeds are recorded and taken from reports only for workers that are listed. Without the first change its test ends with ZeroDivisionError; the second has no test of its own.

--- a/src/foxtailbank/fleet/even_choice.py
+++ b/src/foxtailbank/fleet/even_choice.py
@@ -20,6 +20,7 @@
 AFFINITY_BONUS = 0.15  # of a worker's slots; a cached prefix needs no prefill
 TIE_BREAK_WEIGHT = 0.1  # of a worker's slots; below one slot of any engine
 MIN_ROOM = 0.05  # slots; a worker that looks full may have become free
+MIN_RUN_MS = 1.0  # answers may come within the same millisecond
 UNCERTAIN_ROOM = 1.0  # slots; what others may have taken since they reported
 
 
@@ -113,7 +114,8 @@
         """
         own = self._loads.own_count
         reported = [self._loads.peer_count(w.worker_id) for w in workers]
-        kept = math.exp(-self._loads.mean_report_age_ms(now_ms) / mean_ms)
+        age_ms = self._loads.mean_report_age_ms(now_ms)
+        kept = math.exp(-age_ms / max(MIN_RUN_MS, mean_ms))
         slots = sum(worker.slots for worker in workers)
         sent_per_slot = (1 - kept) * sum(reported) / slots
         weights = []
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -144,6 +144,12 @@
         for listener in self._peer_load_listeners:
             listener()
 
+    def apply_peer_speeds(self, speed_code_by_worker: t.Mapping[str, int]) -> None:
+        """Apply another VM's report of how fast workers are."""
+        for worker_id, code in speed_code_by_worker.items():
+            if self.workers.get(worker_id) is not None:
+                self.speeds.on_report(worker_id, code)
+
     def add_peer_load_listener(self, listener: t.Callable[[], None]) -> None:
         """Add a function to call after each load report of another VM."""
         self._peer_load_listeners.append(listener)
@@ -178,12 +184,13 @@
     def on_completed(self, worker: Worker, *, tokens: int, duration_ms: float) -> None:
         """Record how long a worker took for a whole answer of a size in tokens."""
         self.service_times.record(worker.service, duration_ms)
-        self.speeds.record(
-            worker,
-            tokens=tokens,
-            duration_ms=duration_ms,
-            now_ms=self._clock.now_ms(),
-        )
+        if self.workers.get(worker.worker_id) is not None:
+            self.speeds.record(
+                worker,
+                tokens=tokens,
+                duration_ms=duration_ms,
+                now_ms=self._clock.now_ms(),
+            )
 
     def on_misdirected(self, worker: Worker) -> None:
         """Remove a worker whose address now belongs to another one."""
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -269,8 +269,7 @@
             load_by_worker=report.load_by_worker,
         )
         self._fleet.apply_peer_load(load, now_ms)
-        for worker_id, code in report.speed_code_by_worker.items():
-            self._fleet.speeds.on_report(worker_id, code)
+        self._fleet.apply_peer_speeds(report.speed_code_by_worker)
         self._streams.on_report(report, address)
         for crash in report.crash_reports:
             self._fleet.crashes.on_peer_report(crash, vm_id=report.vm_id)
--- a/tests/even_fleet.py
+++ b/tests/even_fleet.py
@@ -274,8 +274,7 @@
         for other in self.vms:
             if other is not vm and _group(vm, other) is group:
                 other.apply_peer_load(load, self.clock.now_ms())
-                for worker_id, code in codes.items():
-                    other.speeds.on_report(worker_id, code)
+                other.apply_peer_speeds(codes)
 
     def _choose(self, request, tried):
         return request.vm.choose(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,7 +9,7 @@
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad, WorkerLoad
 from foxtailbank.fleet.placement import Choice, Placement, Refusal, RefusalReason
 from foxtailbank.fleet.report_cells import find_cell, workers_of
-from foxtailbank.fleet.report_intervals import PeerGroup
+from foxtailbank.fleet.report_intervals import SMALL_GROUP, PeerGroup
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.worker_limits import WorkerLimits
 from foxtailbank.fleet.worker_speed import WorkerSpeeds
@@ -56,13 +56,20 @@
         self.loads.on_report(report, 0)
 
     def choose(
-        self, *, max_wait_ms=150.0, tried=(), affinity="", now_ms=0, workers=WORKERS
+        self,
+        *,
+        max_wait_ms=150.0,
+        mean_ms=400.0,
+        tried=(),
+        affinity="",
+        now_ms=0,
+        workers=WORKERS,
     ):
         return self.placement.choose(
             workers=workers,
             tried=tried,
             affinity=affinity,
-            mean_ms=400.0,
+            mean_ms=mean_ms,
             max_wait_ms=max_wait_ms,
             now_ms=now_ms,
         )
@@ -192,6 +199,15 @@
     assert parts[expected] >= 90  # a worker that looks nearly full is drawn seldom
 
 
+# Guards against a division by zero after answers within one millisecond.
+def test_a_worker_is_drawn_though_runs_take_no_time():
+    world = World(near=(4, 0))
+    world.tiers.set_peer_count(PeerGroup.FAR, SMALL_GROUP + 1)
+    workers = (*WORKERS, make_worker("other", zone="z2", slots=4))
+    chosen = world.choose(workers=workers, mean_ms=0.0, now_ms=1)
+    assert chosen.worker.zone == "z2"
+
+
 # Guards against requests that queue at workers which take no more, or that are rejected
 # with a time to come back at which no worker takes them.
 @pytest.mark.parametrize(
