VMs that were out of touch for over 15 s hear each other again

Found by reading (rate limits): after a cut of more than 15 s both sides had stopped sending to each other, and an unchanged address in the store did not start it again. Limits, loads and shares of the two sides would never have met. Now a VM sends a report to four such VMs in turn with each poll of the addresses (1 s while VMs are missing). The test fails before: there was no such way.

--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -9,7 +9,7 @@
 from foxtailbank.fleet.report_intervals import PeerGroup
 
 CELL_UPDATE_MS = 500
-SEND_WINDOW_MS = 15_000  # no reports go to a VM that has been silent for longer
+SEND_WINDOW_MS = 15_000  # few reports go to a VM that has been silent for longer
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -73,6 +73,7 @@
         self._zone = zone
         self.cell = report_cells.find_cell(vm_id, ())
         self._cell_updated_ms: int | None = None
+        self._silent_cursor = 0
         self._by_id: dict[str, Peer] = {}
 
     def add_address(self, vm_id: str, address: Address, now_ms: int) -> bool:
@@ -128,6 +129,21 @@
             and now_ms - peer.last_update_ms < SEND_WINDOW_MS
         )
 
+    def silent_addresses(self, count: int, now_ms: int) -> tuple[Address, ...]:
+        """Return the next few addresses of VMs to which no reports are sent.
+
+        After a cut that lasted longer than `SEND_WINDOW_MS` neither side would hear the
+        other again if both waited for a report.
+        """
+        silent = [
+            peer.address
+            for peer in self._by_id.values()
+            if now_ms - peer.last_update_ms >= SEND_WINDOW_MS and not peer.stopping
+        ]
+        start = self._silent_cursor % len(silent) if silent else 0
+        self._silent_cursor = start + count
+        return tuple((silent[start:] + silent[:start])[:count])
+
     def silence_timeout_ms(self, group: PeerGroup, now_ms: int) -> int:
         """Return after how long without a report a peer of a group counts as lost.
 
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -34,6 +34,7 @@
 # hears none of them for longer reads the log.
 RECENT_MS = 10_000
 READ_RETRY_MS = 100
+SILENT_PEERS_PER_POLL = 4  # that get a report, in case that they can be reached again
 
 
 class LoadExchange(ReportSender):
@@ -310,7 +311,11 @@
         self._appends.put((record,), urgent=False)
         while True:
             count = await self._read_addresses()
-            alive = len(self._peers.alive(self._clock.now_ms()))
+            now_ms = self._clock.now_ms()
+            self.send_report(
+                self._peers.silent_addresses(SILENT_PEERS_PER_POLL, now_ms)
+            )
+            alive = len(self._peers.alive(now_ms))
             all_known = count > 1 and alive >= count - 1
             period_ms = ADDRESS_POLL_SLOW_MS if all_known else ADDRESS_POLL_FAST_MS
             await anyio.sleep(period_ms / MS_PER_S)
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -29,3 +29,26 @@
     assert table.on_report(make_report("vm", incarnation=5, sequence=2), ADDRESS, 0)
     report = make_report("vm", incarnation=incarnation, sequence=sequence)
     assert table.on_report(report, ADDRESS, after_ms) is accepted
+
+
+# Guards against two sides of a cut that never hear each other again: both stopped
+# sending while the cut lasted.
+@pytest.mark.parametrize(
+    ("silent_ms", "asked", "addresses"),
+    [
+        pytest.param(14_999, 1, [(), ()], id="still-reported-to"),
+        pytest.param(15_000, 1, [("a",), ("b",)], id="in-turn"),
+        pytest.param(15_000, 3, [("a", "b"), ("b", "a")], id="all"),
+    ],
+)
+def test_vms_silent_for_long_get_reports_in_turn(silent_ms, asked, addresses):
+    address_by_id = {
+        "a": parse_address("127.0.0.1:1"),
+        "b": parse_address("127.0.0.1:2"),
+    }
+    table = PeerTable(vm_id="me", zone="z1")
+    for vm_id, address in address_by_id.items():
+        table.on_report(make_report(vm_id, incarnation=1, sequence=1), address, 0)
+    for expected in addresses:
+        found = table.silent_addresses(asked, silent_ms)
+        assert found == tuple(address_by_id[vm_id] for vm_id in expected)
