--- a/tests/test_platform_ingress_wakes.py
+++ b/tests/test_platform_ingress_wakes.py
@@ -8,6 +8,7 @@
 from customer_samples import GateWorld, make_customer
 from foxtailbank.entry import key_hash
 from foxtailbank.forward.stop_gate import StopGate
+from foxtailbank.http1.connection_budget import unbounded
 from foxtailbank.http1.server_request import ServerRequest
 from foxtailbank.metrics import Metrics
 from foxtailbank.relay.relay_messages import ATTEMPT_HEADER, RelayedAttempt, encode
@@ -44,8 +45,11 @@
             key_lease=self.lease,
             forwarder=types.SimpleNamespace(serve=self._serve),
             relay=types.SimpleNamespace(may_accept=lambda services: True),
+            rates=types.SimpleNamespace(admit=self._admit),
+        )
+        self.ingress = Ingress(
+            vm=vm, budget=unbounded(manual_clock()), logs=make_logs(), metrics=Metrics()
         )
-        self.ingress = Ingress(vm=vm, logs=make_logs(), metrics=Metrics())
 
     def put_routes(self, *routes):
         customers = (make_customer(),)
@@ -57,9 +61,13 @@
             self.put_routes(*self.found)
             self.found = None
 
+    async def _admit(self, identity):
+        return None  # no limit
+
     async def _serve(self, call, route, responder, **options):
         self.served.append(route.max_attempts)
         await responder.respond(status=200)
+        return True
 
 
 def make_request(*headers):
