--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -16,12 +16,14 @@
   questions @11 :List(UInt64); # streams whose origin the sender asks for
   lostServices @12 :List(Text); # of which the sender reaches no worker
   draining @13 :List(Draining);
+  customers @14 :List(CustomerLoad); # those with the most requests in flight
 }
 
 struct Load {
   worker @0 :Text;
   online @1 :UInt16;
   batch @2 :UInt16;
+  speed @3 :UInt8;          # see worker_speed; 0 if unknown, as in earlier releases
 }
 
 struct Mark {
@@ -51,6 +53,12 @@
   ageMs @1 :UInt32;         # since it first said so
 }
 
+struct CustomerLoad {
+  key @0 :UInt32;           # digest of service and customer
+  online @1 :UInt16;
+  batch @2 :UInt16;
+}
+
 struct Completion {
   part @0 :UInt64;
   wallMs @1 :UInt64;
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -8,6 +8,7 @@
 
 import capnp
 
+from foxtailbank.customers.share_counts import MAX_REPORTED, CustomerLoad
 from foxtailbank.decoding import decoding, require
 from foxtailbank.exceptions import FrameInvalid
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
@@ -16,6 +17,7 @@
 from foxtailbank.fleet.packed_message import check_packed
 from foxtailbank.fleet.stream_origin import StreamOrigin, StreamReport
 from foxtailbank.fleet.worker_limits import LimitReport
+from foxtailbank.fleet.worker_speed import UNKNOWN_CODE
 
 MAX_DATAGRAM_BYTES = 1_400
 MAX_CRASH_REPORTS = 10  # with what else there is, a datagram stays in one piece
@@ -48,6 +50,9 @@
         Whether it has yet to restore the submissions, so that it cannot take any over.
     load_by_worker : dict of str to WorkerLoad
         Requests in flight, without idle workers.
+    speed_code_by_worker : dict of str to int
+        Speed of the workers in `load_by_worker` by what this VM saw, as given by
+        `WorkerSpeeds.code`; without those that it does not know.
     crash_reports : tuple of CrashReport
         Recent crash reports, oldest first; only the last `MAX_CRASH_REPORTS`
         are encoded.
@@ -65,6 +70,9 @@
         Services of which the VM reaches no worker.
     draining : tuple of DrainingReport
         Workers that said that they are shutting down.
+    customers : tuple of CustomerLoad
+        Requests in flight by customer, the largest first; only as many as fit into
+        `MAX_DATAGRAM_BYTES` are encoded.
     """
 
     vm_id: str
@@ -81,6 +89,8 @@
     questions: tuple[int, ...] = ()
     lost_services: tuple[str, ...] = ()
     draining: tuple[DrainingReport, ...] = ()
+    customers: tuple[CustomerLoad, ...] = ()
+    speed_code_by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def _load_schema() -> t.Any:
@@ -95,6 +105,15 @@
 
 def encode(report: LoadReport) -> bytes:
     """Encode a report as a datagram."""
+    datagram = _encode_whole(report)
+    while len(datagram) > MAX_DATAGRAM_BYTES and report.customers:
+        fewer = report.customers[: len(report.customers) // 2]
+        report = dataclasses.replace(report, customers=fewer)
+        datagram = _encode_whole(report)
+    return datagram
+
+
+def _encode_whole(report: LoadReport) -> bytes:
     builder = _SCHEMA.LoadReport.new_message(
         vmId=report.vm_id,
         zone=report.zone,
@@ -110,6 +129,7 @@
         row.worker = worker_id
         row.online = load.online
         row.batch = load.batch
+        row.speed = report.speed_code_by_worker.get(worker_id, UNKNOWN_CODE)
     crash_rows = builder.init(
         "marks", min(len(report.crash_reports), MAX_CRASH_REPORTS)
     )
@@ -139,6 +159,12 @@
     for row, draining in zip(draining_rows, report.draining, strict=True):
         row.process = draining.process_id
         row.ageMs = draining.age_ms
+    if report.customers:
+        customer_rows = builder.init("customers", len(report.customers))
+        for row, customer in zip(customer_rows, report.customers, strict=True):
+            row.key = customer.key
+            row.online = customer.online
+            row.batch = customer.batch
     return t.cast(bytes, builder.to_bytes_packed())
 
 
@@ -191,6 +217,11 @@
                 row.worker: WorkerLoad(online=row.online, batch=row.batch)
                 for row in reader.loads
             },
+            speed_code_by_worker={
+                row.worker: row.speed
+                for row in reader.loads
+                if row.speed != UNKNOWN_CODE
+            },
             crash_reports=tuple(
                 CrashReport(
                     fingerprint=row.fingerprint,
@@ -221,6 +252,10 @@
                 DrainingReport(process_id=row.process, age_ms=row.ageMs)
                 for row in reader.draining
             ),
+            customers=tuple(
+                CustomerLoad(key=row.key, online=row.online, batch=row.batch)
+                for row in reader.customers
+            ),
         )
         _check(report)
         return report
@@ -230,5 +265,6 @@
     """Raise `ValueError` if a value can't be right, before it is used anywhere."""
     require(0 < len(report.vm_id) <= MAX_NAME_CHARS, "name of the VM")
     require(len(report.zone) <= MAX_NAME_CHARS, "name of the zone")
+    require(len(report.customers) <= MAX_REPORTED, "number of customers")
     for limit in report.limits:
         require(limit.per_s is None or math.isfinite(limit.per_s), "rate limit")
--- a/src/foxtailbank/forward/slot_finder.py
+++ b/src/foxtailbank/forward/slot_finder.py
@@ -18,6 +18,7 @@
 from foxtailbank.forward import wait_limits
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.call_recorder import CallRecorder
+from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.worker_client import ReservationRefused
@@ -31,6 +32,7 @@
 # Share of a worker's slots. Below it, enough slots are free for requests that this VM
 # does not know of yet, so no reservation is needed.
 RESERVATION_LOAD_SHARE = 0.4
+CELL_RESERVATION_LOAD_SHARE = 0.6  # of workers whose load is known better
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -103,8 +105,17 @@
         service = self._choose_service(origin)
         if not service:
             return Refusal(reason=RefusalReason.NO_SAME_VERSION, wait_ms=0)
+        with self._fleet.customer_loads.counting(service, self._call.customer_name):
+            return await self._search(service, tried, remaining_ms)
+
+    async def _search(
+        self, service: str, tried: set[str], remaining_ms: float
+    ) -> Assignment | Refusal:
         search_until_ms = self._clock.now_ms() + SEARCH_SHARE * self._route.target_ms
         while True:
+            if not tried and self._is_excess(service):
+                wait_ms = wait_limits.excess_wait_ms(self._rng)
+                return Refusal(reason=RefusalReason.SHARE_EXCEEDED, wait_ms=wait_ms)
             assignment = await self._search_round(service, tried, remaining_ms)
             if assignment is not None:
                 return assignment
@@ -121,6 +132,17 @@
             return self._route.choose_service(self._rng)
         return origin.service if origin.service in self._route.services else ""
 
+    def _is_excess(self, service: str) -> bool:
+        """Return whether its customer has more than its share of a busy service.
+
+        A stream that continues is not refused for that.
+        """
+        if self._origin is not None:
+            return False
+        now_ms = self._clock.now_ms()
+        name = self._call.customer_name
+        return self._fleet.find_excess(service, name, now_ms) is not None
+
     async def _search_round(
         self, service: str, tried: set[str], remaining_ms: float
     ) -> Assignment | Refusal | None:
@@ -167,8 +189,7 @@
             return False
         if self._fleet.limits.is_limited(worker.worker_id):
             return False  # its limit keeps it from being full
-        load = self._fleet.loads.total(worker.worker_id)
-        return load.total >= RESERVATION_LOAD_SHARE * worker.slots
+        return may_be_full(self._fleet, worker)
 
     async def _reserve(self, worker: Worker) -> str:
         """Return the id of a reservation; empty if the worker gave none."""
@@ -198,3 +219,11 @@
         self._recorder.on_reservation_refused(
             worker, f"{failure.code}: {failure.detail}"
         )
+
+
+def may_be_full(fleet: FleetState, worker: Worker) -> bool:
+    """Return whether a worker may be full although it appears to have free slots."""
+    share = RESERVATION_LOAD_SHARE
+    if fleet.tiers.is_in_cell(worker):
+        share = CELL_RESERVATION_LOAD_SHARE
+    return fleet.loads.count(worker.worker_id) >= share * worker.slots
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -34,6 +34,7 @@
 # hears none of them for longer reads the log.
 RECENT_MS = 10_000
 READ_RETRY_MS = 100
+SILENT_PEERS_PER_POLL = 4  # that get a report, in case that they can be reached again
 
 
 class LoadExchange(ReportSender):
@@ -161,14 +162,18 @@
         while True:
             now_ms = self._clock.now_ms()
             changed = self._changed_by_group[group] = anyio.Event()
+            self._fleet.tiers.set_cell(self._peers.update_cell(now_ms))
             targets = self._peers.target_addresses(group, now_ms)
             self._fleet.tiers.set_peer_count(group, len(targets))
-            datagram = load_report.encode(self._report())
+            if targets:
+                datagram = load_report.encode(self._report())
             for target in targets:
                 self._send_one(socket, datagram, target)
             self._expire_peers(now_ms)
             self._fleet.limits.share = self._fleet.view.heard_share
-            min_interval_ms = report_intervals.min_interval_ms(len(targets))
+            min_interval_ms = report_intervals.send_interval_ms(
+                group, len(targets), is_split=self._fleet.tiers.is_split
+            )
             idle_ms = report_intervals.idle_interval_ms(len(targets))
             await anyio.sleep(min_interval_ms / MS_PER_S)
             with anyio.move_on_after((idle_ms - min_interval_ms) / MS_PER_S):
@@ -186,6 +191,7 @@
     def _report(self) -> LoadReport:
         self._sequence += 1
         recent_wall_ms = self._clock.wall_ms() - RECENT_MS
+        load_by_worker = self._fleet.loads.own_by_worker()
         return LoadReport(
             vm_id=self._vm_id,
             zone=self._zone,
@@ -193,7 +199,10 @@
             sequence=self._sequence,
             stopping=self.stopping,
             restoring=not self._follower.has_caught_up,
-            load_by_worker=self._fleet.loads.own_by_worker(),
+            load_by_worker=load_by_worker,
+            speed_code_by_worker=self._fleet.speeds.codes(
+                load_by_worker, self._clock.now_ms()
+            ),
             crash_reports=tuple(
                 crash
                 for crash in self._crash_reports
@@ -208,6 +217,7 @@
             streams=self._fleet.origins.recent(),
             lost_services=self._fleet.reach.lost_services(),
             draining=self._fleet.draining.reports(),
+            customers=self._fleet.customer_loads.reports(),
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
@@ -215,7 +225,9 @@
             for datagram in await self._read(socket):
                 self._on_datagram(datagram)
             near = self._fleet.tiers.peer_count(PeerGroup.NEAR)
-            pause_ms = report_intervals.read_pause_ms(near)
+            pause_ms = report_intervals.read_pause_ms(
+                near, is_split=self._fleet.tiers.is_split
+            )
             if pause_ms:
                 await anyio.sleep(pause_ms / MS_PER_S)
 
@@ -259,7 +271,9 @@
             load_by_worker=report.load_by_worker,
             zone=report.zone,
         )
+        self._fleet.customer_loads.on_report(report.vm_id, report.customers, now_ms)
         self._fleet.apply_peer_load(load, now_ms)
+        self._fleet.apply_peer_speeds(report.speed_code_by_worker)
         self._streams.on_report(report, address)
         for crash in report.crash_reports:
             self._fleet.crashes.on_peer_report(crash, vm_id=report.vm_id)
@@ -277,7 +291,7 @@
 
     def _expire_peers(self, now_ms: int) -> None:
         timeout_ms = self._peers.silence_timeout_ms(PeerGroup.FAR, now_ms)
-        self._fleet.loads.expire(now_ms, timeout_ms)
+        self._fleet.expire_peer_loads(now_ms, timeout_ms)
         alive = {peer.vm_id for peer in self._peers.alive(now_ms)}
         for vm_id in self._known_alive - alive:
             self._logs.write(Event.PEER_LOST, fields=LogFields(peer=vm_id))
@@ -297,7 +311,11 @@
         self._appends.put((record,), urgent=False)
         while True:
             count = await self._read_addresses()
-            alive = len(self._peers.alive(self._clock.now_ms()))
+            now_ms = self._clock.now_ms()
+            self.send_report(
+                self._peers.silent_addresses(SILENT_PEERS_PER_POLL, now_ms)
+            )
+            alive = len(self._peers.alive(now_ms))
             all_known = count > 1 and alive >= count - 1
             period_ms = ADDRESS_POLL_SLOW_MS if all_known else ADDRESS_POLL_FAST_MS
             await anyio.sleep(period_ms / MS_PER_S)
@@ -319,4 +337,5 @@
                 continue
             if self._peers.add_address(record.key, address, now_ms):
                 self.report_soon()
+        self._peers.is_complete = True
         return len(newest.records)
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -48,11 +48,15 @@
     RETRIES = "retries"
     RELAYED_CALLS = "relayed_calls"
     RESERVATIONS_REFUSED = "reservations_refused"
+    BELIEVED_FREE_REFUSALS = "believed_free_refusals"
     PREEMPTED_ITEMS = "preempted_items"
     FINISHED_ITEMS = "finished_items"
     FAILED_ITEMS = "failed_items"
     LOG_APPENDS = "log_appends"
     PEER_BYTES = "peer_bytes"
+    RATE_ADMITTED = "rate_admitted"
+    RATE_REFUSED = "rate_refused"
+    CONNECTIONS_CLOSED = "connections_closed"
 
 
 class Gauge(enum.Enum):
@@ -68,6 +72,8 @@
     QUARANTINED = "quarantined"
     LOOP_LAG_MS = "loop_lag_ms"
     READY = "ready"
+    CONNECTIONS = "connections"
+    CONNECTION_BYTES = "connection_bytes"
 
 
 class Metrics:
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -10,6 +10,7 @@
 from foxtailbank.crash_report_log import CrashReportLog
 from foxtailbank.customers.customer_gate import CustomerGate
 from foxtailbank.customers.key_lease import KeyLease
+from foxtailbank.customers.rate_limiter import RateLimiter
 from foxtailbank.events import Event
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.forward.fleet_state import FleetState
@@ -136,6 +137,8 @@
         Whose a request is, and whether it may be passed on.
     key_lease : KeyLease
         Whether what is known of keys is recent enough.
+    rates : RateLimiter
+        Keeps customers to their limits.
     fleet : FleetState
         Known workers, which the platform's adapter supplies.
     forwarder : Forwarder
@@ -183,6 +186,16 @@
             rng=rng,
         )
         peers = PeerTable(vm_id=identity.vm_id, zone=identity.zone)
+        self.rates = RateLimiter(
+            vm_id=identity.vm_id,
+            incarnation=identity.incarnation,
+            peer_address=identity.peer_address,
+            routes=self.routes,
+            peers=peers,
+            clock=clock,
+            logs=logs,
+            metrics=metrics,
+        )
         self.relay = PeerRelay(
             vm_id=identity.vm_id,
             reach=self.fleet.reach,
@@ -316,8 +329,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
-        keys_count = self.key_lease.is_fresh or not self.routes.customers.requires_keys
-        return self.routes.is_loaded and len(self.fleet.workers) > 0 and keys_count
+        return self.routes.is_loaded and len(self.fleet.workers) > 0
 
     async def run(self) -> None:
         """Run all tasks except the network interfaces until cancelled."""
@@ -327,6 +339,7 @@
                 ("append", self._appends.run),
                 ("append addresses", self._address_appends.run),
                 ("load reports", self._exchange.run),
+                ("rate limits", self.rates.run),
                 ("items", self.runner.run),
                 ("takeover", self._takeover.run),
                 ("retirement", self._retirement.run),
@@ -349,6 +362,7 @@
         self.runner.stop_items()
         await self.flush(timeout_ms)
         self._exchange.stopping = True
+        self.rates.stop()
         self._exchange.report_soon()
         try:
             await self._takeover.stop()
