Bursts are measured against all VMs of a zone that is split into cells

Found when the parts were joined: the online load of a zone was divided by the VMs outside the own cell only, twice too high with two cells, so that items left too much free in bursts and yielded to bursts of a height that never came.

--- a/src/foxtailbank/fleet/distance_tiers.py
+++ b/src/foxtailbank/fleet/distance_tiers.py
@@ -79,14 +79,15 @@
     def is_large_fleet(self) -> bool:
         """Whether there are so many VMs that load reports are stale."""
         far = self._peer_count_by_group[PeerGroup.FAR]
-        return max(self._zone_peer_count, far) > SMALL_GROUP
+        return max(self.zone_peer_count, far) > SMALL_GROUP
 
     def peer_count(self, group: PeerGroup) -> int:
         """Return the number of other VMs in a group."""
         return self._peer_count_by_group[group]
 
     @property
-    def _zone_peer_count(self) -> int:
+    def zone_peer_count(self) -> int:
+        """Number of other VMs in the zone of this one."""
         in_cell = self._peer_count_by_group[PeerGroup.CELL]
         return in_cell + self._peer_count_by_group[PeerGroup.NEAR]
 
@@ -182,7 +183,7 @@
         return tuple(tier for tier in (first, rest, far) if tier)
 
     def _nearest(self, near: t.Sequence[Worker]) -> tuple[Worker, ...]:
-        vms = 1 + self._zone_peer_count
+        vms = 1 + self.zone_peer_count
         size = math.ceil(len(near) * FIRST_TIER_VMS_PER_WORKER / vms)
         return tuple(sorted(near, key=self.tie_break)[:size])
 
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -4,7 +4,6 @@
 
 from foxtailbank.fleet.distance_tiers import DistanceTiers
 from foxtailbank.fleet.load_table import LoadKind, LoadTable
-from foxtailbank.fleet.report_intervals import PeerGroup
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_health import WorkerHealth
 from foxtailbank.fleet.worker_limits import WorkerLimits
@@ -140,7 +139,7 @@
         )
         if share is None or not slots:
             return None
-        near_vms = self.tiers.peer_count(PeerGroup.NEAR) + 1
+        near_vms = self.tiers.zone_peer_count + 1
         vms = self.tiers.total_peer_count + 1
         worker_ids = (worker.worker_id for worker in workers)
         sent = self.loads.online_from_zone(self.zone, worker_ids)
--- a/tests/test_report_cells.py
+++ b/tests/test_report_cells.py
@@ -1,9 +1,13 @@
 """Cells of a zone: all VMs form the same ones and divide the workers among them."""
 
+import random
+
 import pytest
 
+from burst_fleet import SimVm
 from foxtailbank.address import parse_address
-from foxtailbank.clock import MS_PER_S
+from foxtailbank.clock import MS_PER_S, ManualClock
+from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.fleet.report_cells import CELL_VMS, find_cell, workers_of
 from foxtailbank.fleet.report_intervals import (
@@ -89,3 +93,27 @@
 def test_intervals_of_small_fleets_are_as_before(group):
     for peers in range(SMALL_GROUP + 1):
         assert send_interval_ms(group, peers, is_split=False) == min_interval_ms(peers)
+
+
+# Guards against VMs that take calm times for bursts once their zone is split: its other
+# VMs count with those of the cell.
+@pytest.mark.parametrize(
+    ("in_cell", "near"),
+    [pytest.param(0, 8, id="whole"), pytest.param(5, 3, id="split")],
+)
+def test_the_load_of_a_zone_is_measured_against_all_its_vms(in_cell, near):
+    vm = SimVm(
+        vm_id="vm0",
+        zone="z1",
+        workers=[make_worker("w1", zone="z1"), make_worker("w2", zone="z2")],
+        clock=ManualClock(start_ms=1_000),
+        rng=random.Random(1),
+        customers=(),
+        peers={PeerGroup.CELL: in_cell, PeerGroup.NEAR: near, PeerGroup.FAR: 18},
+    )
+    for _ in range(4):
+        vm.fleet.loads.start("w2", LoadKind.ONLINE)
+    workers = vm.fleet.workers.usable("s")
+    slots = sum(worker.slots for worker in workers)
+    share = vm.fleet.view.zone_online_share(workers, 1_000)
+    assert share == 4 * 27 / (slots * 9)
