Engine of the bench: close the channel to the weight store; anyio whole before the tests

Cause: EngineOrders never closed its channel to the weight store (test_model_is_loaded_from_the_weight_store), so a StreamWriter was destroyed after its event loop and raised; the collector ran just while pytest parsed a part of anyio that is imported when first used, the traceback of the destructor was parsed within that parse, and CPython 3.11 fails the outer one.

The orders close the channel when they end, and the tests import all of anyio first. With a forced collection after each test, test_engine.py named this one writer before; after the change none.

--- a/src/foxtailbank_bench/engine_orders.py
+++ b/src/foxtailbank_bench/engine_orders.py
@@ -95,13 +95,18 @@
         self._order_accepted.set()
 
     async def run(self) -> None:
-        """Execute orders until cancelled."""
-        while True:
-            await self._order_accepted.wait()
-            self._order_accepted = anyio.Event()
-            while self._pending:
-                await self._execute(self._pending.pop(0))
-            self._busy = False
+        """Execute orders until cancelled, and close the channel to the store then."""
+        try:
+            while True:
+                await self._order_accepted.wait()
+                self._order_accepted = anyio.Event()
+                while self._pending:
+                    await self._execute(self._pending.pop(0))
+                self._busy = False
+        finally:
+            if self._weight_store is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._weight_store.aclose()
 
     async def _execute(self, order: Order) -> None:
         match order.kind:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,17 @@
 
 import pathlib
 
+import anyio
 import pytest
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
+# anyio imports its parts when they are first used, and pytest parses them then. If the
+# collector runs just there and a destructor raises, the traceback is parsed within the
+# parse, which CPython 3.11 fails with a SystemError: so all parts are imported here.
+for _name in dir(anyio):
+    getattr(anyio, _name)
+
 
 @pytest.fixture
 def anyio_backend():
