--- a/src/foxtailbank/customers/customer_gate.py
+++ b/src/foxtailbank/customers/customer_gate.py
@@ -1,7 +1,7 @@
 """Decides whose a request is and whether it may be passed on."""
 
-from foxtailbank.customers.customer import Identity
-from foxtailbank.customers.key_lease import KeyLease
+from foxtailbank.customers.customer import Customer, Identity
+from foxtailbank.customers.key_lease import KeyLease, KeyLeaseLapsed
 from foxtailbank.entry import key_hash
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.forward.route import Route
@@ -71,6 +71,36 @@
             await self._lease.renew()
         return await self.identify(key)
 
+    def admit_named(self, name: str, route: Route) -> Customer | None:
+        """Return the customer as whose a request of it counts; reads nothing.
+
+        `admit` first reads the configuration anew where this raises `KeyLeaseLapsed`.
+
+        Parameters
+        ----------
+        name : str
+            Customer whose key the request would bear; empty for no key.
+        route : Route
+            Route that it matched.
+
+        Raises
+        ------
+        KeyLeaseLapsed
+            The configuration is too old to tell.
+        KeyUnknown
+            There is no key, or no such customer that holds one.
+        """
+        if not self.needs_key(route):
+            return None
+        if not name:
+            raise KeyUnknown(detail="no key")
+        if not self._lease.is_fresh:
+            raise KeyLeaseLapsed(detail=f"configuration of {self._lease.age_ms} ms ago")
+        customer = self._routes.customers.get(name)
+        if customer is None or not customer.key_hashes:
+            raise KeyUnknown(detail="no customer of this name holds a key")
+        return customer
+
     async def identify(self, key: str) -> Identity:
         """Return who holds a key, also by a configuration older than the lease.
 
--- a/src/foxtailbank/customers/rate_asker.py
+++ b/src/foxtailbank/customers/rate_asker.py
@@ -140,20 +140,34 @@
         """When `on_time` must be called; None if nothing is expected."""
         return None if self._pending is None else self._pending.due_ms
 
+    def outlook(self, now_ms: int) -> Outcome | None:
+        """Return how the next client request is decided on; None if it asks first."""
+        if self.permit_count(now_ms) > len(self._waiting):
+            return Outcome.GRANTED
+        if not self._fleet.is_ready:
+            return Outcome.STARTING
+        return Outcome.LIMIT if self._is_denied(now_ms) else None
+
+    def permit_count(self, now_ms: int) -> int:
+        """Return how many permits this VM holds."""
+        return self._stock.count(now_ms)
+
     def request(self, now_ms: int) -> PermitWait:
         """Decide on a client request, at once if possible."""
         wait = PermitWait(started_ms=now_ms)
+        outlook = self.outlook(now_ms)
         self._need.add(now_ms)
         self._waiting.append(wait)
         self._serve(now_ms)
-        if wait.outcome is not None:
-            self._ask_ahead(now_ms)
-        elif not self._fleet.is_ready:
-            self._refuse_waiting(STARTUP_RETRY_AFTER_MS, Outcome.STARTING)
-        elif self._is_denied(now_ms):
-            self._refuse_denied(now_ms)
-        elif self._pending is None:
-            self._ask(now_ms)
+        match outlook:
+            case Outcome.GRANTED:
+                self._ask_ahead(now_ms)
+            case Outcome.STARTING:
+                self._refuse_waiting(STARTUP_RETRY_AFTER_MS, Outcome.STARTING)
+            case Outcome.LIMIT:
+                self._refuse_denied(now_ms)
+            case None if self._pending is None:
+                self._ask(now_ms)
         return wait
 
     def cancel(self, wait: PermitWait, now_ms: int) -> None:
--- a/src/foxtailbank/customers/rate_bucket.py
+++ b/src/foxtailbank/customers/rate_bucket.py
@@ -131,7 +131,7 @@
         count += max(0, min(request.wanted - count, advance))
         missing = max(0, request.needed - count)
         self.is_pressed |= missing + request.refused > 0
-        grant = Grant(count=count, wait_ms=self._wait_ms(now_ms) if missing else 0)
+        grant = Grant(count=count, wait_ms=self.wait_ms(now_ms) if missing else 0)
         self._expect(missing + count * self._first_time_share(now_ms), now_ms)
         self._sent_by_key[key] = _SentGrant(
             grant=grant,
@@ -155,8 +155,9 @@
         """Return the permits in the bucket."""
         return min(self._bucket.available(now_ms), rate_messages.MAX_PERMITS)
 
-    def _wait_ms(self, now_ms: int) -> int:
-        ahead_ms = self._expected * MS_PER_S / self._limit.rate_per_s
+    def wait_ms(self, now_ms: int) -> int:
+        """Return the time until a permit is likely for a request without one."""
+        ahead_ms = self._expected_at(now_ms) * MS_PER_S / self._limit.rate_per_s
         wait_ms = self._bucket.wait_ms(1, now_ms) + ahead_ms
         return max(1, min(MAX_RETRY_AFTER_MS, round(wait_ms)))
 
@@ -171,10 +172,13 @@
         return max(0.0, 1 - self._limit.rate_per_s / asked_per_s)
 
     def _expect(self, count: float, now_ms: int) -> None:
-        elapsed_ms = max(0, now_ms - self._expected_ms)
+        self._expected = self._expected_at(now_ms) + count
         self._expected_ms = now_ms
+
+    def _expected_at(self, now_ms: int) -> float:
+        elapsed_ms = max(0, now_ms - self._expected_ms)
         due = elapsed_ms * self._limit.rate_per_s / MS_PER_S
-        self._expected = max(0.0, self._expected - due) + count
+        return max(0.0, self._expected - due)
 
     def _settle(self, now_ms: int) -> None:
         """Count as used what can't be returned any more."""
--- a/src/foxtailbank/customers/rate_fleet.py
+++ b/src/foxtailbank/customers/rate_fleet.py
@@ -114,12 +114,15 @@
 
     def granting_vm(self, customer: str) -> str:
         """Return the VM that grants a customer's permits."""
-        vm_id = self._granting_vm_by_customer.get(customer)
-        if vm_id is None:
-            vm_id = _first(customer, self._reachable_ids)
-            self._granting_vm_by_customer[customer] = vm_id
+        vm_id = self.find_granting_vm(customer)
+        self._granting_vm_by_customer[customer] = vm_id
         return vm_id
 
+    def find_granting_vm(self, customer: str) -> str:
+        """As `granting_vm`, without an effect."""
+        known = self._granting_vm_by_customer.get(customer)
+        return known or _first(customer, self._reachable_ids)
+
     def next_granting_vm(self, customer: str) -> str:
         """Return the VM that grants after this one; itself if there is no other."""
         others = self._reachable_ids - {self._vm_id}
--- a/src/foxtailbank/customers/rate_limiter.py
+++ b/src/foxtailbank/customers/rate_limiter.py
@@ -14,7 +14,7 @@
 from foxtailbank.customers.rate_messages import RateMessage
 from foxtailbank.customers.rate_participant import RateParticipant
 from foxtailbank.customers.rate_permits import Permit
-from foxtailbank.customers.rate_wait import Outcome, PermitWait
+from foxtailbank.customers.rate_wait import Outcome, PermitWait, RateOutlook
 from foxtailbank.datagram_socket import Datagram, DatagramSocket
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError, FrameInvalid, RateLimited
@@ -134,6 +134,12 @@
         failure = RateLimited if wait.outcome is Outcome.LIMIT else RateUnknown
         raise failure(detail=detail, retry_after_ms=wait.retry_after_ms)
 
+    def outlook(self, customer: Customer) -> RateOutlook | None:
+        """Return what `admit` would do now, without an effect; None without a limit."""
+        if not customer.is_limited:
+            return None
+        return self._participant.outlook(customer.name, self._clock.now_ms())
+
     def give_back(self, permit: Permit | None) -> None:
         """Give back the permit of a request that reached no worker."""
         if permit is not None:
--- a/src/foxtailbank/customers/rate_participant.py
+++ b/src/foxtailbank/customers/rate_participant.py
@@ -18,7 +18,7 @@
     RateMessage,
 )
 from foxtailbank.customers.rate_permits import Permit
-from foxtailbank.customers.rate_wait import PermitWait
+from foxtailbank.customers.rate_wait import Outcome, PermitWait, RateOutlook
 
 TICK_MS = 200
 # A VM that was suspended does not know what others granted meanwhile.
@@ -91,6 +91,33 @@
         self._notice_gap(now_ms)
         return self._asker(customer, limit).request(now_ms)
 
+    def outlook(self, customer: str, now_ms: int) -> RateOutlook:
+        """Return how the customer's next request would be decided on; no effect."""
+        asker = self._asker_by_customer.get(customer)
+        outcome = asker.outlook(now_ms) if asker is not None else None
+        if asker is None and not self.fleet.is_ready:
+            outcome = Outcome.STARTING
+        granting_vm = self.fleet.find_granting_vm(customer)
+        in_bucket: int | None = None
+        wait_ms = 0
+        if granting_vm == self._vm_id:
+            bucket = self._bucket_by_customer.get(customer)
+            is_first = customer not in self._started_customers
+            in_bucket = START_PERMITS if is_first else 0
+            if bucket is not None:
+                in_bucket = bucket.available(now_ms)
+                wait_ms = bucket.wait_ms(now_ms)
+            if outcome is None:
+                outcome = Outcome.GRANTED if in_bucket else Outcome.LIMIT
+        return RateOutlook(
+            outcome=outcome,
+            granting_vm=granting_vm,
+            in_stock=asker.permit_count(now_ms) if asker is not None else 0,
+            in_bucket=in_bucket,
+            wait_ms=wait_ms if outcome is Outcome.LIMIT else 0,
+            answer_age_ms=self.answer_age_ms(customer, now_ms),
+        )
+
     def cancel(self, customer: str, wait: PermitWait, now_ms: int) -> None:
         """Forget a client request whose sender has left."""
         asker = self._asker_by_customer.get(customer)
--- a/src/foxtailbank/customers/rate_permits.py
+++ b/src/foxtailbank/customers/rate_permits.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 from foxtailbank.customers.rate_messages import MAX_UNUSED, UnusedPermits
 
@@ -45,9 +46,11 @@
         return self._permits.popleft() if self._permits else None
 
     def count(self, now_ms: int) -> int:
-        """Return how many permits may be used now."""
-        self._expire(now_ms)
-        return len(self._permits)
+        """Return how many permits may be used now; no effect."""
+        expired = itertools.takewhile(
+            lambda permit: permit.expires_ms < now_ms, self._permits
+        )
+        return len(self._permits) - sum(1 for _ in expired)
 
     def give_back(self, permit: Permit, now_ms: int) -> None:
         """Put a permit back whose request did not run."""
--- a/src/foxtailbank/customers/rate_wait.py
+++ b/src/foxtailbank/customers/rate_wait.py
@@ -1,5 +1,6 @@
 """Decision on one client request of a limited customer."""
 
+import dataclasses
 import enum
 import typing as t
 
@@ -16,6 +17,34 @@
     STARTING = "starting"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RateOutlook:
+    """How a customer's next request would be decided on, as this VM knows.
+
+    Attributes
+    ----------
+    outcome : Outcome or None
+        The decision; None if the granting VM is asked first.
+    granting_vm : str
+        VM that grants the customer's permits.
+    in_stock : int
+        Permits that this VM holds.
+    in_bucket : int or None
+        Permits that can be granted; None if another VM grants.
+    wait_ms : int
+        Time until a permit is likely, if there is none here.
+    answer_age_ms : int or None
+        Age of the newest answer of a granting VM; None without one.
+    """
+
+    outcome: Outcome | None
+    granting_vm: str
+    in_stock: int
+    in_bucket: int | None
+    wait_ms: int
+    answer_age_ms: int | None
+
+
 class PermitWait:
     """A client request that waits for a permit.
 
--- a/src/foxtailbank/customers/share_counts.py
+++ b/src/foxtailbank/customers/share_counts.py
@@ -6,6 +6,7 @@
 
 import collections
 import contextlib
+import copy
 import dataclasses
 import functools
 import typing as t
@@ -66,6 +67,12 @@
         """Remove a request of this VM from the count."""
         self._add_own(key, kind, -1)
 
+    def fork(self) -> "CustomerLoads":
+        """Return a copy whose own counts may be changed."""
+        fork = copy.copy(self)
+        fork._own_by_key = dict(self._own_by_key)
+        return fork
+
     @contextlib.contextmanager
     def counting(self, service: str, name: str) -> t.Iterator[None]:
         """Count an online request while it waits for a slot.
--- a/src/foxtailbank/customers/share_gate.py
+++ b/src/foxtailbank/customers/share_gate.py
@@ -5,6 +5,7 @@
 Without customers in the configuration nothing is decided here.
 """
 
+import copy
 import dataclasses
 import statistics
 import typing as t
@@ -81,6 +82,23 @@
         self._weight_by_name: dict[str, float] = {}
         self._default_weight = DEFAULT_WEIGHT
 
+    def fork(self, *, loads: CustomerLoads, view: WorkerView) -> "ShareGate":
+        """Return a copy for other counts, which shares nothing that is changed."""
+        fork = copy.copy(self)
+        fork._loads = loads
+        fork._view = view
+        fork._shares_by_service = dict(self._shares_by_service)
+        return fork
+
+    def share_of(
+        self, name: str, workers: t.Sequence[Worker], now_ms: int
+    ) -> float | None:
+        """Return the slots that are a customer's share; None while none is limited."""
+        if not workers:
+            return None
+        share_by_name = self._shares(workers[0].service, workers, now_ms)
+        return share_by_name.get(name) if share_by_name is not None else None
+
     def find_excess(
         self, name: str, workers: t.Sequence[Worker], now_ms: int
     ) -> ShareExcess | None:
@@ -102,10 +120,9 @@
         in_flight = self._loads.online(key) - 1
         if in_flight < share_allotment.MIN_EXCESS_IN_FLIGHT:
             return None
-        share_by_name = self._shares(service, workers, now_ms)
-        if share_by_name is None or name not in share_by_name:
+        share = self.share_of(name, workers, now_ms)
+        if share is None:
             return None
-        share = share_by_name[name]
         own_share = share / self._loads.vm_count(key)
         if not (
             share_allotment.is_excess(in_flight, share)
--- a/src/foxtailbank/fleet/crash_reports.py
+++ b/src/foxtailbank/fleet/crash_reports.py
@@ -1,6 +1,7 @@
 """Reports of online requests that were running when their worker crashed."""
 
 import collections
+import copy
 import typing as t
 
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
@@ -31,6 +32,16 @@
         self._crashing: tuple[CrashingParts, ...] | None = ()
         self._next_expiry_wall_ms: int | None = None
 
+    def fork(self) -> "CrashReportTable":
+        """Return a copy that can be asked without an effect on this one."""
+        fork = copy.copy(self)
+        fork._report_by_key = dict(self._report_by_key)
+        fork._workers_by_fingerprint = {
+            key: set(workers) for key, workers in self._workers_by_fingerprint.items()
+        }
+        fork._suspected_parts = set(self._suspected_parts)
+        return fork
+
     def add(self, report: CrashReport, wall_ms: int) -> bool:
         """Add a report; return whether it is new and has not expired."""
         if _expires_wall_ms(report) <= wall_ms or report.key in self._report_by_key:
--- a/src/foxtailbank/fleet/distance_tiers.py
+++ b/src/foxtailbank/fleet/distance_tiers.py
@@ -7,6 +7,7 @@
 form one tier.
 """
 
+import copy
 import dataclasses
 import functools
 import math
@@ -58,6 +59,13 @@
         self._cached_by_service: dict[str, _CachedTiers] = {}
         self._cell: Cell | None = None
 
+    def fork(self, rng: random.Random) -> "DistanceTiers":
+        """Return a copy that draws from another generator."""
+        fork = copy.copy(self)
+        fork._rng = rng
+        fork._cached_by_service = dict(self._cached_by_service)
+        return fork
+
     def set_peer_count(self, group: PeerGroup, count: int) -> None:
         """Set the number of other VMs in a group."""
         if self._peer_count_by_group[group] != count:
--- a/src/foxtailbank/fleet/worker_limits.py
+++ b/src/foxtailbank/fleet/worker_limits.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import copy
 import dataclasses
 
 from foxtailbank.clock import MS_PER_S
@@ -97,6 +98,15 @@
         self._peer_sent_count: dict[tuple[str, int, str], int] = {}
         self.share = 1.0
 
+    def fork(self) -> "WorkerLimits":
+        """Return a copy whose limits can be asked without an effect on these."""
+        fork = copy.copy(self)
+        fork._limit_by_id = {
+            worker_id: copy.copy(limit)
+            for worker_id, limit in self._limit_by_id.items()
+        }
+        return fork
+
     def on_answer(self, worker_id: str, per_s: float | None, now_ms: int) -> None:
         """Apply the limit that a worker's answer names; None for none."""
         if per_s is not None or worker_id in self._limit_by_id:
--- a/src/foxtailbank/fleet/worker_speed.py
+++ b/src/foxtailbank/fleet/worker_speed.py
@@ -78,6 +78,13 @@
         estimate = self._by_id.get(worker_id)
         return 1.0 if estimate is None else 2.0**estimate.all_vms
 
+    def answer_age_ms(self, worker_id: str, now_ms: int) -> int | None:
+        """Return the age of this VM's last whole answer of a worker; None for none."""
+        estimate = self._by_id.get(worker_id)
+        if estimate is None or estimate.answered_ms < 0:
+            return None
+        return now_ms - estimate.answered_ms
+
     def codes(self, worker_ids: t.Iterable[str], now_ms: int) -> dict[str, int]:
         """Return the own estimates that are fresh, each as a byte for reports.
 
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -1,5 +1,6 @@
 """View of the workers that online and batch scheduling share."""
 
+import copy
 import typing as t
 
 from foxtailbank.fleet.distance_tiers import DistanceTiers
@@ -56,6 +57,13 @@
         self._limits = limits
         self._reachability = reachability
 
+    def fork(self, *, tiers: DistanceTiers, limits: WorkerLimits) -> "WorkerView":
+        """Return a copy with other tiers and limits."""
+        fork = copy.copy(self)
+        fork.tiers = tiers
+        fork._limits = limits
+        return fork
+
     def is_healthy(self, worker: Worker, now_ms: int) -> bool:
         """Return whether a worker is neither avoided nor in an unreachable zone."""
         if self._reachability.is_unreachable(worker.zone, now_ms):
--- a/src/foxtailbank/forward/crash_tracker.py
+++ b/src/foxtailbank/forward/crash_tracker.py
@@ -1,5 +1,6 @@
 """Which requests must not be sent since they, or others like them, crash workers."""
 
+import copy
 import dataclasses
 import typing as t
 
@@ -40,6 +41,12 @@
         self._report_listeners: list[t.Callable[[CrashReport], None]] = []
         self._completion_listeners: list[t.Callable[[PartCompletion], None]] = []
 
+    def fork(self) -> "CrashTracker":
+        """Return a copy that can be asked without an effect on this one."""
+        fork = copy.copy(self)
+        fork.reports = self.reports.fork()
+        return fork
+
     def add_report_listener(self, listener: t.Callable[[CrashReport], None]) -> None:
         """Add a function to call with each new report of this VM."""
         self._report_listeners.append(listener)
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -63,7 +63,8 @@
     Attributes
     ----------
     workers, loads, health, limits, service_times, speeds, crashes, reachability, tiers,
-    view, lifetimes, versions, origins, reach, draining, customer_loads, shares
+    view, lifetimes, versions, origins, reach, draining, customer_loads, shares,
+    placement
         The components of the state.
     """
 
@@ -113,7 +114,7 @@
         self._excess_lines = SkippedRecords(
             event=Event.SHARE_EXCEEDED, logs=logs, clock=clock
         )
-        self._placement = Placement(view=self.view, speeds=self.speeds, rng=rng)
+        self.placement = Placement(view=self.view, speeds=self.speeds, rng=rng)
         self._load_listeners: list[t.Callable[[], None]] = []
         self._peer_load_listeners: list[t.Callable[[], None]] = []
 
@@ -172,12 +173,12 @@
             self.customer_loads.forget_vm(vm_id)
 
     def find_excess(
-        self, service: str, customer: str, now_ms: int
+        self, service: str, customer: str, now_ms: int, *, is_silent: bool = False
     ) -> ShareExcess | None:
         """Return and log the excess that a request would add to, if there is any."""
         workers = self.workers.usable(service)
         excess = self.shares.find_excess(customer, workers, now_ms)
-        if excess is not None:
+        if excess is not None and not is_silent:
             fields = LogFields(
                 owner=customer,
                 reason=f"{excess.in_flight} in flight, share {excess.share:.1f}",
@@ -207,7 +208,7 @@
         origin: StreamOrigin | None = None,
     ) -> Choice | Refusal:
         """Choose a worker for an online request; see `Placement.choose`."""
-        return self._placement.choose(
+        return self.placement.choose(
             workers=self.workers.usable(service),
             tried=tried,
             affinity=affinity,
--- a/src/foxtailbank/forward/forwarder.py
+++ b/src/foxtailbank/forward/forwarder.py
@@ -20,6 +20,11 @@
     def __init__(self, *, context: ForwardContext) -> None:
         self._context = context
 
+    @property
+    def context(self) -> ForwardContext:
+        """Components shared by all requests."""
+        return self._context
+
     async def serve(
         self,
         call: Call,
--- a/src/foxtailbank/forward/peer_relay.py
+++ b/src/foxtailbank/forward/peer_relay.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import copy
 import random
 import typing as t
 
@@ -62,6 +63,12 @@
         self._in_flight_by_peer: collections.Counter[str] = collections.Counter()
         self._accepted = 0
 
+    def fork(self, rng: random.Random) -> "PeerRelay":
+        """Return a copy that draws from another generator, to be asked only."""
+        fork = copy.copy(self)
+        fork._rng = rng
+        return fork
+
     def is_needed(self, services: t.Collection[str]) -> bool:
         """Return whether this VM reaches no worker of the services."""
         return all(self._reach.is_lost(service) for service in services)
--- a/src/foxtailbank/forward/slot_finder.py
+++ b/src/foxtailbank/forward/slot_finder.py
@@ -11,6 +11,7 @@
 import anyio
 
 from foxtailbank.clock import MS_PER_S
+from foxtailbank.customers.share_gate import ShareExcess
 from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.fleet.placement import Choice, Refusal, RefusalReason
 from foxtailbank.fleet.stream_origin import StreamOrigin
@@ -51,6 +52,28 @@
     reservation: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Foresight:
+    """What the search for a slot would begin with.
+
+    Attributes
+    ----------
+    service : str
+        Service that was drawn; empty if a stream's service is not the route's any more.
+    result : Choice or Refusal
+        First worker, or why there is none.
+    excess : ShareExcess or None
+        Excess of the customer, if it is refused for that.
+    reserves : bool
+        Whether the worker would be asked for a slot before the request is sent.
+    """
+
+    service: str
+    result: Choice | Refusal
+    excess: ShareExcess | None = None
+    reserves: bool = False
+
+
 class SlotFinder:
     """Finds a slot for each attempt of one request.
 
@@ -108,14 +131,37 @@
         with self._fleet.customer_loads.counting(service, self._call.customer_name):
             return await self._search(service, tried, remaining_ms)
 
+    def foresee(
+        self, *, tried: set[str], remaining_ms: float, origin: StreamOrigin | None
+    ) -> Foresight:
+        """Return what `find` begins with; asks no worker and writes no line.
+
+        Only for a context from `forward_fork`, since it draws and counts as `find`.
+        """
+        self._origin = origin
+        service = self._choose_service(origin)
+        if not service:
+            refusal = Refusal(reason=RefusalReason.NO_SAME_VERSION, wait_ms=0)
+            return Foresight(service="", result=refusal)
+        with self._fleet.customer_loads.counting(service, self._call.customer_name):
+            excess = None if tried else self._find_excess(service, is_silent=True)
+            if excess is not None:
+                return Foresight(
+                    service=service, result=self._refuse_excess(), excess=excess
+                )
+            result = self._choose(service, tried, remaining_ms)
+        reserves = False
+        if isinstance(result, Choice):
+            reserves = self._needs_reservation(result.worker)
+        return Foresight(service=service, result=result, reserves=reserves)
+
     async def _search(
         self, service: str, tried: set[str], remaining_ms: float
     ) -> Assignment | Refusal:
         search_until_ms = self._clock.now_ms() + SEARCH_SHARE * self._route.target_ms
         while True:
-            if not tried and self._is_excess(service):
-                wait_ms = wait_limits.excess_wait_ms(self._rng)
-                return Refusal(reason=RefusalReason.SHARE_EXCEEDED, wait_ms=wait_ms)
+            if not tried and self._find_excess(service) is not None:
+                return self._refuse_excess()
             assignment = await self._search_round(service, tried, remaining_ms)
             if assignment is not None:
                 return assignment
@@ -132,16 +178,22 @@
             return self._route.choose_service(self._rng)
         return origin.service if origin.service in self._route.services else ""
 
-    def _is_excess(self, service: str) -> bool:
-        """Return whether its customer has more than its share of a busy service.
+    def _find_excess(
+        self, service: str, *, is_silent: bool = False
+    ) -> ShareExcess | None:
+        """Return what its customer has beyond its share of a busy service.
 
         A stream that continues is not refused for that.
         """
         if self._origin is not None:
-            return False
+            return None
         now_ms = self._clock.now_ms()
         name = self._call.customer_name
-        return self._fleet.find_excess(service, name, now_ms) is not None
+        return self._fleet.find_excess(service, name, now_ms, is_silent=is_silent)
+
+    def _refuse_excess(self) -> Refusal:
+        wait_ms = wait_limits.excess_wait_ms(self._rng)
+        return Refusal(reason=RefusalReason.SHARE_EXCEEDED, wait_ms=wait_ms)
 
     async def _search_round(
         self, service: str, tried: set[str], remaining_ms: float
--- a/src/foxtailbank/forward/target_finder.py
+++ b/src/foxtailbank/forward/target_finder.py
@@ -10,7 +10,7 @@
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.peer_target import PeerTarget
 from foxtailbank.forward.route import Route
-from foxtailbank.forward.slot_finder import SlotFinder
+from foxtailbank.forward.slot_finder import Foresight, SlotFinder
 from foxtailbank.forward.worker_target import WorkerTarget
 
 
@@ -88,6 +88,19 @@
             customer_name=self._customer_name,
         )
 
+    def foresee(
+        self, *, remaining_ms: float, origin: StreamOrigin | None
+    ) -> Foresight | PeerTarget:
+        """Return what `find` begins with for the first attempt; sends nothing.
+
+        Only for a context from `forward_fork`; see `SlotFinder.foresee`.
+        """
+        if peer_target := self._find_peer():
+            return peer_target
+        return self._slots.foresee(
+            tried=self._tried, remaining_ms=remaining_ms, origin=origin
+        )
+
     def on_not_connected(self, target: AttemptTarget) -> None:
         """Let other VMs send the request to a worker that did not get it."""
         self._not_connected.add(target.endpoint_id)
--- a/src/foxtailbank/submissions/batch_capacity.py
+++ b/src/foxtailbank/submissions/batch_capacity.py
@@ -6,6 +6,7 @@
 leave free, and when they are preempted for a burst, is decided by `OnlineReserve`.
 """
 
+import copy
 import typing as t
 
 from foxtailbank import rendezvous
@@ -45,6 +46,21 @@
         self._excess_since_ms: dict[str, int] = {}
         self._reserve = OnlineReserve(view=view)
 
+    def fork(self, view: WorkerView) -> "BatchCapacity":
+        """Return a copy to be asked only, for another view of the same workers."""
+        fork = copy.copy(self)
+        fork._view = view
+        fork._neighbourhood = view.tiers
+        return fork
+
+    def reserved_slots(self, worker: Worker, now_ms: int) -> int:
+        """Return how many slots of a worker items leave free for online requests."""
+        return self._reserve.reserved_slots(worker, now_ms)
+
+    def is_burst_on(self, service: str) -> bool:
+        """Return whether a burst of online requests has begun and is not over."""
+        return self._reserve.is_burst_on(service)
+
     @property
     def has_excess(self) -> bool:
         """Whether this VM has items to preempt if an excess of requests persists."""
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -25,21 +25,23 @@
 from foxtailbank.submissions import item_order
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_capacity import BatchCapacity
+from foxtailbank.submissions.item_holds import (
+    CRASHING_ITEM_PAUSE_MS,
+    Hold,
+    crash_pause_ms,
+    find_hold,
+)
 from foxtailbank.submissions.item_placement import ItemPlacement
 from foxtailbank.submissions.item_recorder import ItemRecorder
 from foxtailbank.submissions.item_run import ItemRun
 from foxtailbank.submissions.paced_reading import read_paced
-from foxtailbank.submissions.records import Item
 from foxtailbank.submissions.removed_routes import RemovedRoutes
-from foxtailbank.submissions.submission import Submission
+from foxtailbank.submissions.run_table import RunTable
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 HEAD_TIMEOUT_MS = 3_000  # a full worker may queue an item for several steps
 GAP_TIMEOUT_MS = 1_500
 RETRY_MS = 300
-# After a crash under a part of the item's prompt. Such an item is still owed: a part
-# can be suspect without cause, and a whole answer clears it.
-CRASHING_ITEM_PAUSE_MS = 8_000
 DEFECT_PAUSE_MS = 2_000  # after an unexpected error, which is likely to come again
 PREEMPTION_PAUSE_MS = 300  # a burst of online requests lasts longer
 FULL_RETRY_MS = 100
@@ -84,6 +86,13 @@
         Receives counts.
     rng : random.Random
         Draws start jitter and the service of a route.
+
+    Attributes
+    ----------
+    capacity : BatchCapacity
+        The parameter of the same name.
+    runs : RunTable
+        The items that this VM runs.
     """
 
     def __init__(
@@ -103,13 +112,11 @@
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
-        self._owner_id = owner_id
-        self._table = table
         self._follower = follower
         self._appends = appends
         self._client = client
         self._fleet = fleet
-        self._capacity = capacity
+        self.capacity = capacity
         self._placement = ItemPlacement(fleet=fleet, capacity=capacity, rng=rng)
         self._routes = routes
         self._removed_routes = RemovedRoutes(routes=routes)
@@ -119,7 +126,9 @@
         self._recorder = ItemRecorder(
             owner_id=owner_id, appends=appends, clock=clock, logs=logs, metrics=metrics
         )
-        self._runs_by_key: dict[tuple[str, str], ItemRun] = {}
+        self.runs = RunTable(
+            owner_id=owner_id, table=table, routes=routes, client=client, clock=clock
+        )
         self._no_slot_since_ms_by_route: dict[str, int] = {}
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
@@ -133,7 +142,7 @@
         async with anyio.create_task_group() as group:
             self._group = group
             while True:
-                tick_ms = EXCESS_TICK_MS if self._capacity.has_excess else TICK_MS
+                tick_ms = EXCESS_TICK_MS if self.capacity.has_excess else TICK_MS
                 with anyio.move_on_after(tick_ms / MS_PER_S):
                     await self._wake.wait()
                 self._wake = anyio.Event()
@@ -145,70 +154,44 @@
     def stop_items(self) -> None:
         """Save and stop all items for good, so that another VM can resume them."""
         self.stopping = True
-        for run in self._runs_by_key.values():
+        for run in self.runs.all():
             self._recorder.save_progress(run)
             run.stop()
 
     @property
     def running_count(self) -> int:
         """Number of items running on workers."""
-        return sum(1 for run in self._runs_by_key.values() if run.is_running)
+        return sum(1 for run in self.runs.all() if run.is_running)
+
+    @property
+    def hold(self) -> Hold | None:
+        """Why no item starts now; None if items start."""
+        return find_hold(
+            is_stopping=self.stopping, appends=self._appends, follower=self._follower
+        )
+
+    def no_slot_ms(self, route: str, now_ms: int) -> int:
+        """Return how long no slot has been free for items of a route; 0 if one is."""
+        return now_ms - self._no_slot_since_ms_by_route.get(route, now_ms)
 
     def _observe_online_load(self) -> None:
-        self._capacity.observe_online_load(
+        self.capacity.observe_online_load(
             self._fleet.workers.usable_by_service(), self._clock.now_ms()
         )
 
     def _on_table_change(self) -> None:
-        self._sync_runs()
+        self.runs.sync()
         self._wake.set()
 
     def _on_load_change(self) -> None:
-        if self._runs_by_key:
+        if self.runs:
             self._wake.set()
 
-    def _sync_runs(self) -> None:
-        """Create and stop runs to match the ledger."""
-        wanted: set[tuple[str, str]] = set()
-        for submission in self._table.ledger.all():
-            if submission.owner != self._owner_id or submission.ended:
-                continue
-            for item in submission.waiting_items():
-                key = (submission.submission_id, item.item_id)
-                wanted.add(key)
-                if key not in self._runs_by_key:
-                    self._runs_by_key[key] = self._new_run(submission, item)
-                else:
-                    self._runs_by_key[key].submission = submission
-        for key in self._runs_by_key.keys() - wanted:
-            self._runs_by_key.pop(key).stop()
-
-    def _new_run(self, submission: Submission, item: Item) -> ItemRun:
-        return ItemRun.create(
-            submission,
-            item,
-            due_ms=self._due_ms(submission.host, submission),
-            prompt_parts=self._client.prompt_parts(item.headers),
-            now_ms=self._clock.now_ms(),
-        )
-
-    def _due_ms(self, host: str, submission: Submission) -> int:
-        route = self._routes.find(host, submission.target)
-        span_ms = route.run_deadline_ms if route is not None else 0
-        age_ms = self._clock.wall_ms() - submission.arrived_wall_ms
-        return self._clock.now_ms() - age_ms + span_ms
-
     def _start_waiting(self) -> None:
-        if self.stopping or not self._appends.has_capacity:
+        if self.hold is not None:
             return
-        if not self._follower.has_caught_up:
-            return  # submissions may have ended or have another owner by now
         now_ms = self._clock.now_ms()
-        waiting = [
-            run
-            for run in self._runs_by_key.values()
-            if not run.is_running and not run.is_done and run.not_before_ms <= now_ms
-        ]
+        waiting = self.runs.waiting(now_ms)
         no_slot_since_ms_by_route: dict[str, int] = {}
         shares = self._batch_shares() if waiting else BatchShares()
         for run in item_order.start_order(waiting, shares=shares, now_ms=now_ms):
@@ -230,7 +213,7 @@
         if self._is_past_retention(run, route):
             self._recorder.record_end(run, completed=False, reason="retention")
             return True
-        if pause_ms := self._crash_pause_ms(run):
+        if pause_ms := crash_pause_ms(self._fleet.crashes, run.prompt_parts):
             run.not_before_ms = now_ms + pause_ms
             return True
         worker = self._choose_worker(run, route, now_ms)
@@ -248,20 +231,12 @@
         return True
 
     def _batch_shares(self) -> BatchShares:
-        runs = self._runs_by_key.values()
-        return self._fleet.shares.batch_shares(run.customer_name for run in runs)
-
-    def _crash_pause_ms(self, run: ItemRun) -> int:
-        """Return how long to hold an item back after crashes under its prompt."""
-        age_ms = self._fleet.crashes.crash_age_ms(run.prompt_parts)
-        return max(0, CRASHING_ITEM_PAUSE_MS - age_ms) if age_ms is not None else 0
+        return self._fleet.shares.batch_shares(self.runs.customer_names)
 
     def _choose_worker(self, run: ItemRun, route: Route, now_ms: int) -> Worker | None:
         name = run.submission.route
-        since_ms = self._no_slot_since_ms_by_route.get(name, now_ms)
-        worker = self._placement.choose(
-            run, route, waited_ms=now_ms - since_ms, now_ms=now_ms
-        )
+        waited_ms = self.no_slot_ms(name, now_ms)
+        worker = self._placement.choose(run, route, waited_ms=waited_ms, now_ms=now_ms)
         if worker is None:
             return None
         self._no_slot_since_ms_by_route.pop(name, None)
@@ -382,13 +357,13 @@
 
     def _preempt_items(self) -> None:
         now_ms = self._clock.now_ms()
-        runs_by_worker = item_order.running_by_worker(self._runs_by_key.values())
+        runs_by_worker = item_order.running_by_worker(self.runs.all())
         for worker_id, runs in runs_by_worker.items():
             worker = self._fleet.workers.get(worker_id)
             if worker is None:
                 continue
             stopping_count = self._fleet.loads.own(worker_id).batch - len(runs)
-            count = self._capacity.items_to_preempt(worker, now_ms) - stopping_count
+            count = self.capacity.items_to_preempt(worker, now_ms) - stopping_count
             if count <= 0:
                 continue
             shares = self._batch_shares()
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -124,11 +124,11 @@
             return
         self._require_store()
         tokens = sum(item.tokens for item in new.items)
-        if self._exceeds_limit(route, new.customer, tokens):
+        if self.exceeds_limit(route, new.customer, tokens):
             await self._refresh()
             if self._table.ledger.get(new.submission_id) is not None:
                 return
-            if self._exceeds_limit(route, new.customer, tokens):
+            if self.exceeds_limit(route, new.customer, tokens):
                 raise self._too_large()
         records = self._encode_records(new, route)
         self._require_memory(sum(record.size_bytes for record in records))
@@ -138,6 +138,18 @@
         if self._table.ledger.get(new.submission_id) is None:
             raise self._too_large()
 
+    def check(
+        self, route: Route, customer: str, *, tokens: int, added_bytes: int
+    ) -> None:
+        """Raise what `submit` would raise for a new submission now; without an effect.
+
+        `submit` first reads the log anew where this raises `SubmissionTooLarge`.
+        """
+        self._require_store()
+        if self.exceeds_limit(route, customer, tokens):
+            raise self._too_large()
+        self._require_memory(added_bytes)
+
     async def _append_parts(self, records: tuple[KeyedRecord, ...]) -> int:
         """Append records in order, in as many appends as their sizes take.
 
@@ -241,8 +253,13 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
-    def _exceeds_limit(self, route: Route, customer: str, tokens: int) -> bool:
-        waiting = self._table.ledger.waiting_tokens(route.name, customer)
+    def waiting_tokens(self, route: Route, customer: str) -> int:
+        """Return the tokens of a customer's accepted items that wait on a route."""
+        return self._table.ledger.waiting_tokens(route.name, customer)
+
+    def exceeds_limit(self, route: Route, customer: str, tokens: int) -> bool:
+        """Return whether items of so many tokens are too many beside those waiting."""
+        waiting = self.waiting_tokens(route, customer)
         return bool(route.waiting_tokens) and waiting + tokens > route.waiting_tokens
 
     def _too_large(self) -> SubmissionTooLarge:
--- a/src/foxtailbank/token_bucket.py
+++ b/src/foxtailbank/token_bucket.py
@@ -58,8 +58,7 @@
 
     def available(self, now_ms: int) -> int:
         """Return the whole units in the bucket."""
-        self._refill(now_ms)
-        return max(0, self._level_micro // _MICRO_PER_UNIT)
+        return max(0, self._level_at(now_ms) // _MICRO_PER_UNIT)
 
     def put(self, amount: int, now_ms: int) -> None:
         """Add units from another bucket, up to the burst."""
@@ -76,9 +75,8 @@
         now_ms : int
             Current time in milliseconds.
         """
-        self._refill(now_ms)
         needed_micro = min(amount * _MICRO_PER_UNIT, self._burst_micro)
-        deficit_micro = needed_micro - self._level_micro
+        deficit_micro = needed_micro - self._level_at(now_ms)
         if deficit_micro <= 0:
             return 0
         return -(-deficit_micro // self._rate_milli_per_s)
@@ -142,9 +140,14 @@
             reservation.peak_micro = max(reservation.peak_micro, self._level_micro)
 
     def _refill(self, now_ms: int) -> None:
+        self._level_micro = self._level_at(now_ms)
+        self._at_ms = max(self._at_ms, now_ms)
+
+    def _level_at(self, now_ms: int) -> int:
+        """Return the level at a time, in millionths of a unit."""
         elapsed_ms = max(0, now_ms - self._at_ms)
-        self._at_ms += elapsed_ms
-        self._add(elapsed_ms * self._rate_milli_per_s)
+        refilled_micro = self._level_micro + elapsed_ms * self._rate_milli_per_s
+        return min(self._burst_micro, refilled_micro)
 
     def _add(self, micro: int) -> None:
         self._level_micro = min(self._burst_micro, self._level_micro + micro)
