--- a/src/foxtailbank/cli.py
+++ b/src/foxtailbank/cli.py
@@ -11,6 +11,7 @@
 from foxtailbank.cli_catalogue import add_catalogue
 from foxtailbank.cli_check import add_check
 from foxtailbank.cli_context import Context
+from foxtailbank.cli_explain import add_explain
 from foxtailbank.cli_failure import CommandFailed, failure_lines
 from foxtailbank.cli_fleet import add_fleet
 from foxtailbank.cli_report import add_report
@@ -36,6 +37,7 @@
     add_fleet(commands)
     add_report(commands)
     add_story(commands)
+    add_explain(commands)
     return parser
 
 
--- a/src/foxtailbank/cli_client.py
+++ b/src/foxtailbank/cli_client.py
@@ -76,6 +76,29 @@
         data = self._request(method, path, key=key, content=content)
         return _decode(data, reply, operation=f"{method} {path}")
 
+    def call_operators_port(self, path: str, *, reply: type[T]) -> T:
+        """Ask at an address that only operators and collectors reach, without a key.
+
+        Parameters
+        ----------
+        path : str
+            Path and query.
+        reply : type
+            Type that the response body is decoded to.
+
+        Returns
+        -------
+        object
+            The decoded response body.
+
+        Raises
+        ------
+        CommandFailed
+            The call was rejected or no response arrived.
+        """
+        data = self._request("GET", path, key="", content=None)
+        return _decode(data, reply, operation=f"GET {path}")
+
     def call_api(
         self,
         method: str,
@@ -189,7 +212,7 @@
 
 
 def _authorization_header(key: str) -> dict[str, str]:
-    return {"authorization": f"Bearer {key}"}
+    return {"authorization": f"Bearer {key}"} if key else {}
 
 
 def _require_key(key: str, key_name: str, flag: str, variable: str) -> None:
