--- a/src/foxtailbank/explain/explainer.py
+++ b/src/foxtailbank/explain/explainer.py
@@ -11,6 +11,7 @@
 from foxtailbank.explain.candidates import MAX_CANDIDATES
 from foxtailbank.explain.deciders import Deciders
 from foxtailbank.explain.explanation import (
+    ASKS_FIRST,
     CandidateView,
     CustomerView,
     Explanation,
@@ -31,7 +32,6 @@
 
 SEED = 0  # the same question in the same state has the same answer
 ACCEPTED_STATUS = 202
-ASKS = "asks"
 BATCH_METHOD = "POST"
 
 
@@ -78,6 +78,8 @@
     def _find_route(self, question: Question) -> Route:
         """Return the route; the checks before it are those of each real request."""
         routes = self._deciders.routes
+        if question.body_bytes > routes.limits.body_bytes:
+            raise RequestRefused(status=413, detail="request body too large")
         if self._deciders.context.gate.is_closed:
             raise VmStopping()
         if not routes.is_loaded:
@@ -85,8 +87,6 @@
         route = routes.find(question.host, question.path)
         if route is None:
             raise NoRoute(detail=f"{question.host}{question.path}")
-        if question.body_bytes > routes.limits.body_bytes:
-            raise RequestRefused(status=413, detail="request body too large")
         return route
 
     def _find_customer(self, question: Question, route: Route) -> Customer | None:
@@ -170,6 +170,7 @@
         age_ms = loads.mean_report_age_ms(context.clock.now_ms())
         return KnowledgeView(
             vm=self._vm_id,
+            zone=context.fleet.view.zone,
             configuration_version=self._deciders.routes.version,
             configuration_age_ms=self._deciders.lease.age_ms,
             peers_heard=loads.reporting_peer_count,
@@ -193,7 +194,7 @@
         return LimitView(
             rate_per_s=customer.rate_per_s,
             burst=customer.burst,
-            decision=outlook.outcome.value if outlook.outcome else ASKS,
+            decision=outlook.outcome.value if outlook.outcome else ASKS_FIRST,
             granting_vm=outlook.granting_vm,
             permits_here=outlook.in_stock,
             permits_left=outlook.in_bucket,
@@ -203,7 +204,7 @@
 
 
 def _refuse_for_limit(limit: LimitView | None) -> OutcomeView | None:
-    if limit is None or limit.decision in (ASKS, Outcome.GRANTED.value):
+    if limit is None or limit.decision in (ASKS_FIRST, Outcome.GRANTED.value):
         return None
     failure = RateLimited if limit.decision == Outcome.LIMIT.value else RateUnknown
     return OutcomeView(
--- a/src/foxtailbank/explain/explanation.py
+++ b/src/foxtailbank/explain/explanation.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+ASKS_FIRST = "asks_first"  # in place of a decision: the granting VM is asked
+
 
 class Result(enum.Enum):
     """What becomes of the request."""
@@ -68,7 +70,8 @@
     rate_per_s, burst : float
         Its limit.
     decision : str
-        An outcome of `rate_wait`, or ``asks`` if the granting VM is asked first.
+        An outcome of `rate_wait`, or `ASKS_FIRST`; then the outcome is that of a
+        request which gets a permit.
     granting_vm : str
         VM that grants its permits.
     permits_here : int
@@ -225,8 +228,8 @@
 
     Attributes
     ----------
-    vm : str
-        VM that answers.
+    vm, zone : str
+        VM that answers, and its availability zone.
     configuration_version : int
         Its configuration; -1 before the first.
     configuration_age_ms : int or None
@@ -238,6 +241,7 @@
     """
 
     vm: str
+    zone: str
     configuration_version: int
     configuration_age_ms: int | None
     peers_heard: int
--- a/src/foxtailbank/explain/online_answer.py
+++ b/src/foxtailbank/explain/online_answer.py
@@ -23,7 +23,7 @@
 from foxtailbank.forward.target_finder import TargetFinder
 
 REFUSED_STATUS = 503  # as in `FinalResponse`
-DRAWS = 32  # where chance decides; they take some milliseconds in a large fleet
+DRAWS = 16  # where chance decides; each takes as long as a real request's choice
 NO_WORKER_REACHED = "no_worker_reached"
 
 
--- a/src/foxtailbank/explain/render.py
+++ b/src/foxtailbank/explain/render.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from foxtailbank.explain.explanation import (
+    ASKS_FIRST,
     BatchView,
     CandidateView,
     CustomerView,
@@ -36,7 +37,7 @@
 def render(explanation: Explanation) -> str:
     """Return the lines of an explanation, the outcome first."""
     lines = [
-        _line("outcome", _outcome(explanation.outcome)),
+        _line("outcome", _outcome(explanation.outcome) + _condition(explanation)),
         _line("asked", _knowledge(explanation.knowledge)),
     ]
     if explanation.route is not None:
@@ -76,9 +77,16 @@
             return f"refused with {outcome.status}: {outcome.reason}{wait}"
 
 
+def _condition(explanation: Explanation) -> str:
+    limit = explanation.limit
+    if limit is None or limit.decision != ASKS_FIRST:
+        return ""
+    return f"; if {limit.granting_vm} grants a permit"
+
+
 def _knowledge(known: KnowledgeView) -> str:
     return (
-        f"{known.vm}; configuration {known.configuration_version}, "
+        f"{known.vm} in {known.zone}; configuration {known.configuration_version}, "
         f"{_age(known.configuration_age_ms)} old; load reports of "
         f"{known.peers_heard} of {known.peers} VMs, {_age(known.report_age_ms)} old"
     )
--- a/src/foxtailbank/fleet/crash_reports.py
+++ b/src/foxtailbank/fleet/crash_reports.py
@@ -36,9 +36,7 @@
         """Return a copy that can be asked without an effect on this one."""
         fork = copy.copy(self)
         fork._report_by_key = dict(self._report_by_key)
-        fork._workers_by_fingerprint = {
-            key: set(workers) for key, workers in self._workers_by_fingerprint.items()
-        }
+        fork._workers_by_fingerprint = dict(self._workers_by_fingerprint)
         fork._suspected_parts = set(self._suspected_parts)
         return fork
 
@@ -156,8 +154,9 @@
 
     def _remove(self, key: tuple[int, str]) -> None:
         report = self._report_by_key.pop(key)
-        workers = self._workers_by_fingerprint[report.fingerprint]
-        workers.discard(report.worker_id)
+        # Not the known set, which a fork may have, too.
+        workers = self._workers_by_fingerprint[report.fingerprint] - {report.worker_id}
+        self._workers_by_fingerprint[report.fingerprint] = workers
         if not workers:
             del self._workers_by_fingerprint[report.fingerprint]
         self._crashing = None
--- a/tests/explain_world.py
+++ b/tests/explain_world.py
@@ -5,6 +5,7 @@
 import random
 
 from customer_samples import make_customer
+from foxtailbank.address import parse_address
 from foxtailbank.clock import ManualClock
 from foxtailbank.customers.share_counts import customer_key
 from foxtailbank.explain.deciders import Deciders
@@ -23,6 +24,7 @@
     FakeLeases,
     FakeWorkerClient,
     make_logs,
+    make_report,
     make_route,
     make_routes,
     make_worker,
@@ -137,6 +139,14 @@
     def become_large(self):
         self.fleet.tiers.set_peer_count(PeerGroup.FAR, SMALL_GROUP + 1)
 
+    def lose_workers(self):
+        """Cut the VM off from its workers, which another VM reaches."""
+        for worker in self.fleet.workers.all():
+            self.fleet.reach.on_unreachable(worker)
+        address = parse_address("127.0.0.2:9")
+        peers = self.vm.relay._peers
+        peers.on_report(make_report("vm2"), address, self.clock.now_ms())
+
     def stop(self):
         self.vm.gate.close()
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -183,6 +183,15 @@
     assert world.ask("/open/x", customer="").outcome.result is Result.WORKER
 
 
+async def test_vm_that_carries_the_request_is_told():
+    world = World()
+    world.lose_workers()
+    answer = world.ask()
+    assert (answer.outcome.result, answer.outcome.endpoint) == (Result.PEER, "vm2")
+    assert not any(view.is_reached for view in answer.candidates)
+    assert "carried by VM vm2" in render(answer)
+
+
 async def test_limit_of_a_customer_is_told():
     world = World()
     limit = world.ask(customer="acme").limit
