Explain: waiting tokens also with a refused submission

Cause: a submission refused for its tokens showed neither those waiting nor their limit, as the check came before what it is about was looked at. A limit without an answer yet read "last answer - ago".

Change: the check of a submission comes last and replaces the outcome only.

Measured: tests/test_explain.py passes, the new test failed before (no batch part).

--- a/src/foxtailbank/explain/explainer.py
+++ b/src/foxtailbank/explain/explainer.py
@@ -67,13 +67,7 @@
                 return self._explain_item(question, route, customer, known)
             return self._explain_online(question, route, customer, known)
         except FoxtailbankError as failure:
-            outcome = OutcomeView(
-                result=Result.REFUSED,
-                status=failure.status,
-                reason=failure.code,
-                wait_ms=failure.retry_after_ms,
-            )
-            return msgspec.structs.replace(known, outcome=outcome)
+            return msgspec.structs.replace(known, outcome=_refusal(failure))
 
     def _find_route(self, question: Question) -> Route:
         """Return the route; the checks before it are those of each real request."""
@@ -129,8 +123,6 @@
         customer: Customer | None,
         known: Explanation,
     ) -> Explanation:
-        if not question.is_item:
-            self._check_submission(question, route, customer)
         rng = random.Random(SEED)
         answer = ItemQuestion(
             deciders=self._deciders,
@@ -143,6 +135,7 @@
         outcome = answer.outcome
         if not question.is_item:
             outcome = msgspec.structs.replace(outcome, status=ACCEPTED_STATUS)
+            outcome = self._refuse_submission(question, route, customer) or outcome
         return msgspec.structs.replace(
             known,
             outcome=outcome,
@@ -152,17 +145,21 @@
             candidate_count=len(answer.candidates),
         )
 
-    def _check_submission(
+    def _refuse_submission(
         self, question: Question, route: Route, customer: Customer | None
-    ) -> None:
+    ) -> OutcomeView | None:
         if question.method != BATCH_METHOD:
-            raise InvalidRequest(detail=f"method {question.method} on a batch route")
-        self._deciders.batch.check(
-            route,
-            customer.name if customer is not None else "",
-            tokens=question.tokens,
-            added_bytes=question.body_bytes,
-        )
+            return _refusal(InvalidRequest(detail="not sent by POST"))
+        try:
+            self._deciders.batch.check(
+                route,
+                customer.name if customer is not None else "",
+                tokens=question.tokens,
+                added_bytes=question.body_bytes,
+            )
+        except FoxtailbankError as failure:
+            return _refusal(failure)
+        return None
 
     def _knowledge(self) -> KnowledgeView:
         context = self._deciders.context
@@ -203,6 +200,15 @@
         )
 
 
+def _refusal(failure: FoxtailbankError) -> OutcomeView:
+    return OutcomeView(
+        result=Result.REFUSED,
+        status=failure.status,
+        reason=failure.code,
+        wait_ms=failure.retry_after_ms,
+    )
+
+
 def _refuse_for_limit(limit: LimitView | None) -> OutcomeView | None:
     if limit is None or limit.decision in (ASKS_FIRST, Outcome.GRANTED.value):
         return None
--- a/src/foxtailbank/explain/render.py
+++ b/src/foxtailbank/explain/render.py
@@ -81,7 +81,7 @@
     limit = explanation.limit
     if limit is None or limit.decision != ASKS_FIRST:
         return ""
-    return f"; if {limit.granting_vm} grants a permit"
+    return f", if {limit.granting_vm} grants a permit"
 
 
 def _knowledge(known: KnowledgeView) -> str:
@@ -111,10 +111,13 @@
 
 def _limit(limit: LimitView) -> str:
     left = "known to that VM" if limit.permits_left is None else limit.permits_left
+    answered = "none yet"
+    if limit.answer_age_ms is not None:
+        answered = f"{_age(limit.answer_age_ms)} ago"
     return (
         f"{limit.rate_per_s:g} requests/s, burst {limit.burst:g}: {limit.decision}; "
         f"granted by {limit.granting_vm}, permits held {limit.permits_here}, "
-        f"left {left}, last answer {_age(limit.answer_age_ms)} ago"
+        f"left {left}, last answer {answered}"
     )
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -192,6 +192,11 @@
     assert "carried by VM vm2" in render(answer)
 
 
+async def test_waiting_tokens_are_told_with_a_refusal():
+    batch = World().ask("/b/x", tokens=101).batch
+    assert (batch.waiting_tokens, batch.tokens_limit) == (0, 100)
+
+
 async def test_limit_of_a_customer_is_told():
     world = World()
     limit = world.ask(customer="acme").limit
