--- a/src/foxtailbank/customers/share_counts.py
+++ b/src/foxtailbank/customers/share_counts.py
@@ -95,10 +95,11 @@
         """Replace the counts of another VM by those in its newest report."""
         if not loads and vm_id not in self._loads_by_vm:
             return  # it knows of no customers, or has no requests of theirs
-        self.forget_vm(vm_id)
-        self._loads_by_vm[vm_id] = loads
+        if loads != self._loads_by_vm.get(vm_id):
+            self.forget_vm(vm_id)
+            self._loads_by_vm[vm_id] = loads
+            self._add_peer(loads, 1)
         self._received_ms_by_vm[vm_id] = now_ms
-        self._add_peer(loads, 1)
 
     def forget_vm(self, vm_id: str) -> None:
         """Drop the counts of a VM that is silent."""
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -29,6 +29,8 @@
 MIN_READ_WORDS = 1_024
 _NO_LIMIT = -1.0
 
+_Value = t.TypeVar("_Value")
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadReport:
@@ -122,58 +124,57 @@
         stopping=report.stopping,
         restoring=report.restoring,
     )
-    loads = builder.init("loads", len(report.load_by_worker))
-    for row, (worker_id, load) in zip(
-        loads, report.load_by_worker.items(), strict=True
-    ):
+    loads = tuple(report.load_by_worker.items())
+    for row, (worker_id, load) in _new_rows(builder, "loads", loads):
         row.worker = worker_id
         row.online = load.online
         row.batch = load.batch
         row.speed = report.speed_code_by_worker.get(worker_id, UNKNOWN_CODE)
-    crash_rows = builder.init(
-        "marks", min(len(report.crash_reports), MAX_CRASH_REPORTS)
-    )
-    for row, crash in zip(
-        crash_rows, report.crash_reports[-MAX_CRASH_REPORTS:], strict=True
-    ):
+    crashes = report.crash_reports[-MAX_CRASH_REPORTS:]
+    for row, crash in _new_rows(builder, "marks", crashes):
         row.fingerprint = crash.fingerprint
         row.worker = crash.worker_id
         row.crashedWallMs = crash.crashed_wall_ms
         row.answered = crash.answered
         row.parts = list(crash.prompt_parts)
     completions = report.completions[-MAX_COMPLETIONS:]
-    completion_rows = builder.init("completions", len(completions))
-    for row, completion in zip(completion_rows, completions, strict=True):
+    for row, completion in _new_rows(builder, "completions", completions):
         row.part = completion.part
         row.wallMs = completion.completed_wall_ms
-    limit_rows = builder.init("limits", len(report.limits))
-    for row, limit in zip(limit_rows, report.limits, strict=True):
+    for row, limit in _new_rows(builder, "limits", report.limits):
         row.worker = limit.worker_id
         row.perS = _NO_LIMIT if limit.per_s is None else limit.per_s
         row.ageMs = limit.age_ms
         row.sentCount = limit.sent_count
     _encode_streams(builder, report.streams[-MAX_STREAMS:])
-    builder.questions = list(report.questions)
-    builder.lostServices = list(report.lost_services)
-    draining_rows = builder.init("draining", len(report.draining))
-    for row, draining in zip(draining_rows, report.draining, strict=True):
+    if report.questions:
+        builder.questions = list(report.questions)
+    if report.lost_services:
+        builder.lostServices = list(report.lost_services)
+    for row, draining in _new_rows(builder, "draining", report.draining):
         row.process = draining.process_id
         row.ageMs = draining.age_ms
-    if report.customers:
-        customer_rows = builder.init("customers", len(report.customers))
-        for row, customer in zip(customer_rows, report.customers, strict=True):
-            row.key = customer.key
-            row.online = customer.online
-            row.batch = customer.batch
+    for row, customer in _new_rows(builder, "customers", report.customers):
+        row.key = customer.key
+        row.online = customer.online
+        row.batch = customer.batch
     return t.cast(bytes, builder.to_bytes_packed())
 
 
+def _new_rows(
+    builder: t.Any, name: str, values: t.Sequence[_Value]
+) -> t.Iterable[tuple[t.Any, _Value]]:
+    """Make a list of rows, none if it is empty; return each with its value."""
+    rows = builder.init(name, len(values)) if values else ()
+    return zip(rows, values, strict=True)
+
+
 def _encode_streams(builder: t.Any, streams: tuple[StreamReport, ...]) -> None:
     keys_by_origin: dict[StreamOrigin, list[int]] = collections.defaultdict(list)
     for stream in streams:
         keys_by_origin[stream.origin].append(stream.key)
-    rows = builder.init("streams", len(keys_by_origin))
-    for row, (origin, keys) in zip(rows, keys_by_origin.items(), strict=True):
+    origins = tuple(keys_by_origin.items())
+    for row, (origin, keys) in _new_rows(builder, "streams", origins):
         row.service = origin.service
         row.softwareVersion = origin.software_version
         row.process = origin.process_id
@@ -182,7 +183,7 @@
 
 def _decode_streams(reader: t.Any) -> tuple[StreamReport, ...]:
     streams = []
-    for row in reader.streams:
+    for row in _list(reader, "streams"):
         origin = StreamOrigin(
             service=row.service,
             software_version=row.softwareVersion,
@@ -192,6 +193,29 @@
     return tuple(streams)
 
 
+def _read_loads(rows: t.Any) -> tuple[dict[str, WorkerLoad], dict[str, int]]:
+    """Return the loads and the speed codes by worker."""
+    load_by_worker = {}
+    code_by_worker = {}
+    for row in rows:
+        get = row._get
+        worker_id = get("worker")
+        load_by_worker[worker_id] = WorkerLoad(online=get("online"), batch=get("batch"))
+        if (code := get("speed")) != UNKNOWN_CODE:
+            code_by_worker[worker_id] = code
+    return load_by_worker, code_by_worker
+
+
+def _read_customer(row: t.Any) -> CustomerLoad:
+    get = row._get
+    return CustomerLoad(key=get("key"), online=get("online"), batch=get("batch"))
+
+
+def _list(reader: t.Any, name: str) -> t.Any:
+    """Return the rows of a list; most lists of most reports are empty."""
+    return reader._get(name) if reader._has(name) else ()
+
+
 def decode(datagram: bytes) -> LoadReport:
     """Decode a datagram.
 
@@ -206,22 +230,17 @@
             datagram,
             traversal_limit_in_words=READS_PER_WORD * word_count + MIN_READ_WORDS,
         )
+        load_by_worker, speed_code_by_worker = _read_loads(_list(reader, "loads"))
+        get = reader._get
         report = LoadReport(
-            vm_id=reader.vmId,
-            zone=reader.zone,
-            incarnation=reader.incarnation,
-            sequence=reader.sequence,
-            stopping=reader.stopping,
-            restoring=reader.restoring,
-            load_by_worker={
-                row.worker: WorkerLoad(online=row.online, batch=row.batch)
-                for row in reader.loads
-            },
-            speed_code_by_worker={
-                row.worker: row.speed
-                for row in reader.loads
-                if row.speed != UNKNOWN_CODE
-            },
+            vm_id=get("vmId"),
+            zone=get("zone"),
+            incarnation=get("incarnation"),
+            sequence=get("sequence"),
+            stopping=get("stopping"),
+            restoring=get("restoring"),
+            load_by_worker=load_by_worker,
+            speed_code_by_worker=speed_code_by_worker,
             crash_reports=tuple(
                 CrashReport(
                     fingerprint=row.fingerprint,
@@ -230,11 +249,11 @@
                     answered=row.answered,
                     prompt_parts=tuple(row.parts),
                 )
-                for row in reader.marks
+                for row in _list(reader, "marks")
             ),
             completions=tuple(
                 PartCompletion(part=row.part, completed_wall_ms=row.wallMs)
-                for row in reader.completions
+                for row in _list(reader, "completions")
             ),
             limits=tuple(
                 LimitReport(
@@ -243,19 +262,16 @@
                     age_ms=row.ageMs,
                     sent_count=row.sentCount,
                 )
-                for row in reader.limits
+                for row in _list(reader, "limits")
             ),
             streams=_decode_streams(reader),
-            questions=tuple(reader.questions),
-            lost_services=tuple(reader.lostServices),
+            questions=tuple(_list(reader, "questions")),
+            lost_services=tuple(_list(reader, "lostServices")),
             draining=tuple(
                 DrainingReport(process_id=row.process, age_ms=row.ageMs)
-                for row in reader.draining
-            ),
-            customers=tuple(
-                CustomerLoad(key=row.key, online=row.online, batch=row.batch)
-                for row in reader.customers
+                for row in _list(reader, "draining")
             ),
+            customers=tuple(_read_customer(row) for row in _list(reader, "customers")),
         )
         _check(report)
         return report
