A choice of a worker and the count of a report cost less

Cause: each choice asked every worker for its limit also where none is limited, and the count of a worker's requests went through three calls. A report that had hardly changed was subtracted and added row by row.

Change: limits are looked at if there are any; counts are summed in place; only the rows that differ from the VM's last report are counted.

--- a/src/foxtailbank/fleet/load_table.py
+++ b/src/foxtailbank/fleet/load_table.py
@@ -83,12 +83,21 @@
     def on_report(self, report: PeerLoad, now_ms: int) -> None:
         """Replace the load of another VM by that in its newest report."""
         known = self._peer_load_by_vm.get(report.vm_id)
-        if known is not None:
-            self._add_peer(known, -1)
         self._peer_load_by_vm[report.vm_id] = report
         self._received_ms_sum += now_ms - self._received_ms_by_vm.get(report.vm_id, 0)
         self._received_ms_by_vm[report.vm_id] = now_ms
-        self._add_peer(report, 1)
+        before: t.Mapping[str, WorkerLoad] = {}
+        if known is not None and known.zone == report.zone:
+            before = known.load_by_worker  # most rows of a report are as in the last
+        elif known is not None:
+            self._remove_peer(known)
+        for worker_id, load in report.load_by_worker.items():
+            old = before.get(worker_id, NO_LOAD)
+            if load != old:
+                self._replace_row(report.zone, worker_id, load, old)
+        for worker_id, old in before.items():
+            if worker_id not in report.load_by_worker:
+                self._replace_row(report.zone, worker_id, NO_LOAD, old)
 
     def expire(self, now_ms: int, timeout_ms: int) -> tuple[str, ...]:
         """Remove peers whose last report is too old and return their ids."""
@@ -99,7 +108,7 @@
         )
         for vm_id in silent:
             self._received_ms_sum -= self._received_ms_by_vm.pop(vm_id)
-            self._add_peer(self._peer_load_by_vm.pop(vm_id), -1)
+            self._remove_peer(self._peer_load_by_vm.pop(vm_id))
         return silent
 
     @property
@@ -122,7 +131,9 @@
 
     def count(self, worker_id: str) -> int:
         """Return the number of requests of all VMs in flight on a worker."""
-        return self.own_count(worker_id) + self.peer_count(worker_id)
+        own = self._own.get(worker_id, NO_LOAD)
+        peers = self._peer_online[worker_id] + self._peer_batch[worker_id]
+        return own.online + own.batch + peers
 
     def own(self, worker_id: str) -> WorkerLoad:
         """Return the requests of this VM in flight on a worker."""
@@ -145,6 +156,29 @@
         own = self._own.get(worker_id, NO_LOAD)
         return own.online + self._peer_online[worker_id]
 
+    def online_from_vms(
+        self, vm_ids: t.Iterable[str], worker_ids: t.Container[str]
+    ) -> int:
+        """Return the online requests of this VM and of some others.
+
+        Parameters
+        ----------
+        vm_ids : iterable of str
+            The other VMs; those that don't report, as this one, add nothing.
+        worker_ids : container of str
+            Workers on which the requests are in flight.
+        """
+        loads_of_vms = [self._own]
+        for vm_id in vm_ids:
+            if peer := self._peer_load_by_vm.get(vm_id):
+                loads_of_vms.append(peer.load_by_worker)
+        return sum(
+            load.online
+            for load_by_worker in loads_of_vms
+            for worker_id, load in load_by_worker.items()
+            if worker_id in worker_ids
+        )
+
     def online_from_zone(self, zone: str, worker_ids: t.Iterable[str]) -> int:
         """Return the online requests of this VM and the others of its zone.
 
@@ -179,14 +213,21 @@
         else:
             self._own.pop(worker_id, None)
 
-    def _add_peer(self, peer: PeerLoad, sign: int) -> None:
+    def _remove_peer(self, peer: PeerLoad) -> None:
         for worker_id, load in peer.load_by_worker.items():
-            self._peer_online[worker_id] += sign * load.online
-            self._peer_batch[worker_id] += sign * load.batch
-            origin = (peer.zone, worker_id)
-            self._peer_online_by_origin[origin] += sign * load.online
+            self._replace_row(peer.zone, worker_id, NO_LOAD, load)
+
+    def _replace_row(
+        self, zone: str, worker_id: str, new: WorkerLoad, old: WorkerLoad
+    ) -> None:
+        """Count what one peer has on a worker in place of what it had."""
+        if online := new.online - old.online:
+            origin = (zone, worker_id)
+            self._peer_online_by_origin[origin] += online
             if not self._peer_online_by_origin[origin]:
                 del self._peer_online_by_origin[origin]
-            if not self._peer_online[worker_id] and not self._peer_batch[worker_id]:
-                del self._peer_online[worker_id]
-                del self._peer_batch[worker_id]
+        self._peer_online[worker_id] += online
+        self._peer_batch[worker_id] += new.batch - old.batch
+        if not self._peer_online[worker_id] and not self._peer_batch[worker_id]:
+            del self._peer_online[worker_id]
+            del self._peer_batch[worker_id]
--- a/src/foxtailbank/fleet/placement.py
+++ b/src/foxtailbank/fleet/placement.py
@@ -130,7 +130,9 @@
         if not untried:
             return Refusal(reason=RefusalReason.NO_SAME_VERSION, wait_ms=mean_ms)
         tiers = self._tiers.for_workers(workers)
-        accepting = [w for w in untried if not self._limit_wait_ms(w, now_ms)]
+        accepting = untried
+        if self._view.has_limits:
+            accepting = [w for w in untried if not self._limit_wait_ms(w, now_ms)]
         if not accepting:
             wait_ms = min(self._limit_wait_ms(w, now_ms) for w in untried)
             return Refusal(reason=RefusalReason.LIMITED, wait_ms=wait_ms)
--- a/src/foxtailbank/fleet/worker_limits.py
+++ b/src/foxtailbank/fleet/worker_limits.py
@@ -108,6 +108,11 @@
         self._sent_ms_by_id[worker_id] = now_ms
         self._fill(worker_id, 1, now_ms)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any worker is limited."""
+        return bool(self._limit_by_id)
+
     def is_limited(self, worker_id: str) -> bool:
         """Return whether a worker names a limit."""
         return worker_id in self._limit_by_id
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -62,6 +62,11 @@
             return False
         return not self._health.is_avoided(worker.worker_id, now_ms)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any worker is limited."""
+        return self._limits.has_limits
+
     def limit_wait_ms(self, worker: Worker, kind: LoadKind, now_ms: int) -> float:
         """Return the time until a worker's limit lets another request pass.
 
