A burst is recognised by the reports of the cell

Change: in a split zone the sample is the load of the cell's VMs and workers, scaled by the ratio of the means of zone and cell over 10 s, as cells have unequal clients.

The test fails with the former sign.

--- a/src/foxtailbank/fleet/distance_tiers.py
+++ b/src/foxtailbank/fleet/distance_tiers.py
@@ -75,6 +75,11 @@
         """Whether this VM's zone is split into several cells."""
         return self._cell is not None and self._cell.count > 1
 
+    @property
+    def cell_vm_ids(self) -> frozenset[str]:
+        """VMs of this VM's cell, itself included; alone before cells are known."""
+        return self._cell.vm_ids if self._cell else frozenset({self._vm_id})
+
     @property
     def is_large_fleet(self) -> bool:
         """Whether there are so many VMs that load reports are stale."""
@@ -134,6 +139,11 @@
         known = self._cached_by_service.get(worker.service)
         return known is not None and worker.worker_id in known.cell_ids
 
+    def cell_workers(self, workers: tuple[Worker, ...]) -> list[Worker]:
+        """Return those workers of a service that this VM's cell uses first."""
+        self.for_workers(workers)
+        return [worker for worker in workers if self.is_in_cell(worker)]
+
     def sample(self, tier: t.Sequence[Worker], number: int) -> t.Sequence[Worker]:
         """Return the workers of a tier from which the least loaded one is chosen.
 
--- a/src/foxtailbank/fleet/worker_view.py
+++ b/src/foxtailbank/fleet/worker_view.py
@@ -138,17 +138,68 @@
             Divided by slots, as in `online_share`.
         """
         near = [worker for worker in workers if worker.zone == self.zone]
-        share = self.online_share(near or workers, now_ms)
+        worker_ids = [worker.worker_id for worker in workers]
+        sent = self.loads.online_from_zone(self.zone, worker_ids)
+        vms = self.tiers.zone_peer_count + 1
+        return self._group_online_share(workers, near, sent, vms, now_ms)
+
+    def cell_online_share(
+        self, workers: tuple[Worker, ...], now_ms: int
+    ) -> float | None:
+        """Return the online load of this VM's cell, which is known within 0.1 s.
+
+        It is measured as that of the zone is by `zone_online_share`. VMs have unequal
+        numbers of clients, so that it is above or below that of the zone.
+
+        Parameters
+        ----------
+        workers : tuple of Worker
+            Workers of one service.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        float or None
+            Divided by slots, as in `online_share`.
+        """
+        first = self.tiers.cell_workers(workers)
+        worker_ids = {worker.worker_id for worker in workers}
+        vm_ids = self.tiers.cell_vm_ids
+        sent = self.loads.online_from_vms(vm_ids, worker_ids)
+        return self._group_online_share(workers, first, sent, len(vm_ids), now_ms)
+
+    def _group_online_share(
+        self,
+        workers: t.Sequence[Worker],
+        used_first: t.Sequence[Worker],
+        sent: int,
+        vms: int,
+        now_ms: int,
+    ) -> float | None:
+        """Return the online load of some VMs that use some of the workers first.
+
+        Parameters
+        ----------
+        workers : sequence of Worker
+            Workers of one service.
+        used_first : sequence of Worker
+            Those that the VMs use first.
+        sent : int
+            Online requests of the VMs in flight, on all workers.
+        vms : int
+            Number of the VMs.
+        now_ms : int
+            Current time.
+        """
+        share = self.online_share(used_first or workers, now_ms)
         slots = sum(
             worker.slots for worker in workers if self.is_healthy(worker, now_ms)
         )
         if share is None or not slots:
             return None
-        near_vms = self.tiers.zone_peer_count + 1
-        vms = self.tiers.total_peer_count + 1
-        worker_ids = (worker.worker_id for worker in workers)
-        sent = self.loads.online_from_zone(self.zone, worker_ids)
-        return max(share, sent * vms / (slots * near_vms))
+        all_vms = self.tiers.total_peer_count + 1
+        return max(share, sent * all_vms / (slots * vms))
 
     def has_free_slot(self, worker: Worker, now_ms: int, *, reserve: int = 0) -> bool:
         """Return whether a worker has a free slot.
--- a/src/foxtailbank/submissions/online_reserve.py
+++ b/src/foxtailbank/submissions/online_reserve.py
@@ -12,6 +12,7 @@
 
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.fleet.worker_view import WorkerView
+from foxtailbank.submissions.cell_scale import CellScale
 from foxtailbank.submissions.online_bursts import OnlineBursts
 from foxtailbank.submissions.online_peak import OnlinePeak
 
@@ -41,6 +42,9 @@
         self._bursts_by_service: dict[str, OnlineBursts] = collections.defaultdict(
             OnlineBursts
         )
+        self._cell_scale_by_service: dict[str, CellScale] = collections.defaultdict(
+            CellScale
+        )
 
     def observe(
         self, workers_by_service: t.Mapping[str, tuple[Worker, ...]], now_ms: int
@@ -51,6 +55,7 @@
         if not self._view.hears_peers:
             self._peak_by_service.clear()
             self._bursts_by_service.clear()
+            self._cell_scale_by_service.clear()
             return
         for service, workers in workers_by_service.items():
             peak = self._peak_by_service[service]
@@ -60,10 +65,22 @@
                     peak.add(share, now_ms)
             bursts = self._bursts_by_service[service]
             if bursts.is_due(now_ms):
-                share = self._view.zone_online_share(workers, now_ms)
+                share = self._burst_sample(service, workers, now_ms)
                 if share is not None:
                     bursts.add(share, now_ms)
 
+    def _burst_sample(
+        self, service: str, workers: tuple[Worker, ...], now_ms: int
+    ) -> float | None:
+        """Return the online load by which bursts are recognized."""
+        zone_share = self._view.zone_online_share(workers, now_ms)
+        if not self._view.tiers.is_split:
+            return zone_share
+        cell_share = self._view.cell_online_share(workers, now_ms)
+        if zone_share is None or cell_share is None:
+            return None
+        return self._cell_scale_by_service[service].scale(cell_share, zone_share)
+
     def is_burst_on(self, service: str) -> bool:
         """Return whether a burst has begun and is not over."""
         return self._burst_share(service) is not None
--- a/tests/burst_fleet.py
+++ b/tests/burst_fleet.py
@@ -11,9 +11,9 @@
 
 from foxtailbank.clock import ManualClock
 from foxtailbank.customers.share_counts import BATCH_POOL, customer_key
-from foxtailbank.fleet import report_intervals
+from foxtailbank.fleet import report_cells
 from foxtailbank.fleet.load_table import LoadKind, PeerLoad
-from foxtailbank.fleet.report_intervals import PeerGroup
+from foxtailbank.fleet.report_intervals import PeerGroup, send_interval_ms
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward import wait_limits
 from foxtailbank.forward.fleet_state import FleetState
@@ -59,6 +59,7 @@
         self.vm_id = vm_id
         self.zone = zone
         self.items = []
+        self.cell_vm_ids = frozenset()
         self.waiting_since_ms = None
         routes = RouteTable()
         routes.apply(make_routes(customers=customers))
@@ -90,6 +91,7 @@
         speeds=(1.0,),
         report_loss=0.0,
         customers=(),
+        is_split=False,
     ):
         self.slots = slots
         self.report_loss = report_loss  # share of the reports that get lost
@@ -132,8 +134,13 @@
         ]
         for vm in self.vms:
             self._after(self.rng.uniform(0, TICK_MS), self._tick, vm)
-            for group, count in peers.items():
-                interval_ms = report_intervals.min_interval_ms(count)
+            if is_split:
+                self._split(vm)
+            for group in PeerGroup:
+                count = vm.fleet.tiers.peer_count(group)
+                if not count:
+                    continue
+                interval_ms = send_interval_ms(group, count, is_split=is_split)
                 self._after(
                     self.rng.uniform(0, interval_ms),
                     self._report,
@@ -142,6 +149,15 @@
                     interval_ms,
                 )
 
+    def _split(self, vm):
+        in_zone = [other.vm_id for other in self.vms if other.zone == vm.zone]
+        cell = report_cells.find_cell(vm.vm_id, in_zone)
+        vm.cell_vm_ids = cell.vm_ids
+        tiers = vm.fleet.tiers
+        tiers.set_cell(cell)
+        tiers.set_peer_count(PeerGroup.CELL, len(cell.vm_ids) - 1)
+        tiers.set_peer_count(PeerGroup.NEAR, len(in_zone) - len(cell.vm_ids))
+
     @property
     def now_ms(self):
         return self.clock.now_ms() - self.start_ms
@@ -184,8 +200,7 @@
             zone=vm.zone,
         )
         for other in self.vms:
-            is_near = other.zone == vm.zone
-            if other is vm or is_near != (group is PeerGroup.NEAR):
+            if other is vm or _group(vm, other) is not group:
                 continue
             if not self.report_loss or self.rng.random() >= self.report_loss:
                 other.fleet.loads.on_report(load, self.clock.now_ms())
@@ -305,3 +320,11 @@
         item.not_before_ms = self.now_ms + PREEMPTION_PAUSE_MS
         self._leave(item)
         vm.items.append(item)
+
+
+def _group(vm, other):
+    """Return the group of peers that another VM is in."""
+    if other.zone != vm.zone:
+        return PeerGroup.FAR
+    is_in_cell = other.vm_id in vm.cell_vm_ids
+    return PeerGroup.CELL if is_in_cell else PeerGroup.NEAR
--- a/tests/test_report_cells.py
+++ b/tests/test_report_cells.py
@@ -7,9 +7,9 @@
 from burst_fleet import SimVm
 from foxtailbank.address import parse_address
 from foxtailbank.clock import MS_PER_S, ManualClock
-from foxtailbank.fleet.load_table import LoadKind
+from foxtailbank.fleet.load_table import LoadKind, PeerLoad, WorkerLoad
 from foxtailbank.fleet.peer_table import PeerTable
-from foxtailbank.fleet.report_cells import CELL_VMS, find_cell, workers_of
+from foxtailbank.fleet.report_cells import CELL_VMS, Cell, find_cell, workers_of
 from foxtailbank.fleet.report_intervals import (
     SMALL_GROUP,
     PeerGroup,
@@ -117,3 +117,43 @@
     slots = sum(worker.slots for worker in workers)
     share = vm.fleet.view.zone_online_share(workers, 1_000)
     assert share == 4 * 27 / (slots * 9)
+
+
+# Guards against bursts that a VM notices only when the other cells of its zone report.
+@pytest.mark.parametrize("in_cell", [0, 5])
+def test_a_burst_is_noticed_by_the_reports_of_the_cell(in_cell):
+    clock = ManualClock(start_ms=1_000)
+    vm_ids = [f"vm{n}" for n in range(9)]
+    peers = {PeerGroup.CELL: in_cell, PeerGroup.NEAR: 8 - in_cell, PeerGroup.FAR: 18}
+    workers = [make_worker(f"w{n}", zone=f"z{n}", slots=90) for n in range(1, 4)]
+    vm = SimVm(
+        vm_id="vm0",
+        zone="z1",
+        workers=workers,
+        clock=clock,
+        rng=random.Random(1),
+        customers=(),
+        peers=peers,
+    )
+    if in_cell:
+        cell = Cell(index=0, count=2, vm_ids=frozenset(vm_ids[: in_cell + 1]))
+        vm.fleet.tiers.set_cell(cell)
+
+    def sample(reporting, online):
+        load = {"w2": WorkerLoad(online=online)}
+        for vm_id in reporting:
+            zone = "z1" if vm_id in vm_ids else "z2"
+            peer = PeerLoad(vm_id=vm_id, incarnation=1, load_by_worker=load, zone=zone)
+            vm.fleet.loads.on_report(peer, clock.now_ms())
+        clock.advance(100)
+        usable = vm.fleet.workers.usable_by_service()
+        vm.capacity.observe_online_load(usable, clock.now_ms())
+
+    reserve = vm.capacity._reserve
+    far = [f"far{n}" for n in range(18)]
+    for online in (2, 9, 2):
+        for _ in range(30):
+            sample([*vm_ids[1:], *far], online)
+        assert reserve.is_burst_on("s") is (online == 9)
+    sample(vm_ids[1:6], 4)
+    assert reserve.is_burst_on("s") is (in_cell > 0)
