--- a/tests/explain_world.py
+++ b/tests/explain_world.py
@@ -18,6 +18,7 @@
 from foxtailbank.memory_limits import MemoryLimits
 from foxtailbank.metrics import Metrics
 from foxtailbank.serving_vm import ServingVm, StoreLimits, VmIdentity
+from foxtailbank.submissions.records import Item, Submitted
 from serving_fakes import (
     PASS_MS,
     FakeKeyedLog,
@@ -139,6 +140,28 @@
     def become_large(self):
         self.fleet.tiers.set_peer_count(PeerGroup.FAR, SMALL_GROUP + 1)
 
+    def queue_item(self):
+        """Let an item wait that found no slot, until there is room again."""
+        item = Item(item_id="i", target="/b/x", headers=(), body=b"", tokens=1)
+        record = Submitted(
+            submission_id="s1",
+            attempt="1",
+            route="b",
+            host="h",
+            target="/b/x",
+            arrived_wall_ms=self.clock.wall_ms(),
+            waiting_limit=0,
+            owner="vm1/1",
+            items=(item,),
+            customer="bee",
+        )
+        self.vm.batch._table.ledger.apply(record)
+        self.vm.runner.runs.sync()
+        self.load(SLOTS)
+        self.vm.runner._start_waiting()
+        self.clock.advance(10)
+        self.load(0)
+
     def lose_workers(self):
         """Cut the VM off from its workers, which another VM reaches."""
         for worker in self.fleet.workers.all():
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -78,6 +78,9 @@
             lambda w: w.load(SLOTS), {"target": "/b/x"}, "no_slot", "no_free_slot"
         ),
         pytest.param(World.drain, {"target": "/b/x"}, "no_slot", "draining"),
+        pytest.param(
+            World.queue_item, {"target": "/b/x"}, "order", None, id="batch-order"
+        ),
         pytest.param(
             World.spread_crashes,
             {"target": "/b/x", "prompt_parts": (5,)},
