--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -57,6 +57,9 @@
     RATE_ADMITTED = "rate_admitted"
     RATE_REFUSED = "rate_refused"
     CONNECTIONS_CLOSED = "connections_closed"
+    STORE_CALLS = "store_calls"
+    STORE_REPEATS = "store_repeats"
+    STORE_BYTES = "store_bytes"
 
 
 class Gauge(enum.Enum):
@@ -74,6 +77,7 @@
     READY = "ready"
     CONNECTIONS = "connections"
     CONNECTION_BYTES = "connection_bytes"
+    STORE_CALLS_IN_FLIGHT = "store_calls_in_flight"
 
 
 class Metrics:
