Reads of a log are bounded by what the store can serve to all VMs in time

Cause: the store serves the reads of all VMs one after the other at read_mb_s (80 MB a second). Each of 71 VMs read up to 1 MB a call: with all behind, one round takes 0.9 s, and 1.8 s as callers' syncs read the same records beside the follower. Calls are given up after 1 s (1.8 s for a long poll), what the store has read for them is lost, and the same bytes are asked for again. Change: ReadShare bounds a read by 150 ms of this VM's share of the store's rate and of half its link. A sync leaves a backlog to the follower as long as its reads come back. Pages of newest records, whose size the caller can't choose, may wait for a page of each other VM.

--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -240,11 +240,17 @@
                 return
 
     async def _wait_for_backlog(self) -> None:
-        """Leave a known backlog to `run`, whose reads a second one would slow down."""
+        """Leave a known backlog to `run` as long as its reads come back.
+
+        A second read of the same records would slow these down. It is sent only if
+        none came back for a while, as their connection may be broken.
+        """
         self._await_offset(self.known_end)
-        with anyio.move_on_after(BACKLOG_WAIT_MS / MS_PER_S):
-            while self.next_offset < self.known_end and not self.is_failing:
+        while self.next_offset < self.known_end and not self.is_failing:
+            with anyio.move_on_after(BACKLOG_WAIT_MS / MS_PER_S) as wait:
                 await self._changed.wait()
+            if wait.cancelled_caught:
+                return
 
     async def _restore(self) -> None:
         requested_ms = self._clock.now_ms()
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -147,6 +147,8 @@
         Serves batch submissions.
     runner : Runner
         Runs batch items.
+    peers : PeerTable
+        The other VMs.
     relay : PeerRelay
         Carries requests to other VMs, and bounds what it carries out for them.
     """
@@ -186,6 +188,7 @@
             rng=rng,
         )
         peers = PeerTable(vm_id=identity.vm_id, zone=identity.zone)
+        self.peers = peers
         self.rates = RateLimiter(
             vm_id=identity.vm_id,
             incarnation=identity.incarnation,
--- /dev/null
+++ b/src/foxtailbank_bench/measure_store_reads.py
@@ -0,0 +1,255 @@
+"""Simulates how the VMs of a fleet keep up with the submission log; prints JSON lines.
+
+All VMs follow one log with the product's own follower. The store serves their reads
+one after the other at a limited rate; those given up cost it as much as the others.
+"""
+
+import argparse
+import dataclasses
+import io
+import random
+import sys
+import typing as t
+
+import anyio
+import anyio.abc
+import msgspec
+
+from foxtailbank.clock import MS_PER_S
+from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.keyed_log import (
+    AppendId,
+    KeyedLog,
+    KeyedRecord,
+    LogSlice,
+    StoreResponseLost,
+)
+from foxtailbank.log_follower import LogFollower, LogState
+from foxtailbank.logs import Logs
+from foxtailbank.read_share import ReadShare
+from foxtailbank.serving_vm import SUBMISSIONS_READ_PAUSE_MS
+from foxtailbank.submissions.service import MAX_STATE_AGE_MS
+from foxtailbank_bench.simulated_loop import LoopClock, run_simulated
+
+MAX_READ_BYTES = 1 << 20
+CALL_TIMEOUT_MS = 1_000
+CALL_MS = 4
+SYNCS_PER_S = 2.0  # of each VM, by callers who wait for results
+DRAIN_S = 10  # after the last record
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetSpec:
+    """A fleet, its store and its load.
+
+    Attributes
+    ----------
+    vm_count : int
+        VMs that follow the log.
+    read_bytes_per_s : float
+        Rate at which the store serves all reads.
+    records_per_s : float
+        Records that are appended.
+    record_bytes : int
+        Size of each.
+    duration_s : int
+        How long records are appended, in seconds.
+    bounds_reads : bool
+        Whether reads are bounded by `ReadShare`.
+    """
+
+    vm_count: int = 71
+    read_bytes_per_s: float = 80e6
+    records_per_s: float = 50.0
+    record_bytes: int = 20_000
+    duration_s: int = 20
+    bounds_reads: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetResult:
+    """What became of the reads.
+
+    Attributes
+    ----------
+    calls, lost_calls : int
+        Reads sent, and those of them that were given up.
+    read_bytes : float
+        Read by the store, for each byte of the log and each VM.
+    syncs, failed_syncs : int
+        Callers who needed a recent state, and those who got none.
+    unread_at_end : int
+        Most records that a VM has not read at the end of the load.
+    unread_after_drain : int
+        The same some seconds later.
+    """
+
+    calls: int
+    lost_calls: int
+    read_bytes: float
+    syncs: int
+    failed_syncs: int
+    unread_at_end: int
+    unread_after_drain: int
+
+
+class _Store:
+    """Records, and when the store will have served the reads that it holds."""
+
+    def __init__(self, spec: FleetSpec) -> None:
+        self.spec = spec
+        self.end = 0
+        self.appended = anyio.Event()
+        self.calls = 0
+        self.lost_calls = 0
+        self.read_count = 0
+        self._free_s = 0.0
+
+    def append(self) -> None:
+        self.end += 1
+        self.appended.set()
+        self.appended = anyio.Event()
+
+    async def serve(self, record_count: int) -> None:
+        now_s = anyio.current_time()
+        self.read_count += record_count
+        size_bytes = record_count * self.spec.record_bytes
+        read_s = size_bytes / self.spec.read_bytes_per_s
+        self._free_s = max(now_s, self._free_s) + read_s
+        await anyio.sleep(self._free_s - now_s + CALL_MS / MS_PER_S)
+
+
+class _Log(KeyedLog):
+    def __init__(self, store: _Store, share: ReadShare) -> None:
+        self._store = store
+        self._share = share
+
+    async def read_newest(self) -> LogSlice:
+        return LogSlice(records=(), end=0)
+
+    async def read(self, *, start: int, wait_ms: int) -> LogSlice:
+        self._store.calls += 1
+        try:
+            with anyio.fail_after((wait_ms + CALL_TIMEOUT_MS) / MS_PER_S):
+                return await self._read(start, wait_ms)
+        except TimeoutError as error:
+            self._store.lost_calls += 1
+            raise StoreResponseLost(detail="given up") from error
+
+    async def _read(self, start: int, wait_ms: int) -> LogSlice:
+        with anyio.move_on_after(wait_ms / MS_PER_S):
+            while start >= self._store.end:
+                await self._store.appended.wait()
+        end = self._store.end
+        max_bytes = self._share.read_bytes(MAX_READ_BYTES)
+        max_count = max(1, max_bytes // self._store.spec.record_bytes)
+        offsets = range(start, min(end, start + max_count))
+        await self._store.serve(len(offsets))
+        records = tuple(KeyedRecord(key="k", value=b"", offset=n) for n in offsets)
+        return LogSlice(records=records, end=end)
+
+    async def append(
+        self, records: tuple[KeyedRecord, ...], *, append_id: AppendId
+    ) -> int:
+        raise NotImplementedError
+
+
+class _NoState(LogState):
+    def restore(self, newest: LogSlice) -> None:
+        pass
+
+    def apply_records(self, part: LogSlice) -> None:
+        pass
+
+
+class _Fleet:
+    def __init__(self, spec: FleetSpec) -> None:
+        self._spec = spec
+        self._store = _Store(spec)
+        self._rng = random.Random(1)
+        self._syncs = 0
+        self._failed_syncs = 0
+        rate = spec.read_bytes_per_s if spec.bounds_reads else 0.0
+        share = ReadShare(store_bytes_per_s=rate)
+        share.set_vm_count(lambda: spec.vm_count)
+        self._followers = [
+            LogFollower(
+                name="submissions",
+                log=_Log(self._store, share),
+                state=_NoState(),
+                pause_ms=SUBMISSIONS_READ_PAUSE_MS,
+                logs=Logs(vm=f"vm-{number}", zone="", stream=io.StringIO()),
+                clock=LoopClock(),
+            )
+            for number in range(spec.vm_count)
+        ]
+
+    async def play(self) -> FleetResult:
+        async with anyio.create_task_group() as group:
+            for follower in self._followers:
+                group.start_soon(follower.run)
+                group.start_soon(self._sync, follower)
+            for _ in range(int(self._spec.duration_s * self._spec.records_per_s)):
+                await anyio.sleep(1 / self._spec.records_per_s)
+                self._store.append()
+            unread_at_end = self._most_unread()
+            syncs, failed_syncs = self._syncs, self._failed_syncs
+            await anyio.sleep(DRAIN_S)
+            group.cancel_scope.cancel()
+        return FleetResult(
+            calls=self._store.calls,
+            lost_calls=self._store.lost_calls,
+            read_bytes=self._store.read_count / self._store.end / self._spec.vm_count,
+            syncs=syncs,
+            failed_syncs=failed_syncs,
+            unread_at_end=unread_at_end,
+            unread_after_drain=self._most_unread(),
+        )
+
+    def _most_unread(self) -> int:
+        return max(self._store.end - each.next_offset for each in self._followers)
+
+    async def _sync(self, follower: LogFollower) -> None:
+        while True:
+            await anyio.sleep(self._rng.expovariate(SYNCS_PER_S))
+            self._syncs += 1
+            try:
+                await follower.refresh(MAX_STATE_AGE_MS)
+            except FoxtailbankError:
+                self._failed_syncs += 1
+
+
+def play(spec: FleetSpec) -> FleetResult:
+    """Play a fleet in simulated time."""
+
+    async def run() -> FleetResult:
+        return await _Fleet(spec).play()
+
+    return run_simulated(run)
+
+
+def main(arguments: t.Sequence[str] | None = None) -> int:
+    """Play fleets with and without the bound and return the exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Command-line arguments; those of the process by default.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--vms", type=int, default=71)
+    parser.add_argument("--record-bytes", type=int, default=20_000)
+    options = parser.parse_args(arguments)
+    for bounds_reads in (False, True):
+        spec = FleetSpec(
+            vm_count=options.vms,
+            record_bytes=options.record_bytes,
+            bounds_reads=bounds_reads,
+        )
+        for part in (spec, play(spec)):
+            sys.stdout.write(msgspec.json.encode(part).decode() + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -14,6 +14,7 @@
     StoreRefused,
     StoreResponseLost,
 )
+from foxtailbank.read_share import ReadShare
 from foxtailbank_platform import store
 from foxtailbank_platform.store import KeyedTopic, StoreClient
 
@@ -61,14 +62,14 @@
         self.targets = []
 
     @contextlib.asynccontextmanager
-    async def topic(self):
+    async def topic(self, share=None):
         listener = await anyio.create_tcp_listener(local_host=HOST)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         client = StoreClient(address=f"{HOST}:{port}", clock=SystemClock())
         with anyio.fail_after(TEST_TIMEOUT_S):
             async with listener, anyio.create_task_group() as group:
                 group.start_soon(listener.serve, self.serve)
-                yield KeyedTopic(store=client, topic="keyed.t")
+                yield KeyedTopic(store=client, topic="keyed.t", share=share)
                 group.cancel_scope.cancel()
 
     async def serve(self, stream):
@@ -133,6 +134,18 @@
     assert len(scripted.targets) == 1
 
 
+# Guards against a log with a record above the bound on reads that is read no further.
+async def test_a_read_without_the_first_record_is_followed_by_a_larger_one():
+    end_only = (5).to_bytes(8, "big") + bytes(8)
+    share = ReadShare(store_bytes_per_s=1e6)
+    share.set_vm_count(lambda: 2)
+    scripted = ScriptedStore(end_only, EMPTY_SLICE, EMPTY_SLICE)
+    async with scripted.topic(share=share) as topic:
+        for _ in range(3):
+            await topic.read(start=0, wait_ms=0)
+    assert [target.count("max_kb=73") for target in scripted.targets] == [1, 0, 1]
+
+
 # Guards against calls that wait long for a store that is gone.
 @pytest.mark.parametrize(
     ("call", "step"),
