Progress of items is not saved while the log can't be read as fast as it is written

Cause: an item of 5 s saves its output so far once or twice, some 6 kB beside a result of 11 kB, and all 71 VMs read both: 86 x 17 kB x 71 = 104 MB a second, where the store serves 80. Results alone are 67. Change: a running item's progress is not saved while this VM knows of records that it has not read; it is saved once they are read. A stop of the VM saves as before. Ruled out: to stop items while behind, which costs what callers wait for.

--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -128,6 +128,11 @@
         """Whether the last read failed."""
         return self._failing_since_ms is not None
 
+    @property
+    def has_backlog(self) -> bool:
+        """Whether the log is known to hold records that are not in the state."""
+        return self.next_offset < self.known_end
+
     def add_catch_up_listener(self, listener: t.Callable[[], None]) -> None:
         """Call a function each time the state has caught up after a restore."""
         self._catch_up_listeners.append(listener)
@@ -246,7 +251,7 @@
         none came back for a while, as their connection may be broken.
         """
         self._await_offset(self.known_end)
-        while self.next_offset < self.known_end and not self.is_failing:
+        while self.has_backlog and not self.is_failing:
             with anyio.move_on_after(BACKLOG_WAIT_MS / MS_PER_S) as wait:
                 await self._changed.wait()
             if wait.cancelled_caught:
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -348,7 +348,8 @@
                 raise ResponseTooLarge(
                     detail=f"output over {self._max_output_bytes} bytes"
                 )
-            if self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS:
+            is_due = self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS
+            if is_due and not self._follower.has_backlog:  # all VMs read what is saved
                 self._recorder.save_progress(run)
 
     def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
