The load of the zone is summed three times a second, not ten, for the sign of a burst

Cause: beside the load of the cell (57 us) that of the zone (72 us) was summed for each sample, only for the ratio of their means.

--- a/src/foxtailbank/submissions/online_reserve.py
+++ b/src/foxtailbank/submissions/online_reserve.py
@@ -73,13 +73,17 @@
         self, service: str, workers: tuple[Worker, ...], now_ms: int
     ) -> float | None:
         """Return the online load by which bursts are recognized."""
-        zone_share = self._view.zone_online_share(workers, now_ms)
         if not self._view.tiers.is_split:
-            return zone_share
-        cell_share = self._view.cell_online_share(workers, now_ms)
-        if zone_share is None or cell_share is None:
+            return self._view.zone_online_share(workers, now_ms)
+        share = self._view.cell_online_share(workers, now_ms)
+        if share is None:
             return None
-        return self._cell_scale_by_service[service].scale(cell_share, zone_share)
+        scale = self._cell_scale_by_service[service]
+        if scale.is_due(now_ms):
+            zone_share = self._view.zone_online_share(workers, now_ms)
+            if zone_share is not None:
+                scale.add(share, zone_share, now_ms)
+        return scale.scale(share)
 
     def is_burst_on(self, service: str) -> bool:
         """Return whether a burst has begun and is not over."""
