--- a/src/foxtailbank/fleet/packed_message.py
+++ b/src/foxtailbank/fleet/packed_message.py
@@ -65,7 +65,7 @@
     if segment_count > MAX_SEGMENTS:
         raise FrameInvalid(detail=f"message of {segment_count} segments")
     head_words = segment_count // 2 + 1
-    head = _unpack_head(data, head_words)
+    head = first if head_words == 1 else _unpack_head(data, head_words)
     sizes = [_number(head, 4 * number) for number in range(1, segment_count + 1)]
     return head_words + sum(sizes)
 
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -34,6 +34,7 @@
 # hears none of them for longer reads the log.
 RECENT_MS = 10_000
 READ_RETRY_MS = 100
+EXPIRE_INTERVAL_MS = 250  # a small part of the silence timeout
 SILENT_PEERS_PER_POLL = 4  # that get a report, in case that they can be reached again
 
 
@@ -107,6 +108,7 @@
         )
         self._known_alive: set[str] = set()
         self._refused = SkippedRecords(event=Event.PEER_REFUSED, logs=logs, clock=clock)
+        self._expired_ms = -EXPIRE_INTERVAL_MS
         self._socket: DatagramSocket | None = None
         self._streams = StreamExchange(
             vm_id=vm_id,
@@ -290,6 +292,9 @@
             )
 
     def _expire_peers(self, now_ms: int) -> None:
+        if now_ms - self._expired_ms < EXPIRE_INTERVAL_MS:
+            return
+        self._expired_ms = now_ms
         timeout_ms = self._peers.silence_timeout_ms(PeerGroup.FAR, now_ms)
         self._fleet.expire_peer_loads(now_ms, timeout_ms)
         alive = {peer.vm_id for peer in self._peers.alive(now_ms)}
