Bursts over batch items are also played in zones that are split into cells

The simulated fleet took every zone as one group of reports; its play with cells, by which the sign of a burst was measured, is a row of the test now.

--- a/tests/test_bursts_over_batch_items.py
+++ b/tests/test_bursts_over_batch_items.py
@@ -32,6 +32,7 @@
     calm_per_s: float = 50
     burst_per_s: float = 225
     items_per_s: int = 15
+    is_split: bool = False  # zones into cells
 
     def online_rate(self, at_ms):
         is_calm = at_ms % self.wave_ms < self.trough_ms
@@ -51,6 +52,7 @@
     items_per_s=17,
 )
 LOSSY = dataclasses.replace(UNEVEN, report_loss=0.2)
+SPLIT = dataclasses.replace(UNEVEN, is_split=True)
 
 
 def play(*, seed, pattern=Pattern()):
@@ -60,6 +62,7 @@
         slots=pattern.slots,
         speeds=pattern.speeds,
         report_loss=pattern.report_loss,
+        is_split=pattern.is_split,
     )
     begin_ms = pattern.quiet_ms
     waves_ms = WAVES * pattern.wave_ms
@@ -103,6 +106,7 @@
     [
         pytest.param(UNEVEN, id="workers-of-different-speed"),
         pytest.param(LOSSY, id="a-fifth-of-the-reports-lost"),
+        pytest.param(SPLIT, id="zones-split-into-cells"),
     ],
 )
 def test_bursts_are_noticed_in_time_on_uneven_workers(pattern):
