Server: requests sent ahead wait a turn; accounts and heads cost less

Cause: a connection began its next buffered request in the turn in which the one before ended. That it so took the place which was just left is suspected, not traced.

Change: a request that was sent ahead gives others a turn before it is read. Ordinary clients send nothing ahead and don't pay for it. What is held, and when it is refused, is as before.

--- a/src/foxtailbank/http1/connection_budget.py
+++ b/src/foxtailbank/http1/connection_budget.py
@@ -39,15 +39,19 @@
     IDLE = "idle"
 
 
-class Holding(enum.Enum):
-    """What a connection holds memory for."""
+class Holding(enum.IntEnum):
+    """What a connection holds memory for; an index into what its account holds."""
 
-    CONNECTION = "connection"
-    HEAD = "head"
-    BODY = "body"
-    AHEAD = "ahead"
-    REQUEST = "request"
-    ANSWER = "answer"
+    CONNECTION = 0
+    AHEAD = 1
+    HEAD = 2
+    BODY = 3
+    REQUEST = 4
+    ANSWER = 5
+
+
+_OF_REQUEST = slice(Holding.HEAD, len(Holding))
+_NOTHING = (0,) * (len(Holding) - Holding.HEAD)
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -113,7 +117,7 @@
         self.reserved_bytes = 0
         self.held_bytes = 0
         self.is_closed = False
-        self._bytes_by_holding: dict[Holding, int] = {}
+        self._held = [0] * len(Holding)
 
     def enter(self, phase: Phase) -> None:
         """Note that the connection does something else now."""
@@ -126,21 +130,25 @@
 
         What is not allowed is not counted either. Holding less is always allowed.
         """
-        added = size_bytes - self._bytes_by_holding.get(holding, 0)
+        added = size_bytes - self._held[holding]
         if added > 0 and not self.budget.make_room(self, added):
             return False
-        self._bytes_by_holding[holding] = size_bytes
-        self.held_bytes += added
-        self.budget.add_bytes(self, added)
+        self._held[holding] = size_bytes
+        self._add(added)
         return True
 
     def release_request(self) -> None:
         """Release all but the connection itself and what was sent ahead."""
-        for holding in (Holding.HEAD, Holding.BODY, Holding.REQUEST, Holding.ANSWER):
-            if self._bytes_by_holding.get(holding):
-                self.hold(holding, 0)
+        released = sum(self._held[_OF_REQUEST])
+        self._held[_OF_REQUEST] = _NOTHING
+        self._add(-released)
         self.reserved_bytes = 0
 
+    def _add(self, added_bytes: int) -> None:
+        self.held_bytes += added_bytes
+        if not self.is_closed:
+            self.budget.held_bytes += added_bytes
+
     def progress(self, now_ms: int) -> float:
         """Return bytes received per millisecond of the request's age."""
         age_ms = now_ms - self.since_ms + 1
@@ -229,11 +237,6 @@
             account.door.count -= 1
             self.held_bytes -= account.held_bytes
 
-    def add_bytes(self, account: ConnectionAccount, added_bytes: int) -> None:
-        """Count what an account holds more, or less."""
-        if not account.is_closed:
-            self.held_bytes += added_bytes
-
     def make_room(self, account: ConnectionAccount, size_bytes: int) -> bool:
         """Close connections until memory is free; return whether it is."""
         if account.is_closed or size_bytes > self._capacity_bytes:
--- a/src/foxtailbank/http1/request_reader.py
+++ b/src/foxtailbank/http1/request_reader.py
@@ -1,6 +1,5 @@
 """Reading of one request from a client, within the budget of the VM."""
 
-import dataclasses
 import typing as t
 
 import anyio
@@ -36,6 +35,8 @@
 # The deadline of every request has passed by then, at a rate that no link has.
 BODY_GRACE_MS = 20_000
 MIN_BODY_BYTES_PER_S = 1_024
+FIELD_FRAMING_BYTES = 4  # colon, space and the end of a line
+Fields: t.TypeAlias = list[tuple[bytes, bytes]]
 KeepsBody: t.TypeAlias = t.Callable[[ServerRequest], bool]
 
 
@@ -102,37 +103,47 @@
         ClientDisconnected
             The client left within the request.
         """
-        head = await self._read_head()
-        if head is None:
+        event = await self._read_head()
+        if event is None:
             return None
-        fields = len(head.headers) * FIELD_BYTES
-        if not self._account.hold(Holding.HEAD, _header_size(head) + fields):
+        fields = list(event.headers)  # once, since h11 makes them anew each time
+        size_bytes = _header_size(event, fields)
+        if size_bytes > self._limits().header_bytes:
+            raise RequestRefused(status=431, detail="request header too large")
+        if not self._account.hold(Holding.HEAD, size_bytes + len(fields) * FIELD_BYTES):
             raise no_memory()
-        request = ServerRequest(
-            method=head.method.decode("ascii"),
-            target=head.target.decode("latin-1"),
-            headers=_decode_headers(head),
+        head = ServerRequest(
+            method=event.method.decode("ascii"),
+            target=event.target.decode("latin-1"),
+            headers=_decode_headers(fields),
             body=b"",
             arrived_ms=self._clock.now_ms(),
         )
-        length = _content_length(head)
-        if length != 0:
-            del head
-            request = await self._add_body(request, length, reservation)
-        else:
-            await self._read_body(reservation, is_kept=True)
+        del event
+        length = _content_length(fields)
+        del fields
+        request = await self._add_body(head, length, reservation)
         if not self._account.hold(Holding.REQUEST, SERVED_BYTES):
             raise no_memory()
         return request
 
     async def _add_body(
-        self, request: ServerRequest, length: int, reservation: BodyReservation
+        self, head: ServerRequest, length: int, reservation: BodyReservation
     ) -> ServerRequest:
-        is_kept = length <= self._limits().body_bytes and self._keeps_body(request)
-        if is_kept:
+        if length == 0:
+            await self._read_body(reservation, is_kept=True)
+            return head
+        is_kept = length <= self._limits().body_bytes and self._keeps_body(head)
+        if is_kept and not 0 < length <= UNCOUNTED_BYTES:
             await self._reserve(length, reservation)
         body = await self._read_body(reservation, is_kept=is_kept)
-        return dataclasses.replace(request, body=body, arrived_ms=self._clock.now_ms())
+        return ServerRequest(
+            method=head.method,
+            target=head.target,
+            headers=head.headers,
+            body=body,
+            arrived_ms=self._clock.now_ms(),
+        )
 
     async def _reserve(self, length: int, reservation: BodyReservation) -> None:
         buffered_bytes = len(self._http.trailing_data[0])
@@ -153,6 +164,9 @@
             event = self._next_event()
         else:
             self._account.enter(Phase.RECEIVING)
+            # Others have their turn before a request that was sent ahead, or a crowd
+            # of clients that send ahead leaves them no place.
+            await anyio.lowlevel.checkpoint()
         until_ms = self._clock.now_ms() + HEAD_WAITS * limits.header_timeout_ms
         while event is h11.NEED_DATA:
             buffered_bytes = len(self._http.trailing_data[0])
@@ -164,8 +178,6 @@
             event = self._next_event()
         if not isinstance(event, h11.Request):
             return None
-        if _header_size(event) > limits.header_bytes:
-            raise RequestRefused(status=431, detail="request header too large")
         return event
 
     async def _wait_for_request(self, timeout_ms: int) -> bool:
@@ -261,9 +273,9 @@
             ) from None
 
 
-def _content_length(head: h11.Request) -> int:
+def _content_length(fields: Fields) -> int:
     """Return the length of the body; -1 if it comes in chunks, 0 if there is none."""
-    for name, value in head.headers:
+    for name, value in fields:
         if name == b"content-length":
             return int(value)  # h11 has checked it
         if name == b"transfer-encoding":
@@ -271,13 +283,13 @@
     return 0
 
 
-def _header_size(head: h11.Request) -> int:
-    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
-    return len(head.target) + fields
+def _header_size(event: h11.Request, fields: Fields) -> int:
+    sizes = [len(name) + len(value) + FIELD_FRAMING_BYTES for name, value in fields]
+    return len(event.target) + sum(sizes)
 
 
-def _decode_headers(head: h11.Request) -> Headers:
-    return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers
-    )
+def _decode_headers(fields: Fields) -> Headers:
+    decoded = [
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in fields
+    ]
+    return tuple(decoded)
