Refusals with 400, 408, 413, 431 and 503 before handling have a metric and a line

Operators saw: a client that was refused for a slow or oversized request left no trace, only connections closed for others did.

Cause: RequestRefused was answered by the connection and told to nobody.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -80,6 +80,7 @@
     RESULTS_RECORDED = "results_recorded"
     CLIENT_LEFT = "client_left"
     CONNECTIONS_CLOSED = "connections_closed"
+    REQUESTS_REFUSED = "requests_refused"
     LINES_DROPPED = "lines_dropped"
     CONNECTION_STALLED = "connection_stalled"
     QUARANTINE_ADDED = "quarantine_added"
--- a/src/foxtailbank/http1/connection_budget.py
+++ b/src/foxtailbank/http1/connection_budget.py
@@ -172,6 +172,8 @@
         Source of time.
     on_close : callable, optional
         Called with the phase of each connection that is closed or refused for others.
+    on_refuse : callable, optional
+        Called with the status of each request that is refused before it is handled.
 
     Attributes
     ----------
@@ -188,11 +190,13 @@
         capacity_bytes: int,
         clock: Clock,
         on_close: t.Callable[[str], None] = lambda reason: None,
+        on_refuse: t.Callable[[int], None] = lambda status: None,
     ) -> None:
         self._max_connections = max_connections
         self._capacity_bytes = capacity_bytes
         self._clock = clock
         self._on_close = on_close
+        self.on_refuse = on_refuse
         self._accounts: set[ConnectionAccount] = set()
         self._doors: list[Door] = []
         self.held_bytes = 0
--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -169,6 +169,7 @@
         try:
             request = await self._reader.read(reservation)
         except RequestRefused as refusal:
+            self._account.budget.on_refuse(refusal.status)
             headers: Headers = (("Connection", "close"),)
             if refusal.retry_after_ms:
                 after_s = refusal.retry_after_ms / MS_PER_S
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -57,6 +57,7 @@
     RATE_ADMITTED = "rate_admitted"
     RATE_REFUSED = "rate_refused"
     CONNECTIONS_CLOSED = "connections_closed"
+    REQUESTS_REFUSED = "requests_refused"
 
 
 class Gauge(enum.Enum):
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -7,6 +7,7 @@
 
 from foxtailbank.clock import SystemClock
 from foxtailbank.http1.client_channel import ClientChannel
+from foxtailbank.http1.connection_budget import ConnectionBudget
 from foxtailbank.http1.failures import ConnectionBroken
 from foxtailbank.http1.server import Server
 from foxtailbank.http1.server_connection import READ_BYTES
@@ -25,12 +26,20 @@
     def __init__(self):
         self.handler_errors = []
         self.cancelled = 0
+        self.refused = []
+        self.budget = ConnectionBudget(
+            max_connections=100,
+            capacity_bytes=100_000_000,
+            clock=CLOCK,
+            on_refuse=self.refused.append,
+        )
         self.server = Server(
             address=ADDRESS,
             handler=self.handle,
             limits=lambda: LIMITS,
             clock=CLOCK,
             on_handler_error=self.handler_errors.append,
+            budget=self.budget,
         )
 
     async def handle(self, request, responder):
@@ -232,6 +241,7 @@
         with anyio.fail_after(10):
             response = await stream.receive()
         assert response.startswith(b"HTTP/1.1 " + status)
+        assert fixture.refused == [int(status)]
         await stream.aclose()
         head, _ = await exchange(await fixture.connect(), "/x")
         assert head.status == 200
