--- a/src/foxtailbank/submissions/failures.py
+++ b/src/foxtailbank/submissions/failures.py
@@ -1,7 +1,12 @@
 """Errors that callers of batch submissions get."""
 
+import contextlib
+import typing as t
+
 from foxtailbank.exceptions import FoxtailbankError, Ran
 
+RETRY_AFTER_MS = 700
+
 
 class StateUnknown(FoxtailbankError):
     """The store is unavailable, so the state is unknown and nothing can be accepted."""
@@ -46,3 +51,14 @@
 
     code = "item_unknown"
     status = 404
+
+
+@contextlib.contextmanager
+def unknown_on_failure() -> t.Iterator[None]:
+    """Raise `StateUnknown` for a failed read of the log."""
+    try:
+        yield
+    except FoxtailbankError as failure:
+        raise StateUnknown(
+            detail=failure.detail, retry_after_ms=RETRY_AFTER_MS
+        ) from failure
--- a/src/foxtailbank/submissions/result_page.py
+++ b/src/foxtailbank/submissions/result_page.py
@@ -21,11 +21,19 @@
         Position where the next page starts.
     results : tuple of ItemEnded
         Results in the order of their positions.
+    known_count : int
+        Number of results of the submission in the state that the page is from.
     """
 
     total: int
     next_position: int
     results: tuple[ItemEnded, ...]
+    known_count: int
+
+    @property
+    def is_last_known(self) -> bool:
+        """Whether it ends with the last known result although items remain."""
+        return self.known_count <= self.next_position < self.total
 
 
 def page_from(submission: Submission, position: int) -> ResultPage:
@@ -41,4 +49,5 @@
         total=len(submission.items_by_id),
         next_position=position + len(chosen),
         results=tuple(chosen),
+        known_count=len(submission.results),
     )
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -1,26 +1,24 @@
 """Operations on batch submissions for callers."""
 
-import contextlib
 import dataclasses
-import typing as t
 
 import anyio
 
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.events import Event
-from foxtailbank.exceptions import FoxtailbankError
 from foxtailbank.forward.route import Route
 from foxtailbank.keyed_log import KeyedRecord
 from foxtailbank.log_follower import LogFollower
-from foxtailbank.logs import LogFields, Logs
+from foxtailbank.logs import Logs
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.failures import (
+    RETRY_AFTER_MS,
     ItemUnknown,
     OutcomeUnknown,
     StateUnknown,
     StoreFull,
     SubmissionTooLarge,
     SubmissionUnknown,
+    unknown_on_failure,
 )
 from foxtailbank.submissions.item_groups import encode_parts, split_items
 from foxtailbank.submissions.records import (
@@ -29,13 +27,12 @@
     Submitted,
     encode,
 )
-from foxtailbank.submissions.result_page import ResultPage, page_from
+from foxtailbank.submissions.result_page import ResultPage
+from foxtailbank.submissions.result_reader import MAX_STATE_AGE_MS, ResultReader
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 APPEND_WAIT_MS = 3_000  # shorter than a caller's deadline for a submission
-RETRY_AFTER_MS = 700
-MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,7 +76,7 @@
     max_stored_bytes : int
         Most that may be stored of all submissions, in bytes.
     logs : Logs
-        Receives a line for each answer that has no result at the asked position.
+        Receives lines about reads of results.
     clock : Clock
         Source of time.
     """
@@ -102,8 +99,10 @@
         self._appends = appends
         self._part_bytes = part_bytes
         self._max_stored_bytes = max_stored_bytes
-        self._logs = logs
         self._clock = clock
+        self._results = ResultReader(
+            table=table, follower=follower, logs=logs, clock=clock
+        )
         self._suffix_count = 0
 
     async def submit(self, new: NewSubmission, route: Route) -> None:
@@ -171,9 +170,7 @@
     async def results(
         self, submission_id: str, *, position: int, wait_ms: int
     ) -> ResultPage:
-        """Return results, waiting up to `wait_ms` for the first one.
-
-        Known results are returned at once; to return none takes a recent state.
+        """Return results; see `ResultReader.read`.
 
         Raises
         ------
@@ -184,17 +181,7 @@
         """
         deadline_ms = self._clock.now_ms() + wait_ms
         submission = await self.find(submission_id)
-        while submission.is_open and len(submission.results) <= position:
-            left_ms = deadline_ms - self._clock.now_ms()
-            if left_ms <= 0:
-                break
-            await self._follower.wait_for_change(left_ms)
-            submission = self._table.ledger.get(submission_id) or submission
-        if len(submission.results) <= position < len(submission.items_by_id):
-            submission = await self._reread(submission, position)
-        if len(submission.results) <= position:
-            self._log_no_result(submission, position)
-        return page_from(submission, position)
+        return await self._results.read(submission, position, deadline_ms)
 
     async def item_body(self, submission_id: str, item_id: str) -> bytes:
         """Return the request body of an item.
@@ -285,7 +272,7 @@
         submission = self._table.ledger.get(submission_id)
         if submission is not None:
             return submission
-        with _unknown_on_failure():
+        with unknown_on_failure():
             await self._follower.sync()
         submission = self._table.ledger.get(submission_id)
         if submission is not None:
@@ -296,33 +283,10 @@
             )
         raise SubmissionUnknown(detail=submission_id)
 
-    async def _reread(self, submission: Submission, position: int) -> Submission:
-        """Return a submission from a recent state, or one with a result there."""
-        failure: StateUnknown | None = None
-        try:
-            await self._refresh()
-        except StateUnknown as error:
-            failure = error
-        submission = self._table.ledger.get(submission.submission_id) or submission
-        if failure is not None and len(submission.results) <= position:
-            raise failure
-        return submission
-
     async def _refresh(self) -> None:
-        with _unknown_on_failure():
+        with unknown_on_failure():
             await self._follower.refresh(MAX_STATE_AGE_MS)
 
-    def _log_no_result(self, submission: Submission, position: int) -> None:
-        unread_count = self._follower.known_end - self._follower.next_offset
-        fields = LogFields(
-            job_id=submission.submission_id,
-            reason=f"position {position}, {unread_count} records unread",
-            count=len(submission.results),
-            offset=self._follower.next_offset,
-            age_ms=self._follower.state_age_ms,
-        )
-        self._logs.write(Event.RESULT_NOT_FOUND, fields=fields)
-
     async def _append(
         self,
         records: tuple[KeyedRecord, ...],
@@ -381,16 +345,6 @@
         return f"{self._owner_id}/{self._suffix_count}"
 
 
-@contextlib.contextmanager
-def _unknown_on_failure() -> t.Iterator[None]:
-    try:
-        yield
-    except FoxtailbankError as failure:
-        raise StateUnknown(
-            detail=failure.detail, retry_after_ms=RETRY_AFTER_MS
-        ) from failure
-
-
 async def _wait_for(event: anyio.Event, timeout_ms: float) -> bool:
     with anyio.move_on_after(timeout_ms / MS_PER_S):
         await event.wait()
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -354,3 +354,24 @@
         assert 0 <= restored["duration_ms"] < SETTLE_MS
         assert (absent["job_id"], absent["count"], absent["offset"]) == ("s1", 0, 1)
         assert 0 <= absent["age_ms"] < SETTLE_MS
+
+
+# No line told of a page with results that ended before those listed elsewhere.
+@pytest.mark.parametrize(
+    ("shift_ms", "reasons"),
+    [
+        pytest.param(0, [], id="recent"),
+        pytest.param(
+            SETTLE_MS, ["position 1 of 2, 0 records unread"], id="a-second-old"
+        ),
+    ],
+)
+async def test_log_lines_tell_of_results_from_an_old_state(shift_ms, reasons):
+    async with running_vm() as vm:
+        await vm.know(make_submitted(), item_ended("s1", "b"))
+        vm.clock.shift_ms += shift_ms
+        vm.log.up = False
+        await vm.read()
+        lines = vm.log_lines("results_from_old_state")
+        assert [line["reason"] for line in lines] == reasons
+        assert all(line["age_ms"] >= SETTLE_MS for line in lines)
