--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -258,6 +258,18 @@
         assert await vm.read(submission_id="s2") == expected
 
 
+# A page with results ended before a result that had been read at another VM.
+@pytest.mark.parametrize(("make_stale", "can_read"), STALE_COPIES)
+async def test_a_page_does_not_end_before_a_result_listed_elsewhere(
+    make_stale, can_read
+):
+    async with running_vm() as vm:
+        await vm.know(make_submitted(), item_ended("s1", "b"))
+        await make_stale(vm)
+        expected = ["b", "a"] if can_read else StateUnknown
+        assert await vm.read() == expected
+
+
 # A listed result was withheld because the store was away; it can't change any more.
 @pytest.mark.parametrize("make_stale", [case.values[0] for case in STALE_COPIES])
 async def test_a_known_result_is_answered_at_once(make_stale):
