--- a/src/foxtailbank/submissions/result_reader.py
+++ b/src/foxtailbank/submissions/result_reader.py
@@ -10,6 +10,8 @@
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
+# Of failed reads until the store counts as away; queued reads come back sooner.
+STORE_AWAY_MS = 2_000
 
 
 class ResultReader:
@@ -46,7 +48,8 @@
     ) -> ResultPage:
         """Return results, waiting for the first one.
 
-        Known results are returned at once; to return none takes a recent state.
+        A page that ends with the last known result tells the caller that there are no
+        more yet, which takes a recent state, as does a page without results.
 
         Parameters
         ----------
@@ -68,28 +71,35 @@
                 break
             await self._follower.wait_for_change(left_ms)
             submission = self._newest(submission)
-        if len(submission.results) <= position < len(submission.items_by_id):
-            submission = await self._reread(submission, position)
         page = page_from(submission, position)
+        if page.is_last_known and not self._may_be_short(page):
+            page = await self._reread(submission, position)
         self._log_end(submission, page)
         return page
 
-    def _newest(self, submission: Submission) -> Submission:
-        """Return the submission as it is now, also after a restore."""
-        return self._table.ledger.get(submission.submission_id) or submission
+    def _may_be_short(self, page: ResultPage) -> bool:
+        """Return whether to answer with what is known, without a recent state.
+
+        While the store is away no VM can list more; callers get what is ready.
+        """
+        return bool(page.results) and self._follower.failing_ms >= STORE_AWAY_MS
 
-    async def _reread(self, submission: Submission, position: int) -> Submission:
-        """Return a submission from a recent state, or one with a result there."""
+    async def _reread(self, submission: Submission, position: int) -> ResultPage:
+        """Return a page from a recent state, or one up to the last item."""
         failure: StateUnknown | None = None
         try:
             with unknown_on_failure():
                 await self._follower.refresh(MAX_STATE_AGE_MS)
         except StateUnknown as error:
             failure = error
-        submission = self._newest(submission)
-        if failure is not None and len(submission.results) <= position:
+        page = page_from(self._newest(submission), position)
+        if failure is not None and page.is_last_known:
             raise failure
-        return submission
+        return page
+
+    def _newest(self, submission: Submission) -> Submission:
+        """Return the submission as it is now, also after a restore."""
+        return self._table.ledger.get(submission.submission_id) or submission
 
     def _log_end(self, submission: Submission, page: ResultPage) -> None:
         """Log the state that an answer is from which ends before others may."""
@@ -106,7 +116,7 @@
                 f"position {page.next_position} of {page.total}, "
                 f"{unread_count} records unread"
             ),
-            count=len(submission.results),
+            count=page.known_count,
             offset=self._follower.next_offset,
             age_ms=self._follower.state_age_ms,
         )
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -19,6 +19,7 @@
     SubmissionUnknown,
 )
 from foxtailbank.submissions.records import Ended, encode
+from foxtailbank.submissions.result_reader import STORE_AWAY_MS
 from foxtailbank.submissions.service import NewSubmission, SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
 from serving_fakes import FakeKeyedLog, make_logs, make_route
@@ -219,18 +220,19 @@
 
 # A VM that was suspended while it read the log answered from what it had read before.
 @pytest.mark.parametrize(
-    ("submission_id", "is_listed", "expected"),
+    ("submission_id", "listed", "expected"),
     [
-        pytest.param("s1", True, ["a"], id="listed"),
-        pytest.param("s1", False, StateUnknown, id="not-listed-then"),
-        pytest.param("s2", False, StateUnknown, id="not-accepted-then"),
+        pytest.param("s1", "ab", ["a", "b"], id="all-listed"),
+        pytest.param("s1", "a", StateUnknown, id="others-not-listed-then"),
+        pytest.param("s1", "", StateUnknown, id="not-listed-then"),
+        pytest.param("s2", "", StateUnknown, id="not-accepted-then"),
     ],
 )
-async def test_a_suspension_during_a_read_counts(submission_id, is_listed, expected):
+async def test_a_suspension_during_a_read_counts(submission_id, listed, expected):
     async with running_vm() as vm:
         await vm.know(make_submitted())
-        if is_listed:
-            await vm.append_elsewhere(item_ended("s1", "a"))
+        for item_id in listed:
+            await vm.append_elsewhere(item_ended("s1", item_id))
         vm.clock.shift_ms += SETTLE_MS
         held = vm.log.held_reads = anyio.Event()
         pages = []
@@ -270,18 +272,37 @@
         assert await vm.read() == expected
 
 
-# A listed result was withheld because the store was away; it can't change any more.
+# A page was withheld, or cost a read of the store, although no result could be missing.
 @pytest.mark.parametrize("make_stale", [case.values[0] for case in STALE_COPIES])
-async def test_a_known_result_is_answered_at_once(make_stale):
+async def test_a_page_to_the_last_item_is_answered_at_once(make_stale):
     async with running_vm() as vm:
-        await vm.know(make_submitted(), item_ended("s1", "b"))
+        await vm.know(make_submitted(), item_ended("s1", "b"), item_ended("s1", "a"))
         await make_stale(vm)
         reads = vm.log.reads
         with anyio.fail_after(0.2):
-            assert await vm.read() == ["b"]
+            assert await vm.read() == ["b", "a"]
         assert vm.log.reads == reads
 
 
+async def leave_the_store_away(vm):
+    """The reads that follow the log fail for a while."""
+    await vm.follower.wait_for_offset(len(vm.log.records) + 1, 10)
+    await vm.until(lambda: vm.follower.is_failing)
+    vm.clock.shift_ms += STORE_AWAY_MS
+
+
+# Listed results were withheld because the store was away; they can't change any more.
+@pytest.mark.parametrize("make_stale", [lose_the_store, lose_history])
+async def test_known_results_are_answered_at_once_while_the_store_is_away(make_stale):
+    async with running_vm() as vm:
+        await vm.know(make_submitted(), item_ended("s1", "b"))
+        await make_stale(vm)
+        await leave_the_store_away(vm)
+        with anyio.fail_after(0.2):
+            assert await vm.read() == ["b"]
+        assert await vm.read(1) is StateUnknown
+
+
 # A read beyond the last item of a submission went to the store, which is priced.
 async def test_no_result_can_be_missing_after_the_last_item():
     async with running_vm() as vm:
@@ -370,19 +391,20 @@
 
 # No line told of a page with results that ended before those listed elsewhere.
 @pytest.mark.parametrize(
-    ("shift_ms", "reasons"),
+    ("make_stale", "reasons"),
     [
-        pytest.param(0, [], id="recent"),
+        pytest.param(fall_behind, [], id="read-anew"),
         pytest.param(
-            SETTLE_MS, ["position 1 of 2, 0 records unread"], id="a-second-old"
+            lose_the_store, ["position 1 of 2, 0 records unread"], id="store-away"
         ),
     ],
 )
-async def test_log_lines_tell_of_results_from_an_old_state(shift_ms, reasons):
+async def test_log_lines_tell_of_results_from_an_old_state(make_stale, reasons):
     async with running_vm() as vm:
         await vm.know(make_submitted(), item_ended("s1", "b"))
-        vm.clock.shift_ms += shift_ms
-        vm.log.up = False
+        await make_stale(vm)
+        if not vm.log.up:
+            await leave_the_store_away(vm)
         await vm.read()
         lines = vm.log_lines("results_from_old_state")
         assert [line["reason"] for line in lines] == reasons
