Test: results that all VMs of a large fleet read whole

195 VMs with 30 results a second of 12 kB, bodies and saved progress: 118 MB a second of reads at a store that serves 80. Allowed is a second of records, the time after which VMs must agree.

--- a/src/foxtailbank_bench/measure_store_reads.py
+++ b/src/foxtailbank_bench/measure_store_reads.py
@@ -51,7 +51,11 @@
     records_per_s : float
         Records that are appended.
     record_bytes : int
-        Size of each.
+        Size of each, without what follows.
+    text_bytes : int
+        Text of the result that comes with each.
+    progress_bytes : int
+        Output of the running item that is saved before each.
     duration_s : int
         How long records are appended, in seconds.
     bounds_reads : bool
@@ -62,6 +66,8 @@
     read_bytes_per_s: float = 80e6
     records_per_s: float = 50.0
     record_bytes: int = 20_000
+    text_bytes: int = 0
+    progress_bytes: int = 0
     duration_s: int = 20
     bounds_reads: bool = True
 
@@ -98,22 +104,26 @@
 
     def __init__(self, spec: FleetSpec) -> None:
         self.spec = spec
-        self.end = 0
+        self.sizes: list[int] = []  # of the records, in bytes
         self.appended = anyio.Event()
         self.calls = 0
         self.lost_calls = 0
-        self.read_count = 0
+        self.read_bytes = 0
         self._free_s = 0.0
 
+    @property
+    def end(self) -> int:
+        return len(self.sizes)
+
     def append(self) -> None:
-        self.end += 1
+        spec = self.spec
+        self.sizes.append(spec.record_bytes + spec.text_bytes + spec.progress_bytes)
         self.appended.set()
         self.appended = anyio.Event()
 
-    async def serve(self, record_count: int) -> None:
+    async def serve(self, size_bytes: int) -> None:
         now_s = anyio.current_time()
-        self.read_count += record_count
-        size_bytes = record_count * self.spec.record_bytes
+        self.read_bytes += size_bytes
         read_s = size_bytes / self.spec.read_bytes_per_s
         self._free_s = max(now_s, self._free_s) + read_s
         await anyio.sleep(self._free_s - now_s + CALL_MS / MS_PER_S)
@@ -141,10 +151,15 @@
             while start >= self._store.end:
                 await self._store.appended.wait()
         end = self._store.end
-        max_bytes = self._share.read_bytes(MAX_READ_BYTES)
-        max_count = max(1, max_bytes // self._store.spec.record_bytes)
-        offsets = range(start, min(end, start + max_count))
-        await self._store.serve(len(offsets))
+        left_bytes = self._share.read_bytes(MAX_READ_BYTES)
+        sizes: list[int] = []
+        for size_bytes in self._store.sizes[start:]:
+            left_bytes -= size_bytes
+            if sizes and left_bytes < 0:
+                break
+            sizes.append(size_bytes)
+        await self._store.serve(sum(sizes))
+        offsets = range(start, start + len(sizes))
         records = tuple(KeyedRecord(key="k", value=b"", offset=n) for n in offsets)
         return LogSlice(records=records, end=end)
 
@@ -199,7 +214,9 @@
         return FleetResult(
             calls=self._store.calls,
             lost_calls=self._store.lost_calls,
-            read_bytes=self._store.read_count / self._store.end / self._spec.vm_count,
+            read_bytes=self._store.read_bytes
+            / sum(self._store.sizes)
+            / self._spec.vm_count,
             syncs=syncs,
             failed_syncs=failed_syncs,
             unread_at_end=unread_at_end,
@@ -238,12 +255,18 @@
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--vms", type=int, default=71)
+    parser.add_argument("--records-per-s", type=float, default=50.0)
     parser.add_argument("--record-bytes", type=int, default=20_000)
+    parser.add_argument("--text-bytes", type=int, default=0)
+    parser.add_argument("--progress-bytes", type=int, default=0)
     options = parser.parse_args(arguments)
     for bounds_reads in (False, True):
         spec = FleetSpec(
             vm_count=options.vms,
+            records_per_s=options.records_per_s,
             record_bytes=options.record_bytes,
+            text_bytes=options.text_bytes,
+            progress_bytes=options.progress_bytes,
             bounds_reads=bounds_reads,
         )
         for part in (spec, play(spec)):
--- a/tests/test_store_reads.py
+++ b/tests/test_store_reads.py
@@ -23,6 +23,28 @@
     assert result.unread_after_drain == 0
 
 
+# Guards against results that all VMs read whole: more than the store can serve to all,
+# so that VMs did not know of results that others had returned.
+@pytest.mark.parametrize(
+    ("vm_count", "items_per_s", "text_bytes"), [(195, 30, 12_000), (71, 86, 9_000)]
+)
+def test_results_of_a_large_fleet_are_known_to_all_within_a_second(
+    vm_count, items_per_s, text_bytes
+):
+    result = play(
+        FleetSpec(
+            vm_count=vm_count,
+            records_per_s=items_per_s,
+            record_bytes=1_800,
+            text_bytes=text_bytes,
+            progress_bytes=6_500,
+            duration_s=12,
+        )
+    )
+    assert result.lost_calls == 0
+    assert result.unread_at_end <= items_per_s
+
+
 @pytest.mark.parametrize(
     ("store_rate", "link_rate", "vm_count", "read_bytes"),
     [
