Texts of results leave the log that all VMs follow

Callers saw (simulated so far): reads of results refused or from an old state on large sites, as every VM reads every result whole: at 195 VMs and 30 results a second of 12 kB, with bodies and saved progress, 118 MB a second of a store that serves 80.

Change: where reading an output by all takes the store 5 ms or more, its VM appends it to a log of texts that nobody follows, and then the result with its key, offset and size to the log of submissions. Readers fetch texts by offset, by key once the history expired, each once for all callers, bounded in memory. All known VMs must report that they know the log of texts. Progress is saved only while the log takes under half of the store's reads. An append tells the offset of each of its records, not only that of the batch.

--- a/src/foxtailbank/events.py
+++ b/src/foxtailbank/events.py
@@ -72,6 +72,7 @@
     SUBMISSION_REFUSED = "submission_refused"
     SUBMISSION_ENDED = "submission_ended"
     RESULT_NOT_FOUND = "result_not_found"
+    TEXT_NOT_READ = "text_not_read"
     SUBMISSION_TAKEN_OVER = "submission_taken_over"
     SUBMISSION_RETIRED = "submission_retired"
     ITEM_STARTED = "item_started"
--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -17,6 +17,7 @@
   lostServices @12 :List(Text); # of which the sender reaches no worker
   draining @13 :List(Draining);
   customers @14 :List(CustomerLoad); # those with the most requests in flight
+  readsTexts @15 :Bool;     # false in reports of earlier releases
 }
 
 struct Load {
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -75,6 +75,8 @@
     customers : tuple of CustomerLoad
         Requests in flight by customer, the largest first; only as many as fit into
         `MAX_DATAGRAM_BYTES` are encoded.
+    reads_texts : bool
+        Whether it knows results whose output is in the log of texts.
     """
 
     vm_id: str
@@ -93,6 +95,7 @@
     draining: tuple[DrainingReport, ...] = ()
     customers: tuple[CustomerLoad, ...] = ()
     speed_code_by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
+    reads_texts: bool = False
 
 
 def _load_schema() -> t.Any:
@@ -123,6 +126,7 @@
         sequence=report.sequence,
         stopping=report.stopping,
         restoring=report.restoring,
+        readsTexts=report.reads_texts,
     )
     loads = tuple(report.load_by_worker.items())
     for row, (worker_id, load) in _new_rows(builder, "loads", loads):
@@ -272,6 +276,7 @@
                 for row in _list(reader, "draining")
             ),
             customers=tuple(_read_customer(row) for row in _list(reader, "customers")),
+            reads_texts=get("readsTexts"),
         )
         _check(report)
         return report
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -9,6 +9,7 @@
 from foxtailbank.fleet.report_intervals import PeerGroup
 
 CELL_UPDATE_MS = 500
+UNHEARD_MS = 30_000  # a VM reports to each address within seconds of its start
 SEND_WINDOW_MS = 15_000  # few reports go to a VM that has been silent for longer
 
 
@@ -36,6 +37,8 @@
         Whether it has yet to restore the submissions.
     lost_services : frozenset of str
         Services of which it reaches no worker.
+    reads_texts : bool
+        Whether it knows results whose output is in the log of texts.
     """
 
     vm_id: str
@@ -47,6 +50,7 @@
     stopping: bool = False
     restoring: bool = False
     lost_services: frozenset[str] = frozenset()
+    reads_texts: bool = False
 
 
 class PeerTable:
@@ -103,6 +107,7 @@
             stopping=report.stopping,
             restoring=report.restoring,
             lost_services=frozenset(report.lost_services),
+            reads_texts=report.reads_texts,
         )
         return True
 
@@ -165,6 +170,21 @@
         """Return all peers, those that are lost or have ended included."""
         return tuple(self._by_id.values())
 
+    def all_read_texts(self, now_ms: int) -> bool:
+        """Return whether no VM may run that does not know the log of texts.
+
+        A VM that stopped, or of which only the address is known, counts as gone after
+        a while without a report.
+        """
+        return self.is_complete and all(
+            peer.reads_texts
+            or (
+                (peer.stopping or not peer.incarnation)
+                and now_ms - peer.last_update_ms > UNHEARD_MS
+            )
+            for peer in self._by_id.values()
+        )
+
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that reported recently and are not shutting down."""
         near_timeout_ms = self.silence_timeout_ms(PeerGroup.NEAR, now_ms)
--- a/src/foxtailbank/keyed_log.py
+++ b/src/foxtailbank/keyed_log.py
@@ -164,3 +164,36 @@
         StoreResponseLost
             The records may have been appended, or may be later.
         """
+
+
+class RandomAccessLog(KeyedLog):
+    """Keyed log of which chosen records are read, without following it."""
+
+    @abc.abstractmethod
+    async def read_span(self, *, start: int, size_bytes: int) -> LogSlice:
+        """Return records from an offset on, at least those that a size covers.
+
+        Parameters
+        ----------
+        start : int
+            Offset of the first record to return.
+        size_bytes : int
+            Sum of `KeyedRecord.size_bytes` of the records to return.
+
+        Raises
+        ------
+        HistoryTruncated
+            Records from that offset on have expired.
+        StoreRefused, StoreResponseLost
+            The store is unavailable.
+        """
+
+    @abc.abstractmethod
+    async def read_newest_from(self, key: str) -> tuple[KeyedRecord, ...]:
+        """Return the newest records of a key and of some keys that follow it.
+
+        Raises
+        ------
+        StoreRefused, StoreResponseLost
+            The store is unavailable.
+        """
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -220,6 +220,7 @@
             lost_services=self._fleet.reach.lost_services(),
             draining=self._fleet.draining.reports(),
             customers=self._fleet.customer_loads.reports(),
+            reads_texts=True,
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
--- a/src/foxtailbank/memory_limits.py
+++ b/src/foxtailbank/memory_limits.py
@@ -7,6 +7,8 @@
 # about three times while it is decoded, stored and sent.
 STORED_SHARE = 0.22
 WAITING_SHARE = 0.06
+WAITING_TEXT_SHARE = 0.025
+HELD_TEXT_SHARE = 0.025
 BODY_SHARE = 0.04
 CONNECTION_SHARE = 0.16
 BYTES_PER_MB = 1 << 20
@@ -34,6 +36,16 @@
         """Records that wait to be appended."""
         return self._share(WAITING_SHARE)
 
+    @property
+    def waiting_text_bytes(self) -> int:
+        """Outputs of items that wait to be appended to a log of their own."""
+        return self._share(WAITING_TEXT_SHARE)
+
+    @property
+    def held_text_bytes(self) -> int:
+        """Outputs of items that are held because callers may read them."""
+        return self._share(HELD_TEXT_SHARE)
+
     @property
     def body_bytes(self) -> int:
         """Bodies of the requests that are read or handled."""
--- a/src/foxtailbank/metrics.py
+++ b/src/foxtailbank/metrics.py
@@ -60,6 +60,7 @@
     STORE_CALLS = "store_calls"
     STORE_REPEATS = "store_repeats"
     STORE_BYTES = "store_bytes"
+    RESULT_TEXTS = "result_texts"
     REQUESTS_REFUSED = "requests_refused"
 
 
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -1,6 +1,5 @@
 """An entry VM that keeps its configuration, workers and state in a platform's store."""
 
-import dataclasses
 import random
 
 import anyio
@@ -22,75 +21,32 @@
 from foxtailbank.forward.stop_gate import StopGate
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.key_router import KeyRouter
-from foxtailbank.keyed_log import KeyedLog
+from foxtailbank.keyed_log import KeyedLog, RandomAccessLog
 from foxtailbank.lease_table import LeaseTable
 from foxtailbank.load_exchange import LoadExchange
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.memory_limits import MemoryLimits
 from foxtailbank.metrics import Gauge, Metrics
+from foxtailbank.read_share import ReadShare
 from foxtailbank.relay.relay_client import RelayClient
 from foxtailbank.software_version_log import KEY_PREFIX as VERSION_KEY_PREFIX
 from foxtailbank.software_version_log import SoftwareVersionLog
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.batch_capacity import BatchCapacity
+from foxtailbank.submissions.progress_budget import ProgressBudget
+from foxtailbank.submissions.result_texts import ResultTexts
 from foxtailbank.submissions.retirement import Retirement
 from foxtailbank.submissions.runner import Runner
 from foxtailbank.submissions.service import SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
 from foxtailbank.submissions.takeover import Takeover
 from foxtailbank.tasks import describe_error, run_supervised
+from foxtailbank.vm_identity import StoreLimits, VmIdentity
 
 SUBMISSIONS_READ_PAUSE_MS = 500  # results are visible at each VM within a second
 EXPIRY_PERIOD_MS = 250  # short against the grace time of lapsed worker entries
 FLUSH_POLL_MS = 100
-CONTENT_SHARE = 0.8  # of the largest record; keys and names take the rest
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class VmIdentity:
-    """Identity of this process.
-
-    Attributes
-    ----------
-    vm_id : str
-        Name of the VM.
-    zone : str
-        Its availability zone.
-    incarnation : int
-        Number of this process; increases with each start.
-    peer_address : str
-        IP address and port for datagrams from other entry VMs.
-    """
-
-    vm_id: str
-    zone: str
-    incarnation: int
-    peer_address: str
-
-    @property
-    def process_name(self) -> str:
-        """Name of this process in the log."""
-        return f"{self.vm_id}/{self.incarnation}"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StoreLimits:
-    """Size limits of the store.
-
-    Attributes
-    ----------
-    max_record_bytes, max_append_bytes : int
-        Largest record and largest append, in bytes.
-    """
-
-    max_record_bytes: int
-    max_append_bytes: int
-
-    @property
-    def max_content_bytes(self) -> int:
-        """Bytes of bodies or output that fit into a record."""
-        return int(self.max_record_bytes * CONTENT_SHARE)
 
 
 class ServingVm:
@@ -105,12 +61,16 @@
     submissions : KeyedLog
         Log of batch submissions, which also carries the crash reports
         and software versions.
+    texts : RandomAccessLog
+        Outputs of items that are kept apart from that log.
     addresses : KeyedLog
         Addresses of the entry VMs.
     leases : LeaseTable
         Leases of the entry VMs' processes.
     store_limits : StoreLimits
         Size limits of the store.
+    read_share : ReadShare
+        Rate of the store and number of VMs.
     memory : MemoryLimits
         Memory for submissions.
     clock : Clock
@@ -159,9 +119,11 @@
         identity: VmIdentity,
         client: WorkerClient,
         submissions: KeyedLog,
+        texts: RandomAccessLog,
         addresses: KeyedLog,
         leases: LeaseTable,
         store_limits: StoreLimits,
+        read_share: ReadShare,
         memory: MemoryLimits,
         clock: Clock,
         logs: Logs,
@@ -222,7 +184,8 @@
                 customers=self.customers,
             )
         )
-        submission_table = SubmissionTable(logs=logs)
+        budget = ProgressBudget(share=read_share, clock=clock)
+        submission_table = SubmissionTable(logs=logs, on_read=budget.on_read)
         self._appends = AppendQueue(
             log=submissions,
             max_waiting_bytes=memory.waiting_bytes,
@@ -232,6 +195,18 @@
             logs=logs,
             clock=clock,
         )
+        self._texts = ResultTexts(
+            log=texts,
+            appends=self._appends,
+            producer=process_name,
+            store_limits=store_limits,
+            memory=memory,
+            share=read_share,
+            peers=peers,
+            logs=logs,
+            clock=clock,
+            metrics=metrics,
+        )
         self._address_appends = AppendQueue(
             log=addresses,
             producer=process_name,
@@ -290,7 +265,9 @@
             follower=self._follower,
             appends=self._appends,
             part_bytes=store_limits.max_content_bytes,
+            texts=self._texts,
             max_stored_bytes=memory.stored_bytes,
+            max_text_bytes=store_limits.max_text_bytes,
             logs=logs,
             clock=clock,
         )
@@ -299,6 +276,8 @@
             table=submission_table,
             follower=self._follower,
             appends=self._appends,
+            texts=self._texts,
+            budget=budget,
             client=client,
             fleet=self.fleet,
             capacity=BatchCapacity(vm_id=identity.vm_id, view=self.fleet.view),
@@ -324,6 +303,7 @@
             owner_id=process_name,
             table=submission_table,
             appends=self._appends,
+            texts=self._texts,
             logs=logs,
             clock=clock,
         )
@@ -340,6 +320,7 @@
             for name, work in (
                 ("submissions", self._follower.run),
                 ("append", self._appends.run),
+                ("texts", self._texts.run),
                 ("append addresses", self._address_appends.run),
                 ("load reports", self._exchange.run),
                 ("rate limits", self.rates.run),
@@ -376,7 +357,9 @@
     async def flush(self, timeout_ms: int) -> None:
         """Wait until results of ended items are in the log, up to the timeout."""
         deadline_ms = self._clock.now_ms() + timeout_ms
-        while not self._appends.is_empty and self._clock.now_ms() < deadline_ms:
+        while self._clock.now_ms() < deadline_ms:
+            if self._texts.is_empty and self._appends.is_empty:
+                return
             await anyio.sleep(FLUSH_POLL_MS / MS_PER_S)
 
     async def _expire_workers(self) -> None:
--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -261,9 +261,11 @@
         self._on_success()
         fields = LogFields(offset=end, count=len(records))
         self._logs.write(Event.RESULTS_RECORDED, level=LogLevel.DEBUG, fields=fields)
+        offset = end - len(records)
         for pending in batch:
             self.waiting_bytes -= pending.size_bytes
-            pending.end = end
+            offset += len(pending.records)
+            pending.end = offset
             pending.done.set()
 
     async def _append_singly(
--- a/src/foxtailbank/submissions/item_holds.py
+++ b/src/foxtailbank/submissions/item_holds.py
@@ -6,6 +6,7 @@
 from foxtailbank.forward.crash_tracker import CrashTracker
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.submissions.result_texts import ResultTexts
 
 # After a crash under a part of the item's prompt. Such an item is still owed: a part
 # can be suspect without cause, and a whole answer clears it.
@@ -21,12 +22,16 @@
 
 
 def find_hold(
-    *, is_stopping: bool, appends: AppendQueue, follower: LogFollower
+    *,
+    is_stopping: bool,
+    appends: AppendQueue,
+    texts: ResultTexts,
+    follower: LogFollower,
 ) -> Hold | None:
     """Return why this VM starts no item now; None if it does."""
     if is_stopping:
         return Hold.STOPPING
-    if not appends.has_capacity:
+    if not (appends.has_capacity and texts.has_capacity):
         return Hold.APPENDS_FULL
     if not follower.has_caught_up:  # submissions may have ended or have another owner
         return Hold.LEDGER_BEHIND
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -22,6 +22,7 @@
     encode,
     key_segment,
 )
+from foxtailbank.submissions.result_texts import ResultTexts
 from foxtailbank.tasks import describe_error
 
 
@@ -34,6 +35,8 @@
         This process, as ``vm/incarnation``.
     appends : AppendQueue
         Queue for the submission log.
+    texts : ResultTexts
+        Takes outputs that are kept apart from that log.
     clock : Clock
         Source of time.
     logs : Logs
@@ -47,12 +50,14 @@
         *,
         owner_id: str,
         appends: AppendQueue,
+        texts: ResultTexts,
         clock: Clock,
         logs: Logs,
         metrics: Metrics,
     ) -> None:
         self._owner_id = owner_id
         self._appends = appends
+        self._texts = texts
         self._clock = clock
         self._logs = logs
         self._metrics = metrics
@@ -119,7 +124,8 @@
     def record_end(self, run: ItemRun, *, completed: bool, reason: str) -> None:
         """Append an item's result, or that it was given up, to the submission log.
 
-        The same append drops its saved progress, which no process needs any more.
+        Its output goes there or, before it, to the log of texts. The same append drops
+        its saved progress, which no process needs any more.
         """
         run.is_done = True
         submission_id, item_id = run.key
@@ -129,9 +135,11 @@
             completed=completed,
             text="\n".join(run.texts) if completed else "",
         )
-        stored = encode(record, key_suffix=self._unique_suffix(item_id))
+        suffix = self._unique_suffix(item_id)
         dropped = (drop_progress(*run.key),) if run.has_saved_progress else ()
-        self._appends.put((stored, *dropped), urgent=False)
+        if not self._texts.put(record, key_suffix=suffix, dropped=dropped):
+            stored = encode(record, key_suffix=suffix)
+            self._appends.put((stored, *dropped), urgent=False)
         self._metrics.count(Count.FINISHED_ITEMS, reason=reason)
         self._logs.write(Event.ITEM_FINISHED, fields=self._fields(run, reason))
 
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -20,6 +20,7 @@
 from foxtailbank.submissions.scoped_id import SEPARATOR
 
 SUBMITTED_KIND = "submitted"
+TEXT_KIND = "text"  # of keys in the log of texts
 PROGRESS_KIND = "progress"
 PART_KIND = "part"
 MAX_SEGMENT_BYTES = 64  # two of them and a process fit into a key
@@ -140,6 +141,39 @@
     text: str
 
 
+class TextLocation(msgspec.Struct, frozen=True, kw_only=True):
+    """Where an item's output is in the log of texts.
+
+    Attributes
+    ----------
+    key : str
+        Key of its record; written once.
+    offset : int
+        Offset of the record, by which it is read while the log's history lasts.
+    size_bytes : int
+        Size of the output.
+    """
+
+    key: str
+    offset: int
+    size_bytes: int
+
+
+class ItemEndedApart(ItemEnded, frozen=True, kw_only=True, tag="listed_apart"):
+    """An item was completed, and its output is in the log of texts.
+
+    `text` is empty. It is of a kind of its own, so that a release that does not know
+    it skips it and never returns an empty output.
+
+    Attributes
+    ----------
+    text_at : TextLocation
+        Where the output is.
+    """
+
+    text_at: TextLocation
+
+
 class AttemptFailed(msgspec.Struct, frozen=True, kw_only=True, tag="failed"):
     """A worker answered an item with an error of its own."""
 
@@ -194,6 +228,7 @@
     | Submitted
     | RefusedAttempt
     | ItemEnded
+    | ItemEndedApart
     | AttemptFailed
     | Progress
     | Ended
@@ -231,6 +266,12 @@
     return KeyedRecord(key=key, value=_encoder.encode(record))
 
 
+def encode_text(submission_id: str, text: str, *, key_suffix: str) -> KeyedRecord:
+    """Return an item's output encoded for the log of texts."""
+    key = f"{TEXT_KIND}/{key_segment(submission_id)}/{key_suffix}"
+    return KeyedRecord(key=key, value=text.encode())
+
+
 def encode_refused(record: RefusedAttempt, *, key: str) -> KeyedRecord:
     """Return a refused attempt encoded for the log.
 
--- a/src/foxtailbank/submissions/result_page.py
+++ b/src/foxtailbank/submissions/result_page.py
@@ -1,8 +1,9 @@
 """Pages of results that callers read."""
 
+import abc
 import dataclasses
 
-from foxtailbank.submissions.records import ItemEnded
+from foxtailbank.submissions.records import ItemEnded, ItemEndedApart
 from foxtailbank.submissions.submission import Submission
 
 RESULT_OVERHEAD_BYTES = 200  # of a result in a page, beside its text
@@ -29,11 +30,11 @@
 
 
 def page_from(submission: Submission, position: int) -> ResultPage:
-    """Return the page that begins at a position."""
+    """Return the page that begins at a position; see `PageTexts` for its texts."""
     chosen: list[ItemEnded] = []
     size = 0
     for result in submission.results[position:]:
-        size += len(result.text.encode()) + RESULT_OVERHEAD_BYTES
+        size += _text_bytes(result) + RESULT_OVERHEAD_BYTES
         if chosen and size > MAX_PAGE_BYTES:
             break
         chosen.append(result)
@@ -42,3 +43,54 @@
         next_position=position + len(chosen),
         results=tuple(chosen),
     )
+
+
+def _text_bytes(result: ItemEnded) -> int:
+    if isinstance(result, ItemEndedApart):
+        return result.text_at.size_bytes
+    return len(result.text.encode())
+
+
+def page_with_texts(page: ResultPage, texts_by_key: dict[str, str]) -> ResultPage:
+    """Return a page with all texts, up to the first result whose text is missing.
+
+    Parameters
+    ----------
+    page : ResultPage
+        Results, some of which have their texts in the log of texts.
+    texts_by_key : dict of str to str
+        Texts that could be had, by their keys in that log.
+    """
+    results: list[ItemEnded] = []
+    for result in page.results:
+        if isinstance(result, ItemEndedApart):
+            text = texts_by_key.get(result.text_at.key)
+            if text is None:
+                break
+            result = ItemEnded(
+                submission_id=result.submission_id,
+                item_id=result.item_id,
+                completed=result.completed,
+                text=text,
+            )
+        results.append(result)
+    missing_count = len(page.results) - len(results)
+    return ResultPage(
+        total=page.total,
+        next_position=page.next_position - missing_count,
+        results=tuple(results),
+    )
+
+
+class PageTexts(abc.ABC):
+    """Completes pages by the texts that are not in the ledger."""
+
+    @abc.abstractmethod
+    async def fill(self, page: ResultPage) -> ResultPage:
+        """Return a page with all texts; it may end before a text that is missing.
+
+        Raises
+        ------
+        StateUnknown
+            The text of the first result could not be had in time.
+        """
--- a/src/foxtailbank/submissions/retirement.py
+++ b/src/foxtailbank/submissions/retirement.py
@@ -12,6 +12,7 @@
 from foxtailbank.logs import LogFields, Logs
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.records import encode_refused
+from foxtailbank.submissions.result_texts import ResultTexts
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import (
     SubmissionTable,
@@ -33,6 +34,8 @@
         Holds the ledger.
     appends : AppendQueue
         Queue for the submission log.
+    texts : ResultTexts
+        Drops outputs that are kept apart from that log.
     logs : Logs
         Receives a line for each submission that is dropped.
     clock : Clock
@@ -45,12 +48,14 @@
         owner_id: str,
         table: SubmissionTable,
         appends: AppendQueue,
+        texts: ResultTexts,
         logs: Logs,
         clock: Clock,
     ) -> None:
         self._owner_id = owner_id
         self._table = table
         self._appends = appends
+        self._texts = texts
         self._logs = logs
         self._clock = clock
         self._retired_keys: set[str] = set()
@@ -108,5 +113,6 @@
         keys = [*sorted(submission.record_keys - {created_key}), created_key]
         records = tuple(KeyedRecord(key=key, value=b"") for key in keys)
         self._appends.put_split(records)
+        self._texts.drop(submission.text_keys)
         fields = LogFields(job_id=submission.submission_id, count=len(records))
         self._logs.write(Event.SUBMISSION_RETIRED, fields=fields)
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -35,7 +35,9 @@
 from foxtailbank.submissions.item_recorder import ItemRecorder
 from foxtailbank.submissions.item_run import ItemRun
 from foxtailbank.submissions.paced_reading import read_paced
+from foxtailbank.submissions.progress_budget import ProgressBudget
 from foxtailbank.submissions.removed_routes import RemovedRoutes
+from foxtailbank.submissions.result_texts import ResultTexts
 from foxtailbank.submissions.run_table import RunTable
 from foxtailbank.submissions.submission_table import SubmissionTable
 
@@ -68,6 +70,10 @@
         Keeps the ledger up to date.
     appends : AppendQueue
         Queue for the submission log.
+    texts : ResultTexts
+        Takes outputs that are kept apart from that log.
+    budget : ProgressBudget
+        Whether progress may be saved.
     client : WorkerClient
         Connections to workers.
     fleet : FleetState
@@ -102,6 +108,8 @@
         table: SubmissionTable,
         follower: LogFollower,
         appends: AppendQueue,
+        texts: ResultTexts,
+        budget: ProgressBudget,
         client: WorkerClient,
         fleet: FleetState,
         capacity: BatchCapacity,
@@ -114,6 +122,8 @@
     ) -> None:
         self._follower = follower
         self._appends = appends
+        self._texts = texts
+        self._budget = budget
         self._client = client
         self._fleet = fleet
         self.capacity = capacity
@@ -124,7 +134,12 @@
         self._clock = clock
         self._rng = rng
         self._recorder = ItemRecorder(
-            owner_id=owner_id, appends=appends, clock=clock, logs=logs, metrics=metrics
+            owner_id=owner_id,
+            appends=appends,
+            texts=texts,
+            clock=clock,
+            logs=logs,
+            metrics=metrics,
         )
         self.runs = RunTable(
             owner_id=owner_id, table=table, routes=routes, client=client, clock=clock
@@ -167,7 +182,10 @@
     def hold(self) -> Hold | None:
         """Why no item starts now; None if items start."""
         return find_hold(
-            is_stopping=self.stopping, appends=self._appends, follower=self._follower
+            is_stopping=self.stopping,
+            appends=self._appends,
+            texts=self._texts,
+            follower=self._follower,
         )
 
     def no_slot_ms(self, route: str, now_ms: int) -> int:
@@ -324,7 +342,8 @@
                     detail=f"output over {self._max_output_bytes} bytes"
                 )
             is_due = self._clock.now_ms() - run.saved_ms > SAVE_PERIOD_MS
-            if is_due and not self._follower.has_backlog:  # all VMs read what is saved
+            has_room = self._budget.allows_saving and not self._follower.has_backlog
+            if is_due and has_room:  # all VMs read what is saved
                 self._recorder.save_progress(run)
 
     def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -1,7 +1,6 @@
 """Operations on batch submissions for callers."""
 
 import contextlib
-import dataclasses
 import typing as t
 
 import anyio
@@ -23,13 +22,13 @@
     SubmissionUnknown,
 )
 from foxtailbank.submissions.item_groups import encode_parts, split_items
+from foxtailbank.submissions.new_submission import NewSubmission
 from foxtailbank.submissions.records import (
     Ended,
-    Item,
     Submitted,
     encode,
 )
-from foxtailbank.submissions.result_page import ResultPage, page_from
+from foxtailbank.submissions.result_page import PageTexts, ResultPage, page_from
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
@@ -38,29 +37,6 @@
 MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NewSubmission:
-    """A submission received from a caller.
-
-    Attributes
-    ----------
-    submission_id : str
-        Id by which it is stored; see `scoped_id`.
-    host, target : str
-        Host and path of the request.
-    items : tuple of Item
-        Items to run.
-    customer : str
-        Name of the customer; empty for none.
-    """
-
-    submission_id: str
-    host: str
-    target: str
-    items: tuple[Item, ...]
-    customer: str = ""
-
-
 class SubmissionService:
     """Accepts and ends submissions and returns their results.
 
@@ -74,10 +50,14 @@
         Applies new log records to the ledger.
     appends : AppendQueue
         Queue for the submission log.
+    texts : PageTexts
+        Outputs that are not in the ledger.
     part_bytes : int
         Size at which the items of a submission are split into records, in bytes.
     max_stored_bytes : int
         Most that may be stored of all submissions, in bytes.
+    max_text_bytes : int
+        Most that may be stored of outputs beside their records, in bytes.
     logs : Logs
         Receives a line for each answer that has no result at the asked position.
     clock : Clock
@@ -91,8 +71,10 @@
         table: SubmissionTable,
         follower: LogFollower,
         appends: AppendQueue,
+        texts: PageTexts,
         part_bytes: int,
         max_stored_bytes: int,
+        max_text_bytes: int,
         logs: Logs,
         clock: Clock,
     ) -> None:
@@ -100,8 +82,10 @@
         self._table = table
         self._follower = follower
         self._appends = appends
+        self._texts = texts
         self._part_bytes = part_bytes
         self._max_stored_bytes = max_stored_bytes
+        self._max_text_bytes = max_text_bytes
         self._logs = logs
         self._clock = clock
         self._suffix_count = 0
@@ -180,7 +164,7 @@
         SubmissionUnknown
             The log has no such submission.
         StateUnknown
-            The log could not be read to its end.
+            The log could not be read to its end, or an output could not be read.
         """
         deadline_ms = self._clock.now_ms() + wait_ms
         submission = await self.find(submission_id)
@@ -194,7 +178,7 @@
             submission = await self._reread(submission, position)
         if len(submission.results) <= position:
             self._log_no_result(submission, position)
-        return page_from(submission, position)
+        return await self._texts.fill(page_from(submission, position))
 
     async def item_body(self, submission_id: str, item_id: str) -> bytes:
         """Return the request body of an item.
@@ -245,11 +229,13 @@
             )
 
     def _require_memory(self, added_bytes: int) -> None:
-        """Refuse what no VM could hold together with what is stored."""
+        """Refuse what no VM or not the store could hold with what is stored."""
         stored_bytes = self._table.stored_bytes + self._appends.waiting_bytes
-        if stored_bytes + added_bytes > self._max_stored_bytes:
+        text_bytes = self._table.text_bytes
+        is_full = stored_bytes + added_bytes > self._max_stored_bytes
+        if is_full or text_bytes > self._max_text_bytes:
             raise StoreFull(
-                detail=f"{stored_bytes} bytes are stored",
+                detail=f"{stored_bytes} and {text_bytes} bytes are stored",
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
--- a/src/foxtailbank/submissions/submission.py
+++ b/src/foxtailbank/submissions/submission.py
@@ -37,6 +37,8 @@
         Log key of the record that created it; empty until the table sets it.
     record_keys : set of str
         Log keys of its records, needed to drop them.
+    text_keys : set of str
+        Keys of its items' outputs in the log of texts, needed to drop them.
     """
 
     submission_id: str
@@ -55,6 +57,7 @@
     customer: str = ""
     created_key: str = ""
     record_keys: set[str] = dataclasses.field(default_factory=set)
+    text_keys: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def is_open(self) -> bool:
--- a/src/foxtailbank/submissions/submission_table.py
+++ b/src/foxtailbank/submissions/submission_table.py
@@ -14,6 +14,7 @@
 from foxtailbank.submissions.records import (
     PART_KIND,
     PROGRESS_KIND,
+    ItemEndedApart,
     Part,
     Record,
     RecordUnreadable,
@@ -62,6 +63,8 @@
     ----------
     logs : Logs
         Receives a line for each submission event and each unreadable record.
+    on_read : callable, optional
+        Called with the size in bytes of records that were read as they were appended.
 
     Attributes
     ----------
@@ -71,17 +74,24 @@
         Refused attempts that a replay could still accept, by log key.
     stored_bytes : int
         Size of the newest record of each key, which a VM that starts reads at once.
+    text_bytes : int
+        Size of the outputs in the log of texts that belong to these records.
     """
 
-    def __init__(self, *, logs: Logs) -> None:
+    def __init__(
+        self, *, logs: Logs, on_read: t.Callable[[int], None] | None = None
+    ) -> None:
         self.ledger = Ledger()
         self.unmarked_by_key: dict[str, UnmarkedAttempt] = {}
         self._logs = logs
+        self._on_read = on_read
         self._listeners: list[t.Callable[[], None]] = []
         self._part_keys_by_attempt: dict[tuple[str, str], set[str]] = {}
         self._id_by_segment: dict[str, str] = {}  # of ids that are not in their keys
         self._bytes_by_key: dict[str, int] = {}
+        self._text_bytes_by_key: dict[str, int] = {}
         self.stored_bytes = 0
+        self.text_bytes = 0
 
     def on_change(self, listener: t.Callable[[], None]) -> None:
         """Call a function each time records have been applied."""
@@ -94,11 +104,15 @@
         self._part_keys_by_attempt = {}
         self._id_by_segment = {}
         self._bytes_by_key = {}
+        self._text_bytes_by_key = {}
         self.stored_bytes = 0
+        self.text_bytes = 0
         self._apply_all(newest, is_replay=True)
 
     def apply_records(self, part: LogSlice) -> None:
         """Apply the records that follow."""
+        if self._on_read is not None:
+            self._on_read(sum(record.size_bytes for record in part.records))
         self._apply_all(part, is_replay=False)
 
     def _apply_all(self, part: LogSlice, *, is_replay: bool) -> None:
@@ -120,6 +134,9 @@
             )
             self._logs.write(Event.RECORD_SKIPPED, level=LogLevel.ERROR, fields=fields)
             return
+        if isinstance(record, ItemEndedApart):
+            self._text_bytes_by_key[stored.key] = record.text_at.size_bytes
+            self.text_bytes += record.text_at.size_bytes
         effect = self.ledger.apply(record)
         self._remember_key(stored.key, record, effect)
         event = _EVENT_BY_EFFECT.get(effect)
@@ -135,6 +152,7 @@
 
     def _count_bytes(self, stored: KeyedRecord) -> None:
         self.stored_bytes -= self._bytes_by_key.pop(stored.key, 0)
+        self.text_bytes -= self._text_bytes_by_key.pop(stored.key, 0)
         if stored.value:
             self._bytes_by_key[stored.key] = stored.size_bytes
             self.stored_bytes += stored.size_bytes
@@ -164,6 +182,8 @@
         if submission is None:
             return
         submission.record_keys |= keys
+        if isinstance(record, ItemEndedApart):
+            submission.text_keys.add(record.text_at.key)
         if effect is Effect.ACCEPTED:
             submission.created_key = key
 
--- a/src/foxtailbank_bench/measure_store_reads.py
+++ b/src/foxtailbank_bench/measure_store_reads.py
@@ -17,6 +17,7 @@
 
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.exceptions import FoxtailbankError
+from foxtailbank.fleet.peer_table import PeerTable
 from foxtailbank.keyed_log import (
     AppendId,
     KeyedLog,
@@ -28,12 +29,15 @@
 from foxtailbank.logs import Logs
 from foxtailbank.read_share import ReadShare
 from foxtailbank.serving_vm import SUBMISSIONS_READ_PAUSE_MS
+from foxtailbank.submissions.progress_budget import ProgressBudget
 from foxtailbank.submissions.service import MAX_STATE_AGE_MS
+from foxtailbank.submissions.text_placement import TextPlacement
 from foxtailbank_bench.simulated_loop import LoopClock, run_simulated
 
 MAX_READ_BYTES = 1 << 20
 CALL_TIMEOUT_MS = 1_000
 CALL_MS = 4
+LOCATION_BYTES = 200  # of a text, in a record
 SYNCS_PER_S = 2.0  # of each VM, by callers who wait for results
 DRAIN_S = 10  # after the last record
 
@@ -60,6 +64,11 @@
         How long records are appended, in seconds.
     bounds_reads : bool
         Whether reads are bounded by `ReadShare`.
+    keeps_texts_apart : bool
+        Whether texts and progress are kept from the log as `TextPlacement` and
+        `ProgressBudget` decide.
+    reads_per_text : int
+        VMs that read each text which is kept apart.
     """
 
     vm_count: int = 71
@@ -70,6 +79,8 @@
     progress_bytes: int = 0
     duration_s: int = 20
     bounds_reads: bool = True
+    keeps_texts_apart: bool = True
+    reads_per_text: int = 3
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -88,6 +99,10 @@
         Most records that a VM has not read at the end of the load.
     unread_after_drain : int
         The same some seconds later.
+    texts_apart, progress_saved : int
+        Texts that were kept apart, and records with saved progress.
+    longest_text_read_ms : int
+        Longest read of a text that was kept apart, in milliseconds.
     """
 
     calls: int
@@ -97,29 +112,56 @@
     failed_syncs: int
     unread_at_end: int
     unread_after_drain: int
+    texts_apart: int
+    progress_saved: int
+    longest_text_read_ms: int
 
 
 class _Store:
     """Records, and when the store will have served the reads that it holds."""
 
-    def __init__(self, spec: FleetSpec) -> None:
+    def __init__(self, spec: FleetSpec, share: ReadShare) -> None:
         self.spec = spec
+        peers = PeerTable(vm_id="vm-0", zone="")
+        peers.is_complete = True
+        self._placement = TextPlacement(share=share, peers=peers, clock=LoopClock())
+        self._budget = ProgressBudget(share=share, clock=LoopClock())
         self.sizes: list[int] = []  # of the records, in bytes
         self.appended = anyio.Event()
         self.calls = 0
         self.lost_calls = 0
         self.read_bytes = 0
+        self.texts_apart = 0
+        self.progress_saved = 0
+        self.longest_text_read_ms = 0
         self._free_s = 0.0
 
     @property
     def end(self) -> int:
         return len(self.sizes)
 
-    def append(self) -> None:
+    def append(self) -> bool:
+        """Append a record and return whether its text is kept apart."""
         spec = self.spec
-        self.sizes.append(spec.record_bytes + spec.text_bytes + spec.progress_bytes)
+        may_decide = spec.keeps_texts_apart
+        is_apart = may_decide and self._placement.is_apart(spec.text_bytes)
+        saves = not may_decide or self._budget.allows_saving
+        size_bytes = spec.record_bytes
+        size_bytes += LOCATION_BYTES if is_apart else spec.text_bytes
+        size_bytes += spec.progress_bytes if saves else 0
+        self.texts_apart += is_apart
+        self.progress_saved += bool(saves and spec.progress_bytes)
+        self._budget.on_read(size_bytes)
+        self.sizes.append(size_bytes)
         self.appended.set()
         self.appended = anyio.Event()
+        return is_apart
+
+    async def serve_text(self) -> None:
+        started_s = anyio.current_time()
+        await self.serve(self.spec.text_bytes)
+        duration_ms = int((anyio.current_time() - started_s) * MS_PER_S)
+        self.longest_text_read_ms = max(self.longest_text_read_ms, duration_ms)
 
     async def serve(self, size_bytes: int) -> None:
         now_s = anyio.current_time()
@@ -180,13 +222,13 @@
 class _Fleet:
     def __init__(self, spec: FleetSpec) -> None:
         self._spec = spec
-        self._store = _Store(spec)
         self._rng = random.Random(1)
         self._syncs = 0
         self._failed_syncs = 0
         rate = spec.read_bytes_per_s if spec.bounds_reads else 0.0
         share = ReadShare(store_bytes_per_s=rate)
         share.set_vm_count(lambda: spec.vm_count)
+        self._store = _Store(spec, share)
         self._followers = [
             LogFollower(
                 name="submissions",
@@ -206,7 +248,9 @@
                 group.start_soon(self._sync, follower)
             for _ in range(int(self._spec.duration_s * self._spec.records_per_s)):
                 await anyio.sleep(1 / self._spec.records_per_s)
-                self._store.append()
+                if self._store.append():
+                    for _ in range(self._spec.reads_per_text):
+                        group.start_soon(self._store.serve_text)
             unread_at_end = self._most_unread()
             syncs, failed_syncs = self._syncs, self._failed_syncs
             await anyio.sleep(DRAIN_S)
@@ -221,6 +265,9 @@
             failed_syncs=failed_syncs,
             unread_at_end=unread_at_end,
             unread_after_drain=self._most_unread(),
+            texts_apart=self._store.texts_apart,
+            progress_saved=self._store.progress_saved,
+            longest_text_read_ms=self._store.longest_text_read_ms,
         )
 
     def _most_unread(self) -> int:
@@ -246,7 +293,7 @@
 
 
 def main(arguments: t.Sequence[str] | None = None) -> int:
-    """Play fleets with and without the bound and return the exit code.
+    """Play fleets before and after what bounds their reads, return the exit code.
 
     Parameters
     ----------
@@ -260,7 +307,11 @@
     parser.add_argument("--text-bytes", type=int, default=0)
     parser.add_argument("--progress-bytes", type=int, default=0)
     options = parser.parse_args(arguments)
-    for bounds_reads in (False, True):
+    for bounds_reads, keeps_texts_apart in (
+        (False, False),
+        (True, False),
+        (True, True),
+    ):
         spec = FleetSpec(
             vm_count=options.vms,
             records_per_s=options.records_per_s,
@@ -268,6 +319,7 @@
             text_bytes=options.text_bytes,
             progress_bytes=options.progress_bytes,
             bounds_reads=bounds_reads,
+            keeps_texts_apart=keeps_texts_apart,
         )
         for part in (spec, play(spec)):
             sys.stdout.write(msgspec.json.encode(part).decode() + "\n")
--- a/tests/explain_world.py
+++ b/tests/explain_world.py
@@ -5,6 +5,7 @@
 import random
 
 from customer_samples import make_customer
+from fake_texts import FakeTextLog
 from foxtailbank.address import parse_address
 from foxtailbank.clock import ManualClock
 from foxtailbank.customers.share_counts import customer_key
@@ -17,8 +18,10 @@
 from foxtailbank.forward.route import Backend, RouteKind
 from foxtailbank.memory_limits import MemoryLimits
 from foxtailbank.metrics import Metrics
-from foxtailbank.serving_vm import ServingVm, StoreLimits, VmIdentity
+from foxtailbank.read_share import ReadShare
+from foxtailbank.serving_vm import ServingVm
 from foxtailbank.submissions.records import Item, Submitted
+from foxtailbank.vm_identity import StoreLimits, VmIdentity
 from serving_fakes import (
     PASS_MS,
     FakeKeyedLog,
@@ -52,6 +55,11 @@
 )
 
 
+STORE_LIMITS = StoreLimits(
+    max_record_bytes=10_000, max_append_bytes=10_000, max_text_bytes=10_000
+)
+
+
 class World:
     """A VM with six workers, and what may happen to it."""
 
@@ -64,10 +72,12 @@
             ),
             client=self.client,
             submissions=FakeKeyedLog(),
+            texts=FakeTextLog(),
             addresses=FakeKeyedLog(),
             leases=FakeLeases(),
             memory=MemoryLimits(memory_mb=330),
-            store_limits=StoreLimits(max_record_bytes=10_000, max_append_bytes=10_000),
+            store_limits=STORE_LIMITS,
+            read_share=ReadShare(),
             clock=self.clock,
             logs=make_logs(),
             metrics=Metrics(),
--- a/tests/item_vm.py
+++ b/tests/item_vm.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from fake_texts import make_budget, make_texts
 from foxtailbank.fleet.crash_report import request_fingerprint
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route import RouteKind
@@ -72,11 +73,14 @@
             logs=logs,
             clock=self.clock,
         )
+        self.texts = make_texts(self.appends, self.clock)
         self.runner = Runner(
             owner_id="vm1/1",
             table=self.table,
             follower=self.follower,
             appends=self.appends,
+            texts=self.texts,
+            budget=make_budget(self.clock),
             client=self.client,
             fleet=self.fleet,
             capacity=BatchCapacity(vm_id="vm1", view=self.fleet.view),
--- a/tests/platform_ledger_replicas.py
+++ b/tests/platform_ledger_replicas.py
@@ -7,6 +7,7 @@
 import math
 import types
 
+from fake_texts import CapturedTexts, shown_result
 from foxtailbank.clock import ManualClock
 from foxtailbank.keyed_log import LogSlice
 from foxtailbank.metrics import Metrics
@@ -98,8 +99,7 @@
             case ItemEnded():
                 listed = {item_id for item_id, _, _ in known.results}
                 if record.item_id in known.tokens_by_item.keys() - listed:
-                    result = (record.item_id, record.completed, record.text)
-                    results = (*known.results, result)
+                    results = (*known.results, shown_result(record))
                     return dataclasses.replace(known, results=results)
             case AttemptFailed():
                 failures = dict(known.failures_by_item)
@@ -142,6 +142,7 @@
     def __init__(self):
         self.records = []
         self.newest_by_key = {}
+        self.text_by_key = {}
         self.oracle = Oracle()
         self.clock = ManualClock()
 
@@ -235,6 +236,7 @@
     def send_first(self):
         """Append the first records unless they were withdrawn."""
         records, last_end = self.waiting.popleft()
+        records = records() if callable(records) else records
         if self._log.end <= last_end:
             self._log.append(records)
 
@@ -247,9 +249,11 @@
         self.log = log
         self.table = SubmissionTable(logs=make_logs())
         self.appends = CapturedAppends(log)
+        self.texts = CapturedTexts(self.appends, log.text_by_key)
         self.recorder = ItemRecorder(
             owner_id=owner_id,
             appends=self.appends,
+            texts=self.texts,
             clock=log.clock,
             logs=make_logs(),
             metrics=Metrics(),
@@ -258,6 +262,7 @@
             owner_id=owner_id,
             table=self.table,
             appends=self.appends,
+            texts=self.texts,
             logs=make_logs(),
             clock=log.clock,
         )
@@ -382,7 +387,7 @@
             i.item_id: i.tokens for i in submission.items_by_id.values()
         },
         "generation": submission.generation,
-        "results": tuple((r.item_id, r.completed, r.text) for r in submission.results),
+        "results": tuple(map(shown_result, submission.results)),
         "failures_by_item": submission.failures_by_id,
         "ended": submission.ended,
     }
--- a/tests/test_crash_report_log.py
+++ b/tests/test_crash_report_log.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from fake_texts import FakeTextLog
 from foxtailbank.clock import ManualClock
 from foxtailbank.crash_report_log import KEY_PREFIX
 from foxtailbank.fleet.crash_reports import REPORT_TTL_MS
@@ -14,7 +15,9 @@
 from foxtailbank.keyed_log import AppendId, KeyedRecord
 from foxtailbank.memory_limits import MemoryLimits
 from foxtailbank.metrics import Metrics
-from foxtailbank.serving_vm import ServingVm, StoreLimits, VmIdentity
+from foxtailbank.read_share import ReadShare
+from foxtailbank.serving_vm import ServingVm
+from foxtailbank.vm_identity import StoreLimits, VmIdentity
 from serving_fakes import (
     PASS_MS,
     FakeKeyedLog,
@@ -30,6 +33,9 @@
 HOST = "127.0.0.46"
 WALL_MS = 1_790_000_000_000
 WAIT_S = 5
+STORE_LIMITS = StoreLimits(
+    max_record_bytes=10_000, max_append_bytes=10_000, max_text_bytes=10_000
+)
 
 
 @pytest.fixture
@@ -48,10 +54,12 @@
         ),
         client=FakeWorkerClient(),
         submissions=log,
+        texts=FakeTextLog(),
         addresses=FakeKeyedLog(),
         leases=FakeLeases(),
         memory=MemoryLimits(memory_mb=330),
-        store_limits=StoreLimits(max_record_bytes=10_000, max_append_bytes=10_000),
+        store_limits=STORE_LIMITS,
+        read_share=ReadShare(),
         clock=clock,
         logs=make_logs(),
         metrics=Metrics(),
--- a/tests/test_item_recorder.py
+++ b/tests/test_item_recorder.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from fake_texts import make_texts
 from foxtailbank.keyed_log import LogSlice
 from foxtailbank.metrics import Metrics
 from foxtailbank.submissions.append_queue import AppendQueue
@@ -39,9 +40,11 @@
             logs=make_logs(),
             clock=clock,
         )
+        self.texts = make_texts(self.appends, clock)
         self.recorder = ItemRecorder(
             owner_id="vm/1",
             appends=self.appends,
+            texts=self.texts,
             clock=clock,
             logs=make_logs(),
             metrics=Metrics(),
@@ -146,6 +149,7 @@
         owner_id="vm/1",
         table=await owner.restored_table(),
         appends=owner.appends,
+        texts=owner.texts,
         logs=make_logs(),
         clock=owner.clock,
     )
--- a/tests/test_platform_large_records.py
+++ b/tests/test_platform_large_records.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fake_texts import make_texts
 from foxtailbank.clock import SystemClock
 from foxtailbank.keyed_log import KeyedRecord, LogSlice, StoreRefused, StoreRejected
 from foxtailbank.submissions.append_queue import AppendQueue, AppendTooLarge
@@ -179,8 +180,10 @@
         table=table,
         follower=make_follower(log, table, clock),
         appends=queue,
+        texts=make_texts(queue, clock),
         part_bytes=RECORD_BYTES // 2,
         max_stored_bytes=1 << 20,
+        max_text_bytes=1 << 20,
         logs=make_logs(),
         clock=clock,
     )
--- a/tests/test_platform_small_memory.py
+++ b/tests/test_platform_small_memory.py
@@ -172,6 +172,7 @@
     limits = MemoryLimits(memory_mb=memory_mb)
     # See `memory_limits`: stored records count twice at a start, bodies three times.
     always = limits.waiting_bytes + limits.connection_bytes
+    always += limits.waiting_text_bytes + limits.held_text_bytes
     peak = 2 * limits.stored_bytes + always
     running = limits.stored_bytes + always + 3 * limits.body_bytes
     program = 45 << 20
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from fake_texts import make_texts
 from foxtailbank.keyed_log import LogSlice
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.records import encode
@@ -45,7 +46,12 @@
         log=log, producer=me, call_bytes=9_999, logs=make_logs(), clock=clock
     )
     retirement = Retirement(
-        owner_id=me, table=book, appends=appends, logs=make_logs(), clock=clock
+        owner_id=me,
+        table=book,
+        appends=appends,
+        texts=make_texts(appends, clock),
+        logs=make_logs(),
+        clock=clock,
     )
     clock.advance(age_ms)
     retirement.retire_expired()
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from fake_texts import make_texts
 from foxtailbank.clock import SystemClock
 from foxtailbank.keyed_log import AppendId
 from foxtailbank.log_follower import LogFollower
@@ -74,7 +75,9 @@
             table=self.table,
             follower=self.follower,
             appends=self.appends,
+            texts=make_texts(self.appends, self.clock),
             max_stored_bytes=1 << 20,
+            max_text_bytes=1 << 20,
             part_bytes=8_000,
             logs=logs,
             clock=self.clock,
