--- a/src/foxtailbank/submissions/text_reader.py
+++ b/src/foxtailbank/submissions/text_reader.py
@@ -23,6 +23,7 @@
 @dataclasses.dataclass(kw_only=True)
 class _PendingText:
     location: TextLocation
+    caller_count: int = 0
     text: str | None = None
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
@@ -56,7 +57,7 @@
         self._new: list[_PendingText] = []
         self._pending_by_key: dict[str, _PendingText] = {}
         self._limiter = anyio.Semaphore(MAX_CONCURRENT_READS)
-        self._page_lock = anyio.Lock()  # a page takes several times its size to decode
+        self._page_lock = anyio.Lock()
 
     async def run(self) -> None:
         """Carry out the reads that callers ask for until cancelled."""
@@ -82,9 +83,13 @@
             else:
                 text_by_key[location.key] = text
         self._count("memory", len(text_by_key))
-        with anyio.move_on_after(timeout_ms / MS_PER_S):
+        try:
+            with anyio.move_on_after(timeout_ms / MS_PER_S):
+                for pending in pending_texts:
+                    await pending.done.wait()
+        finally:
             for pending in pending_texts:
-                await pending.done.wait()
+                pending.caller_count -= 1
         for pending in pending_texts:
             if pending.text is not None:
                 text_by_key[pending.location.key] = pending.text
@@ -98,44 +103,58 @@
             self._pending_by_key[location.key] = pending
             self._new.append(pending)
             self._requested.set()
+        pending.caller_count += 1
         return pending
 
     async def _read_span(self, span: TextSpan) -> None:
         text_by_key: dict[str, str] = {}
-        async with self._limiter:
-            try:
-                await self._fetch(span, text_by_key)
-            except FoxtailbankError as failure:
-                fields = LogFields(
-                    reason=f"{failure.code}: {failure.detail}",
-                    offset=span.start,
-                    count=len(span.locations),
-                )
-                self._logs.write(
-                    Event.TEXT_NOT_READ, level=LogLevel.WARNING, fields=fields
-                )
+        try:
+            async with self._limiter:
+                await self._read_by_offset(span, text_by_key)
+            if any(each.key not in text_by_key for each in span.locations):
+                # A page takes several times its size to decode.
+                async with self._page_lock:
+                    await self._read_by_key(span, text_by_key)
+        except FoxtailbankError as failure:
+            fields = LogFields(
+                reason=f"{failure.code}: {failure.detail}",
+                offset=span.start,
+                count=len(span.locations),
+            )
+            self._logs.write(Event.TEXT_NOT_READ, level=LogLevel.WARNING, fields=fields)
         for location in span.locations:
             self._finish(self._pending_by_key[location.key], text_by_key)
 
-    async def _fetch(self, span: TextSpan, text_by_key: dict[str, str]) -> None:
-        """Add the texts of a span, by their keys where the history has expired."""
+    async def _read_by_offset(
+        self, span: TextSpan, text_by_key: dict[str, str]
+    ) -> None:
+        """Add the texts of a span unless its history has expired."""
+        if not any(map(self._is_awaited, span.locations)):
+            return
         with contextlib.suppress(HistoryTruncated):
             part = await self._log.read_span(
                 start=span.start, size_bytes=span.size_bytes
             )
             self._add(part.records, text_by_key)
             self._count("log", len(part.records))
-        async with self._page_lock:
-            for key in sorted(location.key for location in span.locations):
-                if key in text_by_key:
-                    continue
-                held = self._cache.get(key)  # from the page of another span
-                if held is None:
-                    page = await self._log.read_newest_from(key)
-                    self._add(_of_same_submission(key, page), text_by_key)
-                    self._count("newest", 1)
-                else:
-                    text_by_key[key] = held
+
+    async def _read_by_key(self, span: TextSpan, text_by_key: dict[str, str]) -> None:
+        """Add the texts of a span that are missing from pages of newest records."""
+        for location in sorted(span.locations, key=lambda each: each.key):
+            key = location.key
+            held = text_by_key.get(key) or self._cache.get(key)
+            if held is not None:  # also from the page of another span
+                text_by_key[key] = held
+            elif self._is_awaited(location):
+                page = await self._log.read_newest_from(key)
+                self._add(_of_same_submission(key, page), text_by_key)
+                self._count("newest", 1)
+                if key not in text_by_key:
+                    return  # dropped, as then the others are
+
+    def _is_awaited(self, location: TextLocation) -> bool:
+        """Return whether a caller still waits, so that a read is not in vain."""
+        return self._pending_by_key[location.key].caller_count > 0
 
     def _add(
         self, records: t.Iterable[KeyedRecord], text_by_key: dict[str, str]
--- a/tests/test_result_texts.py
+++ b/tests/test_result_texts.py
@@ -266,6 +266,23 @@
         assert owner.store.texts.span_reads == [0]
 
 
+# Guards against pages that are read for callers who left long ago, in an overload.
+async def test_nothing_is_read_for_callers_that_gave_up():
+    async with finished() as (owner, other):
+        owner.store.texts.first = len(owner.store.texts.records)
+        async with other.texts._reader._page_lock:
+            assert await other.read() is StateUnknown
+        await anyio.sleep(0.05)
+        assert owner.store.texts.key_reads == []
+        assert await other.read() == expected("abcd")
+
+
+# Guards against new results that wait behind pages of old ones.
+async def test_a_page_that_takes_long_holds_up_no_read_by_offset():
+    async with finished() as (_, other), other.texts._reader._page_lock:
+        assert await other.read() == expected("abcd")
+
+
 # Guards against a result that refers to a text which is not in the store.
 @pytest.mark.parametrize("lost_answers", [0, 1])
 async def test_the_text_is_in_the_store_before_its_result(lost_answers):
