--- a/src/foxtailbank/submissions/result_page.py
+++ b/src/foxtailbank/submissions/result_page.py
@@ -1,8 +1,9 @@
 """Pages of results that callers read."""
 
+import abc
 import dataclasses
 
-from foxtailbank.submissions.records import ItemEnded
+from foxtailbank.submissions.records import ItemEnded, ItemEndedApart
 from foxtailbank.submissions.submission import Submission
 
 RESULT_OVERHEAD_BYTES = 200  # of a result in a page, beside its text
@@ -37,11 +38,11 @@
 
 
 def page_from(submission: Submission, position: int) -> ResultPage:
-    """Return the page that begins at a position."""
+    """Return the page that begins at a position; see `PageTexts` for its texts."""
     chosen: list[ItemEnded] = []
     size = 0
     for result in submission.results[position:]:
-        size += len(result.text.encode()) + RESULT_OVERHEAD_BYTES
+        size += _text_bytes(result) + RESULT_OVERHEAD_BYTES
         if chosen and size > MAX_PAGE_BYTES:
             break
         chosen.append(result)
@@ -51,3 +52,59 @@
         results=tuple(chosen),
         known_count=len(submission.results),
     )
+
+
+def _text_bytes(result: ItemEnded) -> int:
+    if isinstance(result, ItemEndedApart):
+        return result.text_at.size_bytes
+    return len(result.text.encode())
+
+
+def page_with_texts(page: ResultPage, text_by_key: dict[str, str]) -> ResultPage | None:
+    """Return a page with all texts; None if one is missing.
+
+    Parameters
+    ----------
+    page : ResultPage
+        Results, some of which have their texts in the log of texts.
+    text_by_key : dict of str to str
+        Texts that could be had, by their keys in that log.
+    """
+    results: list[ItemEnded] = []
+    for result in page.results:
+        if isinstance(result, ItemEndedApart):
+            text = text_by_key.get(result.text_at.key)
+            if text is None:
+                return None
+            result = ItemEnded(
+                submission_id=result.submission_id,
+                item_id=result.item_id,
+                completed=result.completed,
+                text=text,
+            )
+        results.append(result)
+    return dataclasses.replace(page, results=tuple(results))
+
+
+class PageTexts(abc.ABC):
+    """Completes pages by the texts that are not in the ledger."""
+
+    @abc.abstractmethod
+    async def fill(self, page: ResultPage, *, timeout_ms: int) -> ResultPage:
+        """Return a page with all texts.
+
+        A page that ended before a missing text would tell callers that there is no
+        result yet.
+
+        Parameters
+        ----------
+        page : ResultPage
+            Results as the ledger has them.
+        timeout_ms : int
+            Longest wait, in milliseconds.
+
+        Raises
+        ------
+        StateUnknown
+            A text could not be had in time.
+        """
--- a/src/foxtailbank/submissions/result_reader.py
+++ b/src/foxtailbank/submissions/result_reader.py
@@ -4,12 +4,18 @@
 from foxtailbank.events import Event
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import LogFields, Logs
-from foxtailbank.submissions.failures import StateUnknown, unknown_on_failure
-from foxtailbank.submissions.result_page import ResultPage, page_from
+from foxtailbank.submissions.failures import (
+    RETRY_AFTER_MS,
+    StateUnknown,
+    unknown_on_failure,
+)
+from foxtailbank.submissions.result_page import PageTexts, ResultPage, page_from
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
+MAX_ANSWER_AGE_MS = 700  # after what was read for the answer, which took up to as long
+CALLER_SLACK_MS = 1_300  # that callers wait beyond their limit, less the way to them
 # Of failed reads until the store counts as away; queued reads come back sooner.
 STORE_AWAY_MS = 2_000
 
@@ -23,6 +29,8 @@
         Holds the ledger.
     follower : LogFollower
         Applies new log records to the ledger.
+    texts : PageTexts
+        Outputs that are not in the ledger.
     logs : Logs
         Receives a line for each page without a result at the asked position, and for
         each other that ends before the last item and is from an old state.
@@ -35,11 +43,13 @@
         *,
         table: SubmissionTable,
         follower: LogFollower,
+        texts: PageTexts,
         logs: Logs,
         clock: Clock,
     ) -> None:
         self._table = table
         self._follower = follower
+        self._texts = texts
         self._logs = logs
         self._clock = clock
 
@@ -71,12 +81,33 @@
                 break
             await self._follower.wait_for_change(left_ms)
             submission = self._newest(submission)
-        page = page_from(submission, position)
-        if page.is_last_known and not self._may_be_short(page):
-            page = await self._reread(submission, position)
+        page = await self._whole_page(submission, position, deadline_ms)
         self._log_end(submission, page)
         return page
 
+    async def _whole_page(
+        self, submission: Submission, position: int, deadline_ms: int
+    ) -> ResultPage:
+        """Return a page with all texts whose state is still recent then.
+
+        Texts that were read for one round are in memory in the next.
+        """
+        give_up_ms = deadline_ms + CALLER_SLACK_MS
+        while True:
+            page = page_from(self._newest(submission), position)
+            if page.is_last_known and not self._may_be_short(page):
+                page = await self._reread(submission, position)
+            left_ms = give_up_ms - self._clock.now_ms()
+            page = await self._texts.fill(page, timeout_ms=left_ms)
+            if not page.is_last_known or self._may_be_short(page):
+                return page
+            if self._follower.is_recent(MAX_ANSWER_AGE_MS):
+                return page
+            if self._clock.now_ms() >= give_up_ms:
+                raise StateUnknown(
+                    detail="outputs were read too slowly", retry_after_ms=RETRY_AFTER_MS
+                )
+
     def _may_be_short(self, page: ResultPage) -> bool:
         """Return whether to answer with what is known, without a recent state.
 
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -1,7 +1,5 @@
 """Operations on batch submissions for callers."""
 
-import dataclasses
-
 import anyio
 
 from foxtailbank.clock import MS_PER_S, Clock
@@ -21,13 +19,13 @@
     unknown_on_failure,
 )
 from foxtailbank.submissions.item_groups import encode_parts, split_items
+from foxtailbank.submissions.new_submission import NewSubmission
 from foxtailbank.submissions.records import (
     Ended,
-    Item,
     Submitted,
     encode,
 )
-from foxtailbank.submissions.result_page import ResultPage
+from foxtailbank.submissions.result_page import PageTexts, ResultPage
 from foxtailbank.submissions.result_reader import MAX_STATE_AGE_MS, ResultReader
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
@@ -35,29 +33,6 @@
 APPEND_WAIT_MS = 3_000  # shorter than a caller's deadline for a submission
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NewSubmission:
-    """A submission received from a caller.
-
-    Attributes
-    ----------
-    submission_id : str
-        Id by which it is stored; see `scoped_id`.
-    host, target : str
-        Host and path of the request.
-    items : tuple of Item
-        Items to run.
-    customer : str
-        Name of the customer; empty for none.
-    """
-
-    submission_id: str
-    host: str
-    target: str
-    items: tuple[Item, ...]
-    customer: str = ""
-
-
 class SubmissionService:
     """Accepts and ends submissions and returns their results.
 
@@ -71,10 +46,14 @@
         Applies new log records to the ledger.
     appends : AppendQueue
         Queue for the submission log.
+    texts : PageTexts
+        Outputs that are not in the ledger.
     part_bytes : int
         Size at which the items of a submission are split into records, in bytes.
     max_stored_bytes : int
         Most that may be stored of all submissions, in bytes.
+    max_text_bytes : int
+        Most that may be stored of outputs beside their records, in bytes.
     logs : Logs
         Receives lines about reads of results.
     clock : Clock
@@ -88,8 +67,10 @@
         table: SubmissionTable,
         follower: LogFollower,
         appends: AppendQueue,
+        texts: PageTexts,
         part_bytes: int,
         max_stored_bytes: int,
+        max_text_bytes: int,
         logs: Logs,
         clock: Clock,
     ) -> None:
@@ -99,9 +80,10 @@
         self._appends = appends
         self._part_bytes = part_bytes
         self._max_stored_bytes = max_stored_bytes
+        self._max_text_bytes = max_text_bytes
         self._clock = clock
         self._results = ResultReader(
-            table=table, follower=follower, logs=logs, clock=clock
+            table=table, follower=follower, texts=texts, logs=logs, clock=clock
         )
         self._suffix_count = 0
 
@@ -177,7 +159,7 @@
         SubmissionUnknown
             The log has no such submission.
         StateUnknown
-            The log could not be read to its end.
+            The log could not be read to its end, or an output could not be read.
         """
         deadline_ms = self._clock.now_ms() + wait_ms
         submission = await self.find(submission_id)
@@ -232,11 +214,13 @@
             )
 
     def _require_memory(self, added_bytes: int) -> None:
-        """Refuse what no VM could hold together with what is stored."""
+        """Refuse what no VM or not the store could hold with what is stored."""
         stored_bytes = self._table.stored_bytes + self._appends.waiting_bytes
-        if stored_bytes + added_bytes > self._max_stored_bytes:
+        text_bytes = self._table.text_bytes
+        is_full = stored_bytes + added_bytes > self._max_stored_bytes
+        if is_full or text_bytes > self._max_text_bytes:
             raise StoreFull(
-                detail=f"{stored_bytes} bytes are stored",
+                detail=f"{stored_bytes} and {text_bytes} bytes are stored",
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -19,6 +19,7 @@
     SubmissionUnknown,
 )
 from foxtailbank.submissions.records import Ended, encode
+from foxtailbank.submissions.result_page import PageTexts
 from foxtailbank.submissions.result_reader import STORE_AWAY_MS
 from foxtailbank.submissions.service import NewSubmission, SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
@@ -46,6 +47,27 @@
         return super().now_ms() + self.shift_ms
 
 
+class SlowTexts(PageTexts):
+    """Texts that take a time to be read, after which they are in memory.
+
+    `meanwhile` is called during that time.
+    """
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._known_ids = set()
+        self.read_ms = 0
+        self.meanwhile = None
+
+    async def fill(self, page, *, timeout_ms):
+        ids = {result.item_id for result in page.results}
+        if ids - self._known_ids and self.meanwhile is not None:
+            self._clock.shift_ms += self.read_ms
+            await self.meanwhile()
+        self._known_ids |= ids
+        return page
+
+
 class Vm:
     """A VM that follows the log and whose copy is made to fall behind."""
 
@@ -70,12 +92,15 @@
             logs=make_logs(),
             clock=self.clock,
         )
+        self.texts = SlowTexts(clock=self.clock)
         self.batch = SubmissionService(
             owner_id="b/1",
             table=self.table,
             follower=self.follower,
             appends=self.appends,
+            texts=self.texts,
             max_stored_bytes=1 << 20,
+            max_text_bytes=1 << 20,
             part_bytes=8_000,
             logs=logs,
             clock=self.clock,
@@ -272,6 +297,28 @@
         assert await vm.read() == expected
 
 
+# A page was as old as the reading of its texts took, and ended before a result that had
+# been read at another VM meanwhile.
+@pytest.mark.parametrize(
+    ("read_ms", "expected"),
+    [
+        pytest.param(SETTLE_MS, ["b", "a"], id="once-slow"),
+        pytest.param(2 * SETTLE_MS, StateUnknown, id="beyond-the-callers-wait"),
+    ],
+)
+async def test_a_page_is_not_older_for_its_texts(read_ms, expected):
+    async with running_vm() as vm:
+        await vm.know(make_submitted(), item_ended("s1", "b"))
+
+        async def list_another():
+            vm.texts.meanwhile = None
+            await vm.append_elsewhere(item_ended("s1", "a"))
+
+        vm.texts.read_ms = read_ms
+        vm.texts.meanwhile = list_another
+        assert await vm.read() == expected
+
+
 # A page was withheld, or cost a read of the store, although no result could be missing.
 @pytest.mark.parametrize("make_stale", [case.values[0] for case in STALE_COPIES])
 async def test_a_page_to_the_last_item_is_answered_at_once(make_stale):
