Streams: an error status to the run that goes on with a stream is followed by the next worker

Callers saw a begun stream break off when the worker that was asked for its rest answered 500, 503 without a not-run header, or 404, though the route allowed a further attempt and a sound worker had room.

Cause: `_forward_response` ended each begun stream at once on any status but a success; a broken connection in the same place was retried.

Why this works: both now ask `_may_retry`, which holds the attempts, the remaining time and the bound on requests that crash workers. What a request that crashes workers may reach is unchanged: `max_attempts` and three crashed workers.

--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -252,9 +252,7 @@
                 events=self._progress.events,
             )
         if self._responder.started:
-            # Resuming the stream failed.
-            await self._final.fail(502, f"status {response.status}")
-            return True
+            return await self._stop_resuming(response)
         if is_error and self._route.is_repeatable and self._has_attempts_left:
             return False
         if response.status in NOT_RUN_STATUSES:
@@ -281,6 +279,15 @@
         is_begun = self._event_buffer.position.is_begun
         return is_begun or stream_continuation.may_be_event_stream(response)
 
+    async def _stop_resuming(self, response: WorkerResponse) -> bool:
+        """End a begun stream for which a worker failed; false to try another one."""
+        self._last_failure = f"status {response.status}"
+        if self._may_retry():
+            self._recorder.on_retry()
+            return False
+        await self._final.fail(502, self._last_failure)
+        return True
+
     def _response_headers(
         self,
         target: AttemptTarget,
--- a/tests/test_resumed_answers.py
+++ b/tests/test_resumed_answers.py
@@ -166,6 +166,14 @@
     assert seen.body == (whole if is_right else BEGUN)
 
 
+# Guards against a stream that is broken off though another worker goes on with it.
+@pytest.mark.parametrize("name", WRONG)
+async def test_stream_goes_on_at_the_next_worker_after_a_wrong_answer(name):
+    script = (BROKEN, WRONG[name], RIGHT["right"])
+    seen = await ask_workers(resumable(3), *map(RawServer, script))
+    assert (seen.status, seen.body, seen.complete) == (200, WHOLE, True)
+
+
 # Guards against another run, or no stream, for a client or a VM that asked for the rest
 # of a stream.
 @pytest.mark.parametrize("name", ANSWERS)
