Answers: large bodies that are held at a time have a bound together

A VM that many faulty workers answer without end held up to 4 MB for each request: the bound was that of one body.

Cause: bodies of answers were read whole, each within its bound, and nothing counted them together, as `BodyMemory` does for the bodies of requests.

Why this works: beyond 64 kB a body takes the room of one whole body from a share of the VM's memory (4%, of which a body is held about three times), waits up to a second for those before it, and is given up then. It is returned when the answer has been passed on.

--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -10,28 +10,24 @@
 from foxtailbank.forward import stream_continuation
 from foxtailbank.forward.attempt_progress import AttemptProgress
 from foxtailbank.forward.attempt_target import AttemptTarget
+from foxtailbank.forward.attempt_timeouts import MAX_EVENT_GAP_MS, head_timeout_ms
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.call_recorder import CallRecorder
 from foxtailbank.forward.event_stream import EventBuffer, EventSource
 from foxtailbank.forward.final_response import FinalResponse
 from foxtailbank.forward.forward_context import ForwardContext
+from foxtailbank.forward.held_body import held_body
 from foxtailbank.forward.route import Route, RouteKind
 from foxtailbank.forward.send_checks import SendChecks
 from foxtailbank.forward.stream_pacer import StreamPacer
 from foxtailbank.forward.target_finder import TargetFinder
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.headers import Headers
-from foxtailbank.http1.failures import (
-    ExchangeFailed,
-    NotConnected,
-)
+from foxtailbank.http1.failures import ExchangeFailed, NotConnected
 from foxtailbank.http1.responder import Responder
 from foxtailbank.relay import relay_messages
 from foxtailbank.relay.relay_messages import RelayedAttempt, RelayOutcome, RelayResult
 
-MAX_EVENT_GAP_MS = 1_500  # callers give up after two seconds
-MIN_SAFE_TIMEOUT_MS = 250
-SAFE_TIMEOUT_FACTOR = 5  # times the mean run time; few requests take longer
 # A client takes these statuses to mean that its request has not been run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MIN_RETRY_TIME_MS = 30  # no request completes in less time
@@ -93,6 +89,7 @@
         self._deadline_ms = call.arrived_ms + wait_ms
         if route.resumable:
             self._fleet.lifetimes.on_wait(route.services, call.max_wait_ms)
+        self._answer_memory = context.answer_memory
         self._pacer = StreamPacer(pass_ms=context.pass_ms)
         self._attempts = 0
         self._progress = AttemptProgress()
@@ -227,11 +224,12 @@
         remaining_ms = self._remaining_ms
         if not self._route.is_repeatable or not self._has_attempts_left:
             return remaining_ms
-        if self._route.kind is RouteKind.SAFE:
-            mean_ms = self._fleet.service_times.mean_ms(target.service)
-            wait_ms = max(SAFE_TIMEOUT_FACTOR * mean_ms, MIN_SAFE_TIMEOUT_MS)
-            return min(remaining_ms, target.wait_ms + wait_ms)
-        return min(remaining_ms, target.wait_ms + MAX_EVENT_GAP_MS)
+        return head_timeout_ms(
+            self._route,
+            slot_wait_ms=target.wait_ms,
+            mean_ms=self._fleet.service_times.mean_ms(target.service),
+            remaining_ms=remaining_ms,
+        )
 
     async def _forward_response(
         self, target: AttemptTarget, response: WorkerResponse
@@ -240,7 +238,14 @@
         if response.is_success and self._is_stream(response):
             await self._forward_stream(target, response)
             return True
-        body = await response.read_all(self._remaining_ms)
+        async with held_body(
+            response, timeout_ms=self._remaining_ms, memory=self._answer_memory
+        ) as body:
+            return await self._forward_body(target, response, body)
+
+    async def _forward_body(
+        self, target: AttemptTarget, response: WorkerResponse, body: bytes
+    ) -> bool:
         is_error = response.status >= 500 or response.status in NOT_RUN_STATUSES
         if is_error:
             self._last_failure = f"status {response.status}"
--- a/src/foxtailbank/forward/forward_context.py
+++ b/src/foxtailbank/forward/forward_context.py
@@ -9,6 +9,7 @@
 from foxtailbank.forward.peer_relay import PeerRelay
 from foxtailbank.forward.stop_gate import StopGate
 from foxtailbank.forward.worker_client import WorkerClient
+from foxtailbank.http1.body_memory import BodyMemory
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 
@@ -39,6 +40,8 @@
         Ways to the workers through other VMs, if there are any.
     customers : CustomerGate or None
         Checks the keys of requests; None where none bear any.
+    answer_memory : BodyMemory or None
+        Memory for the large bodies of answers; None if it is not bounded.
     """
 
     client: WorkerClient
@@ -51,3 +54,4 @@
     gate: StopGate
     relay: PeerRelay | None = None
     customers: CustomerGate | None = None
+    answer_memory: BodyMemory | None = None
--- a/src/foxtailbank/memory_limits.py
+++ b/src/foxtailbank/memory_limits.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 
+from foxtailbank.http1.body_memory import BodyMemory
+
 # Of the memory of the VM. The program itself takes about 45 MB. A VM that starts holds
 # the stored records and what they decode to at the same time, and a body is held
 # about three times while it is decoded, stored and sent.
 STORED_SHARE = 0.22
 WAITING_SHARE = 0.06
 BODY_SHARE = 0.04
+ANSWER_SHARE = 0.04
 CONNECTION_SHARE = 0.16
 BYTES_PER_MB = 1 << 20
 
@@ -39,6 +42,10 @@
         """Bodies of the requests that are read or handled."""
         return self._share(BODY_SHARE)
 
+    def make_answer_memory(self) -> BodyMemory:
+        """Return the memory for large bodies of answers that are not passed on yet."""
+        return BodyMemory(capacity_bytes=self._share(ANSWER_SHARE))
+
     @property
     def connection_bytes(self) -> int:
         """Connections of clients, with what is received and not sent yet."""
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -220,6 +220,7 @@
                 pass_ms=pass_ms,
                 relay=self.relay,
                 customers=self.customers,
+                answer_memory=memory.make_answer_memory(),
             )
         )
         submission_table = SubmissionTable(logs=logs)
