--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -7,31 +7,27 @@
 from foxtailbank.clock import MS_PER_S
 from foxtailbank.fleet.placement import Refusal, RefusalReason
 from foxtailbank.fleet.stream_origin import StreamOrigin
+from foxtailbank.forward import stream_continuation
 from foxtailbank.forward.attempt_progress import AttemptProgress
 from foxtailbank.forward.attempt_target import AttemptTarget
+from foxtailbank.forward.attempt_timeouts import MAX_EVENT_GAP_MS, head_timeout_ms
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.call_recorder import CallRecorder
 from foxtailbank.forward.event_stream import EventBuffer, EventSource
 from foxtailbank.forward.final_response import FinalResponse
 from foxtailbank.forward.forward_context import ForwardContext
+from foxtailbank.forward.held_body import held_body
 from foxtailbank.forward.route import Route, RouteKind
 from foxtailbank.forward.send_checks import SendChecks
 from foxtailbank.forward.stream_pacer import StreamPacer
 from foxtailbank.forward.target_finder import TargetFinder
 from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.headers import Headers
-from foxtailbank.http1.failures import (
-    ExchangeFailed,
-    NotConnected,
-    ProcessReplaced,
-)
+from foxtailbank.http1.failures import ExchangeFailed, NotConnected
 from foxtailbank.http1.responder import Responder
 from foxtailbank.relay import relay_messages
 from foxtailbank.relay.relay_messages import RelayedAttempt, RelayOutcome, RelayResult
 
-MAX_EVENT_GAP_MS = 1_500  # callers give up after two seconds
-MIN_SAFE_TIMEOUT_MS = 250
-SAFE_TIMEOUT_FACTOR = 5  # times the mean run time; few requests take longer
 # A client takes these statuses to mean that its request has not been run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MIN_RETRY_TIME_MS = 30  # no request completes in less time
@@ -93,17 +89,18 @@
         self._deadline_ms = call.arrived_ms + wait_ms
         if route.resumable:
             self._fleet.lifetimes.on_wait(route.services, call.max_wait_ms)
+        self._answer_memory = context.answer_memory
         self._pacer = StreamPacer(pass_ms=context.pass_ms)
         self._attempts = 0
         self._progress = AttemptProgress()
         self._may_have_run = False
         self._last_failure = ""
         self._event_buffer = EventBuffer()
-        self._event_buffer.last_event_id = call.resume_after
+        self._event_buffer.start_from(call.resume_after)
         # Software that wrote the events which the client has.
         self._origin: StreamOrigin | None = None
         if relayed is not None:
-            self._event_buffer.last_event_id = relayed.resume_after
+            self._event_buffer.start_from(relayed.resume_after)
             self._origin = relayed.origin
 
     async def run(self) -> bool:
@@ -227,20 +224,28 @@
         remaining_ms = self._remaining_ms
         if not self._route.is_repeatable or not self._has_attempts_left:
             return remaining_ms
-        if self._route.kind is RouteKind.SAFE:
-            mean_ms = self._fleet.service_times.mean_ms(target.service)
-            wait_ms = max(SAFE_TIMEOUT_FACTOR * mean_ms, MIN_SAFE_TIMEOUT_MS)
-            return min(remaining_ms, target.wait_ms + wait_ms)
-        return min(remaining_ms, target.wait_ms + MAX_EVENT_GAP_MS)
+        return head_timeout_ms(
+            self._route,
+            slot_wait_ms=target.wait_ms,
+            mean_ms=self._fleet.service_times.mean_ms(target.service),
+            remaining_ms=remaining_ms,
+        )
 
     async def _forward_response(
         self, target: AttemptTarget, response: WorkerResponse
     ) -> bool:
         """Send the response to the client; false to retry on another worker."""
-        if self._route.kind is RouteKind.STREAM and response.is_success:
+        if response.is_success and self._is_stream(response):
             await self._forward_stream(target, response)
             return True
-        body = await response.read_all(self._remaining_ms)
+        async with held_body(
+            response, timeout_ms=self._remaining_ms, memory=self._answer_memory
+        ) as body:
+            return await self._forward_body(target, response, body)
+
+    async def _forward_body(
+        self, target: AttemptTarget, response: WorkerResponse, body: bytes
+    ) -> bool:
         is_error = response.status >= 500 or response.status in NOT_RUN_STATUSES
         if is_error:
             self._last_failure = f"status {response.status}"
@@ -252,9 +257,7 @@
                 events=self._progress.events,
             )
         if self._responder.started:
-            # Resuming the stream failed.
-            await self._final.fail(502, f"status {response.status}")
-            return True
+            return await self._stop_resuming(response)
         if is_error and self._route.is_repeatable and self._has_attempts_left:
             return False
         if response.status in NOT_RUN_STATUSES:
@@ -271,6 +274,25 @@
         self._recorder.on_finished(response.status, reason="")
         return True
 
+    def _is_stream(self, response: WorkerResponse) -> bool:
+        """Return whether a success is read as a stream of events.
+
+        A worker may answer with a plain body, but not in the middle of a stream.
+        """
+        if self._route.kind is not RouteKind.STREAM:
+            return False
+        is_begun = self._event_buffer.position.is_begun
+        return is_begun or stream_continuation.may_be_event_stream(response)
+
+    async def _stop_resuming(self, response: WorkerResponse) -> bool:
+        """End a begun stream for which a worker failed; false to try another one."""
+        self._last_failure = f"status {response.status}"
+        if self._may_retry():
+            self._recorder.on_retry()
+            return False
+        await self._final.fail(502, self._last_failure)
+        return True
+
     def _response_headers(
         self,
         target: AttemptTarget,
@@ -293,15 +315,14 @@
         self, target: AttemptTarget, response: WorkerResponse
     ) -> None:
         responder = self._responder
-        if self._origin is not None and not await target.may_continue():
-            raise ProcessReplaced(detail=f"{target.endpoint_id} may be another process")
+        source = EventSource(
+            response=response, buffer=self._event_buffer, clock=self._clock
+        )
+        await source.check_head(is_same_process=target.may_continue)
         origin = self._origin
         if origin is None and self._route.resumable:
             origin = await target.new_origin(response)
         headers = self._response_headers(target, response, origin)
-        source = EventSource(
-            response=response, buffer=self._event_buffer, clock=self._clock
-        )
         while (events := await source.next_chunk(self._event_timeout_ms())) is not None:
             if not self._progress.events:
                 self._on_first_events(target, origin)
@@ -337,7 +358,6 @@
 
     async def _may_retry_after(self, failure: ExchangeFailed) -> bool:
         """Return whether to retry after a failure; if not, end the response."""
-        self._event_buffer.discard_partial_event()
         if self._may_retry():
             self._recorder.on_retry()
             return True
@@ -347,6 +367,8 @@
     def _may_retry(self) -> bool:
         if not self._route.is_repeatable or not self._has_attempts_left:
             return False
+        if not self._event_buffer.position.can_continue:
+            return False
         if self._remaining_ms <= MIN_RETRY_TIME_MS:
             return False
         return not self._fleet.crashes.refused_ms(self._call)
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -182,6 +182,7 @@
                 pass_ms=pass_ms,
                 relay=self.relay,
                 customers=self.customers,
+                answer_memory=memory.make_answer_memory(),
             )
         )
         budget = ProgressBudget(share=read_share, clock=clock)
