Test: what was read at one VM is not denied later at another, in random faults

The tests of stale reads have one VM and chosen orders of events. VMs are paused (also before a reading of the clock), slow, cut off, restarted, taken over. Each process has an event loop of its own in one simulated time, since `run_simulated`, with one loop for all, can't let one VM stand still while the others go on.

Checked: no answer without a result, and no 404, later than 1,000 ms after the result was read or the submission accepted anywhere; none from a state that is older by its own account; that account is right after each step of each loop; a position holds the same result at all VMs.

The code bounds the age by 0.700 s (time-out of a shared read), which leaves 300 ms for sending.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 fuzz: env
 	FUZZ_LONG=1 $(PYTHON) -m pytest tests/test_ledger_fuzz.py tests/test_catalogue_fuzz.py \
-		tests/test_platform_ledger_replicas.py
+		tests/test_platform_ledger_replicas.py tests/test_positions_between_vms.py
 
 soak: env
 	PYTHONPATH=src:platform $(PYTHON) -m foxtailbank_soak --seed $(SEED) --count $(COUNT) \
