--- a/src/foxtailbank/log_follower.py
+++ b/src/foxtailbank/log_follower.py
@@ -128,13 +128,6 @@
         """Whether the last read failed."""
         return self._failing_since_ms is not None
 
-    @property
-    def failing_ms(self) -> int:
-        """Milliseconds since reads began to fail; 0 if the last one succeeded."""
-        if self._failing_since_ms is None:
-            return 0
-        return self._clock.now_ms() - self._failing_since_ms
-
     @property
     def has_backlog(self) -> bool:
         """Whether the log is known to hold records that are not in the state."""
--- a/src/foxtailbank/submissions/result_page.py
+++ b/src/foxtailbank/submissions/result_page.py
@@ -22,19 +22,11 @@
         Position where the next page starts.
     results : tuple of ItemEnded
         Results in the order of their positions.
-    known_count : int
-        Number of results of the submission in the state that the page is from.
     """
 
     total: int
     next_position: int
     results: tuple[ItemEnded, ...]
-    known_count: int
-
-    @property
-    def is_last_known(self) -> bool:
-        """Whether it ends with the last known result although items remain."""
-        return self.known_count <= self.next_position < self.total
 
 
 def page_from(submission: Submission, position: int) -> ResultPage:
@@ -50,7 +42,6 @@
         total=len(submission.items_by_id),
         next_position=position + len(chosen),
         results=tuple(chosen),
-        known_count=len(submission.results),
     )
 
 
@@ -60,22 +51,22 @@
     return len(result.text.encode())
 
 
-def page_with_texts(page: ResultPage, text_by_key: dict[str, str]) -> ResultPage | None:
-    """Return a page with all texts; None if one is missing.
+def page_with_texts(page: ResultPage, texts_by_key: dict[str, str]) -> ResultPage:
+    """Return a page with all texts, up to the first result whose text is missing.
 
     Parameters
     ----------
     page : ResultPage
         Results, some of which have their texts in the log of texts.
-    text_by_key : dict of str to str
+    texts_by_key : dict of str to str
         Texts that could be had, by their keys in that log.
     """
     results: list[ItemEnded] = []
     for result in page.results:
         if isinstance(result, ItemEndedApart):
-            text = text_by_key.get(result.text_at.key)
+            text = texts_by_key.get(result.text_at.key)
             if text is None:
-                return None
+                break
             result = ItemEnded(
                 submission_id=result.submission_id,
                 item_id=result.item_id,
@@ -83,7 +74,12 @@
                 text=text,
             )
         results.append(result)
-    return dataclasses.replace(page, results=tuple(results))
+    missing_count = len(page.results) - len(results)
+    return ResultPage(
+        total=page.total,
+        next_position=page.next_position - missing_count,
+        results=tuple(results),
+    )
 
 
 class PageTexts(abc.ABC):
@@ -91,10 +87,7 @@
 
     @abc.abstractmethod
     async def fill(self, page: ResultPage, *, timeout_ms: int) -> ResultPage:
-        """Return a page with all texts.
-
-        A page that ended before a missing text would tell callers that there is no
-        result yet.
+        """Return a page with all texts; it may end before a text that is missing.
 
         Parameters
         ----------
@@ -106,5 +99,5 @@
         Raises
         ------
         StateUnknown
-            A text could not be had in time.
+            The text of the first result could not be had in time.
         """
--- a/src/foxtailbank/submissions/result_reader.py
+++ b/src/foxtailbank/submissions/result_reader.py
@@ -13,11 +13,10 @@
 from foxtailbank.submissions.submission import Submission
 from foxtailbank.submissions.submission_table import SubmissionTable
 
-MAX_STATE_AGE_MS = 500  # half of the time after which VMs must agree on results
-MAX_ANSWER_AGE_MS = 700  # after what was read for the answer, which took up to as long
+# Half of the time after which VMs must agree on results; the rest is for the way of an
+# answer to its caller, which may wait on this VM's link.
+MAX_STATE_AGE_MS = 500
 CALLER_SLACK_MS = 1_300  # that callers wait beyond their limit, less the way to them
-# Of failed reads until the store counts as away; queued reads come back sooner.
-STORE_AWAY_MS = 2_000
 
 
 class ResultReader:
@@ -58,8 +57,7 @@
     ) -> ResultPage:
         """Return results, waiting for the first one.
 
-        A page that ends with the last known result tells the caller that there are no
-        more yet, which takes a recent state, as does a page without results.
+        Known results are returned at once; to return none takes a recent state.
 
         Parameters
         ----------
@@ -73,7 +71,7 @@
         Raises
         ------
         StateUnknown
-            The log could not be read to its end.
+            The log could not be read to its end in time, or an output could not.
         """
         while submission.is_open and len(submission.results) <= position:
             left_ms = deadline_ms - self._clock.now_ms()
@@ -81,65 +79,48 @@
                 break
             await self._follower.wait_for_change(left_ms)
             submission = self._newest(submission)
-        page = await self._whole_page(submission, position, deadline_ms)
-        self._log_end(submission, page)
-        return page
-
-    async def _whole_page(
-        self, submission: Submission, position: int, deadline_ms: int
-    ) -> ResultPage:
-        """Return a page with all texts whose state is still recent then.
-
-        Texts that were read for one round are in memory in the next.
-        """
-        give_up_ms = deadline_ms + CALLER_SLACK_MS
-        while True:
-            page = page_from(self._newest(submission), position)
-            if page.is_last_known and not self._may_be_short(page):
-                page = await self._reread(submission, position)
-            left_ms = give_up_ms - self._clock.now_ms()
-            page = await self._texts.fill(page, timeout_ms=left_ms)
-            if not page.is_last_known or self._may_be_short(page):
-                return page
-            if self._follower.is_recent(MAX_ANSWER_AGE_MS):
-                return page
-            if self._clock.now_ms() >= give_up_ms:
-                raise StateUnknown(
-                    detail="outputs were read too slowly", retry_after_ms=RETRY_AFTER_MS
-                )
-
-    def _may_be_short(self, page: ResultPage) -> bool:
-        """Return whether to answer with what is known, without a recent state.
+        if len(submission.results) <= position < len(submission.items_by_id):
+            submission = await self._reread(submission, position)
+        page = page_from(submission, position)
+        self._log_end(page, submission)
+        if not page.results:
+            return page  # not later than its state allows
+        left_ms = deadline_ms + CALLER_SLACK_MS - self._clock.now_ms()
+        return await self._texts.fill(page, timeout_ms=left_ms)
 
-        While the store is away no VM can list more; callers get what is ready.
-        """
-        return bool(page.results) and self._follower.failing_ms >= STORE_AWAY_MS
+    def _newest(self, submission: Submission) -> Submission:
+        """Return the submission as it is now, also after a restore."""
+        return self._table.ledger.get(submission.submission_id) or submission
 
-    async def _reread(self, submission: Submission, position: int) -> ResultPage:
-        """Return a page from a recent state, or one up to the last item."""
+    async def _reread(self, submission: Submission, position: int) -> Submission:
+        """Return a submission that has a result there, or is from a recent state."""
         failure: StateUnknown | None = None
         try:
             with unknown_on_failure():
                 await self._follower.refresh(MAX_STATE_AGE_MS)
         except StateUnknown as error:
             failure = error
-        page = page_from(self._newest(submission), position)
-        if failure is not None and page.is_last_known:
+        submission = self._newest(submission)
+        if len(submission.results) > position:
+            return submission
+        if failure is not None:
             raise failure
-        return page
-
-    def _newest(self, submission: Submission) -> Submission:
-        """Return the submission as it is now, also after a restore."""
-        return self._table.ledger.get(submission.submission_id) or submission
+        if not self._follower.is_recent(MAX_STATE_AGE_MS):
+            raise StateUnknown(
+                detail="the log was read too slowly", retry_after_ms=RETRY_AFTER_MS
+            )
+        return submission
 
-    def _log_end(self, submission: Submission, page: ResultPage) -> None:
+    def _log_end(self, page: ResultPage, submission: Submission) -> None:
         """Log the state that an answer is from which ends before others may."""
         if not page.results:
-            self._write(Event.RESULT_NOT_FOUND, submission, page)
-        elif page.is_last_known and not self._follower.is_recent(MAX_STATE_AGE_MS):
-            self._write(Event.RESULTS_FROM_OLD_STATE, submission, page)
+            self._write(Event.RESULT_NOT_FOUND, page, submission)
+            return
+        is_last_known = page.next_position == len(submission.results) < page.total
+        if is_last_known and not self._follower.is_recent(MAX_STATE_AGE_MS):
+            self._write(Event.RESULTS_FROM_OLD_STATE, page, submission)
 
-    def _write(self, event: Event, submission: Submission, page: ResultPage) -> None:
+    def _write(self, event: Event, page: ResultPage, submission: Submission) -> None:
         unread_count = self._follower.known_end - self._follower.next_offset
         fields = LogFields(
             job_id=submission.submission_id,
@@ -147,7 +128,7 @@
                 f"position {page.next_position} of {page.total}, "
                 f"{unread_count} records unread"
             ),
-            count=page.known_count,
+            count=len(submission.results),
             offset=self._follower.next_offset,
             age_ms=self._follower.state_age_ms,
         )
--- a/src/foxtailbank/submissions/result_texts.py
+++ b/src/foxtailbank/submissions/result_texts.py
@@ -133,7 +133,7 @@
             return page
         text_by_key = await self._reader.read(locations, timeout_ms)
         filled = page_with_texts(page, text_by_key)
-        if filled is None:
+        if not filled.results:
             raise StateUnknown(
                 detail="an output could not be read", retry_after_ms=RETRY_AFTER_MS
             )
