Answers: one that is sent as its deadline passes reaches its client, or closes the channel

Callers got no answer at all, and a channel that stayed open, from requests that reached their deadline while their worker still sent bytes: 7 of 100 streams of a worker that sends a byte every 5 ms and no event, at a deadline of 60 ms.

Cause: the answer was framed, and only then handed to the stream, which gave way to a cancellation before it wrote. The wait for the worker and the deadline of the request end within a millisecond of each other, as the clock counts whole ones; where the wait came first, the 504 was framed, and the deadline cancelled its bytes. For the HTTP state the request was answered, so that the channel was kept and waited for the next request. The same state after a part of an answer would have let the next answer be read as its rest.

Why this works: a send writes first what needs no wait, and is cancelled only where it waits for the client. What was framed and not sent marks the response as cut, and closes its channel (with a reset where only the close tells the end).

--- a/src/foxtailbank/http1/h11_responder.py
+++ b/src/foxtailbank/http1/h11_responder.py
@@ -43,6 +43,12 @@
         self._account = account
         self._head = b""
         self._started = False
+        self._is_cut = False
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether bytes of the response were framed and not sent."""
+        return self._is_cut
 
     @property
     def started(self) -> bool:
@@ -94,5 +100,7 @@
         self._head = b""
         if pending:
             self._account.enter(Phase.ANSWERING)
+            self._is_cut = True
             await self._stream.send(pending)
+            self._is_cut = False
             self._account.enter(Phase.SERVED)
--- a/src/foxtailbank/http1/server_connection.py
+++ b/src/foxtailbank/http1/server_connection.py
@@ -103,6 +103,7 @@
         )
         self._opened_ms = clock.now_ms()
         self._request_count = 0
+        self._is_cut = False
         self.is_busy = False
 
     async def serve(self) -> None:
@@ -146,7 +147,7 @@
 
     def _is_unframed_response_cut_off(self) -> bool:
         """Return whether a response ends early whose end only the close marks."""
-        is_unfinished = self._http.our_state is h11.SEND_BODY
+        is_unfinished = self._is_cut or self._http.our_state is h11.SEND_BODY
         return is_unfinished and self._http.their_http_version == b"1.0"
 
     async def _serve_one(self) -> bool:
@@ -186,7 +187,10 @@
             await self._handle(request, responder)
         finally:
             self.is_busy = False
+            self._is_cut = responder.is_cut
         self._account.enter(Phase.IDLE)
+        if self._is_cut:
+            return False
         return self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
--- a/src/foxtailbank/http1/socket_stream.py
+++ b/src/foxtailbank/http1/socket_stream.py
@@ -99,24 +99,32 @@
     async def send(self, item: bytes) -> None:
         """Send all bytes.
 
+        A send that needs no wait is not cancelled, so that an answer which ends as its
+        deadline passes reaches its client.
+
         Raises
         ------
         anyio.BrokenResourceError
             The connection was reset.
         """
-        self._send_count += 1
-        if self._send_count % SENDS_PER_TURN:
-            await anyio.lowlevel.checkpoint_if_cancelled()
-        else:
-            await anyio.lowlevel.checkpoint()
-        unsent = memoryview(item)
+        unsent = self._send_now(memoryview(item))
         while unsent:
+            await anyio.wait_writable(self._socket)
+            unsent = self._send_now(unsent)
+        self._send_count += 1
+        if not self._send_count % SENDS_PER_TURN:
+            await anyio.lowlevel.cancel_shielded_checkpoint()
+
+    def _send_now(self, data: memoryview) -> memoryview:
+        """Send what needs no wait; return the rest."""
+        while data:
             try:
-                unsent = unsent[self._socket.send(unsent) :]
+                data = data[self._socket.send(data) :]
             except (BlockingIOError, InterruptedError):
-                await anyio.wait_writable(self._socket)
+                break
             except OSError as error:
                 raise anyio.BrokenResourceError from error
+        return data
 
     async def send_eof(self) -> None:
         """Tell the peer that nothing more is sent."""
