Workers whose bytes become no answer are avoided like those that fail

Callers of requests that may not be repeated got 502 or 504 from a faulty worker for as long as it was up: it kept its share of the traffic.

Cause: the health of a worker took broken connections and answers over their bound, but not bytes that are no answer, nor an answer that went on until the deadline of its request: the deadline cancels an attempt, which tells nobody. A head that came a few bytes at a time held its request until then, too.

Why this works: a malformed answer is an error like a broken connection. At the deadline, or at a time-out, bytes of a body or of a first event without their end are one as well. Silence is not, so that a sound worker with a queue keeps its place. A head has one second from its first part. Two errors in a row take a worker out for a second, as before.

--- a/src/foxtailbank/forward/attempt_progress.py
+++ b/src/foxtailbank/forward/attempt_progress.py
@@ -15,8 +15,11 @@
         Whether the worker had begun to answer.
     events : int
         Events of a stream that were received.
+    body_bytes : int
+        Size of what was received of a body that is no stream.
     """
 
     sent_wall_ms: int = 0
     answered: bool = False
     events: int = 0
+    body_bytes: int = 0
--- a/src/foxtailbank/forward/call_handler.py
+++ b/src/foxtailbank/forward/call_handler.py
@@ -22,14 +22,13 @@
 from foxtailbank.forward.stream_pacer import StreamPacer
 from foxtailbank.forward.target_finder import TargetFinder
 from foxtailbank.forward.worker_client import WorkerResponse
-from foxtailbank.headers import Headers
-from foxtailbank.http1.failures import ExchangeFailed, NotConnected
+from foxtailbank.http1.failures import ExchangeFailed, NotConnected, ResponseTimeout
 from foxtailbank.http1.responder import Responder
-from foxtailbank.relay import relay_messages
-from foxtailbank.relay.relay_messages import RelayedAttempt, RelayOutcome, RelayResult
+from foxtailbank.relay.relay_messages import RelayedAttempt
 
 # A client takes these statuses to mean that its request has not been run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+ANSWER_WITHOUT_END = "answer without end"
 MIN_RETRY_TIME_MS = 30  # no request completes in less time
 
 
@@ -91,6 +90,7 @@
             self._fleet.lifetimes.on_wait(route.services, call.max_wait_ms)
         self._answer_memory = context.answer_memory
         self._pacer = StreamPacer(pass_ms=context.pass_ms)
+        self._deadline_scope: anyio.CancelScope | None = None
         self._attempts = 0
         self._progress = AttemptProgress()
         self._may_have_run = False
@@ -106,6 +106,7 @@
     async def run(self) -> bool:
         """Respond before the deadline; return whether a worker may have run it."""
         with anyio.move_on_after(self._remaining_ms / MS_PER_S) as scope:
+            self._deadline_scope = scope
             try:
                 await self._try_workers()
             except anyio.get_cancelled_exc_class():
@@ -184,6 +185,7 @@
         target.on_start()
         self._attempts += 1
         self._progress = AttemptProgress(sent_wall_ms=self._clock.wall_ms())
+        self._event_buffer.discard_partial_event()
         try:
             return await self._exchange(target)
         except NotConnected as failure:
@@ -195,10 +197,33 @@
             self._may_have_run = True
             self._on_failure(target, failure)
             return not await self._may_retry_after(failure)
+        except anyio.get_cancelled_exc_class():
+            self._on_cancelled(target)
+            raise
         finally:
             target.on_end()
             self._finder.on_ended(target)
 
+    def _on_cancelled(self, target: AttemptTarget) -> None:
+        """Count bytes that had not become an answer by the deadline as an error."""
+        scope = self._deadline_scope
+        if scope is not None and scope.cancel_called and self._has_unfinished_bytes:
+            self._on_error(target, ANSWER_WITHOUT_END)
+
+    @property
+    def _has_unfinished_bytes(self) -> bool:
+        """Whether bytes of a body, or of a first event, came and not its end."""
+        if self._progress.events:
+            return False
+        return bool(self._progress.body_bytes or self._event_buffer.partial_bytes)
+
+    def _on_error(self, target: AttemptTarget, reason: str) -> None:
+        self._last_failure = reason
+        target.on_error(reason)
+        self._recorder.on_attempt_failed(
+            target, reason, attempts=self._attempts, events=self._progress.events
+        )
+
     async def _exchange(self, target: AttemptTarget) -> bool:
         started_ms = self._clock.now_ms()
         async with target.exchange(
@@ -239,23 +264,23 @@
             await self._forward_stream(target, response)
             return True
         async with held_body(
-            response, timeout_ms=self._remaining_ms, memory=self._answer_memory
+            response,
+            timeout_ms=self._remaining_ms,
+            memory=self._answer_memory,
+            on_part=self._on_body_part,
         ) as body:
             return await self._forward_body(target, response, body)
 
+    def _on_body_part(self, size_bytes: int) -> None:
+        body_bytes = self._progress.body_bytes + size_bytes
+        self._progress = dataclasses.replace(self._progress, body_bytes=body_bytes)
+
     async def _forward_body(
         self, target: AttemptTarget, response: WorkerResponse, body: bytes
     ) -> bool:
         is_error = response.status >= 500 or response.status in NOT_RUN_STATUSES
         if is_error:
-            self._last_failure = f"status {response.status}"
-            target.on_error(self._last_failure)
-            self._recorder.on_attempt_failed(
-                target,
-                self._last_failure,
-                attempts=self._attempts,
-                events=self._progress.events,
-            )
+            self._on_error(target, f"status {response.status}")
         if self._responder.started:
             return await self._stop_resuming(response)
         if is_error and self._route.is_repeatable and self._has_attempts_left:
@@ -268,7 +293,7 @@
             return True
         await self._responder.respond(
             status=response.status,
-            headers=self._response_headers(target, response, self._origin),
+            headers=self._final.answer_headers(target, response, self._origin),
             body=body,
         )
         self._recorder.on_finished(response.status, reason="")
@@ -293,24 +318,6 @@
         await self._final.fail(502, self._last_failure)
         return True
 
-    def _response_headers(
-        self,
-        target: AttemptTarget,
-        response: WorkerResponse,
-        origin: StreamOrigin | None,
-    ) -> Headers:
-        """Return a response's headers, with a result for a VM that asked for it."""
-        if self._relayed is None:
-            return response.headers
-        result = RelayResult(
-            outcome=RelayOutcome.ANSWERED,
-            worker_id=target.endpoint_id,
-            origin=origin or target.origin_of(response),
-            request_id=self._call.request_id,
-        )
-        header = (relay_messages.RESULT_HEADER, relay_messages.encode(result))
-        return (*response.headers, header)
-
     async def _forward_stream(
         self, target: AttemptTarget, response: WorkerResponse
     ) -> None:
@@ -322,7 +329,7 @@
         origin = self._origin
         if origin is None and self._route.resumable:
             origin = await target.new_origin(response)
-        headers = self._response_headers(target, response, origin)
+        headers = self._final.answer_headers(target, response, origin)
         while (events := await source.next_chunk(self._event_timeout_ms())) is not None:
             if not self._progress.events:
                 self._on_first_events(target, origin)
@@ -333,24 +340,15 @@
                 await responder.start(status=response.status, headers=headers)
             self._recorder.on_first_byte()
             await responder.send(events)
-            await self._pause_to_coalesce(response)
+            # A small fleet does not pause, so that peers are notified of the end of a
+            # request at once.
+            if self._fleet.tiers.is_large_fleet and not response.is_complete:
+                await self._pacer.pause(self._clock.now_ms())
         if not responder.started:
             await responder.start(status=response.status, headers=headers)
         await responder.finish()
         self._recorder.on_finished(response.status, reason="")
 
-    async def _pause_to_coalesce(self, response: WorkerResponse) -> None:
-        """Pause so that events are sent together.
-
-        A small fleet does not pause, so that peers are notified of the end of a
-        request at once.
-        """
-        if response.is_complete or not self._fleet.tiers.is_large_fleet:
-            return
-        pause_ms = self._pacer.pause_ms(self._clock.now_ms())
-        if pause_ms:
-            await anyio.sleep(pause_ms / MS_PER_S)
-
     def _event_timeout_ms(self) -> float:
         if self._route.resumable and self._has_attempts_left:
             return min(self._remaining_ms, MAX_EVENT_GAP_MS)
@@ -381,6 +379,8 @@
 
     def _on_failure(self, target: AttemptTarget, failure: ExchangeFailed) -> None:
         self._last_failure = failure.code
+        if isinstance(failure, ResponseTimeout) and self._has_unfinished_bytes:
+            target.on_error(ANSWER_WITHOUT_END)
         target.on_failure(self._call, failure, self._progress)
         reason = f"{failure.code}: {failure.detail}"
         self._recorder.on_attempt_failed(
--- a/src/foxtailbank/forward/final_response.py
+++ b/src/foxtailbank/forward/final_response.py
@@ -3,8 +3,11 @@
 import random
 
 from foxtailbank.clock import MS_PER_S
+from foxtailbank.fleet.stream_origin import StreamOrigin
 from foxtailbank.forward import wait_limits
+from foxtailbank.forward.attempt_target import AttemptTarget
 from foxtailbank.forward.call_recorder import TRUNCATED, CallRecorder
+from foxtailbank.forward.worker_client import WorkerResponse
 from foxtailbank.headers import Headers
 from foxtailbank.http1.responder import Responder
 from foxtailbank.relay import relay_messages
@@ -91,6 +94,34 @@
         headers = self._result_headers(RelayOutcome.FAILED, reason)
         await self._responder.respond(status=status, headers=headers)
 
+    def answer_headers(
+        self,
+        target: AttemptTarget,
+        response: WorkerResponse,
+        origin: StreamOrigin | None,
+    ) -> Headers:
+        """Return a response's headers, with a result for a VM that asked for it.
+
+        Parameters
+        ----------
+        target : AttemptTarget
+            Who answered.
+        response : WorkerResponse
+            The response.
+        origin : StreamOrigin or None
+            Software that began the stream; None if the response begins one.
+        """
+        if not self._is_relayed:
+            return response.headers
+        result = RelayResult(
+            outcome=RelayOutcome.ANSWERED,
+            worker_id=target.endpoint_id,
+            origin=origin or target.origin_of(response),
+            request_id=self._recorder.request_id,
+        )
+        header = (relay_messages.RESULT_HEADER, relay_messages.encode(result))
+        return (*response.headers, header)
+
     async def _send_refusal(
         self, reason: str, wait_ms: float, retry_after_ms: int
     ) -> None:
--- a/src/foxtailbank/forward/held_body.py
+++ b/src/foxtailbank/forward/held_body.py
@@ -21,7 +21,11 @@
 
 @contextlib.asynccontextmanager
 async def held_body(
-    response: WorkerResponse, *, timeout_ms: float, memory: BodyMemory | None
+    response: WorkerResponse,
+    *,
+    timeout_ms: float,
+    memory: BodyMemory | None,
+    on_part: t.Callable[[int], None],
 ) -> t.AsyncIterator[bytes]:
     """Read a body and hold it in the context.
 
@@ -33,6 +37,8 @@
         Bound on the wait for each chunk, in milliseconds.
     memory : BodyMemory or None
         Memory of all large bodies; None if it is not bounded.
+    on_part : callable
+        Called with the size of each part that arrives, in bytes.
 
     Raises
     ------
@@ -43,18 +49,22 @@
     """
     reservation = BodyReservation(memory=memory)
     try:
-        yield await _read(response, timeout_ms, reservation)
+        yield await _read(response, timeout_ms, reservation, on_part)
     finally:
         reservation.release()
 
 
 async def _read(
-    response: WorkerResponse, timeout_ms: float, reservation: BodyReservation
+    response: WorkerResponse,
+    timeout_ms: float,
+    reservation: BodyReservation,
+    on_part: t.Callable[[int], None],
 ) -> bytes:
     chunks = []
     size = 0
     while (chunk := await response.next_chunk(timeout_ms)) is not None:
         size += len(chunk)
+        on_part(len(chunk))
         if size > MAX_BODY_BYTES:
             raise ResponseTooLarge(detail=f"body over {MAX_BODY_BYTES} bytes")
         if size > UNCOUNTED_BYTES and not reservation.size_bytes:
--- a/src/foxtailbank/forward/stream_pacer.py
+++ b/src/foxtailbank/forward/stream_pacer.py
@@ -5,6 +5,10 @@
 as they arrive, since a pause would not combine any.
 """
 
+import anyio
+
+from foxtailbank.clock import MS_PER_S
+
 MAX_PAUSE_MS = 40  # 25 updates per second look continuous to a reader
 PASS_SHARE = 0.4  # of the limit on an event's delay; the rest is for transport
 
@@ -29,3 +33,8 @@
             self._is_coalescing = 2 * (now_ms - self._last_ms) <= self._pause_ms
         self._last_ms = now_ms
         return self._pause_ms if self._is_coalescing else 0.0
+
+    async def pause(self, now_ms: int) -> None:
+        """Pause after data that arrived at `now_ms` if that combines events."""
+        if pause_ms := self.pause_ms(now_ms):
+            await anyio.sleep(pause_ms / MS_PER_S)
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -27,6 +27,7 @@
 from foxtailbank.response_limits import MAX_HEAD_BYTES
 
 READ_BYTES = 65_536
+HEAD_PARTS_MS = 1_000  # from the first part of a head to its end; mostly it has one
 MAX_FAILED_IDS = 1_000  # on one connection; then another one is opened
 DEFAULT_MAX_IDLE_MS = 4_000  # below the idle timeout of common servers
 IDLE_TIMEOUT_FRACTION = 0.8  # of the timeout that the server announces
@@ -191,14 +192,15 @@
         ConnectionBroken
             The connection ended before the head was complete.
         MalformedResponse
-            The received bytes are not an HTTP response.
+            The received bytes are not an HTTP response, or a head that begins and
+            does not end.
         ResponseTooLarge
             The interim responses before the head are too many.
         """
         give_up_ms = self._clock.now_ms() + timeout_ms
         max_received_bytes = self._received_bytes + MAX_HEAD_BYTES
         while True:
-            event = await self._next_event(give_up_ms)
+            event = await self._next_event(give_up_ms, max_parts_ms=HEAD_PARTS_MS)
             if isinstance(event, h11.InformationalResponse):
                 if self._received_bytes > max_received_bytes:
                     raise ResponseTooLarge(detail=f"head over {MAX_HEAD_BYTES} bytes")
@@ -331,7 +333,11 @@
         self._max_idle_ms = _max_idle_ms(head.get("keep-alive"))
         return head
 
-    async def _next_event(self, give_up_ms: float) -> t.Any:
+    async def _next_event(
+        self, give_up_ms: float, *, max_parts_ms: float = math.inf
+    ) -> t.Any:
+        """Return the next event, whose parts must arrive within some time of it."""
+        end_ms = give_up_ms
         try:
             if self._pending_event is not None:
                 return self._pop_pending_event()
@@ -339,9 +345,14 @@
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._receive(give_up_ms - self._clock.now_ms())
+                data = await self._receive(end_ms - self._clock.now_ms())
+                end_ms = min(end_ms, self._clock.now_ms() + max_parts_ms)
                 self._received_bytes += len(data)
                 self._http.receive_data(data)
+        except ResponseTimeout as error:
+            if end_ms < give_up_ms:
+                raise MalformedResponse(detail="head without an end") from error
+            raise
         except h11.RemoteProtocolError as error:
             if "closed" in str(error).lower():
                 raise ConnectionBroken(detail=str(error)) from error
--- a/src/foxtailbank/http1/failures.py
+++ b/src/foxtailbank/http1/failures.py
@@ -78,4 +78,9 @@
 
 
 # Failures that tell of a faulty server which is up.
-SERVER_ERRORS = (ConnectionBroken, ResponseTooLarge, StreamNotContinued)
+SERVER_ERRORS = (
+    ConnectionBroken,
+    MalformedResponse,
+    ResponseTooLarge,
+    StreamNotContinued,
+)
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -1,5 +1,7 @@
 """Answers whose bytes never end, in the head or the body: read up to a bound."""
 
+import dataclasses
+
 import anyio
 import pytest
 
@@ -30,6 +32,8 @@
     UNFRAMED_HEAD,
     RawAnswer,
     RawServer,
+    RawWorkerVm,
+    ask,
     ask_through_vm,
     chunked,
     running_servers,
@@ -51,6 +55,8 @@
 ANSWER_MS = 1_500  # a second before the deadline of a request
 SAFE = make_route()
 SAFE_ONCE = make_route(max_attempts=1)
+UNSAFE = make_route(kind=RouteKind.UNSAFE)
+RESUMABLE_ONCE = make_route(kind=RouteKind.STREAM, resumable=True, max_attempts=1)
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True)
 REFUSED_HEAD = b"HTTP/1.1 503 x\r\n%s: 1\r\n%s" % (NOT_EXECUTED.encode(), HEADERS)
@@ -180,6 +186,46 @@
     assert world.fleet.health.is_avoided("w0", CLOCK.now_ms())
 
 
+EVENT_HEAD = CHUNKED_HEAD[:-2] + b"Content-Type: text/event-stream\r\n\r\n"
+FEW_BYTES = b"10\r\n" + b"x" * 16 + b"\r\n"
+SLOW_HEAD = RawAnswer(data=b"HTTP/1.1 200 x\r\n", endless=b"X: a\r\n")
+SLOW_BODY = RawAnswer(data=CHUNKED_HEAD, endless=FEW_BYTES)
+SLOW_EVENT = RawAnswer(data=EVENT_HEAD, endless=FEW_BYTES)
+
+
+# Guards against a worker that keeps its share of the requests although its bytes, fast
+# or slow, never become an answer.
+@pytest.mark.parametrize(
+    ("answer", "pause_s"),
+    [
+        *(pytest.param(*one.values, 0.0, id=one.id) for one in HEADS + BODIES),
+        pytest.param(SLOW_EVENT, 0.0, id="event"),
+        pytest.param(SLOW_HEAD, 0.02, id="slow-head"),
+        pytest.param(SLOW_BODY, 0.02, id="slow-body"),
+        pytest.param(SLOW_EVENT, 0.02, id="slow-event"),
+    ],
+)
+@pytest.mark.parametrize(
+    "route",
+    [
+        pytest.param(SAFE_ONCE, id="safe"),
+        pytest.param(UNSAFE, id="unsafe"),
+        pytest.param(STREAM, id="stream"),
+        pytest.param(RESUMABLE_ONCE, id="resumable"),
+    ],
+)
+async def test_worker_whose_bytes_become_no_answer_is_avoided(route, answer, pause_s):
+    route = dataclasses.replace(route, timeout_ms=1_200)
+    server = RawServer(answer, answer)
+    server.endless_pause_s = pause_s
+    async with running_servers(server) as group:
+        vm = RawWorkerVm(server, route=route)
+        address = await group.start(vm.serve_connections)
+        seen = [await ask(address) for _ in range(2)]
+        assert vm.fleet.health.is_avoided("w0", CLOCK.now_ms())
+    assert not any(answer.status == 200 and answer.complete for answer in seen)
+
+
 # Guards against an unbounded read of the body of a refusal, or of an error.
 @pytest.mark.parametrize(
     ("head", "status", "max_bytes"),
