Workers: refusals, copies of other answers and reservations end in time as a whole

A request waited until its deadline at a worker that sent the body of a refusal, of a copy of another request's answer, or of the answer to a reservation a few bytes at a time, without end; it got 504 though a sound worker had room, and its deadline held a slot.

Cause: the time of these small bodies was a bound on the wait for each chunk; only their size ended them, after 64 kB.

Why this works: `read_small` bounds the whole wait and the size. The bodies of the store's answers had a bound on the whole already (`transfer_ms`); those of other VMs have the request's deadline and the memory of answers.

--- a/src/foxtailbank/http1/body_source.py
+++ b/src/foxtailbank/http1/body_source.py
@@ -3,8 +3,11 @@
 import abc
 import enum
 
-from foxtailbank.http1.failures import ResponseTooLarge
-from foxtailbank.response_limits import MAX_BODY_BYTES
+import anyio
+
+from foxtailbank.clock import MS_PER_S
+from foxtailbank.http1.failures import ResponseTimeout, ResponseTooLarge
+from foxtailbank.response_limits import MAX_BODY_BYTES, MAX_REFUSAL_BYTES
 
 
 class BodyFraming(enum.Enum):
@@ -60,3 +63,25 @@
                 raise ResponseTooLarge(detail=f"body over {max_bytes} bytes")
             chunks.append(chunk)
         return b"".join(chunks)
+
+    async def read_small(self, timeout_ms: float) -> bytes:
+        """Return the remainder of a body that is small, and whole in time.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Bound on the wait for its end, in milliseconds.
+
+        Raises
+        ------
+        ResponseTimeout
+            It did not end in time.
+        ExchangeFailed
+            As for `read_all`.
+        """
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_S):
+                return await self.read_all(timeout_ms, max_bytes=MAX_REFUSAL_BYTES)
+        except TimeoutError as error:
+            detail = f"body without an end in {timeout_ms:.0f} ms"
+            raise ResponseTimeout(detail=detail) from error
--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -209,7 +209,7 @@
                 return self._parse_head(event)
             raise MalformedResponse(detail="response without a status line")
 
-    async def skip_response(self, timeout_ms: float, *, max_bytes: int) -> None:
+    async def skip_response(self, timeout_ms: float) -> None:
         """Read the rest of a response that belongs to an earlier request.
 
         The response to this request may follow it. The connection carries no further
@@ -218,19 +218,17 @@
         Parameters
         ----------
         timeout_ms : float
-            Bound on the wait for each part, in milliseconds.
-        max_bytes : int
-            Bound on the size of the rest, in bytes.
+            Bound on the wait for its end, in milliseconds.
 
         Raises
         ------
         MalformedResponse
             The request is not fully sent yet.
         ExchangeFailed
-            As for `read_all`.
+            As for `read_small`.
         """
         self._is_spent = True
-        await self.read_all(timeout_ms, max_bytes=max_bytes)
+        await self.read_small(timeout_ms)
         if not self._body_sent or self._sent_request is None:
             raise MalformedResponse(detail="response to another request")
         received = self._http.trailing_data[0]
--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -10,7 +10,7 @@
     EventSource,
 )
 from foxtailbank.forward.route import RouteKind
-from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
+from foxtailbank.http1.failures import ExchangeFailed, ResponseTimeout, ResponseTooLarge
 from foxtailbank.keyed_log import StoreResponseLost
 from foxtailbank.response_limits import (
     MAX_BODY_BYTES,
@@ -264,6 +264,38 @@
     assert_bounded(server, MAX_REFUSAL_BYTES + MAX_HEAD_BYTES)
 
 
+COPY_HEAD = CHUNKED_HEAD.replace(b": q1", b": q0")
+REFUSED_CHUNKS = REFUSED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+# Guards against a request that waits out its time for the small answers before its own:
+# a refusal, a copy of another answer, a reservation, of a few bytes at a time each.
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(REFUSED_CHUNKS, id="refusal"),
+        pytest.param(COPY_HEAD, id="copy-of-another"),
+    ],
+)
+async def test_small_answer_in_small_pieces_is_given_up_in_time(head):
+    server = RawServer(RawAnswer(data=head, endless=FEW_BYTES))
+    server.endless_pause_s = 0.02
+    sound = RawServer(sized(b"ok"))
+    seen = await ask_in_time(SAFE, server, sound, first=server)
+    assert (seen.status, seen.body) == (200, b"ok")
+
+
+async def test_reservation_in_small_pieces_is_given_up_in_time():
+    server = RawServer(RawAnswer(data=CHUNKED_HEAD, endless=FEW_BYTES))
+    server.endless_pause_s = 0.02
+    async with running_servers(server):
+        client = HttpWorkerClient(clock=CLOCK)
+        with anyio.fail_after(ANSWER_MS / 1_000), pytest.raises(ResponseTimeout):
+            await client.reserve(
+                worker_at(server), tokens=1, lifetime_ms=500, timeout_ms=250
+            )
+
+
 @pytest.mark.parametrize("answer", [*HEADS, *BODIES])
 async def test_store_response_without_end_is_cut_off(answer):
     server = RawServer(answer)
