--- a/tests/test_unbounded_answers.py
+++ b/tests/test_unbounded_answers.py
@@ -1,5 +1,7 @@
 """Answers whose bytes never end, in the head or the body: read up to a bound."""
 
+import dataclasses
+
 import anyio
 import pytest
 
@@ -8,7 +10,7 @@
     EventSource,
 )
 from foxtailbank.forward.route import RouteKind
-from foxtailbank.http1.failures import ExchangeFailed, ResponseTooLarge
+from foxtailbank.http1.failures import ExchangeFailed, ResponseTimeout, ResponseTooLarge
 from foxtailbank.keyed_log import StoreResponseLost
 from foxtailbank.response_limits import (
     MAX_BODY_BYTES,
@@ -30,6 +32,8 @@
     UNFRAMED_HEAD,
     RawAnswer,
     RawServer,
+    RawWorkerVm,
+    ask,
     ask_through_vm,
     chunked,
     running_servers,
@@ -51,6 +55,8 @@
 ANSWER_MS = 1_500  # a second before the deadline of a request
 SAFE = make_route()
 SAFE_ONCE = make_route(max_attempts=1)
+UNSAFE = make_route(kind=RouteKind.UNSAFE)
+RESUMABLE_ONCE = make_route(kind=RouteKind.STREAM, resumable=True, max_attempts=1)
 STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True)
 REFUSED_HEAD = b"HTTP/1.1 503 x\r\n%s: 1\r\n%s" % (NOT_EXECUTED.encode(), HEADERS)
@@ -180,6 +186,46 @@
     assert world.fleet.health.is_avoided("w0", CLOCK.now_ms())
 
 
+EVENT_HEAD = CHUNKED_HEAD[:-2] + b"Content-Type: text/event-stream\r\n\r\n"
+FEW_BYTES = b"10\r\n" + b"x" * 16 + b"\r\n"
+SLOW_HEAD = RawAnswer(data=b"HTTP/1.1 200 x\r\n", endless=b"X: a\r\n")
+SLOW_BODY = RawAnswer(data=CHUNKED_HEAD, endless=FEW_BYTES)
+SLOW_EVENT = RawAnswer(data=EVENT_HEAD, endless=FEW_BYTES)
+
+
+# Guards against a worker that keeps its share of the requests although its bytes, fast
+# or slow, never become an answer.
+@pytest.mark.parametrize(
+    ("answer", "pause_s"),
+    [
+        *(pytest.param(*one.values, 0.0, id=one.id) for one in HEADS + BODIES),
+        pytest.param(SLOW_EVENT, 0.0, id="event"),
+        pytest.param(SLOW_HEAD, 0.02, id="slow-head"),
+        pytest.param(SLOW_BODY, 0.02, id="slow-body"),
+        pytest.param(SLOW_EVENT, 0.02, id="slow-event"),
+    ],
+)
+@pytest.mark.parametrize(
+    "route",
+    [
+        pytest.param(SAFE_ONCE, id="safe"),
+        pytest.param(UNSAFE, id="unsafe"),
+        pytest.param(STREAM, id="stream"),
+        pytest.param(RESUMABLE_ONCE, id="resumable"),
+    ],
+)
+async def test_worker_whose_bytes_become_no_answer_is_avoided(route, answer, pause_s):
+    route = dataclasses.replace(route, timeout_ms=1_200)
+    server = RawServer(answer, answer)
+    server.endless_pause_s = pause_s
+    async with running_servers(server) as group:
+        vm = RawWorkerVm(server, route=route)
+        address = await group.start(vm.serve_connections)
+        seen = [await ask(address) for _ in range(2)]
+        assert vm.fleet.health.is_avoided("w0", CLOCK.now_ms())
+    assert not any(answer.status == 200 and answer.complete for answer in seen)
+
+
 # Guards against an unbounded read of the body of a refusal, or of an error.
 @pytest.mark.parametrize(
     ("head", "status", "max_bytes"),
@@ -218,6 +264,38 @@
     assert_bounded(server, MAX_REFUSAL_BYTES + MAX_HEAD_BYTES)
 
 
+COPY_HEAD = CHUNKED_HEAD.replace(b": q1", b": q0")
+REFUSED_CHUNKS = REFUSED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+# Guards against a request that waits out its time for the small answers before its own:
+# a refusal, a copy of another answer, a reservation, of a few bytes at a time each.
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(REFUSED_CHUNKS, id="refusal"),
+        pytest.param(COPY_HEAD, id="copy-of-another"),
+    ],
+)
+async def test_small_answer_in_small_pieces_is_given_up_in_time(head):
+    server = RawServer(RawAnswer(data=head, endless=FEW_BYTES))
+    server.endless_pause_s = 0.02
+    sound = RawServer(sized(b"ok"))
+    seen = await ask_in_time(SAFE, server, sound, first=server)
+    assert (seen.status, seen.body) == (200, b"ok")
+
+
+async def test_reservation_in_small_pieces_is_given_up_in_time():
+    server = RawServer(RawAnswer(data=CHUNKED_HEAD, endless=FEW_BYTES))
+    server.endless_pause_s = 0.02
+    async with running_servers(server):
+        client = HttpWorkerClient(clock=CLOCK)
+        with anyio.fail_after(ANSWER_MS / 1_000), pytest.raises(ResponseTimeout):
+            await client.reserve(
+                worker_at(server), tokens=1, lifetime_ms=500, timeout_ms=250
+            )
+
+
 @pytest.mark.parametrize("answer", [*HEADS, *BODIES])
 async def test_store_response_without_end_is_cut_off(answer):
     server = RawServer(answer)
