Log lines: where the time of a batch item went, and how long an append waited

The line of an item's end told how often it was sent and no time, and that of an append neither its wait nor, at the usual level, anything: an item that waited for its first slot, one that was cut again and again, and one whose result waited for the store looked alike.

item_finished now has duration_ms since the submission's arrival, first_start_ms, running_ms and yields; what is left is the wait between runs. results_recorded has the wait of its first record as duration_ms and is written at the usual level if that is over a second. No more lines in calm.

tests/test_item_recorder.py and tests/test_append_queue.py: both new tests fail before.

--- a/src/foxtailbank/logs.py
+++ b/src/foxtailbank/logs.py
@@ -55,6 +55,12 @@
         Expected wait or pause, in milliseconds.
     age_ms : int
         Age of the information that a decision was based on, in milliseconds.
+    first_start_ms : int
+        Time from the arrival of a submission to the first run of the item.
+    running_ms : int
+        Time that an item spent in runs on workers.
+    yields : int
+        Runs of an item that were stopped for online requests.
     framing : str
         What marks the end of the endpoint's answer.
     fingerprint : str
@@ -90,6 +96,9 @@
     first_byte_ms: int | None = None
     wait_ms: int | None = None
     age_ms: int | None = None
+    first_start_ms: int | None = None
+    running_ms: int | None = None
+    yields: int | None = None
     framing: str = ""
     fingerprint: str = ""
     parts: str = ""
--- a/src/foxtailbank/submissions/append_queue.py
+++ b/src/foxtailbank/submissions/append_queue.py
@@ -24,6 +24,7 @@
 LINGER_MS = 40  # results that arrive within this time share one call
 MAX_WAITING_BYTES = 24 << 20  # a fraction of the smallest VM's memory
 MAX_KEY_BYTES = 255  # its length is stored in one byte
+LATE_MS = 1_000  # in the queue; a line of an append that took longer is written always
 FRAME_BYTES = 4  # of a record in an append, for its length
 
 
@@ -44,6 +45,8 @@
         Records appended together.
     urgent : bool
         True if a caller waits for the append.
+    queued_ms : int
+        Time at which they were queued.
     done : anyio.Event
         Set once the records are in the log or were refused for good.
     end : int
@@ -52,6 +55,7 @@
 
     records: tuple[KeyedRecord, ...]
     urgent: bool
+    queued_ms: int
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     end: int = -1
 
@@ -144,7 +148,9 @@
             The store would never take them; nothing was queued.
         """
         self._check_size(records)
-        pending = PendingAppend(records=records, urgent=urgent)
+        pending = PendingAppend(
+            records=records, urgent=urgent, queued_ms=self._clock.now_ms()
+        )
         self._waiting.append(pending)
         self.waiting_bytes += pending.size_bytes
         self._wake.set()
@@ -259,13 +265,22 @@
                 await anyio.sleep(RETRY_MS / MS_PER_S)
         self._sequence += 1
         self._on_success()
-        fields = LogFields(offset=end, count=len(records))
-        self._logs.write(Event.RESULTS_RECORDED, level=LogLevel.DEBUG, fields=fields)
+        self._write_recorded(batch, end=end, count=len(records))
         for pending in batch:
             self.waiting_bytes -= pending.size_bytes
             pending.end = end
             pending.done.set()
 
+    def _write_recorded(
+        self, batch: list[PendingAppend], *, end: int, count: int
+    ) -> None:
+        waited_ms = self._clock.now_ms() - min(pending.queued_ms for pending in batch)
+        self._logs.write(
+            Event.RESULTS_RECORDED,
+            level=LogLevel.INFO if waited_ms > LATE_MS else LogLevel.DEBUG,
+            fields=LogFields(offset=end, count=count, duration_ms=waited_ms),
+        )
+
     async def _append_singly(
         self, batch: list[PendingAppend], failure: StoreRejected
     ) -> None:
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -60,6 +60,7 @@
 
     def record_start(self, run: ItemRun, worker: Worker) -> None:
         """Log that an item is sent to a worker."""
+        run.times.on_start(age_ms=self._age_ms(run), now_ms=self._clock.now_ms())
         fields = dataclasses.replace(
             self._fields(run, ""),
             after_event=run.event_buffer.last_event_id,
@@ -89,6 +90,7 @@
     def record_preemption(self, run: ItemRun, worker: Worker, load: WorkerLoad) -> None:
         """Log and count the preemption of an item for online requests."""
         self._metrics.count(Count.PREEMPTED_ITEMS)
+        run.times.yield_count += 1
         reason = f"{load.online} online, {load.batch} batch on {worker.slots}"
         self._logs.write(Event.ITEM_YIELDED, fields=self._fields(run, reason))
 
@@ -133,7 +135,18 @@
         dropped = (drop_progress(*run.key),) if run.has_saved_progress else ()
         self._appends.put((stored, *dropped), urgent=False)
         self._metrics.count(Count.FINISHED_ITEMS, reason=reason)
-        self._logs.write(Event.ITEM_FINISHED, fields=self._fields(run, reason))
+        fields = dataclasses.replace(
+            self._fields(run, reason),
+            duration_ms=self._age_ms(run),
+            first_start_ms=run.times.first_start_ms,
+            running_ms=run.times.running_ms(self._clock.now_ms()),
+            yields=run.times.yield_count,
+        )
+        self._logs.write(Event.ITEM_FINISHED, fields=fields)
+
+    def _age_ms(self, run: ItemRun) -> int:
+        """Return the time since the submission's arrival."""
+        return self._clock.wall_ms() - run.submission.arrived_wall_ms
 
     def _unique_suffix(self, item_id: str) -> str:
         # Not derived from the run, as an item taken over again gets another run.
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -10,6 +10,7 @@
 from foxtailbank.forward.call import Call
 from foxtailbank.forward.event_stream import EventBuffer
 from foxtailbank.headers import text_to_header
+from foxtailbank.submissions.item_times import ItemTimes
 from foxtailbank.submissions.records import Item, Progress
 from foxtailbank.submissions.submission import Submission
 
@@ -55,6 +56,8 @@
         Number of events whose data is in the submission log.
     saved_ms : int
         When progress was last saved, initially when the run was created.
+    times : ItemTimes
+        Where its time went.
     is_done : bool
         True once its result is queued for the submission log.
     """
@@ -75,6 +78,7 @@
     failure_count: int = 0
     saved_event_count: int = 0
     saved_ms: int = 0
+    times: ItemTimes = dataclasses.field(default_factory=ItemTimes)
     is_done: bool = False
 
     @classmethod
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -258,6 +258,7 @@
             self._recorder.record_defect(run, error)
         finally:
             run.cancel_scope = None
+            run.times.on_stop(self._clock.now_ms())
             run.event_buffer.discard_partial_event()
             self._fleet.remove_in_flight(
                 worker.worker_id, LoadKind.BATCH, run.customer_key
--- a/tests/test_append_queue.py
+++ b/tests/test_append_queue.py
@@ -1,11 +1,15 @@
 """Appends are done exactly once when answers are lost, refused or delayed."""
 
+import io
+import json
+
 import anyio
 import pytest
 
-from foxtailbank.clock import SystemClock
+from foxtailbank.clock import ManualClock, SystemClock
 from foxtailbank.keyed_log import KeyedRecord
-from foxtailbank.submissions.append_queue import AppendQueue
+from foxtailbank.logs import Logs
+from foxtailbank.submissions.append_queue import LATE_MS, AppendQueue
 from serving_fakes import FakeKeyedLog, make_logs
 
 pytestmark = pytest.mark.anyio
@@ -139,3 +143,28 @@
             await last.done.wait()
         assert queue.is_empty
         group.cancel_scope.cancel()
+
+
+# Guards against results that stand late in the log though the store answers, of which
+# no line tells at the usual level.
+@pytest.mark.parametrize(("waited_ms", "is_written"), [(LATE_MS, 0), (LATE_MS + 1, 1)])
+async def test_an_append_that_waited_long_leaves_a_line(waited_ms, is_written):
+    lines = io.StringIO()
+    clock = ManualClock(start_ms=1_000)
+    queue = AppendQueue(
+        log=FakeKeyedLog(),
+        producer="vm/1",
+        call_bytes=1_000,
+        logs=Logs(vm="vm-1", zone="z1", stream=lines),
+        clock=clock,
+    )
+    pending = queue.put(record("a"), urgent=True)
+    clock.advance(waited_ms)
+    async with anyio.create_task_group() as group:
+        group.start_soon(queue.run)
+        with anyio.fail_after(10):
+            await pending.done.wait()
+        group.cancel_scope.cancel()
+    written = [json.loads(line) for line in lines.getvalue().splitlines()]
+    assert [line["duration_ms"] for line in written] == [waited_ms] * is_written
+    assert all(line["event"] == "results_recorded" for line in written)
--- a/tests/test_item_recorder.py
+++ b/tests/test_item_recorder.py
@@ -1,9 +1,14 @@
 """Records that an item leaves in the submission log when it ends."""
 
+import io
+import json
+
 import anyio
 import pytest
 
+from foxtailbank.fleet.load_table import WorkerLoad
 from foxtailbank.keyed_log import LogSlice
+from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.item_recorder import ItemRecorder
@@ -11,7 +16,7 @@
 from foxtailbank.submissions.records import Ended, Progress, encode
 from foxtailbank.submissions.retirement import RETENTION_MS, Retirement
 from foxtailbank.submissions.submission_table import SubmissionTable
-from serving_fakes import FakeKeyedLog, make_logs, manual_clock
+from serving_fakes import FakeKeyedLog, make_logs, make_worker, manual_clock
 from test_submission_ledger import make_submitted
 
 pytestmark = pytest.mark.anyio
@@ -39,11 +44,12 @@
             logs=make_logs(),
             clock=clock,
         )
+        self.lines = io.StringIO()
         self.recorder = ItemRecorder(
             owner_id="vm/1",
             appends=self.appends,
             clock=clock,
-            logs=make_logs(),
+            logs=Logs(vm="vm-1", zone="z1", stream=self.lines),
             metrics=Metrics(),
         )
 
@@ -153,3 +159,28 @@
     retirement.retire_expired()  # a submission is dropped one check after it expired
     await owner.flush()
     assert (await owner.log.read_newest()).records == ()
+
+
+# Guards against late items whose lines don't tell where their time went: before the
+# first run, in runs, or between runs that were stopped.
+async def test_the_line_of_an_end_tells_where_the_time_went():
+    owner = Owner()
+    await owner.accept(earlier_progress=False)
+    run = owner.make_run()
+    worker = make_worker("w1")
+    arrived_ms = owner.clock.wall_ms() - run.submission.arrived_wall_ms
+    owner.clock.advance(300)
+    for run_ms, pause_ms in ((1_000, 700), (50, 0)):
+        owner.recorder.record_start(run, worker)
+        owner.clock.advance(run_ms)
+        if pause_ms:
+            owner.recorder.record_preemption(run, worker, WorkerLoad())
+            run.times.on_stop(owner.clock.now_ms())
+        owner.clock.advance(pause_ms)
+    owner.recorder.record_end(run, completed=True, reason="r")
+    line = json.loads(owner.lines.getvalue().splitlines()[-1])
+    assert line["event"] == "item_finished"
+    assert line["first_start_ms"] == arrived_ms + 300
+    assert line["running_ms"] == 1_050
+    assert line["duration_ms"] == arrived_ms + 2_050
+    assert line["yields"] == 1
