Known failures: fleets without spare slots serve neither items nor bursts as asked

By the sites' own figures online requests and items need 0.95 of all slots, and a burst alone as many. The simulated fleet is nearer to the product: a request queues at a worker after 0.3 of its target, a run that is cut loses its last 100 ms, overdue items start last.

Asked are 0.9, as of the fleets with room, and no more than 0.02 for the sake of items.

--- a/tests/burst_fleet.py
+++ b/tests/burst_fleet.py
@@ -18,13 +18,20 @@
 from foxtailbank.forward import wait_limits
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.route_table import RouteTable
-from foxtailbank.forward.slot_finder import ROUND_PAUSE_MS, TRIES_PER_ROUND
+from foxtailbank.forward.slot_finder import (
+    ROUND_PAUSE_MS,
+    SEARCH_SHARE,
+    TRIES_PER_ROUND,
+)
 from foxtailbank.submissions.batch_capacity import BatchCapacity
 from foxtailbank.submissions.runner import PREEMPTION_PAUSE_MS, TICK_MS
 from serving_fakes import make_logs, make_routes
 
 ZONES = ("z1", "z2", "z3")
 SLOTS = 7
+TARGET_MS = 308  # of an online request
+ITEM_DUE_MS = 18_000
+CUT_MS = 100  # of an item's newest output, which is unread when it is cut
 RESERVE_MS = 3  # a reservation's round trip
 BUSY_TICK_MS = 50  # a runner wakes on changes of the load
 
@@ -107,6 +114,7 @@
         self.online = []
         self.items = []
         self.running = {f"w{n}": [] for n in range(workers)}
+        self.queued = {f"w{n}": [] for n in range(workers)}
         listed = [
             Worker(
                 worker_id=f"w{n}",
@@ -236,23 +244,51 @@
         fleet = request.vm.fleet
         if self._is_refused(request):
             return
+        if self.now_ms - request.arrived_ms > SEARCH_SHARE * TARGET_MS:
+            self._queue(request, self._choose(request, full=()).worker_id)
+            return
         full = []
         for _ in range(TRIES_PER_ROUND):
-            choice = fleet.choose(
-                service="s",
-                tried={worker.worker_id for worker in full},
-                affinity="",
-                max_wait_ms=10_000,
-                now_ms=self.clock.now_ms(),
-            )
-            if self._has_slot(choice.worker.worker_id):
-                self._start(request, choice.worker.worker_id)
+            worker = self._choose(request, full=full)
+            if self._has_slot(worker.worker_id):
+                self._start(request, worker.worker_id)
                 return
-            fleet.health.on_full(choice.worker.worker_id, self.clock.now_ms())
-            full.append(choice.worker)
+            fleet.health.on_full(worker.worker_id, self.clock.now_ms())
+            full.append(worker)
         wait_ms = ROUND_PAUSE_MS + RESERVE_MS * TRIES_PER_ROUND
         self._after(wait_ms, self._search, request)
 
+    def _choose(self, request, *, full):
+        return request.vm.fleet.choose(
+            service="s",
+            tried={worker.worker_id for worker in full},
+            affinity="",
+            max_wait_ms=10_000,
+            now_ms=self.clock.now_ms(),
+        ).worker
+
+    def _running_items(self, vm):
+        """Return the items of a VM in the order in which they are preempted."""
+        items = [
+            request
+            for worker_id in vm.fleet.loads.own_by_worker()
+            for request in self.running[worker_id]
+            if request.vm is vm and request.kind is LoadKind.BATCH
+        ]
+        return sorted(items, key=lambda item: -item.arrived_ms)
+
+    def _queue(self, request, worker_id):
+        """Send a request to a worker, where it waits for a slot."""
+        request.vm.fleet.loads.start(worker_id, request.kind)
+        self.queued[worker_id].append(request)
+        self._admit(worker_id)
+
+    def _admit(self, worker_id):
+        while self.queued[worker_id] and self._has_slot(worker_id):
+            request = self.queued[worker_id].pop(0)
+            request.vm.fleet.loads.end(worker_id, request.kind)
+            self._start(request, worker_id)
+
     def _tick(self, vm):
         """Preempt and start items, as the runner of a VM does."""
         now_ms = self.clock.now_ms()
@@ -261,7 +297,7 @@
             worker = vm.fleet.workers.get(worker_id)
             for _ in range(vm.capacity.items_to_preempt(worker, now_ms)):
                 self._preempt(vm, worker_id)
-        for item in list(vm.items):
+        for item in sorted(vm.items, key=self._start_order):
             if item.not_before_ms > self.now_ms:
                 continue
             vm.waiting_since_ms = vm.waiting_since_ms or now_ms
@@ -280,6 +316,10 @@
         is_busy = bool(vm.items or vm.fleet.loads.own_by_worker())
         self._after(BUSY_TICK_MS if is_busy else TICK_MS, self._tick, vm)
 
+    def _start_order(self, item):
+        is_overdue = item.arrived_ms + ITEM_DUE_MS < self.now_ms
+        return (is_overdue, item.arrived_ms)
+
     def _has_slot(self, worker_id):
         return len(self.running[worker_id]) < self.slots
 
@@ -304,22 +344,21 @@
         request.vm.fleet.loads.end(request.worker_id, request.kind)
         self._count_customer(request, -1)
         request.began_ms = None
+        self._admit(request.worker_id)
 
     def _preempt(self, vm, worker_id):
-        own = [
-            request
-            for request in self.running[worker_id]
-            if request.vm is vm and request.kind is LoadKind.BATCH
-        ]
-        if not own:
-            return
-        item = own[-1]
-        # Its output is kept.
-        item.run_ms -= (self.now_ms - item.began_ms) * self.speed_by_worker[worker_id]
+        own = [item for item in self._running_items(vm) if item.worker_id == worker_id]
+        if own:
+            self._cut(own[0])
+
+    def _cut(self, item):
+        """Stop an item; its output is kept but for the newest."""
+        ran_ms = max(0, self.now_ms - item.began_ms - CUT_MS)
+        item.run_ms -= ran_ms * self.speed_by_worker[item.worker_id]
         item.preempted_count += 1
         item.not_before_ms = self.now_ms + PREEMPTION_PAUSE_MS
         self._leave(item)
-        vm.items.append(item)
+        item.vm.items.append(item)
 
 
 def _group(vm, other):
--- a/tests/test_bursts_over_batch_items.py
+++ b/tests/test_bursts_over_batch_items.py
@@ -9,13 +9,14 @@
 
 import pytest
 
-from burst_fleet import SLOTS, BurstFleet
+from burst_fleet import ITEM_DUE_MS, SLOTS, BurstFleet
 
 WAVES = 4
 ONLINE_RUN_MS = 800
 ITEM_RUN_MS = 5_000
-ITEM_DUE_MS = 18_000
 MAX_ONLINE_WAIT_MS = 150  # half of the target
+MAX_ONLINE_COST = 0.02  # more requests that wait so long for the sake of items
+VM_WEIGHTS = (1, 1, 1, 2, 3)  # clients come by hash
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -23,6 +24,7 @@
     """Online load in waves over a fleet."""
 
     vms: int = 79
+    workers: int = 30
     slots: int = SLOTS
     speeds: tuple[float, ...] = (1.0,)
     report_loss: float = 0.0
@@ -32,6 +34,8 @@
     calm_per_s: float = 50
     burst_per_s: float = 225
     items_per_s: int = 15
+    submission_items: int = 0  # items that one VM gets at once; 0 for those of a second
+    has_uneven_vms: bool = False
     is_split: bool = False  # zones into cells
 
     def online_rate(self, at_ms):
@@ -53,12 +57,32 @@
 )
 LOSSY = dataclasses.replace(UNEVEN, report_loss=0.2)
 SPLIT = dataclasses.replace(UNEVEN, is_split=True)
+# Online requests and items need 0.95 of all slots, a burst alone as many.
+BUSY_71 = dataclasses.replace(
+    SPLIT,
+    vms=71,
+    workers=56,
+    slots=SLOTS,
+    speeds=(1.0, 1.0, 1.3),
+    calm_per_s=113,
+    burst_per_s=552,
+    items_per_s=37,
+    submission_items=10,
+    has_uneven_vms=True,
+)
+BUSY_59 = dataclasses.replace(
+    BUSY_71, vms=59, workers=45, calm_per_s=91, burst_per_s=443, items_per_s=30
+)
+BUSY_195 = dataclasses.replace(
+    BUSY_71, vms=195, workers=47, calm_per_s=94, burst_per_s=460, items_per_s=31
+)
 
 
 def play(*, seed, pattern=Pattern()):
     fleet = BurstFleet(
         seed=seed,
         vms=pattern.vms,
+        workers=pattern.workers,
         slots=pattern.slots,
         speeds=pattern.speeds,
         report_loss=pattern.report_loss,
@@ -66,14 +90,22 @@
     )
     begin_ms = pattern.quiet_ms
     waves_ms = WAVES * pattern.wave_ms
+    weights = [1] * pattern.vms
+    if pattern.has_uneven_vms:
+        weights = fleet.rng.choices(VM_WEIGHTS, k=pattern.vms)
     at_ms = 0.0
     while at_ms < waves_ms:
         at_ms += fleet.rng.expovariate(pattern.online_rate(at_ms)) * 1_000
         run_ms = ONLINE_RUN_MS * fleet.rng.uniform(0.7, 1.3)
-        fleet.add_online(begin_ms + at_ms, run_ms)
+        vms = fleet.rng.choices(fleet.vms, weights)
+        fleet.add_online(begin_ms + at_ms, run_ms, vms=vms)
     for second in range(0, waves_ms // 1_000, 1):
-        run_ms = ITEM_RUN_MS * fleet.rng.uniform(0.8, 1.2)
-        fleet.add_items(begin_ms + second * 1_000.0, pattern.items_per_s, run_ms)
+        count = pattern.items_per_s
+        size = pattern.submission_items or count
+        for first in range(0, count, size):
+            run_ms = ITEM_RUN_MS * fleet.rng.uniform(0.8, 1.2)
+            at_ms = begin_ms + second * 1_000.0 + first * 1_000 / count
+            fleet.add_items(at_ms, min(size, count - first), run_ms)
     fleet.play(until_ms=begin_ms + waves_ms + ITEM_DUE_MS)
     return fleet
 
@@ -113,3 +145,21 @@
     fleet = play(seed=1, pattern=pattern)
     assert share_in_time(fleet.items) >= 0.9
     assert share_served_late(fleet.online) <= 0.02
+
+
+# Guards against items that are cut again and again, and end late, where online requests
+# and items together need nearly all slots; and against online requests that pay for it.
+@pytest.mark.parametrize(
+    "pattern",
+    [
+        pytest.param(BUSY_71, id="71-vms-56-workers"),
+        pytest.param(BUSY_59, id="59-vms-45-workers"),
+        pytest.param(BUSY_195, id="195-vms-47-workers"),
+    ],
+)
+def test_a_fleet_without_spare_slots_serves_items_and_bursts(pattern):
+    fleet = play(seed=1, pattern=pattern)
+    alone = play(seed=1, pattern=dataclasses.replace(pattern, items_per_s=0))
+    online_cost = share_served_late(fleet.online) - share_served_late(alone.online)
+    assert share_in_time(fleet.items) >= 0.9
+    assert online_cost <= MAX_ONLINE_COST
