--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -278,6 +278,7 @@
             self._recorder.record_defect(run, error)
         finally:
             run.cancel_scope = None
+            run.times.on_stop(self._clock.now_ms())
             run.discard_unfinished()
             self._fleet.remove_in_flight(
                 worker.worker_id, LoadKind.BATCH, run.customer_key
