--- a/src/foxtailbank/forward/route_failures.py
+++ b/src/foxtailbank/forward/route_failures.py
@@ -4,7 +4,7 @@
 
 
 class ConfigurationUnknown(FoxtailbankError):
-    """No configuration has been read from the store yet."""
+    """No configuration has been read from the store yet, or none for this request."""
 
     code = "configuration_unknown"
     status = 503
--- a/src/foxtailbank/http1/request_reader.py
+++ b/src/foxtailbank/http1/request_reader.py
@@ -143,6 +143,7 @@
             headers=head.headers,
             body=body,
             arrived_ms=self._clock.now_ms(),
+            is_body_dropped=not is_kept,
         )
 
     async def _reserve(self, length: int, reservation: BodyReservation) -> None:
--- a/src/foxtailbank/http1/server_request.py
+++ b/src/foxtailbank/http1/server_request.py
@@ -21,6 +21,8 @@
         Request body without transfer coding.
     arrived_ms : int
         Time at which its last byte was read, on the VM's clock.
+    is_body_dropped : bool
+        Whether it had a body, which was not kept as nothing had a use for it.
     """
 
     method: str
@@ -28,6 +30,7 @@
     headers: Headers
     body: bytes
     arrived_ms: int
+    is_body_dropped: bool = False
 
     def get(self, name: str) -> str:
         """Return a header's value, or an empty string; `name` is in lower case."""
