Store client: an unknown topic is the end of an empty log only

It counts only for a read from the start; else it is a lost answer. The row from offset 5 of test_an_unknown_topic_is_the_end_of_an_empty_log_only failed before.

--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -146,6 +146,18 @@
     assert [target.count("max_kb=73") for target in scripted.targets] == [1, 0, 1]
 
 
+# Guards against a state that counts as complete by an answer which knows of no log.
+@pytest.mark.parametrize(("start", "is_end"), [(0, True), (5, False)])
+async def test_an_unknown_topic_is_the_end_of_an_empty_log_only(start, is_end):
+    async with ScriptedStore(404).topic() as topic:
+        expected = (
+            contextlib.nullcontext() if is_end else pytest.raises(StoreResponseLost)
+        )
+        with expected:
+            part = await topic.read(start=start, wait_ms=0)
+            assert (part.records, part.end) == ((), 0)
+
+
 # Guards against calls that wait long for a store that is gone.
 @pytest.mark.parametrize(
     ("call", "step"),
