--- a/src/foxtailbank/forward/forward_context.py
+++ b/src/foxtailbank/forward/forward_context.py
@@ -6,6 +6,7 @@
 from foxtailbank.clock import Clock
 from foxtailbank.customers.customer_gate import CustomerGate
 from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.own_slots import OwnSlots
 from foxtailbank.forward.peer_relay import PeerRelay
 from foxtailbank.forward.stop_gate import StopGate
 from foxtailbank.forward.worker_client import WorkerClient
@@ -42,6 +43,8 @@
         Checks the keys of requests; None where none bear any.
     answer_memory : BodyMemory or None
         Memory for the large bodies of answers; None if it is not bounded.
+    own_slots : OwnSlots
+        Slots of this VM's items, for requests that find workers full.
     """
 
     client: WorkerClient
@@ -55,3 +58,4 @@
     relay: PeerRelay | None = None
     customers: CustomerGate | None = None
     answer_memory: BodyMemory | None = None
+    own_slots: OwnSlots = dataclasses.field(default_factory=OwnSlots)
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -12,6 +12,7 @@
 from foxtailbank.fleet.worker import Worker
 from foxtailbank.forward.event_stream import EventSource
 from foxtailbank.forward.fleet_state import FleetState
+from foxtailbank.forward.own_slots import OwnSlots
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.stream_event import parse_events
@@ -36,6 +37,7 @@
 from foxtailbank.submissions.item_placement import ItemPlacement
 from foxtailbank.submissions.item_recorder import ItemRecorder
 from foxtailbank.submissions.item_run import ItemRun
+from foxtailbank.submissions.item_slots import ItemSlots
 from foxtailbank.submissions.paced_reading import read_paced
 from foxtailbank.submissions.progress_budget import ProgressBudget
 from foxtailbank.submissions.removed_routes import RemovedRoutes
@@ -82,6 +84,8 @@
         Workers and their loads.
     capacity : BatchCapacity
         Assigns worker slots to items.
+    own_slots : OwnSlots
+        Where online requests of this VM find slots of its items.
     routes : RouteTable
         Current routes.
     max_output_bytes : int
@@ -115,6 +119,7 @@
         client: WorkerClient,
         fleet: FleetState,
         capacity: BatchCapacity,
+        own_slots: OwnSlots,
         routes: RouteTable,
         max_output_bytes: int,
         clock: Clock,
@@ -147,6 +152,10 @@
             owner_id=owner_id, table=table, routes=routes, client=client, clock=clock
         )
         self._no_slot_since_ms_by_route: dict[str, int] = {}
+        self._slots = ItemSlots(
+            runs=self.runs, fleet=fleet, capacity=capacity, recorder=self._recorder
+        )
+        own_slots.set_giver(self._slots)
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self.stopping = False
@@ -164,7 +173,7 @@
                     await self._wake.wait()
                 self._wake = anyio.Event()
                 self._observe_online_load()
-                self._preempt_items()
+                self._slots.preempt_excess(self._clock.now_ms())
                 await anyio.sleep(self._rng.uniform(0, START_JITTER_MS) / MS_PER_S)
                 self._start_waiting()
 
@@ -380,20 +389,3 @@
     def _is_past_retention(self, run: ItemRun, route: Route) -> bool:
         age_ms = self._clock.wall_ms() - run.submission.arrived_wall_ms
         return route.may_give_up(age_ms)
-
-    def _preempt_items(self) -> None:
-        now_ms = self._clock.now_ms()
-        runs_by_worker = item_order.running_by_worker(self.runs.all())
-        for worker_id, runs in runs_by_worker.items():
-            worker = self._fleet.workers.get(worker_id)
-            if worker is None:
-                continue
-            stopping_count = self._fleet.loads.own(worker_id).batch - len(runs)
-            count = self.capacity.items_to_preempt(worker, now_ms) - stopping_count
-            if count <= 0:
-                continue
-            shares = self._batch_shares()
-            for run in item_order.preemption_order(runs, shares=shares)[:count]:
-                load = self._fleet.loads.total(worker_id)
-                self._recorder.record_preemption(run, worker, load)
-                run.stop()
