Property test of positions: more plays of paused VMs, and a name for what speaks the store's words

The guard against plays with nothing to judge asks for a denial over 0.1 s after a reading. The bound is as it was. The fake store is named as the boundary test asks.

--- a/tests/position_fleet.py
+++ b/tests/position_fleet.py
@@ -4,7 +4,7 @@
 import random
 
 from answer_oracle import AnswerOracle
-from hostile_store import PathState, Store
+from platform_hostile_store import PathState, Store
 from position_vm import WALL_RATE, PositionVm
 from simulated_processes import ProcessSchedule
 
--- a/tests/position_vm.py
+++ b/tests/position_vm.py
@@ -25,7 +25,7 @@
 from foxtailbank.submissions.service import SubmissionService
 from foxtailbank.submissions.submission_table import SubmissionTable
 from foxtailbank_platform.store import KeyedTopic
-from hostile_store import HostileClient, Path
+from platform_hostile_store import HostileClient, Path
 from serving_fakes import make_logs, make_route
 from simulated_processes import PausableClock
 
--- a/tests/test_positions_between_vms.py
+++ b/tests/test_positions_between_vms.py
@@ -10,11 +10,13 @@
 
 import pytest
 
-from hostile_store import PathState
+from platform_hostile_store import PathState
 from position_fleet import FaultPlan, PositionFleet
 
 LONG = os.environ.get("FUZZ_LONG") == "1"
 SEEDS = range(250 if LONG else 2)
+# Pauses end most reads as too late, so that denials soon after a reading are rare.
+JUDGED_SEEDS = {"paused": range(8)}
 DURATION_S = 40.0
 FAULT_PLANS = {
     "mixed": FaultPlan(),
@@ -64,7 +66,7 @@
 # Guards against faults that leave the test above nothing to judge.
 @pytest.mark.parametrize("plan", FAULT_PLANS)
 def test_vms_deny_what_was_read_at_another_just_before(plan):
-    oracles = [play(plan, seed) for seed in SEEDS]
+    oracles = [play(plan, seed) for seed in JUDGED_SEEDS.get(plan, SEEDS)]
     assert min(len(oracle.first_read_s) for oracle in oracles) > 50
     assert min(len(oracle.absences) for oracle in oracles) > 50
     assert max(oracle.greatest_lateness_s() for oracle in oracles) > 0.1
