--- a/tests/explain_world.py
+++ b/tests/explain_world.py
@@ -5,6 +5,7 @@
 import random
 
 from customer_samples import make_customer
+from fake_leases import FakeLeases
 from fake_texts import FakeTextLog
 from foxtailbank.address import parse_address
 from foxtailbank.clock import ManualClock
@@ -25,7 +26,6 @@
 from serving_fakes import (
     PASS_MS,
     FakeKeyedLog,
-    FakeLeases,
     FakeWorkerClient,
     make_logs,
     make_report,
--- a/tests/serving_fakes.py
+++ b/tests/serving_fakes.py
@@ -33,7 +33,6 @@
     StoreRefused,
     StoreResponseLost,
 )
-from foxtailbank.lease_table import LeaseTable
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.logs import Logs
 from foxtailbank.metrics import Metrics
@@ -233,26 +232,6 @@
             raise StoreRefused()
 
 
-class FakeLeases(LeaseTable):
-    """Leases in memory; `held` contains strings of the form ``vm/incarnation``."""
-
-    def __init__(self):
-        self.held = set()
-        self.up = True
-        self.renewals = 0
-
-    async def renew(self):
-        self.renewals += 1
-
-    async def release(self):
-        return None
-
-    async def is_held(self, *, vm_id, incarnation):
-        if not self.up:
-            raise StoreRefused()
-        return f"{vm_id}/{incarnation}" in self.held
-
-
 class FakeResponse(WorkerResponse):
     """Response whose parts are bytes or exceptions to raise."""
 
--- a/tests/test_crash_report_log.py
+++ b/tests/test_crash_report_log.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from fake_leases import FakeLeases
 from fake_texts import FakeTextLog
 from foxtailbank.clock import ManualClock
 from foxtailbank.crash_report_log import KEY_PREFIX
@@ -21,7 +22,6 @@
 from serving_fakes import (
     PASS_MS,
     FakeKeyedLog,
-    FakeLeases,
     FakeWorkerClient,
     make_call,
     make_logs,
--- a/tests/test_result_texts.py
+++ b/tests/test_result_texts.py
@@ -24,8 +24,8 @@
 from foxtailbank.submissions.retirement import RETENTION_MS, Retirement
 from foxtailbank.submissions.submission_table import SubmissionTable
 from serving_fakes import FakeKeyedLog, make_logs, manual_clock
+from stale_vm import running_vm
 from test_crash_report_log import make_vm, running
-from test_stale_reads import running_vm
 from test_submission_ledger import item_ended, make_submitted
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 
+from fake_leases import FakeLeases
 from foxtailbank import rendezvous
 from foxtailbank.address import parse_address
 from foxtailbank.fleet.peer_table import PeerTable
@@ -19,7 +20,6 @@
 )
 from serving_fakes import (
     FakeKeyedLog,
-    FakeLeases,
     make_follower,
     make_logs,
     make_report,
