Review: items that no worker takes keep accepted ones from running

Cause: a 421 that says that the weights are another version is taken for a reused address, so the worker is removed and avoided for all; such items are started first, again and again, at each place that comes back.

--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -225,6 +225,30 @@
         self.crashed.add(worker.worker_id)
         self.spawn(self._replace(number, down_s))
 
+    async def release(self, *, weights: int, gap_s: float, drain_s: float) -> None:
+        """Replace the model workers one after the other by ones of other weights.
+
+        The new one starts first; the old one reports that it drains, and leaves.
+        """
+        for number, old in enumerate(self.workers):
+            if old.service != MODEL_SERVICE:
+                continue
+            new = old.successor()
+            new.weights = weights
+            await new.start()
+            self.workers[number] = new
+            self.store.put("keyed.servers", new.worker_id, new.entry())
+            old.state = "draining"
+            self.store.put("keyed.servers", old.worker_id, old.entry())
+            self.record.write("replaced", old=old.worker_id, new=new.worker_id)
+            self.spawn(self._leave(old, drain_s))
+            await asyncio.sleep(gap_s)
+
+    async def _leave(self, worker: Worker, drain_s: float) -> None:
+        await asyncio.sleep(drain_s)
+        self.store.put("keyed.servers", worker.worker_id, None)
+        worker.crash()
+
     async def _replace(self, number: int, down_s: float) -> None:
         old = self.workers[number]
         lapse_s = min(3 * HEARTBEAT_S, down_s)
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -31,6 +31,12 @@
     ----------
     runs : dict of str to list of float
         Times at which requests began to run, by id.
+    running_ids : set of str
+        Ids of the requests that it runs or that wait there.
+    weights : int
+        Version of its weights.
+    mismatches : int
+        Requests that expected another version of the weights.
     """
 
     def __init__(
@@ -53,6 +59,9 @@
         self.events = events
         self.event_s = event_s
         self.version = "v1"
+        self.weights = 1
+        self.mismatches = 0
+        self.running_ids: set[str] = set()
         self.address = ""
         self.state = "ready"
         self.born = int(time.time() * 1_000)
@@ -108,9 +117,23 @@
         if request.get("x-expect-instance") not in ("", self.worker_id):
             await answer.send(421, echo)
             return
+        expected = request.get("x-expect-version")
+        if expected and expected != str(self.weights):
+            self.mismatches += 1
+            await answer.send(421, {**echo, "X-Weight-Versions": str(self.weights)})
+            return
         if self._waiting >= QUEUE:
             await answer.send(503, {**echo, "X-Not-Executed": "1"})
             return
+        self.running_ids.add(request_id)
+        try:
+            await self._wait_and_run(request, answer, echo)
+        finally:
+            self.running_ids.discard(request_id)
+
+    async def _wait_and_run(
+        self, request: Request, answer: Answer, echo: dict[str, str]
+    ) -> None:
         self._waiting += 1
         try:
             await self._free.acquire()
