Review: a planned stop cuts sound streams whose worker is silent for 2 s

Cause: an answer is given up after 1.5 s of silence while an attempt is left, before it is known whether another worker may go on; during a release none of the stream's software version may be left.

--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -225,16 +225,38 @@
         self.crashed.add(worker.worker_id)
         self.spawn(self._replace(number, down_s))
 
-    async def release(self, *, weights: int, gap_s: float, drain_s: float) -> None:
-        """Replace the model workers one after the other by ones of other weights.
+    async def release(
+        self,
+        *,
+        gap_s: float,
+        drain_s: float,
+        weights: int = 1,
+        version: str = "v1",
+        keep: int = 0,
+    ) -> None:
+        """Replace the model workers one after the other by ones of another version.
 
         The new one starts first; the old one reports that it drains, and leaves.
+
+        Parameters
+        ----------
+        gap_s : float
+            Time between two of them.
+        drain_s : float
+            Time until an old one leaves.
+        weights : int
+            Version of the new ones' weights.
+        version : str
+            Version of their software.
+        keep : int
+            Number of workers, from the first on, whose turn has not come yet.
         """
         for number, old in enumerate(self.workers):
-            if old.service != MODEL_SERVICE:
+            if old.service != MODEL_SERVICE or number < keep:
                 continue
             new = old.successor()
             new.weights = weights
+            new.version = version
             await new.start()
             self.workers[number] = new
             self.store.put("keyed.servers", new.worker_id, new.entry())
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -9,6 +9,7 @@
 from review.standins_2.record import Record
 
 QUEUE = 24
+PREEMPTED_AFTER = 3  # events of a stream, where the worker runs out of memory
 
 
 class Worker:
@@ -37,6 +38,8 @@
         Version of its weights.
     mismatches : int
         Requests that expected another version of the weights.
+    pause_s : float
+        Pause in each stream, as its request is preempted; 0 for none.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self.version = "v1"
         self.weights = 1
         self.mismatches = 0
+        self.pause_s = 0.0
         self.running_ids: set[str] = set()
         self.address = ""
         self.state = "ready"
@@ -164,5 +168,7 @@
         await answer.begin(200, {**echo, "Content-Type": "text/event-stream"})
         for number in range(after + 1, self.events + 1):
             await answer.chunk(f"id: {number}\ndata: t{number}\n\n".encode())
-            await asyncio.sleep(self.event_s)
+            is_preempted = self.pause_s and number == PREEMPTED_AFTER
+            await asyncio.sleep(self.pause_s if is_preempted else self.event_s)
+        self._record.write("done", worker=self.worker_id, id=request_id)
         await answer.chunk(b"")
