Review: streams of a worker released in place go on at the other version

Cause: a running answer keeps the origin that the list of workers gave at its first event; the correction that follows when the list names the new process reaches only what is told to other VMs and to later take-ups.

--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -225,6 +225,37 @@
         self.crashed.add(worker.worker_id)
         self.spawn(self._replace(number, down_s))
 
+    async def restart_worker(
+        self, number: int, *, version: str, down_s: float, entry_s: float
+    ) -> None:
+        """Start a worker again, under its id and address, with another version.
+
+        Parameters
+        ----------
+        number : int
+            The worker.
+        version : str
+            Version of its software from now on.
+        down_s : float
+            Time until it is back.
+        entry_s : float
+            Time from then to its first liveness report.
+        """
+        old = self.workers[number]
+        self.crashed.add(old.worker_id)
+        old.crash()
+        await asyncio.sleep(down_s)
+        new = old.born_again(version=version)
+        await new.start()
+        self.workers[number] = new
+        self.record.write("restarted", worker=new.worker_id, version=version)
+        self.spawn(self._report_again(new, entry_s))
+
+    async def _report_again(self, worker: Worker, entry_s: float) -> None:
+        await asyncio.sleep(entry_s)
+        self.crashed.discard(worker.worker_id)
+        self.store.put("keyed.servers", worker.worker_id, worker.entry())
+
     async def release(
         self,
         *,
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -27,6 +27,8 @@
         Events of a stream.
     event_s : float
         Time between two events.
+    port : int
+        Port to listen on; a free one by default.
 
     Attributes
     ----------
@@ -38,6 +40,8 @@
         Version of its weights.
     mismatches : int
         Requests that expected another version of the weights.
+    tags_events : bool
+        Whether each event names the version of the software.
     pause_s : float
         Pause in each stream, as its request is preempted; 0 for none.
     """
@@ -53,6 +57,7 @@
         slots: int = 8,
         events: int = 20,
         event_s: float = 0.02,
+        port: int = 0,
     ) -> None:
         self.worker_id = worker_id
         self.service = service
@@ -64,6 +69,7 @@
         self.version = "v1"
         self.weights = 1
         self.mismatches = 0
+        self.tags_events = False
         self.pause_s = 0.0
         self.running_ids: set[str] = set()
         self.address = ""
@@ -75,7 +81,7 @@
         self._waiting = 0
         self._record = record
         self._free = asyncio.Semaphore(slots)
-        self._server = Server(host, self.handle)
+        self._server = Server(host, self.handle, port=port)
 
     async def start(self) -> None:
         """Listen."""
@@ -95,6 +101,23 @@
             event_s=self.event_s,
         )
 
+    def born_again(self, *, version: str) -> "Worker":
+        """Return its next process, which has its id and address."""
+        new = Worker(
+            self.worker_id,
+            self.service,
+            self.host,
+            self.zone,
+            self._record,
+            slots=self.slots,
+            events=self.events,
+            event_s=self.event_s,
+            port=int(self.address.rpartition(":")[2]),
+        )
+        new.version = version
+        new.tags_events = self.tags_events
+        return new
+
     def crash(self) -> None:
         """End without a word."""
         self._server.reset()
@@ -167,7 +190,8 @@
         )  # a request begins to run with its first token
         await answer.begin(200, {**echo, "Content-Type": "text/event-stream"})
         for number in range(after + 1, self.events + 1):
-            await answer.chunk(f"id: {number}\ndata: t{number}\n\n".encode())
+            tag = f"@{self.version}" if self.tags_events else ""
+            await answer.chunk(f"id: {number}\ndata: t{number}{tag}\n\n".encode())
             is_preempted = self.pause_s and number == PREEMPTED_AFTER
             await asyncio.sleep(self.pause_s if is_preempted else self.event_s)
         self._record.write("done", worker=self.worker_id, id=request_id)
