--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -81,6 +81,14 @@
 
     async def __aenter__(self) -> t.Self:
         """Start everything and wait until each VM is ready."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         address = await Server(f"{NET}.1.1", self.store.handle).start()
         for worker in self.workers:
             await worker.start()
@@ -102,7 +110,6 @@
             for vm in self.vms:
                 while not await self.is_ready(vm):
                     await asyncio.sleep(0.1)
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         """End everything."""
