--- a/review/standins_3/worker.py
+++ b/review/standins_3/worker.py
@@ -52,6 +52,7 @@
         self._sequence = 0
         self._born_ms = 0
         self._beating: asyncio.Task[None] | None = None
+        self._lapsing: asyncio.Task[None] | None = None
 
     async def boot(self) -> None:
         """Start, with a new id after the first time."""
@@ -68,7 +69,7 @@
         if self._beating is not None:
             self._beating.cancel()
         await self.stop()
-        asyncio.create_task(self._lapse(self.worker_id))
+        self._lapsing = asyncio.create_task(self._lapse(self.worker_id))
 
     async def _lapse(self, worker_id: str) -> None:
         await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
