--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
-"""A request that another VM carries out by an older configuration."""
+"""Accepted items that are given up as another route is removed."""
 
 import asyncio
+import base64
 import json
 import os
 import pathlib
@@ -12,87 +13,108 @@
 sys.path.insert(0, str(HERE.parent))
 
 from standins_3 import web  # noqa: E402
+from standins_3.engine import Engine, event_text  # noqa: E402
 from standins_3.record import Record  # noqa: E402
 from standins_3.store import Store, StorePort  # noqa: E402
 from standins_3.vms import EntryVm  # noqa: E402
-from standins_3.worker import Worker  # noqa: E402
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NET = f"127.{secrets.randbelow(100) + 100}.{secrets.randbelow(250) + 1}"
-HOST = "records.example"
-ZONES = ("zone-a", "zone-b")
-CONFIG_APPLY_S = 2.0
-CORE_CUT_S = 5.5
-CRASH_S = 4.5
-PERIOD_S = 0.1
-
-
-def manifest(version: int, service: str) -> dict[str, object]:
-    """Return a configuration in which the route leads to a service."""
-    route = {
-        "name": "r-lookup",
+HOST = "notices.example"
+ZONES = ("zone-a", "zone-b", "zone-c")
+EVENTS = 100
+ITEMS = 24
+FINISH_S = 18.0
+RETENTION_S = 60
+
+
+def manifest(version: int, *, has_draft_route: bool) -> dict[str, object]:
+    """Return a configuration with a batch route, with or without an online one."""
+    common = {
         "host": HOST,
-        "path_prefix": "/lookup/",
-        "type": "safe",
-        "timeout_ms": 4000,
         "target_latency_ms": 400,
+        "service": "wordsmith",
+        "session_affinity": True,
+    }
+    batch = {
+        **common,
+        "name": "r-press-batch",
+        "path_prefix": "/press-batch/",
+        "type": "batch",
+        "timeout_ms": 15000,
+        "priority": 2,
+        "max_attempts": 3,
+        "cap": 1700000,
+        "run_deadline_ms": 18000,
+        "retention_s": RETENTION_S,
+    }
+    draft = {
+        **common,
+        "name": "r-notice-draft",
+        "path_prefix": "/notice-draft/",
+        "type": "streaming",
+        "timeout_ms": 5000,
         "priority": 0,
-        "service": service,
         "max_attempts": 2,
+        "resumable": True,
+        "gap_aim_ms": 300,
     }
-    services = [
-        {"name": name, "health_path": "/health", "max_conns": 100, "protocol": "h1"}
-        for name in ("old-app", "new-app")
-    ]
     limits = {
         "header_bytes": 16384,
         "body_bytes": 4194304,
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15000,
     }
+    service = {
+        "name": "wordsmith",
+        "health_path": "/health",
+        "max_conns": 370,
+        "protocol": "h1",
+    }
     return {
         "version": version,
-        "routes": [route],
-        "services": services,
+        "routes": [batch, draft] if has_draft_route else [batch],
+        "services": [service],
         "limits": limits,
     }
 
 
 class Case:
-    """Three VMs, four workers of the old service, one of the new one."""
+    """Three VMs and three workers of one service."""
 
     def __init__(self, directory: pathlib.Path) -> None:
         self.record = Record(HERE / "record.txt")
         self.store = Store()
-        self._ports = [StorePort(store=self.store, ip=f"{NET}.10") for _ in range(3)]
-        self._old = [self._worker(f"old-{n}", "old-app", n) for n in range(4)]
-        self._new = self._worker("new-0", "new-app", 9)
+        self._engines = [
+            Engine(
+                worker_id=f"engine-{number}",
+                service="wordsmith",
+                zone=ZONES[number],
+                ip=f"{NET}.{20 + number}",
+                store=self.store,
+                record=self.record,
+                slots=4,
+                events=EVENTS,
+            )
+            for number in range(3)
+        ]
         self._directory = directory
         self._vms: list[EntryVm] = []
-        self._sent_s_by_id: dict[str, float] = {}
-        self._status_by_id: dict[str, int] = {}
-
-    def _worker(self, name: str, service: str, number: int) -> Worker:
-        return Worker(
-            worker_id=name,
-            service=service,
-            zone=ZONES[number % 2],
-            ip=f"{NET}.{20 + number}",
-            store=self.store,
-            record=self.record,
-        )
+        self._lot_id = secrets.token_hex(8)
+        self._item_ids = [secrets.token_hex(8) for _ in range(ITEMS)]
 
     async def run(self) -> int:
         """Play the case and return the exit status."""
-        self.store.put("keyed.op", "config", manifest(1, "old-app"))
-        for worker in (*self._old, self._new):
-            await worker.boot()
-        for number, port in enumerate(self._ports):
+        self.store.put("keyed.op", "config", manifest(1, has_draft_route=True))
+        for engine in self._engines:
+            await engine.boot()
+        for number, zone in enumerate(ZONES):
+            port = StorePort(store=self.store, ip=f"{NET}.10")
             await port.start()
             vm = EntryVm(
                 name=f"front-{number}",
-                zone=ZONES[0] if number < 2 else ZONES[1],
+                zone=zone,
                 ip=f"{NET}.{100 + number}",
                 store=port.address,
                 zones=ZONES,
@@ -111,80 +133,81 @@
             self.record.add("end", "", "a VM did not become ready")
             return NOT_RUN
         await asyncio.sleep(4.0)  # the VMs know each other and are in touch
-        first = self._vms[0]
-        for vm in self._vms:
-            await self._ask(vm)
-        self._set_cut(TROUBLE)
-        cut_s = self.record.now_s
-        await asyncio.sleep(0.3)
-        self.store.put("keyed.op", "config", manifest(2, "new-app"))
-        acked_s = self.record.now_s
-        self.record.add("config", "", "version 2 acknowledged: the route is new-app's")
-        await asyncio.sleep(CONFIG_APPLY_S + 0.3)
-        judged = [await self._ask(first) for _ in range(3)]
-        if TROUBLE:
-            self.record.add("crash", "", f"{self._new.worker_id} of new-app")
-            await self._new.crash()
-        while self.record.now_s < cut_s + CORE_CUT_S - 0.3:
-            judged.append(await self._ask(first))
-            await asyncio.sleep(PERIOD_S)
-        self._set_cut(False)
+        if not await self._submit():
+            return NOT_RUN
+        await asyncio.sleep(1.0)
         if TROUBLE:
-            await asyncio.sleep(CRASH_S - (CORE_CUT_S - CONFIG_APPLY_S - 0.9))
-            await self._new.boot()
-            self.record.add("boot", "", f"{self._new.worker_id} of new-app")
-        await asyncio.sleep(1.5)
-        judged += [await self._ask(first) for _ in range(3)]
-        return self._judge(judged, acked_s)
-
-    def _set_cut(self, is_cut: bool) -> None:
-        if self._ports[1].is_cut != is_cut:
-            what = "partitioned from" if is_cut else "reaches"
-            self.record.add("cut", "", f"front-1 {what} the store")
-        self._ports[1].is_cut = is_cut
-
-    async def _ask(self, vm: EntryVm) -> str:
-        request_id = secrets.token_hex(8)
-        self._sent_s_by_id[request_id] = self.record.now_s
-        self.record.add("sent", request_id, f"to {vm.name}")
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": "4000",
-        }
+            self.store.put("keyed.op", "config", manifest(2, has_draft_route=False))
+            self.record.add("config", "", "version 2: without r-notice-draft")
+        results = await self._read_results(self.record.now_s + FINISH_S)
+        return self._judge(results)
+
+    async def _submit(self) -> bool:
+        items = [
+            {
+                "id": item_id,
+                "path": f"/notice-draft/{number}",
+                "headers": {"X-Model": "m", "X-Token-Count": "350,100"},
+                "body": base64.b64encode(b"notice").decode(),
+                "tokens": 450,
+            }
+            for number, item_id in enumerate(self._item_ids)
+        ]
+        self.record.add("sent", self._lot_id, f"{ITEMS} items to r-press-batch")
         answer = await web.call(
-            vm.front,
+            self._vms[0].front,
             method="POST",
-            target=f"/lookup/{request_id}",
-            headers=headers,
-            body=b"question",
+            target=f"/press-batch/{self._lot_id}",
+            headers={
+                "Host": HOST,
+                "X-Request-Id": self._lot_id,
+                "X-Deadline-Ms": "4000",
+                "Content-Type": "application/json",
+            },
+            body=json.dumps({"items": items}).encode(),
         )
         status = answer.status if answer is not None else 0
-        body = answer.body.decode() if answer is not None else "no answer"
-        self._status_by_id[request_id] = status
-        self.record.add("answered", request_id, f"{status} {body}")
-        return request_id
-
-    def _judge(self, judged: list[str], acked_s: float) -> int:
-        late = [
-            request_id
-            for request_id in judged
-            if self._sent_s_by_id[request_id] > acked_s + CONFIG_APPLY_S
-            and any("of old-app" in run for run in self._runs(request_id))
-        ]
-        served = [r for r in judged if self._status_by_id[r] == 200]
+        self.record.add("answered", self._lot_id, str(status))
+        return status == 202
+
+    async def _read_results(self, until_s: float) -> list[dict[str, str]]:
+        results: list[dict[str, str]] = []
+        while len(results) < ITEMS and self.record.now_s < until_s:
+            answer = await web.call(
+                self._vms[1].front,
+                method="GET",
+                target=f"/foxtailbank/lots/{self._lot_id}?after={len(results)}",
+                headers={"Host": HOST, "X-Wait-Ms": "1000"},
+            )
+            if answer is None or answer.status != 200:
+                await asyncio.sleep(0.5)
+                continue
+            page = json.loads(answer.body)
+            for result in page["results"]:
+                self.record.add("result", result["id"], result["state"])
+            results += page["results"]
+        return results
+
+    def _judge(self, results: list[dict[str, str]]) -> int:
+        """No item has had a 422 or a 500, and none is as old as the retention."""
+        given_up = [r for r in results if r["state"] == "dead_letter"]
+        never_run = [r for r in given_up if r["id"] not in self.record.runs_by_id]
+        whole = [r for r in results if r["text"] == _whole_text(r["id"])]
         summary = {
-            "judged": len(judged),
-            "served": len(served),
-            "run by the old service": len(late),
+            "items": ITEMS,
+            "completed and whole": len(whole),
+            "dead_letter": len(given_up),
+            "never run of these": len(never_run),
         }
         self.record.add("end", "", json.dumps(summary))
-        if not served:
-            return NOT_RUN
-        return BROKEN if late else HELD
+        if given_up:
+            return BROKEN
+        return HELD if len(whole) == ITEMS else NOT_RUN
+
 
-    def _runs(self, request_id: str) -> list[str]:
-        return self.record.runs_by_id.get(request_id, [])
+def _whole_text(item_id: str) -> str:
+    numbers = range(1, EVENTS + 1)
+    return "\n".join(event_text(item_id, number) for number in numbers)
 
 
 def main() -> int:
--- a/review/standins_3/web.py
+++ b/review/standins_3/web.py
@@ -61,6 +61,7 @@
         self._port = port
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()  # held, so that none is lost
 
     @property
     def address(self) -> str:
@@ -92,6 +93,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        if task := asyncio.current_task():
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         ends = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*ends):
             while True:
