Review: streams go on at another version at a VM without a list (ORDER)

Cause: the version of a worker is taken from the last list read unless a connection to it broke; a VM that the store turns away does not see that an idle worker came back under its id with another version.

--- a/review/standins_3/engine.py
+++ b/review/standins_3/engine.py
@@ -34,6 +34,8 @@
 
     Attributes
     ----------
+    tags_version : bool
+        Whether each event names the version that writes it.
     first_status : int
         Status of the answer to the first run of each request; 200 for a stream.
     """
@@ -61,6 +63,7 @@
         )
         self._events = events
         self._running = 0
+        self.tags_version = False
         self.first_status = 200
 
     async def respond(
@@ -96,6 +99,8 @@
         for number in range(first, self._events + 1):
             await asyncio.sleep(EVENT_S)
             data = event_text(request_id, number)
+            if self.tags_version:
+                data += f"@{self.version}"
             event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -179,17 +179,22 @@
     is_cut : bool
         Whether the VM is partitioned from the store: no call gets through, and none
         is answered.
+    is_turned_away : bool
+        Whether the store refuses all calls of the VM with 503.
     """
 
     def __init__(self, *, store: Store, ip: str) -> None:
         super().__init__(ip=ip)
         self._store = store
         self.is_cut = False
+        self.is_turned_away = False
 
     async def respond(
         self, request: Request, writer: asyncio.StreamWriter
     ) -> Response | None:
-        """Pass a call on to the store, unless the VM is cut off."""
+        """Pass a call on to the store, unless the VM is cut off or turned away."""
+        if self.is_turned_away:
+            return Response(status=503)
         if not self.is_cut:
             response = await self._store.respond(request)
             if not self.is_cut:
--- a/review/standins_3/worker.py
+++ b/review/standins_3/worker.py
@@ -35,6 +35,8 @@
 
     Attributes
     ----------
+    version : str
+        Version of its software.
     crashing_path : str
         Begin of the paths of requests that crash it; empty for none.
     goes_dark : bool
@@ -72,14 +74,15 @@
         self._returning: asyncio.Task[None] | None = None
         self._is_down = False
         self._is_dark = False
+        self.version = "v1"
         self.crashing_path = ""
         self.goes_dark = False
         self.crash_times_s: list[float] = []
 
-    async def boot(self) -> None:
-        """Start, with a new id after the first time."""
+    async def boot(self, *, keeps_id: bool = False) -> None:
+        """Start, with a new id after the first time unless it keeps its id."""
         self._boots += 1
-        if self._boots > 1:
+        if self._boots > 1 and not keeps_id:
             self.worker_id = f"{self._name}-{self._boots}"
         self._sequence = 0
         self._born_ms = time.time_ns() // 1_000_000
@@ -118,6 +121,11 @@
         await self.stop()
         self._lapsing = asyncio.create_task(self._lapse(self.worker_id))
 
+    async def end(self) -> None:
+        """End with no request running; its entry stays for the next process."""
+        self._stop_beating()
+        await self.stop()
+
     async def _lapse(self, worker_id: str) -> None:
         await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
         self._store.put(TOPIC, worker_id, None)
@@ -133,7 +141,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self._zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self._slots,
             "state": "ready",
             "cold_left_ms": 0,
