--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -32,8 +32,8 @@
         self.customers = CustomerTable()
         self.stream_lifetimes = StreamLifetimes()
         self._routes_by_host: dict[str, list[Route]] = {}
+        self._batch_routes_by_name: dict[str, Route] = {}
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
-        self._has_public_batch_routes = False
         self._age_ms: t.Callable[[], int | None] = lambda: 0
         self._listeners: list[t.Callable[[], None]] = []
 
@@ -51,21 +51,26 @@
         """
         self._age_ms = age_ms
 
+    @property
+    def has_public_batch_routes(self) -> bool:
+        """Whether submissions can be made without a key where others need one."""
+        return any(route.is_public for route in self._batch_routes_by_name.values())
+
+    @property
+    def age_ms(self) -> int | None:
+        """How old the routes may be in milliseconds; None if that is not known."""
+        return self._age_ms() if self.is_loaded else None
+
     def is_recent(self, max_age_ms: int) -> bool:
         """Whether the routes are known to be at most so many milliseconds old."""
-        age_ms = self._age_ms()
-        return self.is_loaded and age_ms is not None and age_ms <= max_age_ms
+        age_ms = self.age_ms
+        return age_ms is not None and age_ms <= max_age_ms
 
     @property
     def is_loaded(self) -> bool:
         """Whether any version has been applied."""
         return self.version >= 0
 
-    @property
-    def has_public_batch_routes(self) -> bool:
-        """Whether submissions can be made without a key where others need one."""
-        return self._has_public_batch_routes
-
     def apply(self, routes: RouteSet) -> bool:
         """Apply a version; false if it is not newer than the current one."""
         if routes.version <= self.version:
@@ -78,9 +83,11 @@
         for host_routes in routes_by_host.values():
             host_routes.sort(key=lambda route: -len(route.path_prefix))
         self._routes_by_host = dict(routes_by_host)
-        self._has_public_batch_routes = any(
-            route.is_public and route.kind is RouteKind.BATCH for route in routes.routes
-        )
+        self._batch_routes_by_name = {
+            route.name: route
+            for route in routes.routes
+            if route.kind is RouteKind.BATCH
+        }
         self.limits = routes.limits
         self.customers = CustomerTable(customers=routes.customers)
         self._reservation_ms_by_service = routes.reservation_ms_by_service
@@ -99,3 +106,7 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def find_batch(self, name: str) -> Route | None:
+        """Return the batch route of a name."""
+        return self._batch_routes_by_name.get(name)
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -116,12 +116,12 @@
         fields = self._fields(run, describe_error(error))
         self._logs.write(Event.INTERNAL_ERROR, level=LogLevel.ERROR, fields=fields)
 
-    def record_attempt_failure(self, run: ItemRun, entry: str) -> None:
+    def record_attempt_failure(self, run: ItemRun) -> None:
         """Append to the submission log that a worker answered with an error."""
         submission_id, item_id = run.key
         record = AttemptFailed(submission_id=submission_id, item_id=item_id)
         self._append(record, unique=self._unique_suffix(item_id))
-        self._metrics.count(Count.FAILED_ITEMS, entry=entry)
+        self._metrics.count(Count.FAILED_ITEMS, entry=run.submission.route)
 
     def record_end(self, run: ItemRun, *, completed: bool, reason: str) -> None:
         """Append an item's result, or that it was given up, to the submission log.
--- a/src/foxtailbank/submissions/item_run.py
+++ b/src/foxtailbank/submissions/item_run.py
@@ -43,6 +43,9 @@
         Cancels the current run; None while the item waits.
     not_before_ms : int
         Earliest time of the next send.
+    route_missing_since_ms : int or None
+        Since when the configuration has lacked the submission's route, as far as that
+        was checked.
     blocked_since_ms : int or None
         Since when only workers of other software versions have free slots.
     avoided_worker_ids : set of str
@@ -72,6 +75,7 @@
     worker_id: str = ""
     cancel_scope: anyio.CancelScope | None = None
     not_before_ms: int = 0
+    route_missing_since_ms: int | None = None
     blocked_since_ms: int | None = None
     avoided_worker_ids: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
--- a/src/foxtailbank/submissions/run_table.py
+++ b/src/foxtailbank/submissions/run_table.py
@@ -3,11 +3,11 @@
 import typing as t
 
 from foxtailbank.clock import Clock
-from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.worker_client import WorkerClient
 from foxtailbank.submissions.item_run import ItemRun
 from foxtailbank.submissions.records import Item
 from foxtailbank.submissions.submission import Submission
+from foxtailbank.submissions.submission_routes import SubmissionRoutes
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 
@@ -20,8 +20,8 @@
         This process, as ``vm/incarnation``.
     table : SubmissionTable
         Holds the ledger.
-    routes : RouteTable
-        Current routes.
+    routes : SubmissionRoutes
+        Routes of the submissions.
     client : WorkerClient
         Knows the prompt parts of requests.
     clock : Clock
@@ -33,7 +33,7 @@
         *,
         owner_id: str,
         table: SubmissionTable,
-        routes: RouteTable,
+        routes: SubmissionRoutes,
         client: WorkerClient,
         clock: Clock,
     ) -> None:
@@ -80,17 +80,16 @@
         for key in self._by_key.keys() - wanted:
             self._by_key.pop(key).stop()
 
+    def update_due_times(self) -> None:
+        """Handle a new version of the routes."""
+        for run in self._by_key.values():
+            run.due_ms = self._routes.due_ms(run.submission)
+
     def _new_run(self, submission: Submission, item: Item) -> ItemRun:
         return ItemRun.create(
             submission,
             item,
-            due_ms=self._due_ms(submission.host, submission),
+            due_ms=self._routes.due_ms(submission),
             prompt_parts=self._client.prompt_parts(item.headers),
             now_ms=self._clock.now_ms(),
         )
-
-    def _due_ms(self, host: str, submission: Submission) -> int:
-        route = self._routes.find(host, submission.target)
-        span_ms = route.run_deadline_ms if route is not None else 0
-        age_ms = self._clock.wall_ms() - submission.arrived_wall_ms
-        return self._clock.now_ms() - age_ms + span_ms
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -40,9 +40,9 @@
 from foxtailbank.submissions.item_slots import ItemSlots
 from foxtailbank.submissions.paced_reading import read_paced
 from foxtailbank.submissions.progress_budget import ProgressBudget
-from foxtailbank.submissions.removed_routes import RemovedRoutes
 from foxtailbank.submissions.result_texts import ResultTexts
 from foxtailbank.submissions.run_table import RunTable
+from foxtailbank.submissions.submission_routes import SubmissionRoutes
 from foxtailbank.submissions.submission_table import SubmissionTable
 
 HEAD_TIMEOUT_MS = 3_000  # a full worker may queue an item for several steps
@@ -135,8 +135,7 @@
         self._fleet = fleet
         self.capacity = capacity
         self._placement = ItemPlacement(fleet=fleet, capacity=capacity, rng=rng)
-        self._routes = routes
-        self._removed_routes = RemovedRoutes(routes=routes)
+        self._routes = SubmissionRoutes(routes=routes, clock=clock)
         self._max_output_bytes = max_output_bytes
         self._clock = clock
         self._rng = rng
@@ -149,8 +148,13 @@
             metrics=metrics,
         )
         self.runs = RunTable(
-            owner_id=owner_id, table=table, routes=routes, client=client, clock=clock
+            owner_id=owner_id,
+            table=table,
+            routes=self._routes,
+            client=client,
+            clock=clock,
         )
+        routes.add_listener(self.runs.update_due_times)
         self._no_slot_since_ms_by_route: dict[str, int] = {}
         self._slots = ItemSlots(
             runs=self.runs, fleet=fleet, capacity=capacity, recorder=self._recorder
@@ -234,13 +238,11 @@
 
     def _try_start(self, run: ItemRun, now_ms: int) -> bool:
         """Try to start an item; return false if no worker has a free slot."""
-        route = self._routes.find(run.submission.host, run.item.target)
-        if route is None:
-            self._on_route_missing(run, now_ms)
+        if self._give_up(run):
             return True
-        self._removed_routes.on_found(run.submission.submission_id)
-        if self._is_past_retention(run, route):
-            self._recorder.record_end(run, completed=False, reason="retention")
+        route = self._routes.find(run.submission)
+        if route is None:
+            run.not_before_ms = now_ms + RETRY_MS
             return True
         if pause_ms := crash_pause_ms(self._fleet.crashes, run.prompt_parts):
             run.not_before_ms = now_ms + pause_ms
@@ -256,7 +258,15 @@
         run.send_count += 1
         self._fleet.start_item(worker.worker_id, run.customer_key)
         assert self._group is not None
-        self._group.start_soon(self._run, run, route, worker)
+        self._group.start_soon(self._run, run, worker)
+        return True
+
+    def _give_up(self, run: ItemRun) -> bool:
+        """End an item that is not owed any more; return whether it was ended."""
+        reason = self._routes.check_owed(run)
+        if reason is None:
+            return False
+        self._recorder.record_end(run, completed=False, reason=reason.value)
         return True
 
     def _batch_shares(self) -> BatchShares:
@@ -274,14 +284,14 @@
             run.avoided_worker_ids.clear()
         return worker
 
-    async def _run(self, run: ItemRun, route: Route, worker: Worker) -> None:
+    async def _run(self, run: ItemRun, worker: Worker) -> None:
         scope = run.cancel_scope
         assert scope is not None
         self._recorder.record_start(run, worker)
         self._fleet.notify_load()
         try:
             with scope:
-                await self._exchange(run, route, worker)
+                await self._exchange(run, worker)
         except Exception as error:
             run.not_before_ms = self._clock.now_ms() + DEFECT_PAUSE_MS
             self._recorder.record_defect(run, error)
@@ -296,7 +306,7 @@
         if scope.cancelled_caught:
             run.not_before_ms = self._clock.now_ms() + PREEMPTION_PAUSE_MS
 
-    async def _exchange(self, run: ItemRun, route: Route, worker: Worker) -> None:
+    async def _exchange(self, run: ItemRun, worker: Worker) -> None:
         try:
             async with self._client.exchange(
                 worker,
@@ -305,12 +315,12 @@
                 head_timeout_ms=HEAD_TIMEOUT_MS,
                 resume_after=run.event_buffer.last_event_id,
             ) as answer:
-                await self._handle_answer(run, route, worker, answer)
+                await self._handle_answer(run, worker, answer)
         except ExchangeFailed as failure:
             self._on_failure(run, worker, failure)
 
     async def _handle_answer(
-        self, run: ItemRun, route: Route, worker: Worker, answer: WorkerResponse
+        self, run: ItemRun, worker: Worker, answer: WorkerResponse
     ) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.on_answer(worker, answer)
@@ -333,7 +343,7 @@
         run.avoided_worker_ids.add(worker.worker_id)
         run.not_before_ms = now_ms + RETRY_MS
         if answer.status == STATUS_FAILED:
-            self._on_attempt_failed(run, route)
+            self._on_attempt_failed(run)
 
     async def _read_output(
         self, run: ItemRun, worker: Worker, answer: WorkerResponse
@@ -359,13 +369,12 @@
             if is_due and has_room:  # all VMs read what is saved
                 self._recorder.save_progress(run)
 
-    def _on_attempt_failed(self, run: ItemRun, route: Route) -> None:
-        self._recorder.record_attempt_failure(run, route.name)
+    def _on_attempt_failed(self, run: ItemRun) -> None:
+        self._recorder.record_attempt_failure(run)
         # The ledger may not hold this run's latest failures yet.
         known_count = run.submission.failures_by_id.get(run.item.item_id, 0)
         run.failure_count = max(run.failure_count, known_count) + 1
-        if run.failure_count >= route.max_attempts:
-            self._recorder.record_end(run, completed=False, reason="attempts")
+        self._give_up(run)
 
     def _on_failure(
         self, run: ItemRun, worker: Worker, failure: ExchangeFailed
@@ -379,13 +388,3 @@
         self._recorder.record_exchange_failure(run, failure)
         if isinstance(failure, StreamNotContinued):
             run.discard_output()
-
-    def _on_route_missing(self, run: ItemRun, now_ms: int) -> None:
-        if self._removed_routes.is_removed(run.submission.submission_id, now_ms):
-            self._recorder.record_end(run, completed=False, reason="route_removed")
-        else:
-            run.not_before_ms = now_ms + RETRY_MS
-
-    def _is_past_retention(self, run: ItemRun, route: Route) -> bool:
-        age_ms = self._clock.wall_ms() - run.submission.arrived_wall_ms
-        return route.may_give_up(age_ms)
--- a/tests/item_vm.py
+++ b/tests/item_vm.py
@@ -44,9 +44,18 @@
     """A VM that runs batch items on scripted workers."""
 
     def __init__(
-        self, *script, workers=None, routes=None, client=None, has_caught_up=True
+        self,
+        *script,
+        workers=None,
+        routes=None,
+        client=None,
+        has_caught_up=True,
+        owner_id="vm1/1",
+        log=None,
+        clock=None,
     ):
-        self.clock = manual_clock()
+        self.owner_id = owner_id
+        self.clock = clock or manual_clock()
         logs = make_logs()
         self.routes = RouteTable()
         self.routes.apply(make_routes(*(routes or (make_route(kind=RouteKind.BATCH),))))
@@ -63,13 +72,13 @@
         self.fleet.origins.set_list_sync(self._read_list)
         self.client = client or FakeWorkerClient(*script)
         self.table = SubmissionTable(logs=logs)
-        self.log = FakeKeyedLog()
+        self.log = log or FakeKeyedLog()
         self.follower = make_follower(
             self.log, self.table, self.clock, has_caught_up=has_caught_up
         )
         self.appends = AppendQueue(
             log=self.log,
-            producer="vm1/1",
+            producer=owner_id,
             call_bytes=10_000,
             logs=logs,
             clock=self.clock,
@@ -77,7 +86,7 @@
         self.texts = make_texts(self.appends, self.clock)
         self.own_slots = OwnSlots()
         self.runner = Runner(
-            owner_id="vm1/1",
+            owner_id=owner_id,
             table=self.table,
             follower=self.follower,
             appends=self.appends,
--- a/tests/test_restored_items.py
+++ b/tests/test_restored_items.py
@@ -12,7 +12,7 @@
     TakenOver,
     encode,
 )
-from foxtailbank.submissions.removed_routes import ROUTE_REMOVED_MS
+from foxtailbank.submissions.submission_routes import ROUTE_REMOVED_MS
 from item_vm import HOST, TARGET, ItemVm
 from serving_fakes import FakeResponse, make_route
 from test_submission_ledger import make_item
@@ -87,7 +87,7 @@
     ],
 )
 async def test_an_item_is_given_up_only_by_a_recent_configuration(age_ms, is_given_up):
-    vm = ItemVm(routes=(make_route(path_prefix="/other/"),))
+    vm = ItemVm(routes=(make_route(name="other", kind=RouteKind.BATCH),))
     vm.routes.set_age_source(lambda: age_ms)
     vm.submit()
     async with vm.running():
