Items start and end only by a recent configuration (CONFIG)

What callers saw: items of a batch route that the operator had removed began to run more than 2 s later, at a VM that the store turned away.

Cause: only the end for a missing route asked how old the configuration was. A start, and an end for attempts or retention, did not.

Change: a VM holds items back (configuration_old) while its configuration is older than 2 s, and gives none up by it. Load reports say which version their VM has read and when, so that a VM that is turned away goes on while a peer reads the version that it has. The two fields take free bits of the report.

Why it works: a version that was the newest at most 2 s ago is in force, by the time in which a change is to be in force everywhere.

--- a/src/foxtailbank/fleet/load_report.capnp
+++ b/src/foxtailbank/fleet/load_report.capnp
@@ -18,6 +18,8 @@
   draining @13 :List(Draining);
   customers @14 :List(CustomerLoad); # those with the most requests in flight
   readsTexts @15 :Bool;     # false in reports of earlier releases
+  configuration @16 :UInt32; # mark of the version that was read; 0 if unknown
+  configurationAgeMs @17 :UInt16; # since that version was the newest
 }
 
 struct Load {
--- a/src/foxtailbank/fleet/load_report.py
+++ b/src/foxtailbank/fleet/load_report.py
@@ -11,6 +11,7 @@
 from foxtailbank.customers.share_counts import MAX_REPORTED, CustomerLoad
 from foxtailbank.decoding import decoding, require
 from foxtailbank.exceptions import FrameInvalid
+from foxtailbank.fleet.configuration_reading import MAX_AGE_MS, ConfigurationReading
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
 from foxtailbank.fleet.draining_workers import DrainingReport
 from foxtailbank.fleet.load_table import WorkerLoad
@@ -77,6 +78,8 @@
         `MAX_DATAGRAM_BYTES` are encoded.
     reads_texts : bool
         Whether it knows results whose output is in the log of texts.
+    configuration : ConfigurationReading or None
+        Version of the configuration that it has read of late.
     """
 
     vm_id: str
@@ -96,6 +99,7 @@
     customers: tuple[CustomerLoad, ...] = ()
     speed_code_by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
     reads_texts: bool = False
+    configuration: ConfigurationReading | None = None
 
 
 def _load_schema() -> t.Any:
@@ -128,6 +132,10 @@
         restoring=report.restoring,
         readsTexts=report.reads_texts,
     )
+    reading = report.configuration
+    if reading is not None and reading.age_ms <= MAX_AGE_MS:
+        builder.configuration = reading.mark
+        builder.configurationAgeMs = reading.age_ms
     loads = tuple(report.load_by_worker.items())
     for row, (worker_id, load) in _new_rows(builder, "loads", loads):
         row.worker = worker_id
@@ -210,6 +218,13 @@
     return load_by_worker, code_by_worker
 
 
+def _read_configuration(get: t.Callable[[str], t.Any]) -> ConfigurationReading | None:
+    mark = get("configuration")
+    if not mark:
+        return None
+    return ConfigurationReading(mark=mark, age_ms=get("configurationAgeMs"))
+
+
 def _read_customer(row: t.Any) -> CustomerLoad:
     get = row._get
     return CustomerLoad(key=get("key"), online=get("online"), batch=get("batch"))
@@ -277,6 +292,7 @@
             ),
             customers=tuple(_read_customer(row) for row in _list(reader, "customers")),
             reads_texts=get("readsTexts"),
+            configuration=_read_configuration(get),
         )
         _check(report)
         return report
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -4,6 +4,7 @@
 
 from foxtailbank.address import Address
 from foxtailbank.fleet import report_cells, report_intervals
+from foxtailbank.fleet.configuration_reading import ConfigurationReading, version_mark
 from foxtailbank.fleet.load_report import LoadReport
 from foxtailbank.fleet.report_cells import Cell
 from foxtailbank.fleet.report_intervals import PeerGroup
@@ -39,6 +40,8 @@
         Services of which it reaches no worker.
     reads_texts : bool
         Whether it knows results whose output is in the log of texts.
+    configuration : ConfigurationReading or None
+        What that report says of the configuration.
     """
 
     vm_id: str
@@ -51,6 +54,7 @@
     restoring: bool = False
     lost_services: frozenset[str] = frozenset()
     reads_texts: bool = False
+    configuration: ConfigurationReading | None = None
 
 
 class PeerTable:
@@ -108,6 +112,7 @@
             restoring=report.restoring,
             lost_services=frozenset(report.lost_services),
             reads_texts=report.reads_texts,
+            configuration=report.configuration,
         )
         return True
 
@@ -185,6 +190,16 @@
             for peer in self._by_id.values()
         )
 
+    def configuration_age_ms(self, version: int, now_ms: int) -> int | None:
+        """Return how long ago a peer read that a version was the newest, if one did."""
+        mark = version_mark(version)
+        ages_ms = (
+            now_ms - peer.last_update_ms + peer.configuration.age_ms
+            for peer in self._by_id.values()
+            if peer.configuration is not None and peer.configuration.mark == mark
+        )
+        return min(ages_ms, default=None)
+
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that reported recently and are not shutting down."""
         near_timeout_ms = self.silence_timeout_ms(PeerGroup.NEAR, now_ms)
--- a/src/foxtailbank/forward/fleet_state.py
+++ b/src/foxtailbank/forward/fleet_state.py
@@ -7,6 +7,7 @@
 from foxtailbank.customers.share_counts import CustomerLoads
 from foxtailbank.customers.share_gate import ShareExcess, ShareGate
 from foxtailbank.events import Event
+from foxtailbank.fleet.configuration_reading import ConfigurationReading
 from foxtailbank.fleet.distance_tiers import DistanceTiers
 from foxtailbank.fleet.draining_workers import DrainingWorkers
 from foxtailbank.fleet.load_table import LoadKind, LoadTable, PeerLoad
@@ -124,6 +125,11 @@
         """Return the version of the configuration in force."""
         return self._routes.version
 
+    @property
+    def configuration_reading(self) -> ConfigurationReading | None:
+        """What this VM has read of the configuration; None if that is not known."""
+        return self._routes.reading
+
     def reservation_ms(self, service: str) -> int:
         """Return the maximum lifetime of a slot reservation; 0 if not supported."""
         return self._routes.reservation_ms(service)
--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from foxtailbank.customers.customer_table import CustomerTable
+from foxtailbank.fleet.configuration_reading import ConfigurationReading, version_mark
 from foxtailbank.fleet.stream_lifetimes import StreamLifetimes
 from foxtailbank.forward.route import Route, RouteKind, RouteSet
 from foxtailbank.http1.server_limits import ServerLimits
@@ -61,6 +62,14 @@
         """How old the routes may be in milliseconds; None if that is not known."""
         return self._age_ms() if self.is_loaded else None
 
+    @property
+    def reading(self) -> ConfigurationReading | None:
+        """The current version and its age; None if one of them is not known."""
+        age_ms = self.age_ms
+        if age_ms is None:
+            return None
+        return ConfigurationReading(mark=version_mark(self.version), age_ms=age_ms)
+
     def is_recent(self, max_age_ms: int) -> bool:
         """Whether the routes are known to be at most so many milliseconds old."""
         age_ms = self.age_ms
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -221,6 +221,7 @@
             draining=self._fleet.draining.reports(),
             customers=self._fleet.customer_loads.reports(),
             reads_texts=True,
+            configuration=self._fleet.configuration_reading,
         )
 
     async def _receive(self, socket: DatagramSocket) -> None:
--- a/src/foxtailbank/serving_vm.py
+++ b/src/foxtailbank/serving_vm.py
@@ -12,6 +12,7 @@
 from foxtailbank.customers.rate_limiter import RateLimiter
 from foxtailbank.events import Event
 from foxtailbank.fleet.peer_table import PeerTable
+from foxtailbank.forward.configuration_age import ConfigurationAge
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.forward_context import ForwardContext
 from foxtailbank.forward.forwarder import Forwarder
@@ -284,6 +285,9 @@
             capacity=BatchCapacity(vm_id=identity.vm_id, view=self.fleet.view),
             own_slots=self.forwarder.context.own_slots,
             routes=self.routes,
+            configuration_age=ConfigurationAge(
+                routes=self.routes, peers=peers, clock=clock
+            ),
             max_output_bytes=store_limits.max_content_bytes,
             clock=clock,
             logs=logs,
--- a/src/foxtailbank/submissions/item_holds.py
+++ b/src/foxtailbank/submissions/item_holds.py
@@ -7,6 +7,7 @@
 from foxtailbank.log_follower import LogFollower
 from foxtailbank.submissions.append_queue import AppendQueue
 from foxtailbank.submissions.result_texts import ResultTexts
+from foxtailbank.submissions.submission_routes import SubmissionRoutes
 
 # After a crash under a part of the item's prompt. Such an item is still owed: a part
 # can be suspect without cause, and a whole answer clears it.
@@ -19,6 +20,7 @@
     STOPPING = "vm_stopping"
     APPENDS_FULL = "append_queue_full"
     LEDGER_BEHIND = "ledger_behind"
+    CONFIGURATION_OLD = "configuration_old"
 
 
 def find_hold(
@@ -27,6 +29,7 @@
     appends: AppendQueue,
     texts: ResultTexts,
     follower: LogFollower,
+    routes: SubmissionRoutes,
 ) -> Hold | None:
     """Return why this VM starts no item now; None if it does."""
     if is_stopping:
@@ -35,6 +38,8 @@
         return Hold.APPENDS_FULL
     if not follower.has_caught_up:  # submissions may have ended or have another owner
         return Hold.LEDGER_BEHIND
+    if not routes.are_recent:  # a route may have been removed or changed
+        return Hold.CONFIGURATION_OLD
     return None
 
 
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -10,6 +10,7 @@
 from foxtailbank.customers.share_batch import BatchShares
 from foxtailbank.fleet.load_table import LoadKind
 from foxtailbank.fleet.worker import Worker
+from foxtailbank.forward.configuration_age import ConfigurationAge
 from foxtailbank.forward.event_stream import EventSource
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.own_slots import OwnSlots
@@ -88,6 +89,8 @@
         Where online requests of this VM find slots of its items.
     routes : RouteTable
         Current routes.
+    configuration_age : ConfigurationAge
+        How old these may be.
     max_output_bytes : int
         Bound on the output of an item, in bytes.
     clock : Clock
@@ -121,6 +124,7 @@
         capacity: BatchCapacity,
         own_slots: OwnSlots,
         routes: RouteTable,
+        configuration_age: ConfigurationAge,
         max_output_bytes: int,
         clock: Clock,
         logs: Logs,
@@ -135,7 +139,9 @@
         self._fleet = fleet
         self.capacity = capacity
         self._placement = ItemPlacement(fleet=fleet, capacity=capacity, rng=rng)
-        self._routes = SubmissionRoutes(routes=routes, clock=clock)
+        self._routes = SubmissionRoutes(
+            routes=routes, age=configuration_age, clock=clock
+        )
         self._max_output_bytes = max_output_bytes
         self._clock = clock
         self._rng = rng
@@ -201,6 +207,7 @@
             appends=self._appends,
             texts=self._texts,
             follower=self._follower,
+            routes=self._routes,
         )
 
     def no_slot_ms(self, route: str, now_ms: int) -> int:
--- a/src/foxtailbank/submissions/submission_routes.py
+++ b/src/foxtailbank/submissions/submission_routes.py
@@ -9,11 +9,14 @@
 import enum
 
 from foxtailbank.clock import Clock
+from foxtailbank.forward.configuration_age import ConfigurationAge
 from foxtailbank.forward.route import Route
 from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.submissions.item_run import ItemRun
 from foxtailbank.submissions.submission import Submission
 
+# A change of the configuration is to be in force this long after it was accepted.
+MAX_CONFIGURATION_AGE_MS = 2_000
 # A route missing for longer has been removed; until then its update may be delayed.
 ROUTE_REMOVED_MS = 3_000
 
@@ -33,14 +36,24 @@
     ----------
     routes : RouteTable
         Current routes.
+    age : ConfigurationAge
+        How old they may be.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, *, routes: RouteTable, clock: Clock) -> None:
+    def __init__(
+        self, *, routes: RouteTable, age: ConfigurationAge, clock: Clock
+    ) -> None:
         self._routes = routes
+        self._age = age
         self._clock = clock
 
+    @property
+    def are_recent(self) -> bool:
+        """Whether the routes are recent enough to start items or to give them up."""
+        return self._age.is_recent(MAX_CONFIGURATION_AGE_MS)
+
     def find(self, submission: Submission) -> Route | None:
         """Return a submission's route; None if the configuration has none."""
         return self._routes.find_batch(submission.route)
@@ -57,24 +70,27 @@
     def check_owed(self, run: ItemRun) -> GiveUpReason | None:
         """Return why an item is to be given up now; None if it is owed."""
         route = self.find(run.submission)
+        is_removed = self._observe_missing(run, is_missing=route is None)
+        # Routes of an old configuration can lack one that was added since.
+        if not self.are_recent:
+            return None
         if route is None:
-            return self._check_removed(run)
-        run.route_missing_since_ms = None
+            return GiveUpReason.ROUTE_REMOVED if is_removed else None
         if route.may_give_up(self._age_of(run.submission)):
             return GiveUpReason.RETENTION
         if run.failure_count >= route.max_attempts:
             return GiveUpReason.ATTEMPTS
         return None
 
-    def _check_removed(self, run: ItemRun) -> GiveUpReason | None:
+    def _observe_missing(self, run: ItemRun, *, is_missing: bool) -> bool:
+        """Note if a run's route is missing; return whether it has been for long."""
+        if not is_missing:
+            run.route_missing_since_ms = None
+            return False
         now_ms = self._clock.now_ms()
         if run.route_missing_since_ms is None:
             run.route_missing_since_ms = now_ms
-        is_missing_long = now_ms - run.route_missing_since_ms > ROUTE_REMOVED_MS
-        # Routes of an old configuration can lack one that was added since.
-        if is_missing_long and self._routes.is_recent(ROUTE_REMOVED_MS):
-            return GiveUpReason.ROUTE_REMOVED
-        return None
+        return now_ms - run.route_missing_since_ms > ROUTE_REMOVED_MS
 
     def _age_of(self, submission: Submission) -> int:
         """Return the time since a submission's arrival, by the wall clock."""
--- a/tests/item_vm.py
+++ b/tests/item_vm.py
@@ -7,6 +7,8 @@
 
 from fake_texts import make_budget, make_texts
 from foxtailbank.fleet.crash_report import request_fingerprint
+from foxtailbank.fleet.peer_table import PeerTable
+from foxtailbank.forward.configuration_age import ConfigurationAge
 from foxtailbank.forward.fleet_state import FleetState
 from foxtailbank.forward.own_slots import OwnSlots
 from foxtailbank.forward.route import RouteKind
@@ -85,6 +87,7 @@
         )
         self.texts = make_texts(self.appends, self.clock)
         self.own_slots = OwnSlots()
+        self.peers = PeerTable(vm_id="vm1", zone="z1")
         self.runner = Runner(
             owner_id=owner_id,
             table=self.table,
@@ -97,6 +100,9 @@
             capacity=BatchCapacity(vm_id="vm1", view=self.fleet.view),
             own_slots=self.own_slots,
             routes=self.routes,
+            configuration_age=ConfigurationAge(
+                routes=self.routes, peers=self.peers, clock=self.clock
+            ),
             max_output_bytes=10_000,
             clock=self.clock,
             logs=logs,
--- a/tests/test_load_report.py
+++ b/tests/test_load_report.py
@@ -4,6 +4,11 @@
 import pytest
 
 from foxtailbank.fleet import load_report
+from foxtailbank.fleet.configuration_reading import (
+    MAX_AGE_MS,
+    ConfigurationReading,
+    version_mark,
+)
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
 from foxtailbank.fleet.draining_workers import MAX_REPORTED, DrainingReport
 from foxtailbank.fleet.load_table import WorkerLoad
@@ -146,3 +151,23 @@
         for restoring in (False, True)
     ]
     assert sizes[1] <= sizes[0] + 1
+
+
+# Guards against a VM that ends or falls silent by what its configuration says, and
+# against two versions that peers take for one.
+@pytest.mark.parametrize("version", [0, 7, 2**32 - 2, 2**32 - 1, 2**32, 2**70])
+@pytest.mark.parametrize("age_ms", [0, 1_200, MAX_AGE_MS, MAX_AGE_MS + 1])
+def test_what_was_read_of_the_configuration_is_reported(version, age_ms):
+    sent, following = (
+        ConfigurationReading(mark=version_mark(number), age_ms=age_ms)
+        for number in (version, version + 1)
+    )
+    report = make_report("vm", configuration=sent)
+    received = load_report.decode(load_report.encode(report)).configuration
+    assert received == (sent if age_ms <= MAX_AGE_MS else None)
+    assert received != following
+
+
+def test_a_report_without_a_configuration_has_none():
+    report = make_report("vm", configuration=None)
+    assert load_report.decode(load_report.encode(report)).configuration is None
--- a/tests/test_platform_submission_routes.py
+++ b/tests/test_platform_submission_routes.py
@@ -9,6 +9,7 @@
 from foxtailbank.clock import SystemClock
 from foxtailbank.http1.client_channel import ClientChannel
 from foxtailbank.http1.failures import ExchangeFailed
+from foxtailbank_bench.relay_faults import LinkFaults, LinkMode
 from foxtailbank_soak.callers import HOST
 from foxtailbank_soak.environment import EVENTS_PER_STREAM, Environment, FleetSize
 from foxtailbank_soak.journal import Journal
@@ -86,6 +87,14 @@
             while not await check(vm):
                 await anyio.sleep(0.05)
 
+    async def cut_from_store(self, vm):
+        link = vm.link_by_target[self.environment.store_address]
+        await link.apply_faults(LinkFaults(mode=LinkMode.CUT))
+
+    @property
+    def run_count(self):
+        return sum(map(len, self.journal.runs_by_id.values()))
+
 
 async def send(vm, method, target, *, body=b"", deadline_ms=5_000):
     """Send one request on a new connection; None if there is no response."""
@@ -140,5 +149,32 @@
         fleet.environment.kill_all()
     seen = {(result["state"], result["text"]) for result in results}
     assert seen == {(state, text)}
-    run_count = sum(map(len, fleet.journal.runs_by_id.values()))
-    assert run_count >= ITEMS if kept is BATCH else not run_count
+    assert fleet.run_count >= ITEMS if kept is BATCH else not fleet.run_count
+
+
+# Guards against items that begin to run after their route was removed, at a VM that the
+# store turns away; and against a VM that idles as long as nothing has changed.
+@pytest.mark.parametrize(
+    ("net", "routes", "is_run"),
+    [
+        pytest.param("127.114", (BATCH, ONLINE), True, id="unchanged"),
+        pytest.param("127.115", (ONLINE,), False, id="route-removed"),
+    ],
+)
+async def test_items_of_a_vm_that_the_store_turns_away(tmp_path, net, routes, is_run):
+    fleet = Fleet(tmp_path, net)
+    owner = fleet.vms[0]
+    try:
+        async with anyio.create_task_group() as group:
+            await fleet.start(group)
+            assert await fleet.submit(owner) == (202, b"{}")
+            await fleet.cut_from_store(owner)
+            if BATCH not in routes:
+                fleet.publish(3, *routes)
+            await anyio.sleep(2 * CONFIG_APPLY_S)
+            fleet.open_workers()
+            await anyio.sleep(2 * CONFIG_APPLY_S)
+            group.cancel_scope.cancel()
+    finally:
+        fleet.environment.kill_all()
+    assert bool(fleet.run_count) is is_run
--- a/tests/test_restored_items.py
+++ b/tests/test_restored_items.py
@@ -77,7 +77,8 @@
         group.cancel_scope.cancel()
 
 
-# An item was given up for good since a VM had an old configuration, without its route.
+# An item was given up for good since a VM had an old configuration, without its route
+# or with fewer attempts.
 @pytest.mark.parametrize(
     ("age_ms", "is_given_up"),
     [
