Explain and log lines go by the route of an item's submission

Log lines of items bear `entry`.

Measured: the six rows of the new test fail before, as no route could be named. In test_asking_changes_nothing items are now asked about under their route, as the question it asked before is refused; it asserts the same.

--- a/src/foxtailbank/cli_explain.py
+++ b/src/foxtailbank/cli_explain.py
@@ -36,6 +36,11 @@
         action="store_true",
         help="an item of a batch submission that was accepted already",
     )
+    parser.add_argument(
+        "--route",
+        default="",
+        help="of an item, the route of its submission, if its path lies elsewhere",
+    )
     parser.add_argument(
         "--prefix", default="", help="its prompt parts as ID:TOKENS, with commas"
     )
@@ -62,6 +67,7 @@
         "body_bytes": str(options.body_bytes),
         "version": options.version,
         "item": _FLAG_VALUE if options.item else "",
+        "route": options.route,
         "all": _FLAG_VALUE if options.all else "",
     }
     query = urllib.parse.urlencode(
--- a/src/foxtailbank/explain/explainer.py
+++ b/src/foxtailbank/explain/explainer.py
@@ -27,6 +27,7 @@
 from foxtailbank.forward.forward_fork import fork_context
 from foxtailbank.forward.route import Route, RouteKind
 from foxtailbank.forward.route_failures import ConfigurationUnknown, NoRoute
+from foxtailbank.forward.route_table import RouteTable
 from foxtailbank.forward.stop_gate import VmStopping
 from foxtailbank.http1.request_refused import RequestRefused
 
@@ -78,10 +79,9 @@
             raise VmStopping()
         if not routes.is_loaded:
             raise ConfigurationUnknown()
-        route = routes.find(question.host, question.path)
-        if route is None:
-            raise NoRoute(detail=f"{question.host}{question.path}")
-        return route
+        if question.is_item:
+            return _find_item_route(question, routes)
+        return _find_by_path(question, routes)
 
     def _find_customer(self, question: Question, route: Route) -> Customer | None:
         """Return whose it is; an item was admitted with its submission."""
@@ -200,6 +200,27 @@
         )
 
 
+def _find_by_path(question: Question, routes: RouteTable) -> Route:
+    route = routes.find(question.host, question.path)
+    if route is None:
+        raise NoRoute(detail=f"{question.host}{question.path}")
+    return route
+
+
+def _find_item_route(question: Question, routes: RouteTable) -> Route:
+    """Return the route that an item's submission arrived at."""
+    if not question.route:
+        route = _find_by_path(question, routes)
+        if route.kind is not RouteKind.BATCH:
+            detail = "an item goes by the route of its submission, which is not named"
+            raise InvalidRequest(detail=detail)
+        return route
+    named = routes.find_batch(question.route)
+    if named is None:
+        raise NoRoute(detail=question.route)
+    return named
+
+
 def _refusal(failure: FoxtailbankError) -> OutcomeView:
     return OutcomeView(
         result=Result.REFUSED,
--- a/src/foxtailbank/explain/question.py
+++ b/src/foxtailbank/explain/question.py
@@ -21,6 +21,9 @@
         Name of the customer whose key it would bear; empty for no key.
     is_item : bool
         Whether it is an item of a batch submission that was accepted already.
+    route : str
+        Of an item, name of the route that its submission arrived at; empty if it is
+        that of `target`.
     tokens : int
         Prompt tokens plus the maximum of output tokens; 0 if unknown.
     affinity : str
@@ -41,6 +44,7 @@
     target: str
     customer: str = ""
     is_item: bool = False
+    route: str = ""
     tokens: int = 0
     affinity: str = ""
     prompt_parts: tuple[int, ...] = ()
--- a/src/foxtailbank/submissions/item_recorder.py
+++ b/src/foxtailbank/submissions/item_recorder.py
@@ -169,6 +169,7 @@
         return LogFields(
             job_id=submission_id,
             request_id=item_id,
+            entry=run.submission.route,
             endpoint=run.worker_id,
             reason=reason,
             count=run.send_count,
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -161,8 +161,8 @@
     world.clock.advance(400_000)  # all of it has leaked, lapsed or expired by now
     world.load(3)
     before = snapshot(world.vm)
-    for is_item in (False, True):
-        answer = world.ask(target, customer=customer, tokens=9, is_item=is_item)
+    for kind in ({}, {"is_item": True, "route": "b"}):
+        answer = world.ask(target, customer=customer, tokens=9, **kind)
         assert answer.candidates
     assert snapshot(world.vm) == before
     assert world.client.sent == world.client.asked_worker_ids == []
@@ -212,3 +212,23 @@
     limit = world.ask(customer="acme").limit
     assert (limit.decision, limit.permits_left) == ("limit", 0)
     assert limit.wait_ms > 0
+
+
+# Guards against an operator who is told of another route than that of the submission.
+@pytest.mark.parametrize(
+    ("target", "route", "found", "refusal"),
+    [
+        pytest.param("/b/x", "", "b", "", id="path-of-the-submission"),
+        pytest.param("/p/x", "b", "b", "", id="path-under-an-online-route"),
+        pytest.param("/nowhere/", "b", "b", "", id="path-under-no-route"),
+        pytest.param("/p/x", "", None, "invalid_request", id="route-not-named"),
+        pytest.param("/b/x", "r", None, "no_route", id="online-route-named"),
+        pytest.param("/b/x", "gone", None, "no_route", id="route-removed"),
+    ],
+)
+async def test_an_item_is_explained_by_the_route_of_its_submission(
+    target, route, found, refusal
+):
+    answer = World().ask(target, is_item=True, route=route)
+    assert (answer.route and answer.route.name) == found
+    assert answer.outcome.reason == refusal
