--- a/src/foxtailbank/forward/route_table.py
+++ b/src/foxtailbank/forward/route_table.py
@@ -34,6 +34,7 @@
         self.stream_lifetimes = StreamLifetimes()
         self._routes_by_host: dict[str, list[Route]] = {}
         self._batch_routes_by_name: dict[str, Route] = {}
+        self._has_public_batch_routes = False
         self._reservation_ms_by_service: t.Mapping[str, int] = {}
         self._age_ms: t.Callable[[], int | None] = lambda: 0
         self._listeners: list[t.Callable[[], None]] = []
@@ -55,7 +56,7 @@
     @property
     def has_public_batch_routes(self) -> bool:
         """Whether submissions can be made without a key where others need one."""
-        return any(route.is_public for route in self._batch_routes_by_name.values())
+        return self._has_public_batch_routes
 
     @property
     def age_ms(self) -> int | None:
@@ -97,6 +98,9 @@
             for route in routes.routes
             if route.kind is RouteKind.BATCH
         }
+        self._has_public_batch_routes = any(
+            route.is_public for route in self._batch_routes_by_name.values()
+        )
         self.limits = routes.limits
         self.customers = CustomerTable(customers=routes.customers)
         self._reservation_ms_by_service = routes.reservation_ms_by_service
--- a/src/foxtailbank/submissions/ledger.py
+++ b/src/foxtailbank/submissions/ledger.py
@@ -122,6 +122,7 @@
             arrived_wall_ms=record.arrived_wall_ms,
             owner=record.owner,
             customer=record.customer,
+            is_public=record.is_public,
             items_by_id={item.item_id: item for item in items},
         )
         return Effect.ACCEPTED
--- a/src/foxtailbank/submissions/records.py
+++ b/src/foxtailbank/submissions/records.py
@@ -97,6 +97,8 @@
         submission of which some are missing is not accepted.
     customer : str
         Name of the customer; empty for none and in records of earlier releases.
+    is_public : bool
+        Whether the entry needed no key; false in records of earlier releases.
     """
 
     submission_id: str
@@ -110,6 +112,7 @@
     items: tuple[Item, ...]
     piece_count: int = 0
     customer: str = ""
+    is_public: bool = False
 
 
 class RefusedAttempt(msgspec.Struct, frozen=True, kw_only=True, tag="refused"):
--- a/src/foxtailbank/submissions/service.py
+++ b/src/foxtailbank/submissions/service.py
@@ -239,6 +239,11 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
 
+    @property
+    def knows_all(self) -> bool:
+        """Whether this VM has read all submissions of before its start."""
+        return self._follower.has_caught_up
+
     def get(self, submission_id: str) -> Submission | None:
         """Return a submission, or None if this VM does not know the id."""
         return self._table.ledger.get(submission_id)
@@ -320,6 +325,7 @@
             items=groups[-1],
             piece_count=sum(map(len, groups)),
             customer=new.customer,
+            is_public=route.is_public,
         )
         parts = encode_parts(new.submission_id, attempt, groups[:-1])
         return (*parts, encode(submitted, key_suffix=attempt))
--- a/src/foxtailbank/submissions/submission.py
+++ b/src/foxtailbank/submissions/submission.py
@@ -33,6 +33,8 @@
         True if the client ended it.
     customer : str
         Name of the customer that it belongs to; empty for none.
+    is_public : bool
+        Whether its route needed no key, where customers hold keys.
     created_key : str
         Log key of the record that created it; empty until the table sets it.
     record_keys : set of str
@@ -55,6 +57,7 @@
     progress_by_id: dict[str, Progress] = dataclasses.field(default_factory=dict)
     ended: bool = False
     customer: str = ""
+    is_public: bool = False
     created_key: str = ""
     record_keys: set[str] = dataclasses.field(default_factory=set)
     text_keys: set[str] = dataclasses.field(default_factory=set)
--- a/tests/test_platform_customers.py
+++ b/tests/test_platform_customers.py
@@ -323,3 +323,30 @@
         assert seen == ["acme"] * 3 + ["bee"]
         assert all(len(customers_seen(run)) == 1 for run in runs(deployment))
         assert (await status("k2", "DELETE", LOTS + "s1"))[0] == 200
+
+
+# Guards against a submission that its caller, who has no key, can't read any more.
+async def test_a_submission_without_a_key_is_read_after_its_route_was_removed():
+    made = manifest()
+    batch = next(route for route in made["routes"] if route["type"] == "batch")
+    public = {**batch, "name": "ob", "path_prefix": "/open/", "public": True}
+    async with running_deployment(net=NET) as deployment:
+        deployment.publish()
+        deployment.store.put("keyed.op", "config", {**made, "routes": [public]})
+        deployment.start_vm()
+        await deployment.until_ready()
+        body = make_submission()
+        head, _ = await call("POST", "/open/1", body=body, net=NET)
+        assert head.status == 202
+        deployment.store.put("keyed.op", "config", {**made, "version": 2})
+
+        async def is_removed():
+            head, _ = await call("POST", "/open/1", body=body, net=NET)
+            return head.status != 202
+
+        await deployment.until(is_removed)
+        deployment.scope_by_number[1].cancel()
+        deployment.start_vm(2)  # has it from the log
+        await deployment.until_ready(2)
+        head, _ = await call("GET", f"{LOTS}q1?after=0", number=2, net=NET)
+        assert head.status == 200
--- a/tests/test_platform_submission_ids.py
+++ b/tests/test_platform_submission_ids.py
@@ -1,5 +1,6 @@
 """Which stored submission a call is about, and who may make it."""
 
+import dataclasses
 import types
 
 import pytest
@@ -26,20 +27,33 @@
     return "asyncio"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stored:
+    """What decides who may see a submission of no customer."""
+
+    route: str
+    is_public: bool = False
+
+
 class Batch:
-    """Submissions of no customer, by id and path."""
+    """Submissions of no customer, by id; a VM that `knows_all` has those of the log."""
 
-    def __init__(self, target_by_id):
-        self.target_by_id = target_by_id
+    def __init__(self, stored_by_id, *, knows_all):
+        self.stored_by_id = stored_by_id
+        self.knows_all = knows_all
 
     def get(self, submission_id):
-        target = self.target_by_id.get(submission_id)
-        return target and types.SimpleNamespace(host="h", target=target)
+        return self.stored_by_id.get(submission_id) if self.knows_all else None
 
     async def find(self, submission_id):
-        if submission_id not in self.target_by_id:
+        if submission_id not in self.stored_by_id:
             raise SubmissionUnknown()
-        return self.get(submission_id)
+        return self.stored_by_id[submission_id]
+
+
+OPEN = {"s1": Stored(route="open", is_public=True)}
+OPEN_BEFORE = {"s1": Stored(route="open")}  # written by an earlier release
+CLOSED = {"s1": Stored(route="r")}
 
 
 # Guards against submissions that anyone can read, that their callers can't read, or of
@@ -51,19 +65,47 @@
         pytest.param("k2", {}, True, False, BEE_ID, id="of-the-other"),
         pytest.param("k9", {}, True, False, KeyUnknown, id="unknown-key"),
         pytest.param("", {}, True, False, KeyUnknown, id="no-key"),
-        pytest.param("k9", {"s1": "/p/"}, False, False, "s1", id="no-customers"),
-        pytest.param("", {"s1": "/open/"}, True, True, "s1", id="public"),
-        pytest.param("k1", {"s1": "/open/"}, True, True, "s1", id="public-with-key"),
-        pytest.param("", {"s1": "/p/"}, True, True, KeyUnknown, id="not-public"),
+        pytest.param("k9", CLOSED, False, False, "s1", id="no-customers"),
+        pytest.param("", OPEN, True, True, "s1", id="public"),
+        pytest.param("k1", OPEN, True, True, "s1", id="public-with-key"),
+        pytest.param("", CLOSED, True, True, KeyUnknown, id="not-public"),
+        pytest.param("k1", CLOSED, True, True, ACME_ID, id="of-before-customers"),
+        pytest.param("", {}, True, True, SubmissionUnknown, id="none-of-that-id"),
+        pytest.param("", OPEN, True, False, "s1", id="public-route-removed"),
+        pytest.param("k1", OPEN, True, False, "s1", id="removed-with-key"),
+        pytest.param("", OPEN_BEFORE, True, True, "s1", id="public-of-before"),
         pytest.param(
-            "k1", {"s1": "/p/"}, True, True, ACME_ID, id="of-before-customers"
+            "", OPEN_BEFORE, True, False, KeyUnknown, id="of-before-and-removed"
         ),
-        pytest.param("", {}, True, True, SubmissionUnknown, id="none-of-that-id"),
     ],
 )
 async def test_who_may_see_a_submission(
     key, stored, has_customers, has_public, expected
 ):
+    found = await find_stored_id(key, stored, has_customers, has_public)
+    assert found == expected
+
+
+# Guards against a 401 for a submission that this VM has not read yet, and against a
+# caller without a key who makes a VM read the log.
+@pytest.mark.parametrize(
+    ("stored", "knows_all", "expected"),
+    [
+        pytest.param(OPEN, False, "s1", id="public-and-not-read-yet"),
+        pytest.param(CLOSED, False, KeyUnknown, id="not-public-and-not-read-yet"),
+        pytest.param({}, False, SubmissionUnknown, id="none-after-a-read"),
+        pytest.param({}, True, KeyUnknown, id="none-without-a-read"),
+    ],
+)
+async def test_who_may_see_a_submission_at_a_vm_that_starts(
+    stored, knows_all, expected
+):
+    found = await find_stored_id("", stored, True, False, knows_all=knows_all)
+    assert found == expected
+
+
+async def find_stored_id(key, stored, has_customers, has_public, *, knows_all=True):
+    """Return the id that is found, or the type of the failure."""
     customers = (make_customer(keys=("k1",)), make_customer("bee", keys=("k2",)))
     world = GateWorld(manual_clock(), customers=())
     batch_route = make_route(kind=RouteKind.BATCH)
@@ -75,7 +117,9 @@
         make_routes(*routes, version=9, customers=customers if has_customers else ())
     )
     vm = types.SimpleNamespace(
-        routes=world.routes, customers=world.gate, batch=Batch(stored)
+        routes=world.routes,
+        customers=world.gate,
+        batch=Batch(stored, knows_all=knows_all),
     )
     headers = (("authorization", f"Token {key}"),) if key else ()
     request = ServerRequest(
@@ -83,10 +127,9 @@
     )
     calls = SubmissionCalls(vm=vm, budget=unbounded(manual_clock()), logs=make_logs())
     try:
-        found = await calls._stored_id(request, "s1")
+        return await calls._stored_id(request, "s1")
     except FoxtailbankError as failure:
-        found = type(failure)
-    assert found == expected
+        return type(failure)
 
 
 # Guards against items of a public route that name a customer or bear a key.
--- a/tests/test_submissions_by_customer.py
+++ b/tests/test_submissions_by_customer.py
@@ -103,7 +103,7 @@
         if name != "items"
     }
     old = msgspec.msgpack.encode(OldSubmitted(items=new.items, **fields))
-    assert decode(old).customer == ""
+    assert (decode(old).customer, decode(old).is_public) == ("", False)
     stored = encode(new, key_suffix="1").value
     assert msgspec.msgpack.decode(stored, type=OldSubmitted).owner == new.owner
 
