--- a/src/foxtailbank/http1/client_channel.py
+++ b/src/foxtailbank/http1/client_channel.py
@@ -31,6 +31,7 @@
 MAX_FAILED_IDS = 1_000  # on one connection; then another one is opened
 DEFAULT_MAX_IDLE_MS = 4_000  # below the idle timeout of common servers
 IDLE_TIMEOUT_FRACTION = 0.8  # of the timeout that the server announces
+MAX_STATUS = 599  # RFC 9110, section 15; lower ones are refused by h11
 _SECONDS = re.compile("[0-9]{1,9}")
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -192,8 +193,8 @@
         ConnectionBroken
             The connection ended before the head was complete.
         MalformedResponse
-            The received bytes are not an HTTP response, or a head that begins and
-            does not end.
+            The received bytes are not an HTTP response, a head that begins and does
+            not end, or one whose status is none of HTTP's.
         ResponseTooLarge
             The interim responses before the head are too many.
         """
@@ -323,6 +324,8 @@
             await self._stream.aclose()
 
     def _parse_head(self, event: h11.Response) -> ResponseHead:
+        if event.status_code > MAX_STATUS:
+            raise MalformedResponse(detail=f"status {event.status_code}")
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
--- a/tests/item_vm.py
+++ b/tests/item_vm.py
@@ -113,9 +113,21 @@
     async def _read_list(self):
         """The list of workers can be read, and has not changed."""
 
-    def submit(self, submission_id="s1", *, owner="vm1/1", target=TARGET, route="r"):
+    def submit(
+        self,
+        submission_id="s1",
+        *,
+        owner="vm1/1",
+        target=TARGET,
+        route="r",
+        item_id=None,
+    ):
         item = Item(
-            item_id=f"{submission_id}-i", target=target, headers=(), body=BODY, tokens=1
+            item_id=item_id or f"{submission_id}-i",
+            target=target,
+            headers=(),
+            body=BODY,
+            tokens=1,
         )
         record = Submitted(
             submission_id=submission_id,
--- a/tests/raw_worker.py
+++ b/tests/raw_worker.py
@@ -44,12 +44,14 @@
 class RawAnswer:
     """Bytes that a server sends, and what it does with its connection then.
 
-    `endless` is sent over and over until the other side closes the connection.
+    `endless` is sent over and over until the other side closes the connection. A reset
+    comes after `reset_pause_s`; sooner it may overtake the data.
     """
 
     data: bytes = b""
     end: End = End.CLOSE
     endless: bytes = b""
+    reset_pause_s: float = 0.05
 
 
 def unframed(body, *, end=End.CLOSE):
@@ -123,7 +125,7 @@
             self.endless_bytes += len(answer.endless)
             await anyio.sleep(self.endless_pause_s)
         if answer.end is End.RESET:
-            await anyio.sleep(0.05)  # the reset would overtake the data
+            await anyio.sleep(answer.reset_pause_s)
             reset_on_close(stream)
         return answer.end is End.KEEP
 
@@ -167,30 +169,44 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ClientAnswer:
-    """What a client received: the status, its body, and whether it looked complete."""
+    """What a client received.
+
+    `complete` is whether the body looked complete; `stamp` is the worker's.
+    """
 
     status: int
     body: bytes
     complete: bool
+    stamp: str = ""
 
+    @property
+    def is_whole_success(self):
+        return 200 <= self.status < 300 and self.complete
 
-async def ask(address):
+
+async def ask(address, body=b"b"):
     """Send one request to a VM and return what its client sees."""
     channel = await ClientChannel.connect(
         address=address, clock=CLOCK, timeout_ms=TIMEOUT_MS
     )
     headers = (("Host", "h"), ("X-Request-Id", REQUEST_ID))
-    await channel.send(method="POST", target="/p/x", headers=headers, body=b"b")
+    await channel.send(method="POST", target="/p/x", headers=headers, body=body)
     head = await channel.receive_head(TIMEOUT_MS)
-    body = b""
+    received = b""
+    complete = True
     try:
         while (part := await channel.next_chunk(TIMEOUT_MS)) is not None:
-            body += part
+            received += part
     except ExchangeFailed:
-        return ClientAnswer(status=head.status, body=body, complete=False)
+        complete = False
     finally:
         await channel.aclose()
-    return ClientAnswer(status=head.status, body=body, complete=True)
+    return ClientAnswer(
+        status=head.status,
+        body=received,
+        complete=complete,
+        stamp=head.get(header_names.RESPONSE_STAMP),
+    )
 
 
 @contextlib.asynccontextmanager
@@ -203,7 +219,7 @@
         group.cancel_scope.cancel()
 
 
-async def ask_through_vm(route, *servers, first=None):
+async def ask_through_vm(route, *servers, first=None, body=b"b"):
     """Return what a client of a VM sees whose workers are these servers.
 
     `first` is the server that is asked before the others.
@@ -214,4 +230,4 @@
             if first not in (None, server):
                 vm.fleet.add_in_flight(f"w{number}", LoadKind.ONLINE)
         address = await group.start(vm.serve_connections)
-        return await ask(address)
+        return await ask(address, body)
--- a/tests/test_engine_answers.py
+++ b/tests/test_engine_answers.py
@@ -23,6 +23,7 @@
     MAX_STREAM_BYTES,
 )
 from foxtailbank.sse import DONE_EVENT
+from odd_answers import ODD_ANSWERS
 from raw_worker import (
     CHUNKED_HEAD,
     UNFRAMED_HEAD,
@@ -102,6 +103,22 @@
     assert isinstance(await run_work(RawServer(answer), **changes), EndpointFailed)
 
 
+# Guards against an engine's answer that is none, or broke off, and is passed on.
+@pytest.mark.parametrize("changes", [BUFFERED, STREAMED])
+@pytest.mark.parametrize("answer", ODD_ANSWERS)
+async def test_an_odd_answer_fails(changes, answer):
+    assert isinstance(await run_work(RawServer(answer), **changes), EndpointFailed)
+
+
+# Guards against an answer whose body is whole and whose status is none of HTTP's.
+@pytest.mark.parametrize("status", [b"000", b"199", b"600", b"999"])
+async def test_a_whole_body_with_an_odd_status_fails(status):
+    answer = sized(JSON)
+    data = answer.data.replace(b" 200 ", b" " + status + b" ", 1)
+    answer = RawAnswer(data=data, end=End.CLOSE)
+    assert isinstance(await run_work(RawServer(answer), **BUFFERED), EndpointFailed)
+
+
 # Guards against tokens that are counted as received and reach nobody: the stream would
 # be resumed after them.
 async def test_stream_that_is_too_long_is_resumed_after_what_was_passed_on():
--- a/tests/test_platform_relayed_calls.py
+++ b/tests/test_platform_relayed_calls.py
@@ -9,7 +9,9 @@
 from foxtailbank.http1.client_channel import ClientChannel
 from foxtailbank_platform import headers as names
 from foxtailbank_soak.worker import encode_event
+from odd_answers import ODD_ANSWERS
 from platform_deployment import CLOCK, call, make_manifest, running_deployment
+from raw_worker import RawServer
 
 pytestmark = pytest.mark.anyio
 NET = "127.0.35"
@@ -18,6 +20,7 @@
 STREAM = "/st/x"
 RESUMABLE = "/res/x"
 MAX_ATTEMPTS = 2
+REFUSED_S = 5
 LEFT_WORK_S = 0.5  # allowed after the client has left
 
 
@@ -228,3 +231,40 @@
             assert head.status == 200
         server = deployment.process_by_number[2]._relay_server
         assert not server._connections
+
+
+# Guards against an answer that is none, or broke off, and passes for a whole one on its
+# way through another VM.
+@pytest.mark.parametrize("target", [ONCE, STREAM, RESUMABLE])
+async def test_an_odd_answer_is_no_success_behind_the_other_vm(target):
+    server = RawServer()
+    seen_by_answer = {}
+    async with running_vms() as deployment:
+        await deployment.group.start(server.run)
+        for worker in deployment.workers:
+            deployment.store.put("keyed.servers", worker.worker_id, None)
+        entry = deployment.workers[0].entry(address=server.address)
+        deployment.store.put("keyed.servers", "raw", entry)
+        await anyio.sleep(1)  # both VMs have read the list
+        for number, answer in enumerate(ODD_ANSWERS):
+            (raw_answer,) = answer.values
+            server.script[:] = [raw_answer]
+            body = b"%d" % number  # one request would be taken to crash its workers
+            response = await ask_until_sent(server, target, body)
+            if response is not None:  # None if it was broken off
+                seen_by_answer[answer.id] = response[0].status
+    assert set(seen_by_answer.values()) == {502}
+    assert len(seen_by_answer) > len(ODD_ANSWERS) / 2
+
+
+async def ask_until_sent(server, target, body):
+    """Return the response to the first call that reaches the worker."""
+    count = len(server.requests)
+    with anyio.fail_after(REFUSED_S):
+        while True:
+            response = await call("POST", target, body=body, net=NET)
+            if len(server.requests) > count:
+                return response
+            # The worker is left alone for a while after it broke off a connection.
+            assert response[0].status == 503
+            await anyio.sleep(0.05)
