How old the routes are is asked once a turn, not for each waiting item

Items are only looked at while nothing holds them back, so the hold has answered for all of them; the end of an attempt asks for itself.

--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -244,7 +244,10 @@
         self._no_slot_since_ms_by_route = no_slot_since_ms_by_route
 
     def _try_start(self, run: ItemRun, now_ms: int) -> bool:
-        """Try to start an item; return false if no worker has a free slot."""
+        """Try to start an item; return false if no worker has a free slot.
+
+        The routes are recent; see `hold`.
+        """
         if self._give_up(run):
             return True
         route = self._routes.find(run.submission)
@@ -269,7 +272,10 @@
         return True
 
     def _give_up(self, run: ItemRun) -> bool:
-        """End an item that is not owed any more; return whether it was ended."""
+        """End an item that is not owed any more; return whether it was ended.
+
+        See `SubmissionRoutes.check_owed`.
+        """
         reason = self._routes.check_owed(run)
         if reason is None:
             return False
@@ -381,7 +387,8 @@
         # The ledger may not hold this run's latest failures yet.
         known_count = run.submission.failures_by_id.get(run.item.item_id, 0)
         run.failure_count = max(run.failure_count, known_count) + 1
-        self._give_up(run)
+        if self._routes.are_recent:
+            self._give_up(run)
 
     def _on_failure(
         self, run: ItemRun, worker: Worker, failure: ExchangeFailed
--- a/src/foxtailbank/submissions/submission_routes.py
+++ b/src/foxtailbank/submissions/submission_routes.py
@@ -68,12 +68,13 @@
         return self._clock.now_ms() - self._age_of(submission) + span_ms
 
     def check_owed(self, run: ItemRun) -> GiveUpReason | None:
-        """Return why an item is to be given up now; None if it is owed."""
+        """Return why an item is to be given up now; None if it is owed.
+
+        To be asked only while `are_recent`, as an old configuration can lack a route
+        that was added since, or allow less than the newest one.
+        """
         route = self.find(run.submission)
         is_removed = self._observe_missing(run, is_missing=route is None)
-        # Routes of an old configuration can lack one that was added since.
-        if not self.are_recent:
-            return None
         if route is None:
             return GiveUpReason.ROUTE_REMOVED if is_removed else None
         if route.may_give_up(self._age_of(run.submission)):
