A report that waited to be read is as old as its wait

A VM that stood still finds reports in its socket that its peers sent before. It took what they had read of the configuration for new, and could start items by routes that had been removed meanwhile. When the socket was last read empty bounds when a report arrived; what it says of the configuration is counted from then.

--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -31,7 +31,9 @@
     sequence : int
         Number of its newest report.
     last_update_ms : int
-        When that report or, before the first, the address was received.
+        When that report or, before the first, the address was read.
+    arrived_ms : int
+        When that report arrived at the earliest; it may have waited to be read.
     stopping : bool
         Whether it is shutting down.
     restoring : bool
@@ -50,6 +52,7 @@
     incarnation: int = 0
     sequence: int = 0
     last_update_ms: int
+    arrived_ms: int = 0
     stopping: bool = False
     restoring: bool = False
     lost_services: frozenset[str] = frozenset()
@@ -94,8 +97,27 @@
         self._by_id[vm_id] = Peer(vm_id=vm_id, address=address, last_update_ms=now_ms)
         return True
 
-    def on_report(self, report: LoadReport, address: Address, now_ms: int) -> bool:
-        """Record a report; return False if it is outdated or from this VM."""
+    def on_report(
+        self,
+        report: LoadReport,
+        address: Address,
+        now_ms: int,
+        *,
+        arrived_ms: int | None = None,
+    ) -> bool:
+        """Record a report; return False if it is outdated or from this VM.
+
+        Parameters
+        ----------
+        report : LoadReport
+            The report.
+        address : Address
+            Where it came from.
+        now_ms : int
+            Current time.
+        arrived_ms : int, optional
+            When it arrived at the earliest, if it may have waited to be read.
+        """
         if report.vm_id == self._vm_id:
             return False
         known = self._by_id.get(report.vm_id)
@@ -108,6 +130,7 @@
             incarnation=report.incarnation,
             sequence=report.sequence,
             last_update_ms=now_ms,
+            arrived_ms=now_ms if arrived_ms is None else arrived_ms,
             stopping=report.stopping,
             restoring=report.restoring,
             lost_services=frozenset(report.lost_services),
@@ -194,7 +217,7 @@
         """Return how long ago a peer read that a version was the newest, if one did."""
         mark = version_mark(version)
         ages_ms = (
-            now_ms - peer.last_update_ms + peer.configuration.age_ms
+            now_ms - peer.arrived_ms + peer.configuration.age_ms
             for peer in self._by_id.values()
             if peer.configuration is not None and peer.configuration.mark == mark
         )
--- a/src/foxtailbank/load_exchange.py
+++ b/src/foxtailbank/load_exchange.py
@@ -8,7 +8,11 @@
 
 from foxtailbank.address import Address, AddressInvalid, parse_address
 from foxtailbank.clock import MS_PER_S, Clock
-from foxtailbank.datagram_socket import Datagram, DatagramSocket
+from foxtailbank.datagram_socket import (
+    MAX_DATAGRAMS_PER_READ,
+    Datagram,
+    DatagramSocket,
+)
 from foxtailbank.events import Event
 from foxtailbank.exceptions import FoxtailbankError, FrameInvalid
 from foxtailbank.fleet import load_report, report_intervals
@@ -99,6 +103,7 @@
         self._logs = logs
         self._clock = clock
         self._sequence = 0
+        self._read_all_ms = clock.now_ms()  # when no datagram was left unread
         self._changed_by_group = {group: anyio.Event() for group in PeerGroup}
         self._crash_reports: collections.deque[CrashReport] = collections.deque(
             maxlen=load_report.MAX_CRASH_REPORTS
@@ -226,8 +231,12 @@
 
     async def _receive(self, socket: DatagramSocket) -> None:
         while True:
-            for datagram in await self._read(socket):
+            datagrams = await self._read(socket)
+            read_ms = self._clock.now_ms()
+            for datagram in datagrams:
                 self._on_datagram(datagram)
+            if 0 < len(datagrams) < MAX_DATAGRAMS_PER_READ:
+                self._read_all_ms = read_ms
             near = self._fleet.tiers.peer_count(PeerGroup.NEAR)
             pause_ms = report_intervals.read_pause_ms(
                 near, is_split=self._fleet.tiers.is_split
@@ -257,7 +266,9 @@
     def _apply(self, report: LoadReport, address: Address) -> None:
         now_ms = self._clock.now_ms()
         known = self._peers.get(report.vm_id)
-        if not self._peers.on_report(report, address, now_ms):
+        if not self._peers.on_report(
+            report, address, now_ms, arrived_ms=self._read_all_ms
+        ):
             return
         if known is not None and known.restoring and not report.restoring:
             fields = LogFields(peer=report.vm_id)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -2,13 +2,18 @@
 
 import contextlib
 import random
+import time
 
 import anyio
 import pytest
 
-from foxtailbank.clock import SystemClock
+from foxtailbank.clock import MS_PER_S, SystemClock
 from foxtailbank.datagram_socket import DatagramSocket
 from foxtailbank.fleet import load_report
+from foxtailbank.fleet.configuration_reading import (
+    ConfigurationReading,
+    version_mark,
+)
 from foxtailbank.fleet.crash_report import CrashReport, PartCompletion
 from foxtailbank.fleet.load_table import LoadKind, WorkerLoad
 from foxtailbank.fleet.peer_table import PeerTable
@@ -33,6 +38,7 @@
 ROUNDS = 8
 WAIT_S = 10
 SETTLE_S = 0.05  # until reports that answer a join have been sent
+STOOD_STILL_S = 0.3
 SOON_MS = 350  # less than the gap between two reports without a change
 
 
@@ -235,3 +241,32 @@
                     break
             assert CLOCK.now_ms() - restored_ms < SOON_MS
             group.cancel_scope.cancel()
+
+
+# Guards against a report that is held for new though the VM stood still before it read
+# it.
+async def test_a_report_that_waited_is_not_new():
+    exchange, _ = make_exchange(FakeKeyedLog())
+    reading = ConfigurationReading(mark=version_mark(1), age_ms=7)
+    reports = [
+        make_report("vm0", sequence=number, configuration=reading) for number in (1, 2)
+    ]
+    ages_ms = []
+    with anyio.fail_after(WAIT_S):
+        async with (
+            await anyio.create_udp_socket(local_host=HOST) as socket,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(exchange.run)
+            await anyio.sleep(SETTLE_S)
+            for report in reports:
+                await socket.sendto(load_report.encode(report), HOST, PORT)
+                time.sleep(STOOD_STILL_S)  # of the whole process
+                while (peer := exchange._peers.get("vm0")) is None or (
+                    peer.sequence < report.sequence
+                ):
+                    await anyio.sleep(0.001)
+                age_ms = exchange._peers.configuration_age_ms(1, CLOCK.now_ms())
+                ages_ms.append(age_ms)
+            group.cancel_scope.cancel()
+    assert min(ages_ms) >= STOOD_STILL_S * MS_PER_S + 7
--- a/tests/test_old_item_routes.py
+++ b/tests/test_old_item_routes.py
@@ -70,6 +70,24 @@
     assert len(vm.client.sent) == sent_count
 
 
+# Guards against items that start by a report that waited while this VM stood still.
+@pytest.mark.parametrize(("waited_ms", "starts"), [(OLD_MS, False), (0, True)])
+async def test_a_report_that_waited_is_as_old_as_its_wait(waited_ms, starts):
+    vm = old_vm(success(), age_ms=OLD_MS)
+    vm.clock.advance(OLD_MS)
+    reading = ConfigurationReading(mark=version_mark(VERSION), age_ms=0)
+    now_ms = vm.clock.now_ms()
+    vm.peers.on_report(
+        make_report("vm2", configuration=reading),
+        ADDRESS,
+        now_ms,
+        arrived_ms=now_ms - waited_ms,
+    )
+    async with vm.running():
+        await vm.pass_time(WAIT_MS, until=vm.results)
+    assert len(vm.client.sent) == starts
+
+
 # Guards against items that are given up by fewer attempts, or a shorter retention, than
 # the newest configuration allows.
 @pytest.mark.parametrize("changes", [{"max_attempts": 1}, {"give_up_ms": 1}])
