--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -9,7 +9,7 @@
 from foxtailbank.forward.route import RouteKind
 from foxtailbank.forward.worker_client import ReservationRefused
 from foxtailbank.http1.failures import ExchangeFailed
-from foxtailbank.keyed_log import AppendId, KeyedRecord, StoreResponseLost
+from foxtailbank.keyed_log import StoreResponseLost
 from foxtailbank_platform.store import KeyedTopic, StoreClient
 from foxtailbank_platform.worker_client import HttpWorkerClient
 from item_vm import BURST_MS, ItemVm
@@ -28,6 +28,7 @@
     worker_at,
 )
 from serving_fakes import make_route
+from test_unframed_answers import store_append, store_page, store_read
 
 pytestmark = pytest.mark.anyio
 UPLOAD = b"u" * 3_000_000
@@ -117,21 +118,8 @@
     assert [(end.completed, end.text) for end in vm.results()] == [(True, "a\nb")]
 
 
-def read(topic):
-    return topic.read(start=0, wait_ms=0)
-
-
-def read_newest(topic):
-    return topic.read_newest()
-
-
-def append(topic):
-    append_id = AppendId(producer="p", epoch=1, sequence=1)
-    return topic.append((KeyedRecord(key="k", value=b"v"),), append_id=append_id)
-
-
 # Guards against records, or the word that one is stored, from an answer that is none.
-@pytest.mark.parametrize("call", [read, read_newest, append])
+@pytest.mark.parametrize("call", [store_read, store_page, store_append])
 @pytest.mark.parametrize("answer", ODD_ANSWERS)
 async def test_the_store_says_nothing_by_an_odd_answer(call, answer):
     server = RawServer(answer)
