Items go on while the store is away for all VMs

Cause: a VM alone can't tell an outage, in which nobody can change the configuration, from a store that turns this VM away.

Change: load reports tell it.

--- a/src/foxtailbank/fleet/configuration_reading.py
+++ b/src/foxtailbank/fleet/configuration_reading.py
@@ -21,6 +21,11 @@
     mark: int
     age_ms: int
 
+    def is_after(self, version: int) -> bool:
+        """Whether its version is newer than another one."""
+        ahead = (self.mark - version_mark(version)) % _MARKS
+        return 0 < ahead < _MARKS // 2
+
 
 def version_mark(version: int) -> int:
     """Return a version in as many bits as reports have; at least 1.
--- a/src/foxtailbank/fleet/peer_table.py
+++ b/src/foxtailbank/fleet/peer_table.py
@@ -1,6 +1,7 @@
 """Entry VMs with which this one exchanges load reports."""
 
 import dataclasses
+import math
 
 from foxtailbank.address import Address
 from foxtailbank.fleet import report_cells, report_intervals
@@ -59,6 +60,12 @@
     reads_texts: bool = False
     configuration: ConfigurationReading | None = None
 
+    def reading_age_ms(self, now_ms: int) -> float:
+        """Return how old at most its reading of the configuration is."""
+        if self.configuration is None:
+            return math.inf
+        return now_ms - self.arrived_ms + self.configuration.age_ms
+
 
 class PeerTable:
     """Tracks peers: their addresses from the store, liveness from their reports.
@@ -213,15 +220,25 @@
             for peer in self._by_id.values()
         )
 
-    def configuration_age_ms(self, version: int, now_ms: int) -> int | None:
-        """Return how long ago a peer read that a version was the newest, if one did."""
+    def configuration_age_ms(self, version: int, now_ms: int) -> float:
+        """Return how long ago a peer read that a version was the newest."""
         mark = version_mark(version)
         ages_ms = (
-            now_ms - peer.arrived_ms + peer.configuration.age_ms
+            peer.reading_age_ms(now_ms)
             for peer in self._by_id.values()
             if peer.configuration is not None and peer.configuration.mark == mark
         )
-        return min(ages_ms, default=None)
+        return min(ages_ms, default=math.inf)
+
+    def running(self, now_ms: int) -> tuple[Peer, ...]:
+        """Return the peers that may be running, also if they were silent of late."""
+        return tuple(
+            peer
+            for peer in self._by_id.values()
+            if peer.incarnation
+            and not peer.stopping
+            and now_ms - peer.last_update_ms < UNHEARD_MS
+        )
 
     def alive(self, now_ms: int) -> tuple[Peer, ...]:
         """Return the peers that reported recently and are not shutting down."""
--- a/src/foxtailbank/submissions/item_holds.py
+++ b/src/foxtailbank/submissions/item_holds.py
@@ -38,7 +38,7 @@
         return Hold.APPENDS_FULL
     if not follower.has_caught_up:  # submissions may have ended or have another owner
         return Hold.LEDGER_BEHIND
-    if not routes.are_recent:  # a route may have been removed or changed
+    if not routes.are_in_force:  # a route may have been removed or changed
         return Hold.CONFIGURATION_OLD
     return None
 
--- a/src/foxtailbank/submissions/runner.py
+++ b/src/foxtailbank/submissions/runner.py
@@ -246,7 +246,7 @@
     def _try_start(self, run: ItemRun, now_ms: int) -> bool:
         """Try to start an item; return false if no worker has a free slot.
 
-        The routes are recent; see `hold`.
+        The routes are in force; see `hold`.
         """
         if self._give_up(run):
             return True
@@ -387,7 +387,7 @@
         # The ledger may not hold this run's latest failures yet.
         known_count = run.submission.failures_by_id.get(run.item.item_id, 0)
         run.failure_count = max(run.failure_count, known_count) + 1
-        if self._routes.are_recent:
+        if self._routes.are_in_force:
             self._give_up(run)
 
     def _on_failure(
--- a/src/foxtailbank/submissions/submission_routes.py
+++ b/src/foxtailbank/submissions/submission_routes.py
@@ -50,9 +50,9 @@
         self._clock = clock
 
     @property
-    def are_recent(self) -> bool:
-        """Whether the routes are recent enough to start items or to give them up."""
-        return self._age.is_recent(MAX_CONFIGURATION_AGE_MS)
+    def are_in_force(self) -> bool:
+        """Whether items may be started and given up by the routes."""
+        return self._age.is_in_force(MAX_CONFIGURATION_AGE_MS)
 
     def find(self, submission: Submission) -> Route | None:
         """Return a submission's route; None if the configuration has none."""
@@ -70,8 +70,7 @@
     def check_owed(self, run: ItemRun) -> GiveUpReason | None:
         """Return why an item is to be given up now; None if it is owed.
 
-        To be asked only while `are_recent`, as an old configuration can lack a route
-        that was added since, or allow less than the newest one.
+        To be asked only while `are_in_force`, as the newest routes may allow more.
         """
         route = self.find(run.submission)
         is_removed = self._observe_missing(run, is_missing=route is None)
@@ -84,14 +83,16 @@
         return None
 
     def _observe_missing(self, run: ItemRun, *, is_missing: bool) -> bool:
-        """Note if a run's route is missing; return whether it has been for long."""
+        """Note if a run's route is missing; return whether it has been removed."""
         if not is_missing:
             run.route_missing_since_ms = None
             return False
         now_ms = self._clock.now_ms()
         if run.route_missing_since_ms is None:
             run.route_missing_since_ms = now_ms
-        return now_ms - run.route_missing_since_ms > ROUTE_REMOVED_MS
+        is_missing_long = now_ms - run.route_missing_since_ms > ROUTE_REMOVED_MS
+        # Routes of an old configuration can lack one that was added since.
+        return is_missing_long and self._age.is_recent(ROUTE_REMOVED_MS)
 
     def _age_of(self, submission: Submission) -> int:
         """Return the time since a submission's arrival, by the wall clock."""
