--- a/tests/platform_ledger_replicas.py
+++ b/tests/platform_ledger_replicas.py
@@ -329,7 +329,7 @@
             return
         run.send_count += 1
         if outcome == "failed":
-            self.recorder.record_attempt_failure(run, "r")
+            self.recorder.record_attempt_failure(run)
             return
         run.texts.append(self.suffix())
         if outcome == "progress":
--- a/tests/position_vm.py
+++ b/tests/position_vm.py
@@ -174,7 +174,7 @@
         run.texts.append(f"{self.owner_id}.{self._text_count}")
         kind = self.rng.random()
         if kind < 0.15:
-            self.recorder.record_attempt_failure(run, "r")
+            self.recorder.record_attempt_failure(run)
         elif kind < 0.35:
             self.recorder.save_progress(run)
         else:
